Write one log line for each request that did not go smoothly, with its attempts

The line names the client's id, object, part and size, the answer and each attempt from first to last; changes of the box list are logged too. At most 100 lines a second, the rest are counted.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -3,6 +3,7 @@
 
 use crate::limits::Limits;
 use crate::net::{Key, Slots};
+use crate::trail::{self, Step, Trail};
 use linnetknot::{
     Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, Server, ServerId,
     Settings, SettingsError, State,
@@ -176,6 +177,7 @@
     out: Option<Out>,
     /// The final answer is given, or none is owed any more.
     answered: bool,
+    trail: Trail,
 }
 
 /// Counts for the operators.
@@ -211,6 +213,7 @@
     /// Bytes of the bodies of all open requests.
     bodies: usize,
     most_bodies: usize,
+    log: trail::Budget,
     actions: Vec<Action>,
     commands: Vec<Command>,
     /// What was done so far.
@@ -232,6 +235,7 @@
             most_lasting: limits.purges,
             bodies: 0,
             most_bodies: limits.bodies,
+            log: trail::Budget::new(limits.log_lines),
             actions: Vec::new(),
             commands: Vec::new(),
             counts: Counts::default(),
@@ -285,6 +289,7 @@
         let mut servers = Vec::new();
         for e in entries {
             let id = e.server.id;
+            log::info!("box {} at {} is {:?}", e.uid, e.endpoint, e.server.state);
             let known = self.boxes.entry(id).or_insert((e.uid, e.endpoint, State::Ready));
             known.1 = e.endpoint;
             self.set_state(id, e.server.state);
@@ -345,7 +350,8 @@
         };
         asked.remaining_us = remaining_us;
         let deadline = now + remaining_us;
-        let open = Open { client, asked, deadline, attempts: 0, out: None, answered: false };
+        let trail = Trail::new(now);
+        let open = Open { client, asked, deadline, attempts: 0, out: None, answered: false, trail };
         let id = open.asked.id.clone();
         let ticket = self.requests.insert(open).ok()?;
         self.ids.insert(id);
@@ -360,9 +366,10 @@
     pub fn leave(&mut self, now: Micros, ticket: Ticket) {
         let Some(open) = self.requests.get_mut(ticket).filter(|open| !open.answered) else { return };
         open.answered = true;
+        open.trail.end(now, "left");
         self.counts.left += 1;
         self.feed(now, Event::Left { request: ticket.to_u64() });
-        self.tidy(ticket);
+        self.tidy(now, ticket);
     }
 
     /// An attempt ended. One that is not out any more is passed over: late answers change nothing.
@@ -372,8 +379,10 @@
         let Ended { outcome, note, waited_us, load, content } = ended;
         // What was in transit when it was given up is how it ended, all the same.
         let outcome = if outcome == Outcome::Cancelled { out.given_up.unwrap_or(outcome) } else { outcome };
+        let (server, source) = (out.sending.server, out.sending.fill.map(|f| f.source));
+        open.trail.step(Step { server, source, sent: out.sent, ended: now, outcome, note, waited_us });
         if let Some(content) = content.filter(|_| outcome == Outcome::Ok && !open.answered) {
-            self.finish(attempt.ticket, Answer::Served(content));
+            self.finish(now, attempt.ticket, Answer::Served(content));
         }
         let settled = self.requests.get(attempt.ticket).is_none_or(|open| open.answered);
         let event = Event::Outcome {
@@ -388,7 +397,7 @@
             load,
         };
         self.feed(now, event);
-        self.tidy(attempt.ticket);
+        self.tidy(now, attempt.ticket);
     }
 
     /// A probe ended.
@@ -426,9 +435,9 @@
         if self.requests.get(ticket).is_some_and(|open| !open.answered) {
             // Guards the promise of one answer against a module that holds a request past its end.
             log::warn!("a request was still unanswered at its deadline");
-            self.finish(ticket, Answer::Failed);
+            self.finish(now, ticket, Answer::Failed);
             self.feed(now, Event::Left { request: ticket.to_u64() });
-            self.tidy(ticket);
+            self.tidy(now, ticket);
         }
     }
 
@@ -442,27 +451,49 @@
     }
 
     /// The one place where answers are given: a request that has its answer gets no second one.
-    fn finish(&mut self, ticket: Ticket, answer: Answer) {
+    fn finish(&mut self, now: Micros, ticket: Ticket, answer: Answer) {
         let Some(open) = self.requests.get_mut(ticket).filter(|open| !open.answered) else { return };
         open.answered = true;
-        match answer {
-            Answer::Served(_) => self.counts.served += 1,
-            Answer::Refused { .. } => self.counts.refused += 1,
-            Answer::Failed => self.counts.failed += 1,
-        }
+        let (count, how) = match answer {
+            Answer::Served(_) => (&mut self.counts.served, "served"),
+            Answer::Refused { .. } => (&mut self.counts.refused, "refused"),
+            Answer::Failed => (&mut self.counts.failed, "failed"),
+        };
+        *count += 1;
+        open.trail.end(now, how);
         self.commands.push(Command::Answer(open.client, answer));
     }
 
     /// Frees the slot of a request that is answered and has nothing out.
-    fn tidy(&mut self, ticket: Ticket) {
+    fn tidy(&mut self, now: Micros, ticket: Ticket) {
         if self.requests.get(ticket).is_some_and(|open| open.answered && open.out.is_none()) {
             if let Some(open) = self.requests.remove(ticket) {
                 self.ids.remove(&open.asked.id);
                 self.bodies -= open.asked.body.len();
+                self.report(now, &open);
             }
         }
     }
 
+    /// Writes down how a request went that did not go smoothly: what on-call follows by its id.
+    fn report(&mut self, now: Micros, open: &Open) {
+        if open.trail.is_smooth(open.deadline) || !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        if let Some(passed_over) = self.log.take(now) {
+            let uid = |id| self.location(id).map(|(uid, _)| uid);
+            let (asked, budget_ms) = (&open.asked, open.asked.remaining_us / 1000);
+            let line = open.trail.line(uid);
+            log::info!(
+                "request {} {}/{} {} KB, {budget_ms} ms: {line}{passed_over}",
+                asked.id,
+                asked.object,
+                asked.part,
+                asked.size_kb
+            );
+        }
+    }
+
     fn feed(&mut self, now: Micros, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.router.handle(now, event, &mut actions);
@@ -499,12 +530,12 @@
                 self.give_up(attempt, Outcome::Cancelled);
             }
             Action::Refuse { request, retry_after_us } => {
-                self.finish(Key::from_u64(request), Answer::Refused { wait_us: retry_after_us });
-                self.tidy(Key::from_u64(request));
+                self.finish(now, Key::from_u64(request), Answer::Refused { wait_us: retry_after_us });
+                self.tidy(now, Key::from_u64(request));
             }
             Action::Fail { request } => {
-                self.finish(Key::from_u64(request), Answer::Failed);
-                self.tidy(Key::from_u64(request));
+                self.finish(now, Key::from_u64(request), Answer::Failed);
+                self.tidy(now, Key::from_u64(request));
             }
             Action::Timer { at, tag } => self.commands.push(Command::Wake(at, Wake::Router(tag))),
             Action::Probe { server } => self.commands.push(Command::Probe(server)),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod limits;
 pub mod net;
 pub mod peers;
+pub mod trail;
 pub mod upstream;
 pub mod wire;
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -96,6 +96,8 @@
     pub suspect_us: u64,
     /// A connection to a box that takes none of what is written for so long is broken off.
     pub stalled_us: u64,
+    /// Lines a second on how requests went: a flood must not fill the log.
+    pub log_lines: u32,
 }
 
 impl Limits {
@@ -157,6 +159,7 @@
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
             stalled_us: 500_000,
+            log_lines: 100,
         }
     }
 }
