Take overdue attempts that surely wait for a fill as no sign of a silent server

After a purge of all groups every attempt waits for the parts archive. The module marked caches and parents as silent for two overdue attempts, called off all that was out there and began it anew elsewhere; the old fills ran on.

Attempts for purged copies and at caches that started empty are no evidence now; for the others the share of misses tells how many may be overdue by chance.

Both tests fail without the change.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -309,6 +309,10 @@
 
     /// A purge of an object, or with none of a whole group. The boxes hear of it by themselves.
     pub fn purged(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
+        match &object {
+            Some(object) => log::debug!("object {object} was purged"),
+            None => log::info!("group {group} was purged"),
+        }
         self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: false });
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,7 +35,9 @@
 const TICK_US: Micros = 50_000; // How often overdue attempts are looked for.
 const OVERDUE_US: Micros = 250_000; // An attempt is overdue after this, and `OVERDUE_TIMES` its usual time.
 const OVERDUE_TIMES: f64 = 2.0; // See `OVERDUE_US`.
-const OVERDUE_COUNT: usize = 2; // So many overdue and no answer since the first was sent: silent.
+/// Silent: no answer since the first of those overdue was sent, and this chance at most that all wait for fills.
+const SILENT_CHANCE: f64 = 0.16;
+const FILL_CHANCE: f64 = 0.4; // Least chance that a request waits for a fill: one overdue is no silence.
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
 const USUAL_STEP: f64 = 0.01; // Weight of one request in the usual sending time of its class.
 const WAY_S: f64 = 0.02; // Time of a hit besides its sending time.
@@ -151,8 +153,9 @@
     source: Option<ServerId>,
     sent: Micros,
     overdue_at: Micros,
-    held: f64,  // Transfers that the server held, this one with them, as far as could be judged.
-    fills: f64, // Fills by the location's link when it was sent, this one with them.
+    held: f64,    // Transfers that the server held, this one with them, as far as could be judged.
+    fills: f64,   // Fills by the location's link when it was sent, this one with them.
+    purged: bool, // Only a copy made since a recent purge will do.
     cancelled: bool,
     stuck_at: Micros, // When sharing no longer explains that it is still out; called off for that.
     stuck: bool,
@@ -502,13 +505,9 @@
         let done = self.settings.rules.purge_done_us;
         let purges = [open.object, group_key(open.group)].map(|key| self.purged.get(&key));
         // Each by itself: a later one that the servers have carried out must not hide one that lasts.
-        let ages =
-            purges.into_iter().flatten().map(|(at, lasting)| (now.saturating_sub(*at).max(1), lasting));
-        let age = ages.filter(|(age, lasting)| **lasting || *age <= done).map(|(age, _)| age).min();
-        let max_age_us = age.map(|age| {
-            let fresh = if class.fresh_us > 0 { class.fresh_us } else { age };
-            age.min(fresh)
-        });
+        let valid = purges.into_iter().flatten().filter(|(at, lasting)| *lasting || now <= *at + done);
+        let age = valid.map(|(at, _)| now.saturating_sub(*at).max(1)).min();
+        let max_age_us = age.map(|age| if class.fresh_us > 0 { age.min(class.fresh_us) } else { age });
         let fill = Fill {
             source: source.unwrap_or(server),
             keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
@@ -527,6 +526,7 @@
             overdue_at: now + OVERDUE_US + (OVERDUE_TIMES * open.work_s * 1e6) as Micros,
             held,
             fills,
+            purged: max_age_us.is_some(),
             cancelled: false,
             stuck_at: now + (bound * 1e6) as Micros,
             stuck: false,
@@ -541,9 +541,7 @@
                 known.on_trial = known.strikes > 0;
             }
         }
-        if let Some(known) = self.servers.get_mut(&server) {
-            known.out += 1;
-        }
+        self.servers.entry(server).and_modify(|s| s.out += 1);
         let fill = if direct { Fill { keep: 0, join: false, renew: false, ..fill } } else { fill };
         actions.push(Action::Attempt { request: id, server, timeout_us: None, fill: Some(fill) });
     }
@@ -698,10 +696,9 @@
     /// Share of its capacity that a server is sure to have by now, in a line from its cold share.
     fn warmth(&self, s: &Known, at: Micros) -> f64 {
         let r = &self.settings.rules;
-        let (share, cold_us) = match s.role {
-            Role::Parent => (r.parent_cold_share, r.parent_cold_us),
-            _ => (r.cold_share, r.cold_us),
-        };
+        let parent = s.role == Role::Parent;
+        let (share, cold_us) =
+            if parent { (r.parent_cold_share, r.parent_cold_us) } else { (r.cold_share, r.cold_us) };
         let age = s.started.max(s.back).map_or(Micros::MAX, |started| at.saturating_sub(started));
         (share + (1.0 - share) * age as f64 / cold_us.max(1) as f64).min(1.0)
     }
@@ -785,16 +782,20 @@
         };
         self.filling = self.open.values().filter(under_way).count() as f64;
         self.mean_filling += step * (self.filling - self.mean_filling);
-        let mut overdue: BTreeMap<ServerId, (usize, Micros)> = BTreeMap::new();
+        // A purged copy, and a cache that started empty, wait for a fill for certain: that it is slow tells of
+        // the origin or the link, and a further attempt elsewhere would only be one more fill.
+        let mut overdue: BTreeMap<ServerId, (f64, Micros)> = BTreeMap::new();
         for a in self.open.values().filter_map(|o| o.out.as_ref()).filter(|a| a.overdue_at < now) {
+            let cold = self.servers.get(&a.server).is_some_and(|s| self.warmth(s, now) < 1.0);
+            let fills = if a.purged || cold { 1.0 } else { self.missing.max(FILL_CHANCE) };
             for id in [Some(a.server), a.source].into_iter().flatten() {
-                let entry = overdue.entry(id).or_insert((0, a.sent));
-                *entry = (entry.0 + 1, entry.1.min(a.sent));
+                let entry = overdue.entry(id).or_insert((1.0, a.sent));
+                *entry = (entry.0 * fills, entry.1.min(a.sent));
             }
         }
-        for (id, (count, since)) in overdue {
+        for (id, (chance, since)) in overdue {
             let Some(s) = self.servers.get_mut(&id) else { continue };
-            if (count >= OVERDUE_COUNT || s.on_trial) && s.last_ok < since {
+            if (chance <= SILENT_CHANCE + 1e-9 || s.on_trial) && s.last_ok < since {
                 Self::mark(s, now);
             }
         }
@@ -855,9 +856,7 @@
         }
         // However it ended, a trial is over: left open by what judges nobody, it would bar the server.
         for id in [Some(server), attempt.source].into_iter().flatten() {
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.on_trial = false;
-            }
+            self.servers.entry(id).and_modify(|s| s.on_trial = false);
         }
         // What was called off as slow had its share of the link all the while. What timed out at the client's
         // deadline may as well have waited for the origin, which says nothing of the link.
@@ -887,9 +886,7 @@
                 if let Some(source) = attempt.source {
                     if hit {
                         // Found in the cache: the source was never asked.
-                        if let Some(s) = self.servers.get_mut(&source) {
-                            s.charged.retain(|c| c.2 != id);
-                        }
+                        self.servers.entry(source).and_modify(|s| s.charged.retain(|c| c.2 != id));
                     } else if note != Note::None && note != Note::Joined {
                         self.judge(now, source, None);
                         if let Some(s) = self.servers.get_mut(&source).filter(|_| sized) {
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -34,6 +34,42 @@
     assert!((1..=86).contains(&got), "{got} requests to a cache that may be cold");
 }
 
+/// Which attempts are called off once all that was sent has been out for a second.
+fn called_off(rig: &mut Rig) -> Vec<RequestId> {
+    rig.now += S;
+    let cancel = |a: &Action| if let Action::Cancel { request, .. } = a { Some(*request) } else { None };
+    rig.tick().iter().filter_map(cancel).collect()
+}
+
+#[test]
+fn fills_that_are_slow_after_a_purge_are_no_sign_of_silence() {
+    let purged = |group| {
+        let mut rig = Rig::new(settings(), fleet());
+        rig.handle(Event::Purged { object: None, group, age_us: 100 * MS, lasting: false });
+        for n in 0..6 {
+            rig.send("video", &format!("/o/{n}"));
+        }
+        called_off(&mut rig)
+    };
+    assert_eq!(purged(3), [], "the copies asked for are void: what is out waits for the origin");
+    assert!(!purged(4).is_empty(), "copies of another group should have been found");
+}
+
+#[test]
+fn fills_that_are_slow_in_a_cache_that_started_empty_are_no_sign_of_silence() {
+    let start = |at: Option<Micros>| {
+        let mut servers = fleet();
+        servers.iter_mut().filter(|s| s.kind == "cache").for_each(|s| s.started = at);
+        let mut rig = Rig::new(settings(), servers);
+        for n in 0..6 {
+            rig.ask("video", &format!("/o/{n}"), 5 * S);
+        }
+        called_off(&mut rig)
+    };
+    assert_eq!(start(Some(T0 - 3 * S)), [], "they hold nothing yet");
+    assert!(!start(Some(T0 - 30 * S)).is_empty());
+}
+
 #[test]
 fn a_cache_that_answers_nothing_is_left_and_its_requests_go_elsewhere() {
     let mut rig = Rig::new(settings(), fleet());
