--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,7 +35,7 @@
 const TICK_US: Micros = 50_000; // How often overdue attempts are looked for.
 const OVERDUE_US: Micros = 250_000; // An attempt is overdue after this, and `OVERDUE_TIMES` its usual time.
 const OVERDUE_TIMES: f64 = 2.0; // See `OVERDUE_US`.
-/// Silent: no answer since the first of those overdue was sent, and this chance at most that all wait for fills.
+/// Silent: no answer since the first overdue attempt was sent, and this chance at most that all are fills.
 const SILENT_CHANCE: f64 = 0.16;
 const FILL_CHANCE: f64 = 0.4; // Least chance that a request waits for a fill: one overdue is no silence.
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
@@ -782,8 +782,8 @@
         };
         self.filling = self.open.values().filter(under_way).count() as f64;
         self.mean_filling += step * (self.filling - self.mean_filling);
-        // A purged copy, and a cache that started empty, wait for a fill for certain: that it is slow tells of
-        // the origin or the link, and a further attempt elsewhere would only be one more fill.
+        // A purged copy, and a cache that started empty, wait for a fill for certain: a slow one tells of the
+        // origin or the link, and a further attempt elsewhere would only be one more fill.
         let mut overdue: BTreeMap<ServerId, (f64, Micros)> = BTreeMap::new();
         for a in self.open.values().filter_map(|o| o.out.as_ref()).filter(|a| a.overdue_at < now) {
             let cold = self.servers.get(&a.server).is_some_and(|s| self.warmth(s, now) < 1.0);
