Let the share that may have the origin asked rise with time, not by own answers alone

After the origin has failed some fills, a router lets few requests have it asked. The share rose by 0.04 with each good fill by the origin only: one of 100 proxies, with 7 requests a second of which one in twenty may ask, sees such an answer every few seconds. The rest went from parent to parent, which lacked the object, and were refused.

The test fails without the change; the one beside it now ticks each 50 ms of its clock as the module's timer does, where it ticked each 10 ms.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,6 +49,8 @@
 const ORIGIN_FALL: f64 = 0.85; // Of the share of requests that may have the origin asked, with a late answer.
 const ORIGIN_FALL_MOST: f64 = 3.0; // Times that, the later the answer: a long queue is slow to show.
 const ORIGIN_STEP: f64 = 0.04; // Added to it with one in time.
+/// Added to it each tick: a router with few fills would else not see for long that all is well again.
+const ORIGIN_TICK: f64 = 0.005;
 const ORIGIN_LEAST: f64 = 0.05; // Least: so many find out whether it is well again.
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
@@ -767,6 +769,7 @@
         let done = self.settings.rules.purge_done_us;
         self.purged.retain(|_, (at, lasting)| *lasting || *at + done >= now);
         let keep = self.settings.rules.fall_us;
+        self.origin_share = (self.origin_share + ORIGIN_TICK).min(1.0);
         let step = TICK_US as f64 / 1e6 / MEAN_S;
         for s in self.servers.values_mut() {
             s.mean_out += step * (s.out as f64 - s.mean_out);
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -321,7 +321,9 @@
                 waited_us,
                 load: None,
             });
-            rig.tick();
+            if rig.now.is_multiple_of(50 * MS) {
+                rig.tick();
+            }
             assert_ne!(s.fill.source, s.server);
             !s.fill.only_held
         });
@@ -422,3 +424,32 @@
     let held = (0..40).filter(|n| rig.send("video", &format!("/p/{n}")).fill.only_held).count();
     assert_eq!(held, 0, "the parent that is left asks the origin for what it lacks");
 }
+
+#[test]
+fn a_router_with_few_fills_asks_the_origin_again_once_its_trouble_is_past() {
+    let mut rig = Rig::new(settings(), fleet());
+    let held_back = |rig: &mut Rig| {
+        let mut held_back = 0;
+        for n in 0..40 {
+            let s = rig.send("video", &format!("/o/{n}"));
+            held_back += u32::from(s.fill.only_held);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+        }
+        held_back
+    };
+    for n in 0..30 {
+        let s = rig.send("video", &format!("/x/{n}"));
+        rig.end_with(s.request, 0, s.server, Outcome::Full, Note::OriginFailed);
+        rig.handle(Event::Left { request: s.request });
+    }
+    assert!(held_back(&mut rig) > 30, "all of its fills have failed at the origin");
+    for _ in 0..10 * 20 {
+        rig.now += 50 * MS;
+        rig.tick();
+    }
+    assert_eq!(
+        held_back(&mut rig),
+        0,
+        "nothing has failed for ten seconds, though nothing was filled either"
+    );
+}
