Let renewals of purged copies that never came shut the gate before the origin

The share of requests that may have the origin asked fell with late and failed answers only. After a purge of all groups most renewals end by the client's time-out or are called off, so the gate hardly heard of the overload and each router went on asking.

Ruled out: the location's link (fills from parents' own copies took 0.27 s in the median), one bad parent (all alike).

The test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -365,9 +365,6 @@
         }
         let c = &self.settings.classes[class];
         let aim_at = now + c.aim_us + (c.aim_stretch * work_s * 1e6) as Micros;
-        let write = c.write;
-        let count = if write { 0.0 } else { self.objects.add(object, now) };
-        let repeats = if write { 0.0 } else { self.parts.add(unit, now) };
         let open = Open {
             class,
             unit,
@@ -375,8 +372,8 @@
             group: r.group,
             work_s,
             sized,
-            count,
-            repeats,
+            count: if c.write { 0.0 } else { self.objects.add(object, now) },
+            repeats: if c.write { 0.0 } else { self.parts.add(unit, now) },
             aim_at,
             deadline: now + r.remaining_us,
             ..Open::default()
@@ -868,7 +865,10 @@
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
             self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
-        if by_origin {
+        // A renewal of a purged copy that never came, asked for or joined, was late at the origin.
+        let never = attempt.purged && matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
+        if by_origin || never {
+            let (note, waited_us) = if never { (Note::OriginFailed, took_us) } else { (note, waited_us) };
             self.learn_origin(note, waited_us as f64 / self.settings.classes[class].aim_us.max(1) as f64);
         }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
@@ -963,17 +963,14 @@
     /// The client left: what is out for it is called off, so that no link carries it in vain.
     fn left(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        match open.out.as_mut() {
-            None => {
-                self.open.remove(&id);
-            }
-            Some(a) => {
-                open.over = true;
-                if self.settings.cancel && !a.cancelled && !open.begun {
-                    a.cancelled = true;
-                    actions.push(Action::Cancel { request: id, attempt: a.number });
-                }
+        open.over = true;
+        if let Some(a) = open.out.as_mut() {
+            if self.settings.cancel && !a.cancelled && !open.begun {
+                a.cancelled = true;
+                actions.push(Action::Cancel { request: id, attempt: a.number });
             }
+        } else {
+            self.open.remove(&id);
         }
     }
 
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -453,3 +453,19 @@
         "nothing has failed for ten seconds, though nothing was filled either"
     );
 }
+
+#[test]
+fn a_renewal_that_never_came_shuts_the_gate_before_the_origin() {
+    let held_back = |group| {
+        let mut rig = Rig::new(settings(), fleet());
+        rig.handle(Event::Purged { object: None, group, age_us: 100 * MS, lasting: false });
+        for n in 0..20 {
+            let s = rig.send("video", &format!("/x/{n}"));
+            rig.end_with(s.request, 0, s.server, Outcome::Timeout, Note::None);
+            rig.handle(Event::Left { request: s.request });
+        }
+        (0..40).filter(|n| rig.send("video", &format!("/o/{n}")).fill.only_held).count()
+    };
+    assert!(held_back(3) > 20, "the origin alone could have given these");
+    assert_eq!(held_back(4), 0, "a time-out of what may be held anywhere says nothing of the origin");
+}
