--- a/src/decide.rs
+++ b/src/decide.rs
@@ -157,7 +157,7 @@
     overdue_at: Micros,
     held: f64,    // Transfers that the server held, this one with them, as far as could be judged.
     fills: f64,   // Fills by the location's link when it was sent, this one with them.
-    purged: bool, // Only a copy made since a recent purge will do.
+    purged: bool, // Its whole group was purged of late: it waits for a fill, as one object soon need not.
     cancelled: bool,
     stuck_at: Micros, // When sharing no longer explains that it is still out; called off for that.
     stuck: bool,
@@ -525,7 +525,7 @@
             overdue_at: now + OVERDUE_US + (OVERDUE_TIMES * open.work_s * 1e6) as Micros,
             held,
             fills,
-            purged: max_age_us.is_some(),
+            purged: purges[1].is_some_and(|(at, _)| now <= *at + done),
             cancelled: false,
             stuck_at: now + (bound * 1e6) as Micros,
             stuck: false,
@@ -782,7 +782,7 @@
         };
         self.filling = self.open.values().filter(under_way).count() as f64;
         self.mean_filling += step * (self.filling - self.mean_filling);
-        // A purged copy, and a cache that started empty, wait for a fill for certain: a slow one tells of the
+        // Purged groups, and caches that started empty, wait for fills for certain: a slow one tells of the
         // origin or the link, and a further attempt elsewhere would only be one more fill.
         let mut overdue: BTreeMap<ServerId, (f64, Micros)> = BTreeMap::new();
         for a in self.open.values().filter_map(|o| o.out.as_ref()).filter(|a| a.overdue_at < now) {
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -43,16 +43,18 @@
 
 #[test]
 fn fills_that_are_slow_after_a_purge_are_no_sign_of_silence() {
-    let purged = |group| {
+    let purged = |object: Option<&str>, group| {
         let mut rig = Rig::new(settings(), fleet());
-        rig.handle(Event::Purged { object: None, group, age_us: 100 * MS, lasting: false });
-        for n in 0..6 {
-            rig.send("video", &format!("/o/{n}"));
+        let object = object.map(str::to_owned);
+        rig.handle(Event::Purged { object, group, age_us: 100 * MS, lasting: false });
+        for _ in 0..6 {
+            rig.send("video", "/o/1");
         }
         called_off(&mut rig)
     };
-    assert_eq!(purged(3), [], "the copies asked for are void: what is out waits for the origin");
-    assert!(!purged(4).is_empty(), "copies of another group should have been found");
+    assert_eq!(purged(None, 3), [], "the copies asked for are void: what is out waits for the origin");
+    assert!(!purged(None, 4).is_empty(), "copies of another group should have been found");
+    assert!(!purged(Some("/o/1"), 3).is_empty(), "one object is filled again at once, by whoever asks first");
 }
 
 #[test]
