Don't ask a parent straight again for what it lacked or its origin failed

With no cache well, a request goes straight to the first parent with the origin as source. The answer that it lacks the object is noted against the source, which this way never looked at: the same parent was asked up to the limit.

Ruled out: a lost answer (each came after 43 ms), a double send by the daemon (each attempt has its own end).

The test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -571,7 +571,9 @@
     fn pick_beyond(&self, now: Micros, open: &Open, ranked: &Ranked) -> Option<Target> {
         let free = |id: &&ServerId| !open.tried.contains(id) && self.has_room(**id, now, open);
         let none_well = !ranked.caches.iter().any(|id| self.is_well(*id, now));
-        if none_well && self.settings.direct && !self.link_full(now, open) {
+        // A parent that lacks it, or whose origin failed, gives the same answer when asked again.
+        let failed = ranked.origin.is_some_and(|id| open.bad_sources.contains(&id));
+        if none_well && self.settings.direct && !failed && !self.link_full(now, open) {
             if let Some(parent) = ranked.parents.iter().filter(free).find(|id| self.is_well(**id, now)) {
                 return Some((*parent, ranked.origin));
             }
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -471,3 +471,20 @@
     assert!(held_back(3) > 20, "the origin alone could have given these");
     assert_eq!(held_back(4), 0, "a time-out of what may be held anywhere says nothing of the origin");
 }
+
+#[test]
+fn a_parent_that_lacks_what_it_was_asked_for_straight_is_not_asked_the_same_again() {
+    let mut rig = Rig::new(settings(), fleet());
+    for n in 0..40 {
+        let s = rig.send("video", &format!("/x/{n}"));
+        if s.server > 10 {
+            break;
+        }
+        rig.end(s.request, 0, s.server, Outcome::ConnectFailed);
+        rig.handle(Event::Left { request: s.request });
+    }
+    let s = rig.send("video", "/o/1");
+    assert_eq!((s.server > 10, s.fill.source), (true, 21), "no cache is well: straight to a parent");
+    let actions = rig.end_with(s.request, 0, s.server, Outcome::Miss, Note::SourceLacks);
+    assert!(sent(&actions).is_none_or(|s| s.server <= 10), "{actions:?}");
+}
