Count what is overdue from what answers take of late while purged groups fill again

An attempt was overdue after 250 ms and twice its sending time, however slow all answers had become.

The test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,7 @@
 const LONG_SHARE: f64 = 0.02; // See `STUCK_TIMES`.
 const LONG_STEP: f64 = 0.2; // Weight of one answer in what that time is.
 const STUCK_WEIGHT: f64 = 0.25; // Against its server: it may be a large object or a slow source.
+const VOID_US: Micros = 20_000_000; // Purged groups are filled again part by part, as they are asked for.
 const TICK_US: Micros = 50_000; // How often overdue attempts are looked for.
 const OVERDUE_US: Micros = 250_000; // An attempt is overdue after this, and `OVERDUE_TIMES` its usual time.
 const OVERDUE_TIMES: f64 = 2.0; // See `OVERDUE_US`.
@@ -145,8 +146,7 @@
     mean_out: f64, // Transfers to it from here, averaged over `MEAN_S`.
     hits: Pace,    // Its recent hits from here.
     fills: Pace,   // Recent fills from it whose size was told.
-    /// What was sent to it while cold: when, and its work in seconds.
-    charged: VecDeque<(Micros, f64, RequestId)>,
+    charged: VecDeque<(Micros, f64, RequestId)>, // Sent to it while cold: when, and its work in seconds.
 }
 
 struct Attempt {
@@ -206,12 +206,12 @@
     /// Fills that seem to be under way by the location's link from this router, now and on average.
     filling: f64,
     mean_filling: f64,
-    /// Recent fills by the location's link, whoever gave them: what they took tells its size.
-    link: Pace,
+    link: Pace, // Recent fills by the location's link, whoever gave them: what they took tells its size.
     /// Share of the requests that may have the origin asked: it falls while its answers come too late.
     origin_share: f64,
     /// By hash of the object, or of the group: when, and whether it holds for good.
     purged: BTreeMap<u64, (Micros, bool)>,
+    voided: Option<Micros>, // When a whole group was last purged.
     ticking: bool,
 }
 
@@ -265,6 +265,7 @@
             link: Pace::default(),
             origin_share: 1.0,
             purged: BTreeMap::new(),
+            voided: None,
             ticking: false,
         })
     }
@@ -294,6 +295,7 @@
             Event::Timer { .. } | Event::Probed { .. } => {}
             Event::Purged { object, group, age_us, lasting } => {
                 let at = now.saturating_sub(age_us);
+                self.voided = if object.is_none() { Some(now) } else { self.voided };
                 let key = object.map_or(group_key(group), |object| hash_text(&object));
                 let last = self.purged.entry(key).or_insert((at, false));
                 *last = (at.max(last.0), lasting || last.1);
@@ -493,8 +495,11 @@
     fn send(&mut self, now: Micros, id: RequestId, target: Target, actions: &mut Vec<Action>) {
         let (server, source) = target;
         let Some(open) = self.open.get(&id) else { return };
-        let bound =
-            STUCK_TIMES * self.long[open.class] * self.base_s(open) * f64::from(1 << open.stuck.min(4));
+        let long_s = self.long[open.class] * self.base_s(open);
+        let bound = STUCK_TIMES * long_s * f64::from(1 << open.stuck.min(4));
+        // After a purge of groups all wait for the origin: what takes no longer than others is not overdue.
+        let usual_s = if self.voided.is_some_and(|at| now <= at + VOID_US) { long_s } else { 0.0 };
+        let overdue_s = usual_s.max(OVERDUE_US as f64 / 1e6 + OVERDUE_TIMES * open.work_s);
         let held = self.servers.get(&server).map_or(0.0, |s| self.held(s)) + 1.0;
         let fills = self.fills() + 1.0;
         // Drawn once for a request: further attempts must not be further chances.
@@ -522,7 +527,7 @@
             server,
             source,
             sent: now,
-            overdue_at: now + OVERDUE_US + (OVERDUE_TIMES * open.work_s * 1e6) as Micros,
+            overdue_at: now + (overdue_s * 1e6) as Micros,
             held,
             fills,
             purged: purges[1].is_some_and(|(at, _)| now <= *at + done),
@@ -571,7 +576,6 @@
     fn pick_beyond(&self, now: Micros, open: &Open, ranked: &Ranked) -> Option<Target> {
         let free = |id: &&ServerId| !open.tried.contains(id) && self.has_room(**id, now, open);
         let none_well = !ranked.caches.iter().any(|id| self.is_well(*id, now));
-        // A parent that lacks it, or whose origin failed, gives the same answer when asked again.
         let failed = ranked.origin.is_some_and(|id| open.bad_sources.contains(&id));
         if none_well && self.settings.direct && !failed && !self.link_full(now, open) {
             if let Some(parent) = ranked.parents.iter().filter(free).find(|id| self.is_well(**id, now)) {
@@ -735,9 +739,7 @@
         match failed {
             None => {
                 s.last_ok = now;
-                if std::mem::take(&mut s.lost) {
-                    s.back = Some(now);
-                }
+                s.back = std::mem::take(&mut s.lost).then_some(now).or(s.back);
                 s.failing -= FAIL_STEP * s.failing;
                 if now >= s.marked_until {
                     s.strikes = 0;
@@ -936,15 +938,14 @@
             self.open.remove(&id);
             return;
         }
+        let lost = outcome == Outcome::Cancelled && attempt.source.is_some_and(|id| !self.is_well(id, now));
+        let by_source = by_source || lost && self.is_well(server, now);
         let Some(open) = self.open.get_mut(&id) else { return };
         let ran = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
         if ran && open.may_have_run.is_none() {
             let place = self.servers.get(&server).map_or((usize::MAX, u64::MAX), |s| (s.zone, s.cell));
             open.may_have_run = Some((attempt.sent, place.0, place.1));
         }
-        let lost = outcome == Outcome::Cancelled && attempt.source.is_some_and(|id| !self.is_well(id, now));
-        let by_source = by_source || lost && self.is_well(server, now);
-        let Some(open) = self.open.get_mut(&id) else { return };
         open.bad_sources.extend(mute);
         if outcome == Outcome::Error && !told && shared.is_none() {
             open.errors += 1;
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -34,9 +34,9 @@
     assert!((1..=86).contains(&got), "{got} requests to a cache that may be cold");
 }
 
-/// Which attempts are called off once all that was sent has been out for a second.
-fn called_off(rig: &mut Rig) -> Vec<RequestId> {
-    rig.now += S;
+/// Which attempts are called off once all that was sent has been out for so long.
+fn called_off(rig: &mut Rig, after: Micros) -> Vec<RequestId> {
+    rig.now += after;
     let cancel = |a: &Action| if let Action::Cancel { request, .. } = a { Some(*request) } else { None };
     rig.tick().iter().filter_map(cancel).collect()
 }
@@ -50,7 +50,7 @@
         for _ in 0..6 {
             rig.send("video", "/o/1");
         }
-        called_off(&mut rig)
+        called_off(&mut rig, S)
     };
     assert_eq!(purged(None, 3), [], "the copies asked for are void: what is out waits for the origin");
     assert!(!purged(None, 4).is_empty(), "copies of another group should have been found");
@@ -66,7 +66,7 @@
         for n in 0..6 {
             rig.ask("video", &format!("/o/{n}"), 5 * S);
         }
-        called_off(&mut rig)
+        called_off(&mut rig, S)
     };
     assert_eq!(start(Some(T0 - 3 * S)), [], "they hold nothing yet");
     assert!(!start(Some(T0 - 30 * S)).is_empty());
@@ -488,3 +488,21 @@
     let actions = rig.end_with(s.request, 0, s.server, Outcome::Miss, Note::SourceLacks);
     assert!(sent(&actions).is_none_or(|s| s.server <= 10), "{actions:?}");
 }
+
+#[test]
+fn after_a_purge_of_groups_what_takes_no_longer_than_others_is_not_overdue() {
+    let run = |purge: bool| {
+        let mut rig = Rig::new(settings(), fleet());
+        if purge {
+            rig.handle(Event::Purged { object: None, group: 4, age_us: 100 * MS, lasting: false });
+            rig.now += 10 * S;
+        }
+        // Nothing has answered yet, and until some have, answers are taken to need 0.9 seconds.
+        for n in 0..6 {
+            rig.send("video", &format!("/o/{n}"));
+        }
+        called_off(&mut rig, 700 * MS)
+    };
+    assert_eq!(run(true), []);
+    assert!(!run(false).is_empty());
+}
