Let only fills of the last 1.5 s tell what a link of untold size fits

What the location's link fits is learned from what fills took. Once the sums said that it fits next to nothing, no fill was begun, so none could show otherwise until a half-life of 10 s had let them fade.

The test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,8 +21,7 @@
 /// A broken connection, whatever was out on it: if its process has ended too, that shows with the next one.
 const RESET_WEIGHT: f64 = 0.5;
 const ERRORS: u32 = 2; // So many servers that fail a request: it is the request that can't be used.
-/// Share of the time left that a fill may need by the link's sharing: what is late costs the others too.
-const LINK_MARGIN: f64 = 0.4;
+const LINK_MARGIN: f64 = 0.4; // Share of the time left that a fill may need on the link: late ones cost all.
 const LINK_MARGIN_UNTOLD: f64 = 0.5; // Sizes not told: a class is refused as a whole, so a little later.
 /// Share of the time left that a transfer from a cache may be expected to take: reports are late, all routers
 /// act on the same one, and more transfers come while this one runs.
@@ -39,6 +38,7 @@
 /// Silent: no answer since the first overdue attempt was sent, and this chance at most that all are fills.
 const SILENT_CHANCE: f64 = 0.16;
 const FILL_CHANCE: f64 = 0.4; // Least chance that a request waits for a fill: one overdue is no silence.
+const STALE_US: Micros = 1_500_000; // Fills that ended longer ago tell nothing of what the link fits now.
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
 const USUAL_STEP: f64 = 0.01; // Weight of one request in the usual sending time of its class.
 const WAY_S: f64 = 0.02; // Time of a hit besides its sending time.
@@ -669,8 +669,8 @@
         let fits = if told > 0.0 {
             told / self.settings.flow_kb_per_s.max(1.0)
         } else {
-            match self.link.told(now) {
-                Some((stretch, held)) if stretch >= STRETCHED => held / stretch,
+            match self.link.told(now).filter(|(stretch, _)| *stretch >= STRETCHED) {
+                Some((stretch, held)) if now <= self.link.at + STALE_US => held / stretch,
                 _ => return false,
             }
         };
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -506,3 +506,30 @@
     assert_eq!(run(true), []);
     assert!(!run(false).is_empty());
 }
+
+#[test]
+fn a_link_on_which_no_fill_has_ended_of_late_is_not_full() {
+    let mut s = settings();
+    s.zones[1].link_kb_per_s = 0.0;
+    let mut rig = Rig::new(s, fleet());
+    let fills: Vec<Sent> = (0..6).map(|n| rig.send("video", &format!("/x/{n}"))).collect();
+    for s in fills {
+        rig.handle(Event::Outcome {
+            request: s.request,
+            attempt: 0,
+            server: s.server,
+            outcome: Outcome::Ok,
+            took_us: 4 * S,
+            settled: true,
+            note: Note::Filled,
+            waited_us: 20 * MS,
+            load: None,
+        });
+    }
+    let filled = |s: Sent| s.fill.source != s.server;
+    let full = filled(rig.send("video", "/o/1"));
+    rig.tick();
+    rig.now += 2 * S;
+    rig.tick();
+    assert_eq!([full, filled(rig.send("video", "/o/2"))], [false, true], "a fill has to show what fits now");
+}
