End a connection that its client doesn't keep once a late answer is written

Seen: in the review of what ends connections, a request without KEEP_CONN that a box answers later gets its answer, and then the connection stays open until the idle time of 5 s. `settle` wrote the answer and watched the connection, but only the connection's own events asked whether it was over, and none comes any more from a client that waits for the end. Ruled out: the session (`is_over` was true) and the ring (it was empty).

Guarded by `a_client_that_does_not_keep_its_connection_gets_its_answer_and_then_the_end`: the box is a puppet that answers once the request has reached it; without the mend the client waits for the end in vain.

With it come a puppet box, which does only what a test tells it, and a rig whose loop a test can hold, so that bad orders are forced and not waited for.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -557,7 +557,9 @@
                     Command::GiveUp(attempt, server) => self.give_up(now, attempt, server),
                     Command::Answer(client, answer) => {
                         self.answer(now, client, answer);
-                        self.watch(client.connection);
+                        if !self.write(now, client.connection) {
+                            self.close(now, client.connection);
+                        }
                         self.note_client(now, client.connection);
                     }
                     Command::Wake(at, wake) => {
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -1,90 +1,16 @@
 //! The daemon on loopback, with the stand-ins of the rehearsal kit around it.
 
-use linnetknot_daemon::config::Config;
-use linnetknot_daemon::daemon::{Control, Daemon};
-use linnetknot_rehearse::boxes::{Manner, StandIn};
+mod rig;
+
+use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::bus::{entry, Bus};
-use linnetknot_rehearse::clients::{call, exchange, Answer, WebServer};
+use linnetknot_rehearse::clients::{call, exchange, WebServer};
 use linnetknot_rehearse::consul::Agent;
-use linnetknot_rehearse::{settings, unix_ms};
+use linnetknot_rehearse::unix_ms;
+use rig::{object, one, Rig, READY};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
-
-struct Rig {
-    front: SocketAddr,
-    cdni: SocketAddr,
-    control: Control,
-    /// What the daemon reads on SIGHUP.
-    file: Arc<Mutex<Value>>,
-    run: JoinHandle<std::io::Result<()>>,
-    bus: Bus,
-    boxes: Vec<StandIn>,
-    origin: StandIn,
-}
-
-const READY: &str = "ready";
-
-impl Rig {
-    fn start() -> Rig {
-        Rig::with(&["s-0a"], |_| {})
-    }
-
-    fn with(boxes: &[&'static str], change: impl Fn(&mut Value)) -> Rig {
-        let bus = Bus::start().unwrap();
-        let boxes: Vec<StandIn> = boxes.iter().map(|uid| StandIn::start(uid).unwrap()).collect();
-        let origin = StandIn::start("s-0f").unwrap();
-        let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", READY)).collect();
-        list.push(entry(&origin, "hub", "origin", READY));
-        let known = json!({"offset": 0, "batch": [
-            {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
-        ]});
-        let mut config = json!({
-            "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known, "settings": settings(),
-            "limits": {"memory_mb": 192, "sockets": 256},
-        });
-        change(&mut config);
-        let (consul, purges) = (config["consul"].take(), config["purges"].take());
-        let file = Arc::new(Mutex::new(config));
-        let source = file.clone();
-        let read = move || Config::read(source.lock().unwrap().as_object().unwrap());
-        let mut config = read().unwrap();
-        let cdni = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
-            "footprint": ["127.0.0.0/8"], "neighbours": [], "purges": purges}, "consul": consul});
-        config.interconnect(cdni.as_object().unwrap()).unwrap();
-        // A daemon stays on the thread that started it.
-        let (tell, told) = std::sync::mpsc::channel();
-        let run = std::thread::spawn(move || {
-            let mut daemon = Daemon::start(config, Box::new(read)).unwrap();
-            let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
-            tell.send((addresses, daemon.control().unwrap())).unwrap();
-            daemon.run()
-        });
-        let ((front, cdni), control) = told.recv().unwrap();
-        Rig { front, cdni, control, file, run, bus, boxes, origin }
-    }
-
-    fn web(&self) -> WebServer {
-        WebServer::connect(self.front).unwrap()
-    }
-
-    /// Stops the daemon, which must end well.
-    fn stop(mut self) {
-        self.control.stop().unwrap();
-        self.run.join().unwrap().unwrap();
-    }
-}
-
-fn one(web: &mut WebServer, class: &str, object: &str) -> Answer {
-    web.ask(1, class, object, 2500).unwrap();
-    web.end().unwrap().1.expect("an answer")
-}
-
-fn object(n: u64) -> String {
-    format!("{n:016x}")
-}
+use std::net::{TcpListener, UdpSocket};
 
 #[test]
 fn requests_of_one_connection_are_served_in_any_order_and_unchanged() {
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clients;
 pub mod consul;
 mod play;
+pub mod puppet;
 
 pub use play::{rehearse, settings, Plant};
 
