Take nothing once the grace after SIGTERM is over, and linger over what crosses the end

(1) After the grace every request on a connection that was still open was read and sent on as before, so one that came 2 s after SIGTERM could still be open at SIGKILL, and the loop went on as long as clients kept asking. (2) The grace was 0.9 s, while the protocol leaves time to answer only for what comes within 0.7 s. (3) The process then exited over sockets with bytes unread, or crossed by them: the reset takes along what the client has not got yet. (4) The second front's listener stayed watched though nothing was accepted any more, and half a record did not count.

Ruled out: the kernel loses nothing by itself; the test's client that sends nothing gets all its answers. With eight answers of 480 KB on their way and one byte sent between them it got one, then `Connection reset by peer`.

Now the grace is 0.7 s; then what has come is read, later requests are refused at once, and each connection is shut for writing once nothing is owed on it and read until its client ends it, for half a second at the most and no more than 256 KiB (RFC 9112 9.6 tells of the same for HTTP). Every end of a client's connection from here goes that way, also after what can't be read. The daemon ends when no client's connection is left.

Guarded by `once_the_grace_is_over_...` and `bytes_that_cross_the_end_reset_no_answer_away`, both red before.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -12,6 +12,8 @@
 /// What a client's connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Standing {
+    /// It is ended from here, and may be closed.
+    Lingering,
     /// It has asked for nothing yet.
     Silent,
     /// A request has come in part.
@@ -25,6 +27,7 @@
 /// When a connection ends that stays what it has been since then; none while answers are owed.
 fn leaves_at(standing: Standing, owed: usize, since: Micros, limits: &Limits) -> Option<Micros> {
     let after = match standing {
+        Standing::Lingering => limits.linger_us,
         Standing::Silent | Standing::Half => limits.client_half_us,
         Standing::Idle => limits.client_idle_us,
         Standing::Busy if owed > 0 => return None,
@@ -39,6 +42,7 @@
         let (busy, half, asked) = match &c.kind {
             Kind::Client(s) => (s.is_waiting(), s.is_half(), s.has_asked()),
             Kind::Cdni(s) => (!s.is_idle(), s.is_half(), s.has_asked()),
+            Kind::Lingering(_) => return Some(Standing::Lingering),
             _ => return None,
         };
         Some(match (busy || !c.conn.output.is_empty(), half || !c.conn.input.is_empty(), asked) {
@@ -98,7 +102,11 @@
             c.conn.output.release();
         }
         match leaves_at(standing, Self::owed(c), c.since, &self.limits) {
-            Some(due) if due <= now => self.close(now, key),
+            // One that takes nothing, of what is written or of the end, is not waited for any longer.
+            Some(due) if due <= now && matches!(standing, Standing::Busy | Standing::Lingering) => {
+                self.close(now, key);
+            }
+            Some(due) if due <= now => self.end(now, key),
             due => {
                 let look = now + self.limits.client_look_us;
                 self.deadlines.set(due.map_or(look, |due| due.min(look)), Timer::Client(key));
@@ -174,7 +182,11 @@
                     let slow = self.waiting_answers > self.limits.waiting_answers;
                     // One client's flood must leave room for the requests of the others.
                     let flood = !self.limits.admits(session.owed(), self.core.is_crowded());
-                    let ticket = if slow || flood { None } else { self.core.ask(now, client, asked) };
+                    let ticket = if slow || flood || self.grace_over {
+                        None
+                    } else {
+                        self.core.ask(now, client, asked)
+                    };
                     match ticket {
                         Some(ticket) => session.taken(stream, ticket),
                         None => session
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -38,12 +38,15 @@
     Bus(Feed),
     Consul(Call),
     Cdni(Box<cdni::Session>),
+    /// A client's whose writing side is shut: it is read until its client ends it too, and so many bytes were
+    /// passed over.
+    Lingering(usize),
     Post(Box<Courier>),
 }
 
 impl Kind {
     fn is_client(&self) -> bool {
-        matches!(self, Kind::Client(_) | Kind::Cdni(_))
+        matches!(self, Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_))
     }
 }
 
@@ -281,17 +284,8 @@
     }
 
     fn is_done(&self) -> bool {
-        self.grace_over && self.core.is_idle() && self.waiting_answers == 0 && {
-            let written = |key: &Key| {
-                let c = self.connections.get(*key);
-                c.is_none_or(|c| match &c.kind {
-                    Kind::Client(s) => s.is_idle() && c.conn.output.is_empty(),
-                    Kind::Cdni(s) => s.is_idle() && c.conn.output.is_empty(),
-                    _ => true,
-                })
-            };
-            self.connections.keys().iter().all(written)
-        }
+        // A client's connection that is left has something owed to it, or lingers.
+        self.grace_over && self.core.is_idle() && self.clients == 0
     }
 
     fn event(&mut self, event: Ready) {
@@ -329,10 +323,7 @@
                 self.accept(now);
                 self.accept_cdni(now);
             }
-            Timer::Term => {
-                self.grace_over = true;
-                self.listener = None;
-            }
+            Timer::Term => self.end_grace(now),
         }
     }
 
@@ -346,6 +337,37 @@
         }
     }
 
+    /// From here on no request is taken: what came now might still be open when the process is killed. What was
+    /// asked before is answered, and each client's connection is ended once nothing is owed on it.
+    fn end_grace(&mut self, now: Micros) {
+        self.accept(now);
+        self.accept_cdni(now);
+        let clients: Vec<Key> =
+            self.connections.keys().into_iter().filter(|key| self.is_client(*key)).collect();
+        // What has come by now was taken within the grace.
+        clients.iter().for_each(|key| self.look_for_input(now, *key));
+        self.grace_over = true;
+        self.listener = None;
+        if let Some((listener, _)) = &self.desk {
+            let _ = self.poll.change(listener, CDNI, false, false);
+        }
+        for key in clients {
+            if !self.write(now, key) {
+                self.end(now, key);
+            }
+        }
+    }
+
+    fn is_client(&self, key: Key) -> bool {
+        self.connections.get(key).is_some_and(|c| c.kind.is_client())
+    }
+
+    /// Takes in what a client has sent by now, also where the loop has not been told of it yet.
+    fn look_for_input(&mut self, now: Micros, key: Key) {
+        self.serve(now, key, Ready { token: key.to_u64(), read: true, write: false, broken: false });
+        self.settle(now);
+    }
+
     /// Reads the configuration again. Nothing that is open is dropped for it, and a faulty file changes
     /// nothing: a daemon that ended over it would take all its clients with it.
     fn reload(&mut self, now: Micros) {
@@ -418,7 +440,7 @@
         let mut over = false;
         if ready.read && c.conn.up {
             let got = c.conn.read(ready.broken);
-            over = matches!(got, Progress::Ended | Progress::Broken);
+            let ended = matches!(got, Progress::Ended | Progress::Broken);
             if let Err(e) = self.read(now, key) {
                 // Whoever sends garbage must not fill the log with it.
                 let client = self.connections.get(key).is_some_and(|c| c.kind.is_client());
@@ -428,9 +450,12 @@
                 );
                 over = true;
             }
+            if ended {
+                return self.close(now, key);
+            }
         }
         if over || !self.write(now, key) {
-            return self.close(now, key);
+            return self.end(now, key);
         }
         self.note_client(now, key);
     }
@@ -440,6 +465,14 @@
         match &mut c.kind {
             Kind::Client(_) => self.read_client(now, key),
             Kind::Cdni(_) => self.read_cdni(now, key),
+            Kind::Lingering(passed_over) => {
+                *passed_over += c.conn.input.len();
+                c.conn.input.clear();
+                if *passed_over > self.limits.linger_bytes {
+                    return Err(WireError::TooLong("what comes behind the end"));
+                }
+                Ok(())
+            }
             Kind::Post(courier) => {
                 let front = c.conn.input.front();
                 let taken = front.len();
@@ -488,12 +521,25 @@
             Kind::Client(_) => {
                 self.write_client(key);
                 self.connections.get(key).is_none_or(|c| match &c.kind {
-                    Kind::Client(s) => !(s.is_over() && c.conn.output.is_empty()),
+                    Kind::Client(s) => {
+                        let last = s.is_over() || self.grace_over && s.is_idle() && !s.is_half();
+                        !(last && c.conn.output.is_empty())
+                    }
                     _ => true,
                 })
             }
+            Kind::Lingering(_) => true,
             Kind::Box(_) => self.pump(now, key),
-            Kind::Cdni(_) => self.write_cdni(key),
+            Kind::Cdni(_) => {
+                self.write_cdni(key)
+                    && self.connections.get(key).is_none_or(|c| match &c.kind {
+                        Kind::Cdni(s) => {
+                            let last = self.grace_over && s.is_idle() && !s.is_half();
+                            !(last && c.conn.output.is_empty())
+                        }
+                        _ => true,
+                    })
+            }
             Kind::Post(courier) => !courier.is_done() && c.conn.write() != Progress::Broken,
             Kind::Bus(_) | Kind::Consul(_) => c.conn.write() != Progress::Broken,
         };
@@ -510,13 +556,42 @@
         }
     }
 
+    /// Ends a connection from here. A client's lingers: a close over bytes that are not read, or that cross it,
+    /// would reset it, and what was written before would be lost on its way.
+    fn end(&mut self, now: Micros, key: Key) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        // What is whole in the ring is still owed; a client that takes none of it is not waited for.
+        c.conn.write();
+        if !matches!(c.kind, Kind::Client(_) | Kind::Cdni(_)) || c.conn.shut().is_err() {
+            return self.close(now, key);
+        }
+        c.conn.input.clear();
+        c.since = now;
+        let kind = std::mem::replace(&mut c.kind, Kind::Lingering(0));
+        let waiting = std::mem::take(&mut c.waiting);
+        self.waiting_answers -= waiting;
+        self.left_by(now, kind);
+        self.deadlines.set(now + self.limits.linger_us, Timer::Client(key));
+        self.watch(key);
+    }
+
+    /// No answer is owed any more for what a client's connection has open.
+    fn left_by(&mut self, now: Micros, kind: Kind) {
+        let tickets = match kind {
+            Kind::Client(session) => session.tickets(),
+            Kind::Cdni(session) => session.waiting.into_iter().collect(),
+            _ => return,
+        };
+        tickets.into_iter().for_each(|ticket| self.core.leave(now, ticket));
+    }
+
     fn close(&mut self, now: Micros, key: Key) {
         let Some(c) = self.connections.remove(key) else { return };
         match c.kind {
-            Kind::Client(session) => {
+            kind @ (Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_)) => {
                 self.clients -= 1;
                 self.waiting_answers -= c.waiting;
-                session.tickets().into_iter().for_each(|ticket| self.core.leave(now, ticket));
+                self.left_by(now, kind);
             }
             Kind::Box(link) => {
                 let server = link.server;
@@ -530,10 +605,6 @@
                 link.broken(c.conn.up, c.conn.written, &mut told);
                 self.tell(now, server, told);
             }
-            Kind::Cdni(session) => {
-                self.clients -= 1;
-                session.waiting.into_iter().for_each(|ticket| self.core.leave(now, ticket));
-            }
             Kind::Post(courier) => self.posted(now, courier),
             Kind::Consul(_) => self.consul_told(now, None),
             Kind::Bus(_) if self.feed == Some(key) => {
@@ -558,7 +629,7 @@
                     Command::Answer(client, answer) => {
                         self.answer(now, client, answer);
                         if !self.write(now, client.connection) {
-                            self.close(now, client.connection);
+                            self.end(now, client.connection);
                         }
                         self.note_client(now, client.connection);
                     }
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -101,7 +101,8 @@
                 Reply::Ask(asked) => {
                     session.until = now + asked.remaining_us;
                     let client = Client { connection: key, stream: 0 };
-                    match self.core.ask(now, client, asked) {
+                    let ticket = if self.grace_over { None } else { self.core.ask(now, client, asked) };
+                    match ticket {
                         Some(ticket) => session.waiting = Some(ticket),
                         None => {
                             let wait_us = Some(self.limits.back_off_us);
@@ -231,7 +232,7 @@
     pub(super) fn serve_cdni(&mut self, now: Micros, key: Key) {
         let read = self.read_cdni(now, key);
         if read.is_err() || !self.write(now, key) {
-            self.close(now, key);
+            self.end(now, key);
         }
     }
 }
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -71,7 +71,8 @@
     pub bus_silence_us: u64,
     /// Wait before the event bus is called again.
     pub bus_again_us: u64,
-    /// After SIGTERM, new connections and requests are taken for so long.
+    /// After SIGTERM, new connections and requests are taken for so long: the protocol leaves a request that comes
+    /// later no time to be answered before SIGKILL.
     pub term_grace_us: u64,
     /// Wait before accepting again where no descriptor was left.
     pub accept_again_us: u64,
@@ -82,6 +83,11 @@
     pub client_idle_us: u64,
     /// A client that takes none of its answers for so long is ended.
     pub client_stalled_us: u64,
+    /// A client's connection whose writing side is shut is read, and what comes passed over, for so long: what
+    /// crosses the end must not reset away what was written before it.
+    pub linger_us: u64,
+    /// Bytes that are passed over there at the most.
+    pub linger_bytes: usize,
     /// How often a client's connection is looked at.
     pub client_look_us: u64,
     /// A client's connection makes no room for another in the first moments of being as it is.
@@ -147,11 +153,13 @@
             answer_ahead_us: 10_000,
             bus_silence_us: 2_000_000,
             bus_again_us: 100_000,
-            term_grace_us: 900_000,
+            term_grace_us: 700_000,
             accept_again_us: 20_000,
             client_half_us: 2_000_000,
             client_idle_us: 5_000_000,
             client_stalled_us: 10_000_000,
+            linger_us: 500_000,
+            linger_bytes: 256 << 10,
             client_look_us: 500_000,
             settle_us: 150_000,
             give_up_us: 5_000,
--- a/daemon/src/net/conn.rs
+++ b/daemon/src/net/conn.rs
@@ -3,7 +3,7 @@
 use super::ring::Ring;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 
 /// A connection: a non-blocking socket, what came in and what is to go out.
 pub struct Conn {
@@ -101,6 +101,12 @@
         moved
     }
 
+    /// Ends the writing half: the other side sees the end behind all that was written.
+    pub fn shut(&mut self) -> io::Result<()> {
+        self.output.clear();
+        self.socket.shutdown(Shutdown::Write)
+    }
+
     /// What to watch for from now on, if that has changed.
     pub fn watch(&mut self) -> Option<(bool, bool)> {
         let wanted = (self.input.room() > 0, !self.up || !self.output.is_empty());
--- a/daemon/src/net/ring.rs
+++ b/daemon/src/net/ring.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Drops all that is held.
+    pub fn clear(&mut self) {
+        self.consume(self.len);
+    }
+
     /// Bytes that still fit.
     pub fn room(&self) -> usize {
         self.most - self.len
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -4,11 +4,14 @@
 mod rig;
 
 use linnetknot_daemon::wire::fastcgi::{self, kind};
+use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::clients::WebServer;
 use linnetknot_rehearse::puppet::Puppet;
 use rig::{object, Rig};
 use std::io::ErrorKind;
 
+/// What is asked of a puppet is a write: no module calls one off because it takes long.
+const WRITE: &str = "post";
 const MINUTE_US: u64 = 60_000_000;
 
 /// Whether a client's connection was ended by a close, not by a reset.
@@ -16,6 +19,56 @@
     web.end().is_err_and(|e| e.kind() == ErrorKind::UnexpectedEof)
 }
 
+#[test]
+fn once_the_grace_is_over_nothing_that_is_read_is_sent_on_and_what_is_open_is_answered() {
+    let puppet = Puppet::start().unwrap();
+    let mut rig = Rig::puppet(&puppet, |_| {}, |limits| limits.linger_us = MINUTE_US);
+    let (mut busy, mut resting) = (rig.web(), rig.web());
+    resting.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+    resting.end().unwrap();
+    busy.ask(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.line().unwrap();
+    let open = line.frame().unwrap();
+    rig.end_grace();
+    // One that rests is ended, and what crosses that end is read by nobody.
+    assert!(is_closed(&mut resting));
+    resting.ask(2, WRITE, &object(2), 60_000).unwrap();
+    // One that still waits is owed an answer to all that it asks; a new request would outlive the process.
+    busy.ask(2, WRITE, &object(3), 60_000).unwrap();
+    let (id, answer) = busy.end().unwrap();
+    assert_eq!((id, answer.unwrap().status), (2, 503));
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    let (id, answer) = busy.end().unwrap();
+    assert_eq!((id, answer.unwrap().status), (1, 200));
+    assert!(is_closed(&mut busy), "nothing is open on it any more");
+    drop((busy, resting));
+    rig.run.join().unwrap().unwrap();
+    assert!(line.frame().is_err(), "nothing else was sent on");
+}
+
+#[test]
+fn bytes_that_cross_the_end_reset_no_answer_away() {
+    let mut rig = Rig::bounded(&["s-0a"], |_| {}, |limits| limits.linger_us = MINUTE_US);
+    // More than the sockets between take at once: the rest is still on its way when all is written.
+    rig.boxes[0].behave(Manner { padding: 480_000, ..Manner::default() });
+    let mut web = rig.web();
+    for id in 1..=8 {
+        web.ask(id, "photo", &object(u64::from(id)), 60_000).unwrap();
+    }
+    (1..=8).for_each(|n| {
+        rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(n))).unwrap();
+    });
+    rig.end_grace();
+    for n in 1..=8 {
+        // It sends on while it reads: the first bytes of a request that never becomes whole.
+        let request = WebServer::request(100, "/invoke/photo", &[("HTTP_REQUEST_ID", "0a")], b"");
+        web.send(&request[n - 1..n]).unwrap();
+        assert_eq!(web.end().unwrap().1.unwrap().status, 200, "answer {n} came whole");
+    }
+    drop(web);
+    rig.run.join().unwrap().unwrap();
+}
+
 #[test]
 fn a_client_that_does_not_keep_its_connection_gets_its_answer_and_then_the_end() {
     let puppet = Puppet::start().unwrap();
