Read a client's connection before it makes room or is ended as idle

Seen in the review: where the table is full, or a connection has been idle for its time, it was closed on the strength of what had been read so far. A request that had arrived and was not read yet went with it, and the close over unread bytes reset the connection. Ruled out: the order within one round of epoll; it gives the listener first whenever the new client came first, which is enough.

Now whoever is to leave is read from once more, and stays if a request came; the next one is looked for then.

Guarded by `a_request_that_has_come_keeps_its_connection_from_making_room_for_another`: the loop is held, the second client connects, the first one asks, and the loop goes on. Red before (`Connection reset by peer`).

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -65,10 +65,23 @@
     /// that is likeliest to want nothing any more makes room: a crowd that says nothing, or clients that ask once
     /// and keep their connection for good, must not shut all others out. One that came a moment ago is let be:
     /// its request is on its way.
-    pub(super) fn room_for_client(&self, now: Micros) -> io::Result<Option<Key>> {
-        if self.clients < self.limits.clients && !self.connections.is_full() {
-            return Ok(None);
+    /// So is one whose request has come but was not read yet.
+    pub(super) fn room_for_client(&mut self, now: Micros) -> io::Result<Option<Key>> {
+        loop {
+            if self.clients < self.limits.clients && !self.connections.is_full() {
+                return Ok(None);
+            }
+            let leaver = self.leaver(now).ok_or(io::ErrorKind::OutOfMemory)?;
+            self.look_for_input(now, leaver);
+            // Unless it was read from and is another one's turn now.
+            if self.leaver(now) == Some(leaver) {
+                return Ok(Some(leaver));
+            }
         }
+    }
+
+    /// The client's connection that is the first to make room.
+    fn leaver(&self, now: Micros) -> Option<Key> {
         let settled = now.saturating_sub(self.limits.settle_us);
         let leaves = |key: &Key| {
             let c = self.connections.get(*key)?;
@@ -76,8 +89,7 @@
             Some((standing, c.since)).filter(|(_, since)| *since <= settled)
         };
         let keys = self.connections.keys();
-        let first = keys.iter().filter_map(|key| Some((leaves(key)?, *key))).min();
-        first.map(|(_, key)| Some(key)).ok_or(io::ErrorKind::OutOfMemory.into())
+        keys.iter().filter_map(|key| Some((leaves(key)?, *key))).min().map(|(_, key)| key)
     }
 
     /// Notes what a client's connection is at since when, after something was read or written there.
@@ -95,6 +107,10 @@
     /// Ends a client's connection that holds its place for nothing. Usual clients end theirs sooner, so none of
     /// their requests can cross this.
     pub(super) fn look_at_client(&mut self, now: Micros, key: Key) {
+        let due = |c: &Connection| leaves_at(Self::standing(c)?, Self::owed(c), c.since, &self.limits);
+        if self.connections.get(key).and_then(due).is_some_and(|due| due <= now) {
+            self.look_for_input(now, key);
+        }
         let Some(c) = self.connections.get_mut(key) else { return };
         let Some(standing) = Self::standing(c) else { return };
         if standing == Standing::Idle {
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -7,7 +7,7 @@
 use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::clients::WebServer;
 use linnetknot_rehearse::puppet::Puppet;
-use rig::{object, Rig};
+use rig::{object, one, Rig};
 use std::io::ErrorKind;
 
 /// What is asked of a puppet is a write: no module calls one off because it takes long.
@@ -94,3 +94,23 @@
     assert!(is_closed(&mut web), "it waits for nothing but the end");
     rig.stop();
 }
+
+#[test]
+fn a_request_that_has_come_keeps_its_connection_from_making_room_for_another() {
+    // Room for one client, which may have to leave at once.
+    let mut rig = Rig::bounded(
+        &["s-0a"],
+        |config| config["limits"]["sockets"] = 3.into(),
+        |limits| limits.settle_us = 0,
+    );
+    let mut first = rig.web();
+    assert_eq!(one(&mut first, "photo", &object(1)).status, 200);
+    let held = rig.hold();
+    let mut second = rig.web();
+    first.ask(2, "photo", &object(2), 60_000).unwrap();
+    drop(held);
+    assert_eq!(first.end().unwrap().1.unwrap().status, 200, "its request was there when room was looked for");
+    second.ask(1, "photo", &object(3), 60_000).unwrap();
+    assert_eq!(second.end().unwrap().1.unwrap().status, 200);
+    rig.stop();
+}
