Read what a box had answered before its connection broke

Seen in the review: when a write to a box fails, its connection is closed at once and all that is open on it is reported as reset, which may have run. Answers that lie in the socket by then are thrown away; a request that may not be repeated fails though its answer is here, and another one runs twice. Ruled out: that the kernel drops them; after the reset a read still gives them.

Now what can be read is read before the connection is over, 64 reads at the most, unless something garbled or an answer that stopped short leaves open where the next one begins.

Guarded by `an_answer_that_has_come_counts_also_where_its_connection_breaks_under_the_next_request`: the loop is held, the second request comes, the box answers the first and resets. Before: the first one's object was fetched a second time.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -2,7 +2,7 @@
 
 use super::{Connection, Daemon, Kind, Timer};
 use crate::core::AttemptId;
-use crate::net::{Conn, Key};
+use crate::net::{Conn, Key, Progress};
 use crate::upstream::{Link, Told};
 use linnetknot::{Micros, Outcome, ServerId};
 
@@ -62,6 +62,20 @@
         }
     }
 
+    /// Reads what a box had sent before its connection broke: those answers are answers.
+    pub(super) fn read_rest(&mut self, now: Micros, key: Key) {
+        for _ in 0..self.limits.last_reads {
+            let readable = self.connections.get(key).is_some_and(|c| match &c.kind {
+                Kind::Box(link) => c.conn.up && link.is_readable(now, &self.limits),
+                _ => false,
+            });
+            let Some((conn, _)) = self.link(key).filter(|_| readable) else { return };
+            if conn.read(false) != Progress::Moved || self.read(now, key).is_err() {
+                return;
+            }
+        }
+    }
+
     /// Begins a connection to a box.
     fn dial(&mut self, now: Micros, server: ServerId) -> Option<Key> {
         let (_, endpoint) = self.core.location(server)?;
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -364,7 +364,7 @@
 
     /// Takes in what a client has sent by now, also where the loop has not been told of it yet.
     fn look_for_input(&mut self, now: Micros, key: Key) {
-        self.serve(now, key, Ready { token: key.to_u64(), read: true, write: false, broken: false });
+        self.serve(now, key, Ready::to_read(key.to_u64()));
         self.settle(now);
     }
 
@@ -586,6 +586,7 @@
     }
 
     fn close(&mut self, now: Micros, key: Key) {
+        self.read_rest(now, key);
         let Some(c) = self.connections.remove(key) else { return };
         match c.kind {
             kind @ (Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_)) => {
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -43,6 +43,8 @@
     pub input_ring: usize,
     /// Bytes of a connection's ring for what goes out.
     pub output_ring: usize,
+    /// Reads of what a box had sent before its connection broke, at the most.
+    pub last_reads: usize,
     /// Bytes of one line or event of text.
     pub line: usize,
     /// Bytes of one answer of Consul: the whole list.
@@ -139,6 +141,7 @@
             waiting_answers: memory / 4,
             input_ring: 16 << 10,
             output_ring: 64 << 10,
+            last_reads: 64,
             line: 64 << 10,
             list: 1 << 20,
             purges: 20_000,
--- a/daemon/src/net/poll.rs
+++ b/daemon/src/net/poll.rs
@@ -17,6 +17,13 @@
     pub broken: bool,
 }
 
+impl Ready {
+    /// What one looks for that was not told of yet.
+    pub fn to_read(token: u64) -> Self {
+        Ready { token, read: true, write: false, broken: false }
+    }
+}
+
 /// An epoll set, level-triggered.
 pub struct Poll {
     fd: OwnedFd,
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -70,6 +70,8 @@
     /// Nothing came back for what was given up here: the other side may be gone without a word.
     suspect: bool,
     stalled: Option<(u64, Micros)>,
+    /// Something came that can't be read: where the next answer begins is not known any more.
+    garbled: bool,
 }
 
 fn note(fields: &[u8]) -> Note {
@@ -175,6 +177,7 @@
             suspect_us: limits.suspect_us,
             suspect: false,
             stalled: None,
+            garbled: false,
         }
     }
 
@@ -196,6 +199,11 @@
         self.open.values().filter_map(written).min().map(|at| at + limits.give_up_us)
     }
 
+    /// Whether what comes next can be read: nothing of it was garbled, and no answer has stopped short.
+    pub fn is_readable(&self, now: Micros, limits: &Limits) -> bool {
+        !self.garbled && self.half_at(limits).is_none_or(|at| now < at)
+    }
+
     /// When an answer that has come in part will have stopped short.
     pub fn half_at(&self, limits: &Limits) -> Option<Micros> {
         self.arrays.is_half().then(|| self.last_heard + limits.half_answer_us)
@@ -344,13 +352,16 @@
         told: &mut Vec<Told>,
     ) -> Result<(), WireError> {
         while !conn.input.is_empty() {
+            self.garbled = true;
             let (taken, array) = self.arrays.parse(conn.input.front())?;
             conn.input.consume(taken);
+            self.garbled = false;
             self.last_heard = now;
             self.suspect = false;
             let Some(array) = array else { continue };
             let mut items = array.into_iter();
             let (Some(id), Some(word)) = (items.next(), items.next()) else {
+                self.garbled = true;
                 return Err(WireError::Malformed("a box's answer"));
             };
             let (fields, body) = (items.next().unwrap_or_default(), items.next().unwrap_or_default());
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -114,3 +114,26 @@
     assert_eq!(second.end().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
+
+#[test]
+fn an_answer_that_has_come_counts_also_where_its_connection_breaks_under_the_next_request() {
+    let puppet = Puppet::start().unwrap();
+    let mut rig = Rig::puppet(&puppet, |_| {}, |_| {});
+    let (mut first, mut second) = (rig.web(), rig.web());
+    first.ask(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.line().unwrap();
+    let open = line.frame().unwrap();
+    let held = rig.hold();
+    second.ask(1, WRITE, &object(2), 60_000).unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.reset().unwrap();
+    drop(held);
+    // The next request has to be sent elsewhere; the first one was answered.
+    let mut line = puppet.line().unwrap();
+    let again = line.frame().unwrap();
+    assert_eq!(again.key(), Some(object(2).as_str()));
+    assert_eq!(first.end().unwrap().1.unwrap().status, 200);
+    line.answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    assert_eq!(second.end().unwrap().1.unwrap().status, 200);
+    rig.stop();
+}
--- a/rehearse/src/puppet.rs
+++ b/rehearse/src/puppet.rs
@@ -6,7 +6,7 @@
 use linnetknot_daemon::wire::{resp, Parser};
 use rustix::net::sockopt;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{mpsc, Mutex};
 use std::time::Duration;
 
@@ -95,6 +95,11 @@
         self.socket.write_all(bytes)
     }
 
+    /// Ends the connection.
+    pub fn close(self) -> io::Result<()> {
+        self.socket.shutdown(Shutdown::Both)
+    }
+
     /// Breaks the connection off with a reset.
     pub fn reset(self) -> io::Result<()> {
         Ok(sockopt::set_socket_linger(&self.socket, Some(Duration::ZERO))?)
