Look whether an idle connection to a box has ended before it is used again

What may not be repeated fails for it although no box has seen it. Ruled out: the order of events; the client's comes first whenever it happened first, and the link's own event is not looked at before.

Now a connection on which nothing is open is read from before it is used; one that has ended is closed and another one taken. One read that would block for each request that finds its box idle.

Guarded by `a_connection_that_has_ended_is_not_used_again_for_what_may_not_be_repeated`, with a class of effect `side_effect`: before, the request failed and nothing was sent on.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -2,7 +2,7 @@
 
 use super::{Connection, Daemon, Kind, Timer};
 use crate::core::AttemptId;
-use crate::net::{Conn, Key, Progress};
+use crate::net::{Conn, Key, Progress, Ready};
 use crate::upstream::{Link, Told};
 use linnetknot::{Micros, Outcome, ServerId};
 
@@ -24,16 +24,19 @@
     }
 
     pub(super) fn send(&mut self, now: Micros, attempt: AttemptId) {
-        let Some((asked, sending)) = self.core.sending(attempt) else { return };
-        let (id, server) = (asked.id.as_str(), sending.server);
-        let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
-        let room = |key: &Key| match self.connections.get(*key) {
-            Some(Connection { conn, kind: Kind::Box(link), .. }) => {
-                Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
+        let mut best = self.best_link(attempt);
+        // Where nothing is open the box may have ended the connection by now: what is written there is lost, and
+        // nobody could tell whether it ran.
+        while let Some((.., key)) = best.filter(|((_, late, live), _)| !late && *live == 0) {
+            self.serve(now, key, Ready::to_read(key.to_u64()));
+            if self.connections.get(key).is_some() {
+                break;
             }
-            _ => None,
-        };
-        let best = links.iter().filter_map(|key| Some((room(key)?, *key))).min();
+            best = self.best_link(attempt);
+        }
+        let Some((_, sending)) = self.core.sending(attempt) else { return };
+        let server = sending.server;
+        let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
         // One answer that can't be read ends all that is open on its connection: the more of them, the less is
         // lost at once. The next one is begun ahead, so that no attempt waits for it.
         let up = |key: &Key| self.connections.get(*key).is_some_and(|c| c.conn.up);
@@ -62,6 +65,20 @@
         }
     }
 
+    /// The connection that an attempt takes: whether it is another one than that on which the request was given
+    /// up, whether it is not up yet, and what is open on it.
+    fn best_link(&self, attempt: AttemptId) -> Option<((bool, bool, usize), Key)> {
+        let (asked, sending) = self.core.sending(attempt)?;
+        let id = asked.id.as_str();
+        let room = |key: &Key| match self.connections.get(*key) {
+            Some(Connection { conn, kind: Kind::Box(link), .. }) => {
+                Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
+            }
+            _ => None,
+        };
+        self.links.get(&sending.server)?.iter().filter_map(|key| Some((room(key)?, *key))).min()
+    }
+
     /// Reads what a box had sent before its connection broke: those answers are answers.
     pub(super) fn read_rest(&mut self, now: Micros, key: Key) {
         for _ in 0..self.limits.last_reads {
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -6,8 +6,9 @@
 use linnetknot_daemon::wire::fastcgi::{self, kind};
 use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::clients::WebServer;
-use linnetknot_rehearse::puppet::Puppet;
+use linnetknot_rehearse::puppet::{Line, Puppet};
 use rig::{object, one, Rig};
+use serde_json::{json, Value};
 use std::io::ErrorKind;
 
 /// What is asked of a puppet is a write: no module calls one off because it takes long.
@@ -137,3 +138,29 @@
     assert_eq!(second.end().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
+
+#[test]
+fn a_connection_that_has_ended_is_not_used_again_for_what_may_not_be_repeated() {
+    let puppet = Puppet::start().unwrap();
+    let once = |config: &mut Value| config["settings"]["categories"][1]["repeat"] = json!("side_effect");
+    let mut rig = Rig::puppet(&puppet, once, |_| {});
+    let mut web = rig.web();
+    let served = |web: &mut WebServer, line: &mut Line| {
+        let open = line.frame().unwrap();
+        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+        web.end().unwrap().1.unwrap().status
+    };
+    web.ask(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.line().unwrap();
+    assert_eq!(served(&mut web, &mut line), 200);
+    let held = rig.hold();
+    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    line.close().unwrap();
+    drop(held);
+    assert_eq!(
+        served(&mut web, &mut puppet.line().unwrap()),
+        200,
+        "nothing of it was sent on the one that ended"
+    );
+    rig.stop();
+}
