Close a silent connection to a box where it takes the place of a new one

Ruled out: the idle time of the boxes, which runs at their end only, and the list, which may never tell that a box was cut off.

Guarded by `connections_that_have_gone_silent_do_not_bar_the_way_to_their_box`, red before: the second request was refused and the box never called.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -43,7 +43,17 @@
         let shared = best.is_some_and(|((.., live), _)| live >= self.limits.box_shared);
         let spare = self.connections.room() > self.limits.spare_connections;
         let ahead = shared && spare && links.len() < self.limits.box_connections && links.iter().all(up);
-        let fresh = best.is_none() && links.len() < self.limits.box_connections;
+        let full = links.len() >= self.limits.box_connections;
+        // One that leads nowhere any more may stay so for good, and says no word of it.
+        let silent = |key: &&Key| match self.connections.get(**key) {
+            Some(Connection { kind: Kind::Box(link), .. }) => link.is_silent(),
+            _ => false,
+        };
+        let leaver = links.iter().find(silent).copied().filter(|_| best.is_none() && full);
+        let fresh = best.is_none() && (!full || leaver.is_some());
+        if let Some(leaver) = leaver {
+            self.close(now, leaver);
+        }
         let key = match best {
             Some((_, key)) => Some(key),
             None if fresh => self.dial(now, server),
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -219,6 +219,12 @@
         self.queue.is_empty() && self.open.values().all(|s| matches!(s, Stream::GivenUp(_, None)))
     }
 
+    /// Whether nothing came back on it for so long that it may lead nowhere, and nobody waits for it any more.
+    pub fn is_silent(&self) -> bool {
+        let over = self.open.values().all(|s| matches!(s, Stream::GivenUp(..)));
+        self.suspect && over && self.queue.is_empty()
+    }
+
     /// Queues an attempt. Nothing is written before the connection is up and takes it whole, so that what is
     /// given up or withdrawn until then never reaches the box.
     pub fn send(&mut self, attempt: AttemptId) {
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -164,3 +164,23 @@
     );
     rig.stop();
 }
+
+#[test]
+fn connections_that_have_gone_silent_do_not_bar_the_way_to_their_box() {
+    let puppet = Puppet::start().unwrap();
+    // One connection, and any silence makes it one that may lead nowhere.
+    let rig = Rig::puppet(&puppet, |_| {}, |limits| (limits.box_connections, limits.suspect_us) = (1, 0));
+    let mut web = rig.web();
+    web.ask(1, WRITE, &object(1), 300).unwrap();
+    let mut silent = puppet.line().unwrap();
+    silent.frame().unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 503, "its time was up");
+    assert_eq!(silent.frame().unwrap().word, "abort");
+    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    let mut line = puppet.line().unwrap();
+    let open = line.frame().unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    assert!(silent.frame().is_err(), "the silent one made room");
+    rig.stop();
+}
