Send a further attempt by another connection than the one that answered the first

A second copy of the first answer was then taken for the further attempt's: a refusal that proves nothing ran, while the attempt was running. For a class that may not be repeated the next attempt would run the effect twice. Ruled out: the core (it passes over answers of attempts that are not out) can't tell the two, as the box's answer names the request only.

Guarded by `a_second_copy_of_an_answer_is_not_taken_for_that_of_a_further_attempt`; before, the further attempt came by the same connection.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -9,7 +9,7 @@
 use crate::ledger::Ledger;
 use crate::limits::Limits;
 use crate::net::{connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
-use crate::upstream::Link;
+use crate::upstream::{Link, Told};
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
 use std::collections::{btree_map::Entry, BTreeMap};
@@ -496,6 +496,10 @@
                 let mut told = Vec::new();
                 let result = link.read(now, &mut c.conn, &self.core, &mut told);
                 let server = link.server;
+                if told.iter().any(Told::is_not_final) {
+                    // What is remembered of it goes then.
+                    self.deadlines.set(now + self.limits.forget_us + 1, Timer::Link(key));
+                }
                 self.tell(now, server, told);
                 result
             }
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -14,6 +14,9 @@
     /// Given up at this time. A further attempt of the request at this box must come behind the word of it, so
     /// it takes this connection: on another one the box might read it first and have two at once.
     GivenUp(Micros, Option<Unreported>),
+    /// Answered at this time, but not for good: a further attempt of the request may follow, and a second copy of
+    /// the answer would be taken for its own, so it takes another connection.
+    Answered(Micros),
     /// A probe, sent at this time.
     Probe(Micros),
 }
@@ -56,6 +59,13 @@
     Probed(Outcome, Micros, Option<Load>),
 }
 
+impl Told {
+    /// Whether a request may go on after this.
+    pub fn is_not_final(&self) -> bool {
+        matches!(self, Told::Ended(_, ended) if ended.outcome != Outcome::Ok)
+    }
+}
+
 /// A connection to a box.
 pub struct Link {
     /// The box.
@@ -183,8 +193,8 @@
 
     /// Attempts on it, if it can take one more under this id.
     pub fn room_for(&self, id: &str, core: &Core, limits: &Limits) -> Option<usize> {
-        let live =
-            self.open.values().filter(|s| !matches!(s, Stream::GivenUp(..))).count() + self.queue.len();
+        let live = self.open.values().filter(|s| matches!(s, Stream::Attempt(_) | Stream::Probe(_))).count()
+            + self.queue.len();
         // Two clients may give one id: a second attempt under it here would take the first one's answer, also
         // where both still wait for the connection.
         let queued = |a: &AttemptId| core.sending(*a).is_some_and(|(asked, _)| asked.id == id);
@@ -216,12 +226,13 @@
 
     /// Whether nothing is open on it.
     pub fn is_idle(&self) -> bool {
-        self.queue.is_empty() && self.open.values().all(|s| matches!(s, Stream::GivenUp(_, None)))
+        let over = |s: &Stream| matches!(s, Stream::GivenUp(_, None) | Stream::Answered(_));
+        self.queue.is_empty() && self.open.values().all(over)
     }
 
     /// Whether nothing came back on it for so long that it may lead nowhere, and nobody waits for it any more.
     pub fn is_silent(&self) -> bool {
-        let over = self.open.values().all(|s| matches!(s, Stream::GivenUp(..)));
+        let over = self.open.values().all(|s| matches!(s, Stream::GivenUp(..) | Stream::Answered(_)));
         self.suspect && over && self.queue.is_empty()
     }
 
@@ -332,9 +343,13 @@
         true
     }
 
-    /// Forgets what was given up long enough ago.
+    /// Forgets what was given up or answered long enough ago.
     pub fn prune(&mut self, now: Micros, limits: &Limits) {
-        self.open.retain(|_, s| !matches!(s, Stream::GivenUp(at, None) if *at + limits.forget_us < now));
+        let old = |s: &Stream| match s {
+            Stream::GivenUp(at, None) | Stream::Answered(at) => *at + limits.forget_us < now,
+            _ => false,
+        };
+        self.open.retain(|_, s| !old(s));
     }
 
     /// Takes back what is not written yet and would go to this box or be filled from it.
@@ -388,20 +403,27 @@
                     log::warn!("a box gave a copy from before what was asked for");
                     told.push(Told::Ended(attempt, Outcome::Error.into()));
                 }
-                Some(Stream::Attempt(Sent { attempt, .. })) => {
+                // One that was given up: it came before the attempt was over, then this is how it ended.
+                Some(
+                    Stream::Attempt(Sent { attempt, .. })
+                    | Stream::GivenUp(_, Some(Unreported { attempt, .. })),
+                ) => {
                     let asked = core.sending(attempt).map(|s| s.0);
-                    told.push(Told::Ended(attempt, ended(&word, &fields, body, asked)));
-                }
-                // It came before the attempt was over: then this is how it ended.
-                Some(Stream::GivenUp(_, Some(Unreported { attempt, .. }))) => {
-                    let asked = core.sending(attempt).map(|s| s.0);
-                    told.push(Told::Ended(attempt, ended(&word, &fields, body, asked)));
+                    let ended = ended(&word, &fields, body, asked);
+                    if ended.outcome != Outcome::Ok {
+                        self.open.insert(id.to_owned(), Stream::Answered(now));
+                    }
+                    told.push(Told::Ended(attempt, ended));
                 }
                 Some(Stream::Probe(sent)) => {
                     let alive = matches!(word.as_slice(), b"alive" | b"status" | b"200");
                     let outcome = if alive { Outcome::Ok } else { Outcome::Error };
                     told.push(Told::Probed(outcome, now.saturating_sub(sent), load(&fields)));
                 }
+                Some(Stream::Answered(at)) => {
+                    self.open.insert(id.to_owned(), Stream::Answered(at));
+                    log::debug!("a box answered a second time");
+                }
                 Some(Stream::GivenUp(_, None)) | None => log::debug!("a box answered what is not open"),
             }
         }
@@ -422,7 +444,7 @@
                 Stream::Attempt(sent) if sent.whole > written => Told::Ended(sent.attempt, unsent.into()),
                 Stream::Attempt(sent) => Told::Ended(sent.attempt, Outcome::Reset.into()),
                 Stream::GivenUp(_, Some(r)) => Told::Ended(r.attempt, Outcome::Cancelled.into()),
-                Stream::GivenUp(_, None) => continue,
+                Stream::GivenUp(_, None) | Stream::Answered(_) => continue,
                 Stream::Probe(_) => Told::Probed(Outcome::Reset, 0, None),
             });
         }
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -184,3 +184,29 @@
     assert!(silent.frame().is_err(), "the silent one made room");
     rig.stop();
 }
+
+#[test]
+fn a_second_copy_of_an_answer_is_not_taken_for_that_of_a_further_attempt() {
+    let puppet = Puppet::start().unwrap();
+    let rig = Rig::puppet(&puppet, |_| {}, |_| {});
+    let mut web = rig.web();
+    web.ask(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.line().unwrap();
+    let open = line.frame().unwrap();
+    line.answer(&open.id, "503", "-", "").unwrap();
+    // It never ran, so it is asked again, and nothing tells that answer's copy from its own on one connection.
+    let mut other = puppet.line().unwrap();
+    let again = other.frame().unwrap();
+    assert_eq!((again.word.as_str(), &again.id), ("fetch", &open.id));
+    line.answer(&open.id, "503", "-", "").unwrap();
+    // An answer behind the copy on its connection shows that the copy was read.
+    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    let next = line.frame().unwrap();
+    line.answer(&next.id, "200", "how=local,made=1,etag=t2", "the second").unwrap();
+    let (id, answer) = web.end().unwrap();
+    assert_eq!((id, answer.unwrap().status), (2, 200));
+    other.answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    let (id, answer) = web.end().unwrap();
+    assert_eq!((id, answer.unwrap().status), (1, 200));
+    rig.stop();
+}
