Take back what is not written yet when its client leaves, whatever may be called off

The module calls nothing off where the settings forbid it, and the connection's queue asked only whether the attempt is still out. Ruled out: that taking it back is calling off; no box has seen a byte of it.

Guarded by `nothing_begins_for_a_client_that_has_gone_also_where_attempts_cannot_be_called_off`, which has one client cancel and one close before the connection is up, with and without leave to call off: before, the request of the one that cancelled reached the box.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -135,6 +135,8 @@
     Send(AttemptId),
     /// Give an attempt up and report it ended once its box can no longer take it for one that is out.
     GiveUp(AttemptId, ServerId),
+    /// Take back an attempt of which nothing is written yet; one that is under way stays.
+    Unqueue(AttemptId, ServerId),
     /// Give a client its final answer.
     Answer(Client, Answer),
     /// Wake the core.
@@ -373,6 +375,13 @@
         open.trail.end(now, "left");
         self.counts.left += 1;
         self.feed(now, Event::Left { request: ticket.to_u64() });
+        // The module calls off what is out where the settings allow it. What is not written yet must not begin
+        // in any case.
+        let out = self.requests.get(ticket).and_then(|open| open.out.as_ref());
+        if let Some(out) = out.filter(|out| out.given_up.is_none()) {
+            let attempt = AttemptId { ticket, number: out.number };
+            self.commands.push(Command::Unqueue(attempt, out.sending.server));
+        }
         self.tidy(now, ticket);
     }
 
--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -155,6 +155,16 @@
         }
     }
 
+    pub(super) fn unqueue(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
+        for key in self.links.get(&server).cloned().unwrap_or_default() {
+            let Some((_, link)) = self.link(key) else { continue };
+            let mut told = Vec::new();
+            if link.unqueue(attempt, &mut told) {
+                return self.tell(now, server, told);
+            }
+        }
+    }
+
     pub(super) fn withdraw(&mut self, now: Micros, server: ServerId) {
         for key in self.links.values().flatten().copied().collect::<Vec<_>>() {
             let Some(Connection { kind: Kind::Box(link), .. }) = self.connections.get_mut(key) else {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -631,6 +631,7 @@
                 match command {
                     Command::Send(attempt) => self.send(now, attempt),
                     Command::GiveUp(attempt, server) => self.give_up(now, attempt, server),
+                    Command::Unqueue(attempt, server) => self.unqueue(now, attempt, server),
                     Command::Answer(client, answer) => {
                         self.answer(now, client, answer);
                         if !self.write(now, client.connection) {
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -312,6 +312,14 @@
         self.stalled.is_none_or(|(_, since)| now - since < limits.stalled_us)
     }
 
+    /// Takes an attempt out of the queue: nothing of it was written.
+    pub fn unqueue(&mut self, attempt: AttemptId, told: &mut Vec<Told>) -> bool {
+        let Some(at) = self.queue.iter().position(|a| *a == attempt) else { return false };
+        self.queue.remove(at);
+        told.push(Told::Ended(attempt, Outcome::Cancelled.into()));
+        true
+    }
+
     /// Gives an attempt up: takes it out of the queue, or tells the box. False: the connection has no room
     /// even for that.
     pub fn give_up(
@@ -321,9 +329,7 @@
         conn: &mut Conn,
         told: &mut Vec<Told>,
     ) -> bool {
-        if let Some(at) = self.queue.iter().position(|a| *a == attempt) {
-            self.queue.remove(at);
-            told.push(Told::Ended(attempt, Outcome::Cancelled.into()));
+        if self.unqueue(attempt, told) {
             return true;
         }
         let is_it = |s: &Stream| matches!(s, Stream::Attempt(sent) if sent.attempt == attempt);
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -210,3 +210,27 @@
     assert_eq!((id, answer.unwrap().status), (1, 200));
     rig.stop();
 }
+
+#[test]
+fn nothing_begins_for_a_client_that_has_gone_also_where_attempts_cannot_be_called_off() {
+    for cancel in [true, false] {
+        let puppet = Puppet::start().unwrap();
+        let mut rig =
+            Rig::puppet(&puppet, |config| config["settings"]["limits"]["cancel"] = cancel.into(), |_| {});
+        let held = rig.hold();
+        let (mut leaves, mut closes, mut stays) = (rig.web(), rig.web(), rig.web());
+        // All of it comes before the connection to the box is up.
+        leaves.ask(1, "photo", &object(1), 60_000).unwrap();
+        leaves.abort(1).unwrap();
+        closes.ask(1, "photo", &object(2), 60_000).unwrap();
+        drop(closes);
+        stays.ask(1, "photo", &object(3), 60_000).unwrap();
+        drop(held);
+        let mut line = puppet.line().unwrap();
+        let open = line.frame().unwrap();
+        assert_eq!(open.key(), Some(object(3).as_str()), "calling off allowed: {cancel}");
+        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+        assert_eq!(stays.end().unwrap().1.unwrap().status, 200);
+        rig.stop();
+    }
+}
