Keep attempts out of the ring until the box takes them, and off a box that drains

Seen in the review of drains told while a box hangs: up to 16 KiB of frames were moved into a connection's ring as soon as it was up. Where the box takes no bytes they lie there unbegun, a drain told meanwhile withdraws only what is still queued, and the rest is written whenever the box reads on, later than the grace of the drain (a send counts from its first byte). The same for a client that leaves. Ruled out: the limit on stalled connections, which runs anew with each byte that is taken.

Now one frame at a time goes into an empty ring; one of which no byte is written is taken out again, and where the word that another is given up lies behind it, the connection is broken off.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -167,12 +167,12 @@
 
     pub(super) fn withdraw(&mut self, now: Micros, server: ServerId) {
         for key in self.links.values().flatten().copied().collect::<Vec<_>>() {
-            let Some(Connection { kind: Kind::Box(link), .. }) = self.connections.get_mut(key) else {
+            let Some(Connection { conn, kind: Kind::Box(link), .. }) = self.connections.get_mut(key) else {
                 continue;
             };
             let (to, mut told) = (link.server, Vec::new());
-            link.withdraw(server, &self.core, &mut told);
-            let over = to == server && link.is_idle();
+            let sound = link.withdraw(server, conn, &self.core, &mut told);
+            let over = !sound || to == server && link.is_idle();
             self.tell(now, to, told);
             if over {
                 // Its address may be given to another box.
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -25,6 +25,8 @@
 struct Sent {
     attempt: AttemptId,
     at: Micros,
+    /// So many bytes are written before its first.
+    first: u64,
     /// So many bytes are written once it is whole.
     whole: u64,
     /// An attempt of the same request was given up here before it.
@@ -266,27 +268,30 @@
         limits: &Limits,
         told: &mut Vec<Told>,
     ) -> bool {
-        while conn.up && conn.output.len() < limits.output_ring / 4 {
+        if conn.write() == crate::net::Progress::Broken {
+            return false;
+        }
+        // One at a time: what waits here can still be given up or withdrawn, what lies in the ring has begun.
+        while conn.up && conn.output.is_empty() {
             let Some(attempt) = self.queue.front().copied() else { break };
             if let Some(frame) = frame(core, now, attempt) {
                 if frame.len() > limits.output_ring {
                     told.push(Told::Ended(attempt, Outcome::Moot.into()));
-                } else if frame.len() > conn.output.room() {
-                    break;
                 } else if let Some((asked, _)) = core.sending(attempt) {
+                    let first = conn.written;
                     conn.output.push(&frame);
-                    let whole = conn.written + conn.output.len() as u64;
+                    let whole = first + frame.len() as u64;
                     let behind = self.gave_up(&asked.id);
-                    let sent = Sent { attempt, at: now, whole, behind };
+                    let sent = Sent { attempt, at: now, first, whole, behind };
                     self.open.insert(asked.id.clone(), Stream::Attempt(sent));
                 }
             } else {
                 told.push(Told::Ended(attempt, Outcome::Moot.into()));
             }
             self.queue.pop_front();
-        }
-        if conn.write() == crate::net::Progress::Broken {
-            return false;
+            if conn.write() == crate::net::Progress::Broken {
+                return false;
+            }
         }
         for stream in self.open.values_mut() {
             if let Stream::GivenUp(_, report) = stream {
@@ -358,16 +363,37 @@
         self.open.retain(|_, s| !old(s));
     }
 
-    /// Takes back what is not written yet and would go to this box or be filled from it.
-    pub fn withdraw(&mut self, server: ServerId, core: &Core, told: &mut Vec<Told>) {
+    /// Takes back what is not written yet and would go to this box or be filled from it. False: some of it can't
+    /// be kept from being written but by breaking the connection off.
+    pub fn withdraw(&mut self, server: ServerId, conn: &mut Conn, core: &Core, told: &mut Vec<Told>) -> bool {
+        let to = self.server;
+        let concerned = |attempt: AttemptId| {
+            let source = core.sending(attempt).and_then(|(_, s)| s.fill).map(|f| f.source);
+            to == server || source == Some(server)
+        };
         self.queue.retain(|attempt| {
-            let source = core.sending(*attempt).and_then(|(_, s)| s.fill).map(|f| f.source);
-            let keep = self.server != server && source != Some(server);
+            let keep = !concerned(*attempt);
             if !keep {
                 told.push(Told::Ended(*attempt, Outcome::Moot.into()));
             }
             keep
         });
+        // The one in the ring, where the box takes nothing just then.
+        let lies = |s: &Stream| match s {
+            Stream::Attempt(sent) if conn.up && sent.first == conn.written && concerned(sent.attempt) => {
+                Some((sent.attempt, sent.whole))
+            }
+            _ => None,
+        };
+        let lying = self.open.iter().find_map(|(id, s)| Some((id.clone(), lies(s)?)));
+        let Some((id, (attempt, whole))) = lying.filter(|_| !conn.output.is_empty()) else { return true };
+        if whole != conn.written + conn.output.len() as u64 {
+            return false;
+        }
+        conn.output.clear();
+        self.open.remove(&id);
+        told.push(Told::Ended(attempt, Outcome::Moot.into()));
+        true
     }
 
     /// Reads what came in.
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -7,6 +7,7 @@
 use linnetknot_daemon::upstream::{Link, Told};
 use linnetknot_daemon::wire::resp;
 use linnetknot_rehearse::settings;
+use rustix::net::sockopt;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
@@ -41,7 +42,10 @@
         let entry = Entry { server, uid: "a".into(), endpoint: ([127, 0, 0, 1], 9).into() };
         core.list(NOW, ListMode::Full, vec![entry]);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        // Little fits between the two, so that a side which reads nothing shows soon.
+        sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
         let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        sockopt::set_socket_send_buffer_size(&near, 4096).unwrap();
         let (far, server) = (listener.accept().unwrap().0, server_id("a"));
         let conn = Conn::new(near, up, limits.input_ring, limits.output_ring).unwrap();
         Rig {
@@ -58,7 +62,12 @@
     }
 
     fn send(&mut self, id: &str) -> AttemptId {
+        self.send_with(id, Vec::new())
+    }
+
+    fn send_with(&mut self, id: &str, body: Vec<u8>) -> AttemptId {
         let asked = Asked {
+            body,
             id: id.into(),
             class: "photo".into(),
             object: format!("{id}-object"),
@@ -141,7 +150,7 @@
     // The list says that the box drains: what still waits for it comes back unsent.
     rig.conn.up = false;
     let waiting = rig.send("04");
-    rig.link.withdraw(rig.server, &rig.core, &mut rig.told);
+    assert!(rig.link.withdraw(rig.server, &mut rig.conn, &rig.core, &mut rig.told));
     assert_eq!(rig.ends(), [(waiting, Outcome::Moot)]);
     assert!(![kept, withdrawn].contains(&waiting) && !rig.link.is_idle());
 }
@@ -240,3 +249,30 @@
     rig.link.broken(true, rig.conn.written, &mut rig.told);
     assert!(matches!(&rig.told[..], [Told::Ended(a, e)] if *a == queued && e.outcome == Outcome::Moot));
 }
+
+#[test]
+fn of_what_a_box_does_not_take_nothing_has_begun_that_a_drain_could_still_stop() {
+    let mut rig = Rig::new(true);
+    // The other side reads nothing: what the sockets between take is all that has begun.
+    let (body, mut sent) = (vec![b'.'; 3000], 0);
+    while rig.conn.output.is_empty() {
+        rig.send_with(&format!("{sent:04}"), body.clone());
+        sent += 1;
+    }
+    (0..20).for_each(|n| {
+        rig.send_with(&format!("{:04}", sent + n), body.clone());
+    });
+    let begun_bytes = rig.conn.written;
+    assert!(rig.link.withdraw(rig.server, &mut rig.conn, &rig.core, &mut rig.told));
+    let stopped = rig.ends().len();
+    let (mut reached, mut bytes) = (Vec::new(), [0; 65536]);
+    while rig.conn.written > reached.len() as u64 || !rig.conn.output.is_empty() {
+        assert!(rig.pump());
+        let got = rig.far.read(&mut bytes).unwrap();
+        reached.extend_from_slice(&bytes[..got]);
+    }
+    let at = |text: &[u8]| text.windows(13).filter(|w| w == b"*4\r\n$5\r\nfetch").count();
+    assert_eq!(at(&reached) + stopped, sent + 20);
+    let begun = usize::try_from(begun_bytes).unwrap();
+    assert!(at(&reached[begun..]) == 0, "{} began after the drain was told", at(&reached[begun..]));
+}
