Tests: what thirty to three hundred routers send to a cold cache, some just restarted

Looked into in the review: whether the ramp holds for the sum of all processes when a part smaller than one request is drawn for each request anew. Suspected: many requests in a window are many chances. The guess of what the others hold keeps it down before the draw does. No mend; the test stays as a guard.

--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -180,3 +180,83 @@
     assert!(servers.contains(&78), "it is ready");
     assert!(!servers.contains(&5), "a cache of another location");
 }
+
+/// What reaches one cold cache in its first windows, in requests of mean work, of what the settings allow, where
+/// `routers` routers see a request each every `every` and some of them start anew half-way through.
+fn cold_calls(routers: u32, every: Micros, restarted: u32, windows: u64) -> Vec<(f64, f64)> {
+    let mut settings = Settings { direct: false, ..settings() };
+    settings.zones[1].routers = routers;
+    settings.zones[2].routers = 0;
+    settings.zones[1].link_kb_per_s = 1e9;
+    let mut servers = fleet();
+    servers[0].started = Some(T0);
+    let new = |seed: u32, now: Micros| {
+        let mut router =
+            Router::new(settings.clone(), u64::from(seed).wrapping_mul(0x9e37_79b9)).expect("usable");
+        let mut actions = Vec::new();
+        router.handle(now, Event::List { mode: ListMode::Full, servers: servers.clone() }, &mut actions);
+        router
+    };
+    let mut fleet: Vec<Router> = (0..routers).map(|seed| new(seed, T0)).collect();
+    let (mut id, mut calls) = (0, Vec::new());
+    let end = T0 + windows * S;
+    let mut now = T0;
+    while now < end {
+        if now == T0 + windows * S / 2 {
+            (0..restarted).for_each(|seed| fleet[seed as usize] = new(routers + seed, now));
+        }
+        for router in &mut fleet {
+            id += 1;
+            let object = format!("/o/{}", id % 997);
+            let request = Request {
+                id,
+                class: "video".into(),
+                tenant: None,
+                object,
+                part: 0,
+                group: 1,
+                size_kb: 500.0,
+                remaining_us: 5 * S,
+                repeated: false,
+            };
+            let mut actions = Vec::new();
+            router.handle(now, Event::Request(request), &mut actions);
+            for a in &actions {
+                let Action::Attempt { server, .. } = a else { continue };
+                calls.extend((*server == 1).then_some(now));
+                let outcome = Event::Outcome {
+                    request: id,
+                    attempt: 0,
+                    server: *server,
+                    outcome: Outcome::Ok,
+                    took_us: 100 * MS,
+                    settled: true,
+                    note: Note::Hit,
+                    waited_us: 0,
+                    load: None,
+                };
+                router.handle(now, outcome, &mut Vec::new());
+            }
+        }
+        now += every;
+    }
+    // Any window of 1 s: share 0.2 to 1 in 10 s, of 8 transfers of 0.1 s, three times that.
+    let allowed = |from: Micros| (0.2 + 0.8 * (from - T0) as f64 / 10e6).min(1.0) * 8.0 * 3.0 / 0.1;
+    let counted = |from: Micros| calls.iter().filter(|at| (from..from + S).contains(*at)).count() as f64;
+    (0..(windows - 1) * 10).map(|n| T0 + n * S / 10).map(|from| (counted(from), allowed(from))).collect()
+}
+
+#[test]
+fn what_all_routers_send_to_a_cold_cache_stays_within_its_ramp_however_many_ask() {
+    for (routers, every, restarted) in
+        [(30, 20 * MS, 0), (30, 20 * MS, 10), (100, 20 * MS, 30), (300, 50 * MS, 0)]
+    {
+        let windows = cold_calls(routers, every, restarted, 6);
+        let most = windows.iter().map(|(calls, n)| calls / (n + 2.0 * n.sqrt() + 2.0)).fold(0.0, f64::max);
+        assert!(
+            most <= 1.0,
+            "{routers} routers, one request each {every} us: {most} of what a cold cache bears"
+        );
+        assert!(windows.iter().any(|(calls, _)| *calls > 0.0), "it is used at all");
+    }
+}
