Let no repeat of a keyed request begin behind its window while it waits for a connection

A repeat behind the window may take effect twice. Ruled out: the time-out of attempts (`until` is the client's deadline) and the box, which knows nothing of the window.

The module's action now carries the end of the window; the connection's queue passes over what is past it, and reports it as never sent. One comment in `cold_room` that said the same as the next is folded into it.

Guarded by `a_repeat_that_waited_for_its_connection_does_not_begin_behind_its_window`: up after 2.9 s of 3 s it is sent, after 3 s it is not; before, it was.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -94,6 +94,8 @@
     pub fill: Option<Fill>,
     /// When it is given up at the latest.
     pub until: Micros,
+    /// It must not begin behind this.
+    pub begin_by: Option<Micros>,
 }
 
 /// How an attempt ended.
@@ -518,7 +520,7 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Attempt { request, server, timeout_us, fill } => {
+            Action::Attempt { request, server, timeout_us, fill, begin_by } => {
                 let ticket = Key::from_u64(request);
                 let Some(open) = self.requests.get_mut(ticket).filter(|o| !o.answered && o.out.is_none())
                 else {
@@ -529,7 +531,7 @@
                 let until = timeout_us.map_or(open.deadline, |t| (now + t).min(open.deadline));
                 let number = open.attempts;
                 open.attempts += 1;
-                let sending = Sending { server, fill, until };
+                let sending = Sending { server, fill, until, begin_by };
                 open.out = Some(Out { number, sent: now, sending, given_up: None });
                 let attempt = AttemptId { ticket, number };
                 self.counts.attempts += 1;
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -135,9 +135,12 @@
     }
 }
 
-/// The frame of an attempt.
+/// The frame of an attempt that may still begin.
 fn frame(core: &Core, now: Micros, attempt: AttemptId) -> Option<Vec<u8>> {
     let (asked, sending) = core.sending(attempt)?;
+    if sending.begin_by.is_some_and(|by| now >= by) {
+        return None;
+    }
     let mut fields = format!("class={},key={},part={}", asked.class, asked.object, asked.part);
     let mut add = |name: &str, value: &str| {
         fields.extend([",", name, "=", value]);
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -27,14 +27,19 @@
 
 impl Rig {
     fn new(up: bool) -> Rig {
+        Rig::to("here", "box", up)
+    }
+
+    /// A connection to a box of this kind, up or begun.
+    fn to(zone: &str, kind: &str, up: bool) -> Rig {
         let limits = Limits::for_machine(1024, 192);
         let settings = linnetknot_settings::settings(settings().as_object().unwrap()).unwrap();
         let mut core = Core::new(settings, 1, &limits).unwrap();
         let server = Server {
             id: server_id("a"),
-            zone: "here".into(),
+            zone: zone.into(),
             cell: 0,
-            kind: "box".into(),
+            kind: kind.into(),
             weight: 8.0,
             state: State::Ready,
             started: None,
@@ -82,9 +87,15 @@
         }
         self.core.commands();
         self.core.ask(self.now, Client { connection: Key::from_u64(0), stream: 0 }, asked).unwrap();
+        let attempt = self.pass_on();
+        self.last.push((id.to_owned(), attempt));
+        attempt
+    }
+
+    /// Hands the attempt that the module has sent to the connection.
+    fn pass_on(&mut self) -> AttemptId {
         let sent = |c: Command| if let Command::Send(attempt) = c { Some(attempt) } else { None };
         let attempt = self.core.commands().into_iter().find_map(sent).unwrap();
-        self.last.push((id.to_owned(), attempt));
         self.link.send(attempt);
         self.pump();
         attempt
@@ -276,3 +287,29 @@
     let begun = usize::try_from(begun_bytes).unwrap();
     assert!(at(&reached[begun..]) == 0, "{} began after the drain was told", at(&reached[begun..]));
 }
+
+#[test]
+fn a_repeat_that_waited_for_its_connection_does_not_begin_behind_its_window() {
+    // The window of the settings is 3 s, and the client waits for longer.
+    for (waited_us, begins) in [(2_900_000, true), (3_000_000, false)] {
+        let mut rig = Rig::to("hub", "origin", true);
+        let asked = Asked {
+            id: "01".into(),
+            class: "post".into(),
+            object: "01-object".into(),
+            once: Some("1".into()),
+            remaining_us: 60_000_000,
+            ..Asked::default()
+        };
+        rig.core.ask(NOW, Client { connection: Key::from_u64(0), stream: 0 }, asked).unwrap();
+        let first = rig.pass_on();
+        rig.core.ended(NOW, first, Outcome::Reset.into());
+        rig.link = Link::new(rig.server, &rig.limits, NOW);
+        rig.conn.up = false;
+        let repeat = rig.pass_on();
+        rig.now += waited_us;
+        rig.conn.up = true;
+        rig.pump();
+        assert_eq!(rig.ends(), if begins { vec![] } else { vec![(repeat, Outcome::Moot)] }, "{waited_us}");
+    }
+}
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -135,11 +135,11 @@
 
 fn action(i: u64, a: &w::Action) -> Value {
     match a {
-        w::Action::Attempt { request, server, timeout_us, fill: None } => json!({
+        w::Action::Attempt { request, server, timeout_us, fill: None, .. } => json!({
             "event_type": "Assign", "i": i, "request-id": request, "store": server,
             "allow-for-us": timeout_us,
         }),
-        w::Action::Attempt { request, server, timeout_us, fill: Some(f) } => json!({
+        w::Action::Attempt { request, server, timeout_us, fill: Some(f), .. } => json!({
             "event_type": "ReadThrough", "i": i, "request-id": request, "store": server,
             "allow-for-us": timeout_us, "feeder": f.source, "tier-rank": f.keep, "how-old-us": f.max_age_us,
             "how": u8::from(f.join) + 2 * u8::from(f.only_held) + 4 * u8::from(f.bypass_parent)
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -536,6 +536,8 @@
             stuck: false,
         };
         open.attempts += 1;
+        let ran = open.may_have_run.filter(|_| class.repeat == Repeat::Keyed);
+        let begin_by = ran.map(|(sent, ..)| sent + class.window_us);
         self.filling += self.missing;
         open.out = Some(attempt);
         let work_s = self.usual_s[open.class].0.max(open.work_s);
@@ -547,7 +549,7 @@
         }
         self.servers.entry(server).and_modify(|s| s.out += 1);
         let fill = if direct { Fill { keep: 0, join: false, renew: false, ..fill } } else { fill };
-        actions.push(Action::Attempt { request: id, server, timeout_us: None, fill: Some(fill) });
+        actions.push(Action::Attempt { request: id, server, timeout_us: None, fill: Some(fill), begin_by });
     }
 
     // ---- Where the ordinary path has no answer ----
@@ -724,10 +726,8 @@
         let budget = COLD_USE * multiple * warmth * self.capacity(s) * window_s / f64::from(routers.max(1));
         let spent: f64 = s.charged.iter().filter(|c| c.0 + r.fall_us >= now).map(|c| c.1).sum();
         // A part smaller than one request is spent by turns: each router sends one with the chance that keeps
-        // the sum of all, drawn once a window from its own seed, so that they don't come together.
-        let window = now / r.fall_us.max(1);
-        // Drawn once for a request: further attempts must not be further chances.
-        let draw = mix(self.seed ^ mix(window ^ mix(id))) as f64 / u64::MAX as f64;
+        // the sum of all, drawn once for a request and window: further attempts must not be further chances.
+        let draw = mix(self.seed ^ mix((now / r.fall_us.max(1)) ^ mix(id))) as f64 / u64::MAX as f64;
         spent + work_s <= budget || spent == 0.0 && draw * work_s < budget
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -429,6 +429,8 @@
         timeout_us: Option<Micros>,
         /// How a miss is filled; none: what the server holds only.
         fill: Option<Fill>,
+        /// It must not begin behind this: then it is no attempt any more, as if it had never been sent.
+        begin_by: Option<Micros>,
     },
     /// Call an attempt off.
     Cancel {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -193,7 +193,7 @@
 
 pub fn sent(actions: &[Action]) -> Option<Sent> {
     actions.iter().find_map(|a| match a {
-        Action::Attempt { request, server, timeout_us, fill: Some(fill) } => {
+        Action::Attempt { request, server, timeout_us, fill: Some(fill), .. } => {
             Some(Sent { request: *request, server: *server, fill: *fill, timeout_us: *timeout_us })
         }
         _ => None,
