Break a connection off whose answer never ends once nobody waits for it

Ruled out: the bound on an answer's size (512 KiB are years of crumbs) and the mark on its server, which ends after 4 s.

Now the id of the answer under way tells whether anybody waits for it: if not, also under an id that nobody asked for, the connection is broken off after a second. While somebody does, it takes no further attempts.

Guarded by `an_answer_that_never_ends_costs_what_waits_for_it_and_no_later_request`, red before.

--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -98,6 +98,8 @@
     pub give_up_us: u64,
     /// An answer from a box that has begun and brings nothing more for so long has stopped short.
     pub half_answer_us: u64,
+    /// An answer that nobody waits for may be under way for so long: what comes behind it has to wait.
+    pub endless_us: u64,
     /// What was given up on a connection is remembered there for so long.
     pub forget_us: u64,
     /// A connection to a box that says nothing for so long, while it is asked, may lead nowhere any more.
@@ -167,6 +169,7 @@
             settle_us: 150_000,
             give_up_us: 5_000,
             half_answer_us: 150_000,
+            endless_us: 1_000_000,
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
             stalled_us: 500_000,
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -77,6 +77,8 @@
     open: HashMap<String, Stream>,
     probes: u64,
     last_heard: Micros,
+    /// When the answer that has come in part began.
+    half_since: Option<Micros>,
     /// A connection is taken for suspect once it has been silent for so long.
     suspect_us: Micros,
     /// Nothing came back for what was given up here: the other side may be gone without a word.
@@ -189,6 +191,7 @@
             open: HashMap::new(),
             probes: 0,
             last_heard: now,
+            half_since: None,
             suspect_us: limits.suspect_us,
             suspect: false,
             stalled: None,
@@ -205,7 +208,7 @@
         let queued = |a: &AttemptId| core.sending(*a).is_some_and(|(asked, _)| asked.id == id);
         let free = self.open.get(id).is_none_or(|s| matches!(s, Stream::GivenUp(_, None)))
             && !self.queue.iter().any(queued);
-        (!self.suspect && live < limits.box_streams && free).then_some(live)
+        (!self.suspect && !self.is_held_up(limits) && live < limits.box_streams && free).then_some(live)
     }
 
     /// When the next attempt that was given up is reported as over.
@@ -219,9 +222,19 @@
         !self.garbled && self.half_at(limits).is_none_or(|at| now < at)
     }
 
-    /// When an answer that has come in part will have stopped short.
+    /// When an answer that has come in part will have stopped short, or nobody will wait for its end any more.
     pub fn half_at(&self, limits: &Limits) -> Option<Micros> {
-        self.arrays.is_half().then(|| self.last_heard + limits.half_answer_us)
+        let since = self.half_since?;
+        let id = self.arrays.first().and_then(|id| std::str::from_utf8(id).ok());
+        let awaited = id.and_then(|id| self.open.get(id));
+        let endless = !matches!(awaited, Some(Stream::Attempt(_) | Stream::Probe(_)));
+        let stopped = self.last_heard + limits.half_answer_us;
+        Some(if endless { stopped.min(since + limits.endless_us) } else { stopped })
+    }
+
+    /// Whether an answer has been coming for so long that nothing more should be made to wait behind it.
+    fn is_held_up(&self, limits: &Limits) -> bool {
+        self.half_since.is_some_and(|since| since + limits.endless_us < self.last_heard)
     }
 
     /// Whether an attempt under this id was given up here not long ago.
@@ -308,8 +321,8 @@
                 }
             }
         }
-        // What comes behind an answer that stopped short would be taken for its rest: the connection serves no
-        // further use, also for all else that is open on it.
+        // What comes behind an answer that stopped short would be taken for its rest, and behind one that never
+        // ends nothing comes: the connection serves no further use, also for all else that is open on it.
         if self.half_at(limits).is_some_and(|at| at <= now) {
             return false;
         }
@@ -412,6 +425,8 @@
             let (taken, array) = self.arrays.parse(conn.input.front())?;
             conn.input.consume(taken);
             self.garbled = false;
+            let since = self.half_since.filter(|_| array.is_none()).unwrap_or(now);
+            self.half_since = self.arrays.is_half().then_some(since);
             self.last_heard = now;
             self.suspect = false;
             let Some(array) = array else { continue };
--- a/daemon/src/wire/resp.rs
+++ b/daemon/src/wire/resp.rs
@@ -28,6 +28,11 @@
         self.lacking.is_some() || !self.line.is_empty()
     }
 
+    /// The first string of an array that has come in part.
+    pub fn first(&self) -> Option<&[u8]> {
+        self.items.first().map(Vec::as_slice)
+    }
+
     fn number(&mut self, mark: u8, most: usize, what: &'static str) -> Result<usize, WireError> {
         let line = std::mem::take(&mut self.line);
         let digits = line.strip_prefix(&[mark]).filter(|d| d.iter().all(u8::is_ascii_digit));
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -234,3 +234,29 @@
         rig.stop();
     }
 }
+
+#[test]
+fn an_answer_that_never_ends_costs_what_waits_for_it_and_no_later_request() {
+    let puppet = Puppet::start().unwrap();
+    // It never pauses for long enough to be taken for one that stopped short.
+    let rig =
+        Rig::puppet(&puppet, |_| {}, |limits| (limits.half_answer_us, limits.endless_us) = (MINUTE_US, 0));
+    let mut web = rig.web();
+    web.ask(1, WRITE, &object(1), 300).unwrap();
+    let mut endless = puppet.line().unwrap();
+    let open = endless.frame().unwrap();
+    endless
+        .send(format!("*4\r\n$16\r\n{}\r\n$3\r\n200\r\n$1\r\n-\r\n$9000\r\n...", open.id).as_bytes())
+        .unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 503, "its time was up");
+    assert!(endless.ends().unwrap(), "nobody waits for the rest of it");
+    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    let mut line = puppet.line().unwrap();
+    let open = line.frame().unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    // An answer under an id that nobody asked for is not waited for either.
+    line.send(b"*4\r\n$16\r\nffffffffffffffff\r\n$3\r\n200\r\n").unwrap();
+    assert!(line.ends().unwrap(), "it holds up all behind it");
+    rig.stop();
+}
--- a/rehearse/src/puppet.rs
+++ b/rehearse/src/puppet.rs
@@ -95,6 +95,18 @@
         self.socket.write_all(bytes)
     }
 
+    /// Takes what comes until the other side ends the connection.
+    pub fn ends(&mut self) -> io::Result<bool> {
+        loop {
+            match self.socket.read(&mut [0; 4096]) {
+                Ok(0) => return Ok(true),
+                Err(e) if e.kind() == io::ErrorKind::ConnectionReset => return Ok(true),
+                Ok(_) => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Ends the connection.
     pub fn close(self) -> io::Result<()> {
         self.socket.shutdown(Shutdown::Both)
