Read events of the bus that are as long as a whole list of a large fleet

Seen in the review of whole lists: an event of more than 64 KiB, about 450 boxes, ended the connection to the bus; the call after it begins behind the last event that was read and gets the same one again, ten times a second, and nothing that is told behind it is ever heard. Ruled out: the call itself and the numbers of events; the answer of Consul, which has a bound of its own (1 MiB), was read.

Now an event of the bus may be as long as an answer of Consul: both hold the whole list.

Guarded by `a_whole_list_of_a_large_fleet_is_taken_in`, with 2,001 entries; before, the bus was called again and the daemon never became ready.

--- a/daemon/src/bus.rs
+++ b/daemon/src/bus.rs
@@ -96,7 +96,7 @@
     /// A call just begun.
     pub fn new(limits: &Limits, now: Micros) -> Self {
         let http = http::Messages::responses(limits.line, usize::MAX);
-        Feed { http, events: sse::Events::new(limits.line), read: now }
+        Feed { http, events: sse::Events::new(limits.list), read: now }
     }
 
     /// When something last came.
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -47,7 +47,7 @@
     pub last_reads: usize,
     /// Bytes of one line or event of text.
     pub line: usize,
-    /// Bytes of one answer of Consul: the whole list.
+    /// Bytes of a whole list of boxes: one answer of Consul, or one event of the bus.
     pub list: usize,
     /// Purges that hold for good.
     pub purges: usize,
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -5,9 +5,10 @@
 
 use linnetknot_daemon::wire::fastcgi::{self, kind};
 use linnetknot_rehearse::boxes::Manner;
+use linnetknot_rehearse::bus::entry;
 use linnetknot_rehearse::clients::WebServer;
 use linnetknot_rehearse::puppet::{Line, Puppet};
-use rig::{object, one, Rig};
+use rig::{object, one, Rig, READY};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
 
@@ -260,3 +261,26 @@
     assert!(line.ends().unwrap(), "it holds up all behind it");
     rig.stop();
 }
+
+#[test]
+fn a_whole_list_of_a_large_fleet_is_taken_in() {
+    let rig = Rig::with(&[], |config| config["known"] = Value::Null);
+    let mut list = vec![entry(&rig.origin, "hub", "origin", READY)];
+    for n in 0..2000 {
+        let mut other = list[0].clone();
+        other["uid"] = format!("s-{n:08x}").into();
+        other["az"] = "far".into();
+        list.push(other);
+    }
+    rig.bus.list(true, list);
+    let mut web = rig.web();
+    let mut health = || {
+        web.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+        web.end().unwrap().1.unwrap().status
+    };
+    // Asked until the event has come; a further call would mean that it was given up in the middle.
+    while health() != 200 {
+        assert!(rig.bus.calls() <= 1, "it is read by the first call");
+    }
+    rig.stop();
+}
--- a/rehearse/src/bus.rs
+++ b/rehearse/src/bus.rs
@@ -68,6 +68,11 @@
         self.state.1.notify_all();
     }
 
+    /// How often it was called.
+    pub fn calls(&self) -> usize {
+        self.state().calls.len()
+    }
+
     /// Waits for a call, by its place; gives the number behind which it read on.
     pub fn call(&self, place: usize) -> Option<u64> {
         let waited = self
