Call a client's copy current only where the box's answer names that copy

Seen in the review of spoilt answers: any `304` to a request that brought a tag was passed on as 'unchanged', whatever tag it named, or none. Ruled out: the answer of an attempt without a tag, which was checked.

Now the tag of the answer has to be the client's; else the box has made an error, and the request goes on.

Guarded by `a_clients_copy_is_called_current_only_where_the_box_names_that_copy`.

--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -115,12 +115,13 @@
 }
 
 fn ended(word: &[u8], fields: &[u8], body: Vec<u8>, asked: Option<&Asked>) -> Ended {
+    let tag = resp::field(fields, "etag");
     let (outcome, content) = match word {
-        b"200" => (
-            Outcome::Ok,
-            Some(Content::Object { bytes: body, tag: resp::field(fields, "etag").map(str::to_owned) }),
-        ),
-        b"304" if asked.is_some_and(|a| a.have.is_some()) => (Outcome::Ok, Some(Content::Unchanged)),
+        b"200" => (Outcome::Ok, Some(Content::Object { bytes: body, tag: tag.map(str::to_owned) })),
+        // Only the box's own word for that very copy makes it current.
+        b"304" if asked.is_some_and(|a| a.have.is_some() && a.have.as_deref() == tag) => {
+            (Outcome::Ok, Some(Content::Unchanged))
+        }
         b"404" => (Outcome::Miss, None),
         b"503" => (Outcome::Full, None),
         b"504" => (Outcome::Moot, None),
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -284,3 +284,36 @@
     }
     rig.stop();
 }
+
+#[test]
+fn a_clients_copy_is_called_current_only_where_the_box_names_that_copy() {
+    let held = "00000000000000c0";
+    for (fields, status) in [
+        (format!("how=local,made=1,etag={held}"), 200),
+        ("how=local,made=1,etag=00000000000000c1".to_owned(), 503),
+        ("-".to_owned(), 503),
+    ] {
+        let puppet = Puppet::start().unwrap();
+        let once = |config: &mut Value| config["settings"]["limits"]["try-limit"] = 1.into();
+        let rig = Rig::puppet(&puppet, once, |_| {});
+        let mut web = rig.web();
+        let (id, key) = (object(0x70), object(1));
+        let asked = [
+            ("HTTP_REQUEST_ID", id.as_str()),
+            ("HTTP_RESOURCE_KEY", &key),
+            ("HTTP_BUDGET_MS", "60000"),
+            ("HTTP_X_VER", held),
+        ];
+        web.send(&WebServer::request(1, "/invoke/photo", &asked, b"")).unwrap();
+        let mut line = puppet.line().unwrap();
+        let open = line.frame().unwrap();
+        line.answer(&open.id, "304", &fields, "").unwrap();
+        let answer = web.end().unwrap().1.unwrap();
+        assert_eq!(
+            (answer.status, answer.header("x-unchanged").is_some()),
+            (status, status == 200),
+            "{fields}"
+        );
+        rig.stop();
+    }
+}
