Take a ring's memory as it is needed and give it back as soon as a client rests

A connection took both rings whole (16 and 64 KiB) with its first byte and gave them back at the next look, up to half a second later, so a crowd that asks once and rests holds them all at one time.

Now the ring of what goes out takes what it holds, doubled as it grows, and both are given back the moment a client's connection is at rest.

Test: `memory_is_taken_as_it_is_needed_and_given_back`; before, a ring of 64 KiB took all of it for 100 bytes.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -102,6 +102,11 @@
             c.since = now;
         }
         c.half = half;
+        // Hundreds of clients may ask once and keep their connections: what each has taken must not add up.
+        if standing == Standing::Idle {
+            c.conn.input.release();
+            c.conn.output.release();
+        }
     }
 
     /// Ends a client's connection that holds its place for nothing. Usual clients end theirs sooner, so none of
@@ -113,10 +118,6 @@
         }
         let Some(c) = self.connections.get_mut(key) else { return };
         let Some(standing) = Self::standing(c) else { return };
-        if standing == Standing::Idle {
-            c.conn.input.release();
-            c.conn.output.release();
-        }
         match leaves_at(standing, Self::owed(c), c.since, &self.limits) {
             // One that takes nothing, of what is written or of the end, is not waited for any longer.
             Some(due) if due <= now && matches!(standing, Standing::Busy | Standing::Lingering) => {
--- a/daemon/src/net/ring.rs
+++ b/daemon/src/net/ring.rs
@@ -2,7 +2,11 @@
 
 use std::io::{self, Read, Write};
 
-/// A bounded ring of bytes. Memory is taken with the first byte, so a connection that never speaks costs none.
+/// The least memory that a ring takes, if it may.
+const LEAST: usize = 1 << 10;
+
+/// A bounded ring of bytes. Memory is taken with the first byte, and for what is written as much as it needs: of
+/// hundreds of connections that ask for little each may have room for much.
 pub struct Ring {
     bytes: Vec<u8>,
     most: usize,
@@ -39,6 +43,11 @@
         self.consume(self.len);
     }
 
+    /// Bytes of memory that it has taken.
+    pub fn memory(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Bytes that still fit.
     pub fn room(&self) -> usize {
         self.most - self.len
@@ -53,21 +62,32 @@
     pub fn consume(&mut self, n: usize) {
         let n = n.min(self.len);
         self.len -= n;
-        self.head = if self.len == 0 { 0 } else { (self.head + n) % self.most };
+        self.head = if self.len == 0 { 0 } else { (self.head + n) % self.bytes.len() };
     }
 
-    fn gap(&mut self) -> &mut [u8] {
-        if self.bytes.is_empty() {
-            self.bytes = vec![0; self.most];
+    /// Makes room for so many bytes in all, as far as it may.
+    fn grow(&mut self, wanted: usize) {
+        if wanted <= self.bytes.len() {
+            return;
         }
-        let tail = (self.head + self.len) % self.most;
-        let end = if self.len > 0 && tail <= self.head { self.head } else { self.most };
+        let mut bytes = vec![0; wanted.next_power_of_two().max(LEAST).min(self.most)];
+        let front = self.front().len();
+        bytes[..front].copy_from_slice(self.front());
+        bytes[front..self.len].copy_from_slice(&self.bytes[..self.len - front]);
+        (self.bytes, self.head) = (bytes, 0);
+    }
+
+    fn gap(&mut self) -> &mut [u8] {
+        let size = self.bytes.len();
+        let tail = (self.head + self.len) % size;
+        let end = if self.len > 0 && tail <= self.head { self.head } else { size };
         &mut self.bytes[tail..end]
     }
 
     /// Takes in as many bytes as fit; tells how many.
     pub fn push(&mut self, mut bytes: &[u8]) -> usize {
         let before = self.len;
+        self.grow((self.len + bytes.len()).min(self.most));
         while !bytes.is_empty() && self.room() > 0 {
             let gap = self.gap();
             let n = gap.len().min(bytes.len());
@@ -83,6 +103,8 @@
         if self.room() == 0 {
             return Ok(0);
         }
+        // How much comes is not known before: a small ring would only be read more often.
+        self.grow(self.most);
         let n = from.read(self.gap())?;
         self.len += n;
         Ok(n)
@@ -116,4 +138,25 @@
         assert_eq!(got, (0..sent).collect::<Vec<_>>());
         assert_eq!((ring.push(&[7; 9]), ring.room()), (5, 0));
     }
+
+    #[test]
+    fn memory_is_taken_as_it_is_needed_and_given_back() {
+        let (mut ring, mut sent, mut got) = (Ring::new(64 << 10), Vec::new(), Vec::new());
+        assert_eq!(ring.memory(), 0);
+        for step in [100, 900, 3_000, 20_000, 60_000, 1] {
+            let bytes: Vec<u8> = (0..step).map(|n| (n * 7 + step) as u8).collect();
+            let taken = ring.push(&bytes);
+            sent.extend_from_slice(&bytes[..taken]);
+            assert!(ring.memory() <= (2 * ring.len()).max(LEAST), "{} for {}", ring.memory(), ring.len());
+            // It is moved as it grows while bytes are in it, also around its end.
+            got.extend_from_slice(&ring.front()[..ring.front().len() / 2]);
+            ring.consume(ring.front().len() / 2);
+        }
+        while !ring.is_empty() {
+            ring.write_to(&mut got).unwrap();
+        }
+        assert!(got == sent, "in the order in which they came");
+        ring.release();
+        assert_eq!(ring.memory(), 0);
+    }
 }
