Free what a client left behind when its time is up, if no answer ever comes

Ruled out: settings that allow calling off, where the word that it is given up ends the attempt.

Now the deadline ends every attempt that is out.

Guarded by `what_a_client_left_behind_is_freed_when_its_time_is_up_also_if_no_answer_ever_comes`, with a table of one place; before, the second request was refused for as long as the test went on asking.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -437,9 +437,9 @@
     }
 
     /// The client gives up: what is out has timed out, and the module has the last word, which can't be a
-    /// further attempt.
+    /// further attempt. So has what a client left behind where nothing may be called off: its answer may never come.
     fn expire(&mut self, now: Micros, ticket: Ticket) {
-        let Some(open) = self.requests.get(ticket).filter(|open| !open.answered) else { return };
+        let Some(open) = self.requests.get(ticket) else { return };
         if let Some(out) = &open.out {
             let attempt = AttemptId { ticket, number: out.number };
             if out.given_up.is_none() {
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -6,12 +6,13 @@
 use linnetknot_daemon::wire::fastcgi::{self, kind};
 use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::bus::entry;
-use linnetknot_rehearse::clients::WebServer;
+use linnetknot_rehearse::clients::{WebServer, PATIENCE};
 use linnetknot_rehearse::puppet::{Line, Puppet};
 use linnetknot_rehearse::unix_ms;
 use rig::{object, one, Rig, READY};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
+use std::time::Instant;
 
 /// What is asked of a puppet is a write: no module calls one off because it takes long.
 const WRITE: &str = "post";
@@ -336,3 +337,32 @@
     assert!(bounded(), "a fill that was under way may have brought an older one");
     rig.stop();
 }
+
+#[test]
+fn what_a_client_left_behind_is_freed_when_its_time_is_up_also_if_no_answer_ever_comes() {
+    let puppet = Puppet::start().unwrap();
+    let never = |config: &mut Value| config["settings"]["limits"]["cancel"] = false.into();
+    let rig = Rig::puppet(&puppet, never, |limits| limits.requests = 1);
+    let mut web = rig.web();
+    web.ask(1, WRITE, &object(1), 300).unwrap();
+    let mut line = puppet.line().unwrap();
+    line.frame().unwrap();
+    web.abort(1).unwrap();
+    assert_eq!(web.end().unwrap(), (1, None));
+    // The table has room for one request: until the first one's time is up, others are turned away.
+    let until = Instant::now() + PATIENCE;
+    let open = loop {
+        web.ask(2, WRITE, &object(2), 60_000).unwrap();
+        web.send(&WebServer::request(3, "/_health", &[], b"")).unwrap();
+        match web.end().unwrap() {
+            (3, _) => break line.fetch().unwrap(),
+            (_, answer) => assert_eq!(answer.unwrap().status, 503),
+        }
+        assert_eq!(web.end().unwrap().0, 3);
+        assert!(Instant::now() < until, "its place is never freed");
+    };
+    assert_eq!(open.key(), Some(object(2).as_str()));
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    rig.stop();
+}
--- a/rehearse/src/puppet.rs
+++ b/rehearse/src/puppet.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// The next request, whatever is given up before it.
+    pub fn fetch(&mut self) -> io::Result<Frame> {
+        loop {
+            let frame = self.frame()?;
+            if frame.word == "fetch" {
+                return Ok(frame);
+            }
+        }
+    }
+
     /// Answers under an id.
     pub fn answer(&mut self, id: &str, word: &str, fields: &str, body: &str) -> io::Result<()> {
         let mut out = Vec::new();
