Keep a place for the event bus while its connection is down

Seen in the review of discovery that is down: the table of connections is bounded, and nothing kept a place in it for the bus. While its connection is broken off, connections to boxes or clients may take the last one; then it is not called until one of them ends by itself, and drains and purges go unheard. Ruled out: the bound on clients (three fifths) as enough, since connections to boxes, eight each, may fill the rest; and the descriptors, of which 24 are never handed out.

Now boxes and clients leave one place free as long as the bus is not connected.

Guarded by `the_bus_finds_a_place_when_it_is_back_though_connections_fill_the_table`: the loop is held while the bus breaks off and a request comes that needs one more connection; before, that one took the place.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -105,7 +105,7 @@
 
     /// Begins a connection to a box.
     fn dial(&mut self, now: Micros, server: ServerId) -> Option<Key> {
-        let (_, endpoint) = self.core.location(server)?;
+        let (_, endpoint) = self.core.location(server).filter(|_| self.has_place())?;
         let key = self.call(now, endpoint, Kind::Box(Link::new(server, &self.limits, now)))?;
         self.links.entry(server).or_default().push(key);
         Some(key)
--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -68,7 +68,7 @@
     /// So is one whose request has come but was not read yet.
     pub(super) fn room_for_client(&mut self, now: Micros) -> io::Result<Option<Key>> {
         loop {
-            if self.clients < self.limits.clients && !self.connections.is_full() {
+            if self.clients < self.limits.clients && self.has_place() {
                 return Ok(None);
             }
             let leaver = self.leaver(now).ok_or(io::ErrorKind::OutOfMemory)?;
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -409,6 +409,13 @@
         Some(key)
     }
 
+    /// Whether there is a place for one more connection besides that of the event bus, which may not be up just
+    /// then: without it nobody would hear of drains and purges.
+    fn has_place(&self) -> bool {
+        let kept = usize::from(self.config.bus.is_some() && self.feed.is_none());
+        self.connections.room() > kept
+    }
+
     fn call(&mut self, now: Micros, to: SocketAddr, kind: Kind) -> Option<Key> {
         let socket = connect(to).map_err(|e| log::warn!("no connection to {to}: {e}")).ok()?;
         let conn = Conn::new(socket, false, self.limits.input_ring, self.limits.output_ring).ok()?;
--- a/daemon/src/net/slots.rs
+++ b/daemon/src/net/slots.rs
@@ -42,11 +42,6 @@
         self.len() == 0
     }
 
-    /// Whether no entry can be added.
-    pub fn is_full(&self) -> bool {
-        self.len() >= self.most
-    }
-
     /// How many entries can be added.
     pub fn room(&self) -> usize {
         self.most - self.len()
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -366,3 +366,23 @@
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
+
+#[test]
+fn the_bus_finds_a_place_when_it_is_back_though_connections_fill_the_table() {
+    // Room for the bus, a client and one box.
+    let mut rig = Rig::bounded(&["s-0a"], |_| {}, |limits| limits.connections = 3);
+    let mut web = rig.web();
+    assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
+    assert_eq!(rig.bus.call(0), Some(0));
+    let held = rig.hold();
+    rig.bus.cut_off();
+    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    drop(held);
+    assert_eq!(
+        web.end().unwrap().1.unwrap().status,
+        503,
+        "the origin's connection would take the place of the bus"
+    );
+    assert_eq!(rig.bus.call(1), Some(0));
+    rig.stop();
+}
--- a/rehearse/src/bus.rs
+++ b/rehearse/src/bus.rs
@@ -12,6 +12,7 @@
 struct State {
     events: Vec<Value>,
     calls: Vec<u64>,
+    ended: usize,
     cuts: usize,
 }
 
@@ -40,7 +41,11 @@
         let served = state.clone();
         let address = listen("127.0.0.1:0", move |socket| {
             let address = socket.local_addr()?;
-            Bus { address, state: served.clone() }.serve(socket)
+            let bus = Bus { address, state: served.clone() };
+            let end = bus.serve(socket);
+            bus.state().ended += 1;
+            bus.state.1.notify_all();
+            end
         })?;
         Ok(Bus { address, state })
     }
@@ -68,6 +73,14 @@
         self.state.1.notify_all();
     }
 
+    /// Ends the connections of all who read, and waits until they are closed.
+    pub fn cut_off(&self) {
+        self.cut();
+        let open = |s: &mut State| s.ended < s.calls.len();
+        let waited = self.state.1.wait_timeout_while(self.state(), Duration::from_secs(10), open);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
     /// How often it was called.
     pub fn calls(&self) -> usize {
         self.state().calls.len()
