Pass over an entry of the list that can't be read, not the whole list

Seen in the review of lists: one entry with a state or an address that is not known here made the whole event be passed over, with a warning, and its number counted as read with the next one. The drains that the same event told were never heard, and attempts went on to those boxes. Ruled out: that it is asked for again; the call goes on behind the last event that was read.

Now such an entry is passed over and the others count.

Guarded by `one_entry_that_cannot_be_read_costs_itself_and_not_the_list`: an entry in the state `melting` before a drain; before, the draining box was asked 20 times after the purge that was told behind it.

--- a/daemon/src/bus.rs
+++ b/daemon/src/bus.rs
@@ -62,9 +62,15 @@
     let news = if get(m, "topology").is_some() {
         let topology = object(m, "topology")?;
         let mode = if flag(topology, "all")? { ListMode::Full } else { ListMode::Delta };
-        let entries =
-            list(topology, "targets")?.iter().map(|v| entry(v.as_object().ok_or_else(|| wrong("targets"))?));
-        Some(News::List(mode, entries.collect::<Result<_>>()?))
+        // One that can't be read must not keep the others' drains from being heard.
+        let read = |v: &Value| match v.as_object().ok_or_else(|| wrong("targets")).and_then(entry) {
+            Ok(entry) => Some(entry),
+            Err(e) => {
+                log::warn!("an entry of the list was passed over: {e}");
+                None
+            }
+        };
+        Some(News::List(mode, list(topology, "targets")?.iter().filter_map(read).collect()))
     } else if get(m, "ban").is_some() {
         let ban = object(m, "ban")?;
         let object = get(ban, "url").map(|_| text(ban, "url")).transpose()?;
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -4,7 +4,7 @@
 mod rig;
 
 use linnetknot_daemon::wire::fastcgi::{self, kind};
-use linnetknot_rehearse::boxes::Manner;
+use linnetknot_rehearse::boxes::{Manner, StandIn};
 use linnetknot_rehearse::bus::entry;
 use linnetknot_rehearse::clients::{WebServer, PATIENCE};
 use linnetknot_rehearse::puppet::{Line, Puppet};
@@ -386,3 +386,24 @@
     assert_eq!(rig.bus.call(1), Some(0));
     rig.stop();
 }
+
+#[test]
+fn one_entry_that_cannot_be_read_costs_itself_and_not_the_list() {
+    let rig = Rig::with(&["s-0a", "s-0b"], |_| {});
+    let mut web = rig.web();
+    let mut odd = entry(&rig.boxes[1], "here", "box", "melting");
+    odd["uid"] = "s-0c".into();
+    rig.bus.list(false, vec![odd, entry(&rig.boxes[0], "here", "box", "draining")]);
+    rig.bus.push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
+    // The purge behind the list is known once an age is asked for.
+    let bounded = |b: &StandIn| b.arrivals().iter().any(|a| a.field("maxage").is_some());
+    while !rig.boxes.iter().any(bounded) {
+        assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
+    }
+    let before = rig.boxes[0].arrivals().len();
+    for n in 0..20 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert_eq!(rig.boxes[0].arrivals().len(), before, "it drains");
+    rig.stop();
+}
