Answer what is still open before the process may be killed at a planned restart

SIGKILL comes as soon as the longest deadline, counted as 3 s if it is longer, and 0.7 s after SIGTERM; we waited for each request's own time. Ruled out: connections that linger (a client that has its answer ends them), and the module (it may hold what is not overdue; where boxes hang, large objects are not).

Now everything that is owed an answer gets one 50 ms before that time: `failed`, which claims nothing. The end itself waits for clients only, not for attempts that are out for nobody.

Tests: `what_is_still_open_when_the_process_may_be_killed_is_answered_before` (red before) and one for the time.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -450,6 +450,21 @@
         if self.requests.get(ticket).is_some_and(|open| !open.answered) {
             // Guards the promise of one answer against a module that holds a request past its end.
             log::warn!("a request was still unanswered at its deadline");
+            self.fail(now, ticket);
+        }
+    }
+
+    /// The process may be killed at any moment: whatever is still owed an answer gets it now, and one that claims
+    /// nothing.
+    pub fn last_call(&mut self, now: Micros) {
+        for ticket in self.requests.keys() {
+            self.fail(now, ticket);
+        }
+    }
+
+    /// Answers a request that the module still holds.
+    fn fail(&mut self, now: Micros, ticket: Ticket) {
+        if self.requests.get(ticket).is_some_and(|open| !open.answered) {
             self.finish(now, ticket, Answer::Failed);
             self.feed(now, Event::Left { request: ticket.to_u64() });
             self.tidy(now, ticket);
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -87,6 +87,8 @@
     Accept,
     /// The grace after SIGTERM is over.
     Term,
+    /// The process may be killed right after this.
+    LastCall,
 }
 
 /// Does to a daemon what the signals do.
@@ -284,8 +286,9 @@
     }
 
     fn is_done(&self) -> bool {
-        // A client's connection that is left has something owed to it, or lingers.
-        self.grace_over && self.core.is_idle() && self.clients == 0
+        // A client's connection that is left has something owed to it, or lingers. What is out for nobody is
+        // given up with its connection.
+        self.grace_over && self.clients == 0
     }
 
     fn event(&mut self, event: Ready) {
@@ -324,6 +327,7 @@
                 self.accept_cdni(now);
             }
             Timer::Term => self.end_grace(now),
+            Timer::LastCall => self.core.last_call(now),
         }
     }
 
@@ -334,6 +338,7 @@
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
+            self.deadlines.set(now + self.limits.last_call_us, Timer::LastCall);
         }
     }
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -76,6 +76,8 @@
     /// After SIGTERM, new connections and requests are taken for so long: the protocol leaves a request that comes
     /// later no time to be answered before SIGKILL.
     pub term_grace_us: u64,
+    /// After SIGTERM, what is still open is answered at this time: the process may be killed right after.
+    pub last_call_us: u64,
     /// Wait before accepting again where no descriptor was left.
     pub accept_again_us: u64,
     /// A client's connection that has asked for nothing, or for a request that does not become whole, is ended
@@ -110,7 +112,17 @@
     pub log_lines: u32,
 }
 
+/// The longest deadline that a planned restart waits for, and how much longer it waits.
+const RESTART_US: (u64, u64) = (3_000_000, 700_000);
+/// An answer at the end is given so long before the process may be killed.
+const KILL_AHEAD_US: u64 = 50_000;
+
 impl Limits {
+    /// When the last call is made after SIGTERM, where this is the longest deadline of all classes.
+    pub fn last_call_us(longest_deadline_us: u64) -> u64 {
+        longest_deadline_us.min(RESTART_US.0) + RESTART_US.1 - KILL_AHEAD_US
+    }
+
     /// Whether a client connection that is owed so many answers, its new one with them, may ask for one more: a
     /// flood by one must leave room for the requests of the others.
     pub fn admits(&self, owed: usize, crowded: bool) -> bool {
@@ -159,6 +171,7 @@
             bus_silence_us: 2_000_000,
             bus_again_us: 100_000,
             term_grace_us: 700_000,
+            last_call_us: 3_650_000,
             accept_again_us: 20_000,
             client_half_us: 2_000_000,
             client_idle_us: 5_000_000,
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -3,12 +3,13 @@
 
 mod rig;
 
+use linnetknot_daemon::config::Config;
 use linnetknot_daemon::wire::fastcgi::{self, kind};
 use linnetknot_rehearse::boxes::{Manner, StandIn};
 use linnetknot_rehearse::bus::entry;
 use linnetknot_rehearse::clients::{WebServer, PATIENCE};
 use linnetknot_rehearse::puppet::{Line, Puppet};
-use linnetknot_rehearse::unix_ms;
+use linnetknot_rehearse::{settings, unix_ms};
 use rig::{object, one, Rig, READY};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
@@ -407,3 +408,37 @@
     assert_eq!(rig.boxes[0].arrivals().len(), before, "it drains");
     rig.stop();
 }
+
+#[test]
+fn what_is_still_open_when_the_process_may_be_killed_is_answered_before() {
+    for cancel in [true, false] {
+        let puppet = Puppet::start().unwrap();
+        let calls_off = |config: &mut Value| config["settings"]["limits"]["cancel"] = cancel.into();
+        // The last call comes with SIGTERM itself.
+        let mut rig = Rig::puppet(&puppet, calls_off, |limits| limits.last_call_us = 0);
+        let mut web = rig.web();
+        web.ask(1, WRITE, &object(1), 60_000).unwrap();
+        let mut line = puppet.line().unwrap();
+        line.frame().unwrap();
+        rig.control.stop().unwrap();
+        assert_eq!(web.end().unwrap().1.unwrap().status, 502, "it may have run");
+        assert!(is_closed(&mut web), "and nothing else is owed");
+        drop(web);
+        rig.run.join().unwrap().unwrap();
+    }
+}
+
+#[test]
+fn the_last_call_is_made_before_the_earliest_time_at_which_the_process_may_be_killed() {
+    for (deadline_us, last_call_us) in
+        [(1_500_000, 2_150_000), (3_000_000, 3_650_000), (9_000_000, 3_650_000)]
+    {
+        let mut settings = settings();
+        for class in settings["categories"].as_array_mut().unwrap() {
+            class["deadline-us"] = deadline_us.into();
+        }
+        let config = json!({"listen": "127.0.0.1:0", "settings": settings});
+        let limits = Config::read(config.as_object().unwrap()).unwrap().limits;
+        assert_eq!(limits.last_call_us, last_call_us, "{deadline_us}");
+    }
+}
