Look at open requests once a second, so that those that are over leave no timer behind

Seen in the review of bounds: each request that was taken set a timer at its deadline, up to 120 s ahead as its client says, and that timer stayed when the request was over. A client that asks again the moment it is turned away leaves thousands a second, some hundred thousand of them at a time. Ruled out: the request itself, whose place is freed at once. The daemon sees nothing of this but memory, so the test is one of the core's commands.

Now a request is looked at once a second until its deadline, and one that is over not again.

Guarded by `requests_that_are_over_leave_nothing_behind_for_as_long_as_their_clients_would_have_waited`, red before.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -211,6 +211,7 @@
     keyed: Vec<String>,
     boxes: BTreeMap<ServerId, (String, SocketAddr, State)>,
     answer_ahead_us: Micros,
+    look_us: Micros,
     /// Purges that hold for good.
     lasting: BTreeSet<(Option<String>, u64)>,
     most_lasting: usize,
@@ -235,6 +236,7 @@
             requests: Slots::new(limits.requests),
             boxes: BTreeMap::new(),
             answer_ahead_us: limits.answer_ahead_us,
+            look_us: limits.look_us,
             lasting: BTreeSet::new(),
             most_lasting: limits.purges,
             bodies: 0,
@@ -365,7 +367,7 @@
         self.ids.insert(id);
         self.counts.taken += 1;
         self.bodies += body;
-        self.commands.push(Command::Wake(deadline, Wake::Request(ticket)));
+        self.look_again(now, ticket);
         self.feed(now, Event::Request(Request { id: ticket.to_u64(), ..request }));
         Some(ticket)
     }
@@ -436,10 +438,21 @@
         }
     }
 
+    /// Has itself woken at a request's deadline, by steps.
+    fn look_again(&mut self, now: Micros, ticket: Ticket) {
+        if let Some(open) = self.requests.get(ticket) {
+            let at = open.deadline.min(now + self.look_us);
+            self.commands.push(Command::Wake(at, Wake::Request(ticket)));
+        }
+    }
+
     /// The client gives up: what is out has timed out, and the module has the last word, which can't be a
     /// further attempt. So has what a client left behind where nothing may be called off: its answer may never come.
     fn expire(&mut self, now: Micros, ticket: Ticket) {
         let Some(open) = self.requests.get(ticket) else { return };
+        if now < open.deadline {
+            return self.look_again(now, ticket);
+        }
         if let Some(out) = &open.out {
             let attempt = AttemptId { ticket, number: out.number };
             if out.given_up.is_none() {
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -76,6 +76,9 @@
     /// After SIGTERM, new connections and requests are taken for so long: the protocol leaves a request that comes
     /// later no time to be answered before SIGKILL.
     pub term_grace_us: u64,
+    /// A request is looked at this often until its time is up: were it once only, what is long over would be
+    /// remembered until then.
+    pub look_us: u64,
     /// After SIGTERM, what is still open is answered at this time: the process may be killed right after.
     pub last_call_us: u64,
     /// Wait before accepting again where no descriptor was left.
@@ -171,6 +174,7 @@
             bus_silence_us: 2_000_000,
             bus_again_us: 100_000,
             term_grace_us: 700_000,
+            look_us: 1_000_000,
             last_call_us: 3_650_000,
             accept_again_us: 20_000,
             client_half_us: 2_000_000,
--- a/daemon/tests/core.rs
+++ b/daemon/tests/core.rs
@@ -187,3 +187,26 @@
     assert_eq!(core.ask(NOW, client(3), post.clone()), None);
     assert!(core.ask(NOW, client(3), Asked { once: Some("5c".into()), ..post }).is_some());
 }
+
+#[test]
+fn requests_that_are_over_leave_nothing_behind_for_as_long_as_their_clients_would_have_waited() {
+    let mut core = core(&limits());
+    let two_minutes = Asked { class: "no-such-class".into(), remaining_us: 120_000_000, ..asked(0) };
+    let last = |commands: &[Command]| {
+        commands.iter().filter_map(|c| if let Command::Wake(at, _) = c { Some(*at) } else { None }).max()
+    };
+    core.ask(NOW, client(1), two_minutes.clone()).unwrap();
+    let commands = core.commands();
+    assert_eq!((answers(&commands).len(), core.is_idle()), (1, true), "refused at once");
+    assert!(last(&commands).is_none_or(|at| at <= NOW + limits().look_us), "a flood of them would add up");
+    // One that goes on is looked at until its time is up.
+    let ticket =
+        core.ask(NOW, client(1), Asked { id: "0b".into(), class: "photo".into(), ..two_minutes }).unwrap();
+    let (mut now, mut looks) = (NOW, 0);
+    while answers(&core.commands()).is_empty() {
+        now += limits().look_us;
+        core.wake(now, Wake::Request(ticket));
+        looks += 1;
+    }
+    assert_eq!(looks, 120, "its deadline");
+}
