Bound what all requests that have come in part hold together

Seen in the review of bounds: a request's parameters (16 KiB) and body (48 KB) are bounded, and the bodies of all whole requests together, but not what has come in part: 32 requests on each of some hundred connections, 64 KB each, are many times the memory that the process may have, and two seconds are enough to send it. Ruled out: the rings, which are emptied as they are read.

Now all of it together is an eighth of the memory at the most; beyond that the connection that holds the most is ended, whoever was the last straw.

Guarded by `requests_that_never_become_whole_cannot_fill_the_memory`, red before.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -109,6 +109,23 @@
         }
     }
 
+    /// Counts what a client's connection holds of requests that have come in part. Where all of them hold too much,
+    /// the one that holds the most is ended.
+    pub(super) fn bound_half(&mut self, now: Micros, key: Key) {
+        let Some(Connection { kind: Kind::Client(session), half_bytes, .. }) = self.connections.get_mut(key)
+        else {
+            return;
+        };
+        let before = std::mem::replace(half_bytes, session.half_bytes());
+        self.half_bytes = self.half_bytes + *half_bytes - before;
+        while self.half_bytes > self.limits.half_requests {
+            let held = |key: &Key| self.connections.get(*key).map(|c| c.half_bytes);
+            let Some(most) = self.connections.keys().into_iter().max_by_key(held) else { return };
+            log::info!("a connection is ended: it holds the most of too many requests in part");
+            self.end(now, most);
+        }
+    }
+
     /// Ends a client's connection that holds its place for nothing. Usual clients end theirs sooner, so none of
     /// their requests can cross this.
     pub(super) fn look_at_client(&mut self, now: Micros, key: Key) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -59,6 +59,8 @@
     half: bool,
     /// Bytes of waiting answers that the daemon's sum holds for it.
     waiting: usize,
+    /// The same of requests that have come in part.
+    half_bytes: usize,
 }
 
 /// What has a deadline.
@@ -160,6 +162,7 @@
     /// What neighbours were last told of our being able to serve.
     told_ready: bool,
     waiting_answers: usize,
+    half_bytes: usize,
     stopping: bool,
     grace_over: bool,
 }
@@ -222,6 +225,7 @@
             posts: 0,
             told_ready: false,
             waiting_answers: 0,
+            half_bytes: 0,
             stopping: false,
             grace_over: false,
             limits,
@@ -403,8 +407,10 @@
 
     fn open(&mut self, now: Micros, conn: Conn, kind: Kind) -> Option<Key> {
         let up = conn.up;
-        let key =
-            self.connections.insert(Connection { conn, kind, since: now, half: false, waiting: 0 }).ok()?;
+        let key = self
+            .connections
+            .insert(Connection { conn, kind, since: now, half: false, waiting: 0, half_bytes: 0 })
+            .ok()?;
         let c = self.connections.get(key)?;
         if let Err(e) = self.poll.add(c.conn.socket(), key.to_u64(), true, !up) {
             log::warn!("a connection can't be watched: {e}");
@@ -470,6 +476,7 @@
             return self.end(now, key);
         }
         self.note_client(now, key);
+        self.bound_half(now, key);
     }
 
     fn read(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
@@ -584,8 +591,8 @@
         c.conn.input.clear();
         c.since = now;
         let kind = std::mem::replace(&mut c.kind, Kind::Lingering(0));
-        let waiting = std::mem::take(&mut c.waiting);
-        self.waiting_answers -= waiting;
+        self.waiting_answers -= std::mem::take(&mut c.waiting);
+        self.half_bytes -= std::mem::take(&mut c.half_bytes);
         self.left_by(now, kind);
         self.deadlines.set(now + self.limits.linger_us, Timer::Client(key));
         self.watch(key);
@@ -608,6 +615,7 @@
             kind @ (Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_)) => {
                 self.clients -= 1;
                 self.waiting_answers -= c.waiting;
+                self.half_bytes -= c.half_bytes;
                 self.left_by(now, kind);
             }
             Kind::Box(link) => {
--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -143,6 +143,15 @@
         self.records.is_half() || self.open.values().any(|s| matches!(s, Stream::Reading { .. }))
     }
 
+    /// Bytes of the requests that have come in part.
+    pub fn half_bytes(&self) -> usize {
+        let bytes = |s: &Stream| match s {
+            Stream::Reading { params, body, .. } => params.len() + body.len(),
+            Stream::Waiting { .. } => 0,
+        };
+        self.open.values().map(bytes).sum()
+    }
+
     /// Whether any whole request has come.
     pub fn has_asked(&self) -> bool {
         self.asked
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -27,6 +27,8 @@
     pub params: usize,
     /// Bytes of the bodies of all open requests.
     pub bodies: usize,
+    /// Bytes of all requests that have come in part.
+    pub half_requests: usize,
     /// Bytes of a request's body.
     pub body: usize,
     /// The longest time that a client may say it waits.
@@ -149,6 +151,7 @@
             client_requests: 32,
             crowded_requests: 4,
             bodies: memory / 4,
+            half_requests: memory / 8,
             params: 16 << 10,
             body: 48_000,
             budget_us: 120_000_000,
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -442,3 +442,31 @@
         assert_eq!(limits.last_call_us, last_call_us, "{deadline_us}");
     }
 }
+
+#[test]
+fn requests_that_never_become_whole_cannot_fill_the_memory() {
+    // As much as three clients may have under way, of which each holds more than its part.
+    let rig = Rig::bounded(
+        &["s-0a"],
+        |_| {},
+        |limits| (limits.half_requests, limits.client_half_us) = (100_000, MINUTE_US),
+    );
+    let half = |web: &mut WebServer, stream: u16, bytes: usize| {
+        let request =
+            WebServer::request(stream, "/invoke/post", &[("HTTP_REQUEST_ID", "0a")], &vec![b'.'; bytes]);
+        web.send(&request[..request.len() - 8]).unwrap();
+        // Read by now: what comes behind it is answered.
+        web.send(&WebServer::request(100, "/_health", &[], b"")).unwrap();
+        web.end()
+    };
+    let (mut large, mut small, mut usual) = (rig.web(), rig.web(), rig.web());
+    assert!(half(&mut small, 1, 20_000).is_ok());
+    assert!(half(&mut large, 1, 40_000).is_ok());
+    assert!(half(&mut large, 2, 30_000).is_ok());
+    // The one that holds most of it makes room, whoever was the last straw.
+    assert!(half(&mut small, 2, 15_000).is_ok());
+    assert!(is_closed(&mut large));
+    assert_eq!(one(&mut usual, "photo", &object(1)).status, 200);
+    drop((large, small, usual));
+    rig.stop();
+}
