End a client's connection on which answers wait that it does not take

Seen in the review of bounds: answers that need no box (health, what is turned away) were queued for a client without a bound. One that asks at full speed and reads nothing had all of them held for it: 500,000 in the test, while every ring and socket between was full. Ruled out: the bound on waiting answers, which turns requests away, by one more answer; and the time of clients that take nothing, which runs from the last byte that they took or sent.

Now 256 answers may wait for one client, eight times what it may have open; a further record ends its connection.

Guarded by `a_client_that_takes_no_answers_cannot_ask_for_ever`, red before.

--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -186,6 +186,10 @@
     }
 
     fn record(&mut self, r: Record, limits: &Limits) -> Result<Option<Input>, WireError> {
+        // Usual clients wait for no more than they may have open.
+        if self.out.len() >= limits.client_answers {
+            return Err(WireError::TooLong("the queue of answers that a client does not take"));
+        }
         if r.id == 0 {
             self.management(&r)?;
             return Ok(None);
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -23,6 +23,8 @@
     pub client_requests: usize,
     /// The same once half of the table is taken.
     pub crowded_requests: usize,
+    /// Answers, of any kind, that wait for one client to take them.
+    pub client_answers: usize,
     /// Bytes of a request's parameters.
     pub params: usize,
     /// Bytes of the bodies of all open requests.
@@ -150,6 +152,7 @@
             requests: 8192.min(memory / (16 << 10)),
             client_requests: 32,
             crowded_requests: 4,
+            client_answers: 256,
             bodies: memory / 4,
             half_requests: memory / 8,
             params: 16 << 10,
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -470,3 +470,15 @@
     drop((large, small, usual));
     rig.stop();
 }
+
+#[test]
+fn a_client_that_takes_no_answers_cannot_ask_for_ever() {
+    let rig = Rig::start();
+    let mut web = rig.web();
+    let health = WebServer::request(1, "/_health", &[], b"");
+    // Far more than rings and sockets hold, of which none is read.
+    let ended = (0..500_000).any(|_| web.send(&health).is_err());
+    assert!(ended, "all of their answers are held for it");
+    assert_eq!(one(&mut rig.web(), "photo", &object(1)).status, 200);
+    rig.stop();
+}
