Write what is answered before a client's connection is ended over what can't be read

Seen in the review: requests that are turned away without the core (a bad field, health) are answered in the session, and that was written only after all of one read had been taken in. Where bytes that can't be read came in the same read, the connection was ended first and those answers were lost with it. Ruled out: answers of the core, which are written as they are given.

Now the end writes what the session has answered.

Guarded by `what_comes_behind_a_request_and_cannot_be_read_does_not_cost_its_answer`, red before.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -582,8 +582,9 @@
     /// Ends a connection from here. A client's lingers: a close over bytes that are not read, or that cross it,
     /// would reset it, and what was written before would be lost on its way.
     fn end(&mut self, now: Micros, key: Key) {
+        // What is answered is still owed; a client that takes none of it is not waited for.
+        self.write_client(key);
         let Some(c) = self.connections.get_mut(key) else { return };
-        // What is whole in the ring is still owed; a client that takes none of it is not waited for.
         c.conn.write();
         if !matches!(c.kind, Kind::Client(_) | Kind::Cdni(_)) || c.conn.shut().is_err() {
             return self.close(now, key);
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -482,3 +482,19 @@
     assert_eq!(one(&mut rig.web(), "photo", &object(1)).status, 200);
     rig.stop();
 }
+
+#[test]
+fn what_comes_behind_a_request_and_cannot_be_read_does_not_cost_its_answer() {
+    let rig = Rig::start();
+    let mut web = rig.web();
+    let mut bytes = WebServer::request(1, "/invoke/photo", &[("HTTP_REQUEST_ID", "not hexadecimal!")], b"");
+    bytes.extend(WebServer::request(2, "/_health", &[], b""));
+    bytes.extend(b"GET / HTTP/1.1\r\n\r\n");
+    web.send(&bytes).unwrap();
+    for (stream, status) in [(1, 400), (2, 200)] {
+        let (id, answer) = web.end().unwrap();
+        assert_eq!((id, answer.unwrap().status), (stream, status));
+    }
+    assert!(is_closed(&mut web));
+    rig.stop();
+}
