--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -181,7 +181,7 @@
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong("seed"))?,
             limits: Limits {
                 back_off_us: parsed.max_retry_after_us.min(200_000),
-                last_call_us: Limits::last_call_us(
+                shutdown_deadline_us: Limits::shutdown_deadline_us(
                     parsed.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0),
                 ),
                 ..Limits::for_machine(whole("sockets", 1024)?, whole("memory_mb", 192)?)
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -469,7 +469,7 @@
 
     /// The process may be killed at any moment: whatever is still owed an answer gets it now, and one that claims
     /// nothing.
-    pub fn last_call(&mut self, now: Micros) {
+    pub fn shut_down(&mut self, now: Micros) {
         for ticket in self.requests.keys() {
             self.fail(now, ticket);
         }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -90,7 +90,7 @@
     /// The grace after SIGTERM is over.
     Term,
     /// The process may be killed right after this.
-    LastCall,
+    ShutdownDeadline,
 }
 
 /// Does to a daemon what the signals do.
@@ -331,7 +331,7 @@
                 self.accept_cdni(now);
             }
             Timer::Term => self.end_grace(now),
-            Timer::LastCall => self.core.last_call(now),
+            Timer::ShutdownDeadline => self.core.shut_down(now),
         }
     }
 
@@ -342,7 +342,7 @@
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
-            self.deadlines.set(now + self.limits.last_call_us, Timer::LastCall);
+            self.deadlines.set(now + self.limits.shutdown_deadline_us, Timer::ShutdownDeadline);
         }
     }
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -84,7 +84,7 @@
     /// remembered until then.
     pub look_us: u64,
     /// After SIGTERM, what is still open is answered at this time: the process may be killed right after.
-    pub last_call_us: u64,
+    pub shutdown_deadline_us: u64,
     /// Wait before accepting again where no descriptor was left.
     pub accept_again_us: u64,
     /// A client's connection that has asked for nothing, or for a request that does not become whole, is ended
@@ -125,8 +125,8 @@
 const KILL_AHEAD_US: u64 = 50_000;
 
 impl Limits {
-    /// When the last call is made after SIGTERM, where this is the longest deadline of all classes.
-    pub fn last_call_us(longest_deadline_us: u64) -> u64 {
+    /// The deadline of the shutdown, from SIGTERM, where this is the longest one of all classes.
+    pub fn shutdown_deadline_us(longest_deadline_us: u64) -> u64 {
         longest_deadline_us.min(RESTART_US.0) + RESTART_US.1 - KILL_AHEAD_US
     }
 
@@ -181,7 +181,7 @@
             bus_again_us: 100_000,
             term_grace_us: 700_000,
             look_us: 1_000_000,
-            last_call_us: 3_650_000,
+            shutdown_deadline_us: 3_650_000,
             accept_again_us: 20_000,
             client_half_us: 2_000_000,
             client_idle_us: 5_000_000,
--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -414,8 +414,8 @@
     for cancel in [true, false] {
         let puppet = Puppet::start().unwrap();
         let calls_off = |config: &mut Value| config["settings"]["limits"]["cancel"] = cancel.into();
-        // The last call comes with SIGTERM itself.
-        let mut rig = Rig::puppet(&puppet, calls_off, |limits| limits.last_call_us = 0);
+        // The deadline of the shutdown comes with SIGTERM itself.
+        let mut rig = Rig::puppet(&puppet, calls_off, |limits| limits.shutdown_deadline_us = 0);
         let mut web = rig.web();
         web.ask(1, WRITE, &object(1), 60_000).unwrap();
         let mut line = puppet.line().unwrap();
@@ -429,8 +429,8 @@
 }
 
 #[test]
-fn the_last_call_is_made_before_the_earliest_time_at_which_the_process_may_be_killed() {
-    for (deadline_us, last_call_us) in
+fn the_shutdown_deadline_lies_before_the_earliest_time_at_which_the_process_may_be_killed() {
+    for (deadline_us, shutdown_deadline_us) in
         [(1_500_000, 2_150_000), (3_000_000, 3_650_000), (9_000_000, 3_650_000)]
     {
         let mut settings = settings();
@@ -439,7 +439,7 @@
         }
         let config = json!({"listen": "127.0.0.1:0", "settings": settings});
         let limits = Config::read(config.as_object().unwrap()).unwrap().limits;
-        assert_eq!(limits.last_call_us, last_call_us, "{deadline_us}");
+        assert_eq!(limits.shutdown_deadline_us, shutdown_deadline_us, "{deadline_us}");
     }
 }
 
