Bound the age of what waits for its connection by a purge told meanwhile

Ruled out: attempts that are written; they began before.

Now a purge bounds the age of every attempt that is out for its object or group; what is not written yet asks for it, and an answer is judged by what was asked for.

Guarded by `a_purge_told_while_an_attempt_waits_for_its_connection_bounds_the_age_that_it_asks_for` on a connection that comes up 0.4 s later, red before.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -92,6 +92,8 @@
     pub server: ServerId,
     /// How a miss is filled; none: what the box holds only.
     pub fill: Option<Fill>,
+    /// The oldest copy that will do: the module's bound, or that of a purge told since, while nothing is written.
+    pub max_age_us: Option<Micros>,
     /// When it is given up at the latest.
     pub until: Micros,
     /// It must not begin behind this.
@@ -319,6 +321,7 @@
             Some(object) => log::debug!("object {object} was purged"),
             None => log::info!("group {group} was purged"),
         }
+        self.bound(now, object.as_deref(), group, at);
         self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: false });
     }
 
@@ -329,10 +332,24 @@
             return false;
         }
         self.lasting.insert(what);
+        self.bound(now, object.as_deref(), group, at);
         self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: true });
         true
     }
 
+    /// What waits for its connection was decided on before a purge, and may begin later than its grace.
+    fn bound(&mut self, now: Micros, object: Option<&str>, group: u64, at: Micros) {
+        let age = now.saturating_sub(at).max(1);
+        for ticket in self.requests.keys() {
+            let Some(open) = self.requests.get_mut(ticket) else { continue };
+            let concerned = object.map_or(open.asked.group == group, |object| open.asked.object == object);
+            if let Some(out) = open.out.as_mut().filter(|_| concerned) {
+                let sending = &mut out.sending;
+                sending.max_age_us = Some(sending.max_age_us.map_or(age, |bound| bound.min(age)));
+            }
+        }
+    }
+
     /// How many purges more can hold for good.
     pub fn room_for_purges(&self) -> usize {
         self.most_lasting.saturating_sub(self.lasting.len())
@@ -559,7 +576,8 @@
                 let until = timeout_us.map_or(open.deadline, |t| (now + t).min(open.deadline));
                 let number = open.attempts;
                 open.attempts += 1;
-                let sending = Sending { server, fill, until, begin_by };
+                let max_age_us = fill.and_then(|f| f.max_age_us);
+                let sending = Sending { server, fill, max_age_us, until, begin_by };
                 open.out = Some(Out { number, sent: now, sending, given_up: None });
                 let attempt = AttemptId { ticket, number };
                 self.counts.attempts += 1;
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -29,6 +29,8 @@
     first: u64,
     /// So many bytes are written once it is whole.
     whole: u64,
+    /// The oldest copy that it asked for.
+    max_age_us: Option<Micros>,
     /// An attempt of the same request was given up here before it.
     behind: bool,
 }
@@ -36,10 +38,9 @@
 impl Sent {
     /// Whether an answer brings a copy from before what the attempt asked for: no box may give one, so it is
     /// not passed on.
-    fn is_too_old(&self, core: &Core, fields: &[u8]) -> bool {
-        let age = core.sending(self.attempt).and_then(|(_, s)| s.fill?.max_age_us);
+    fn is_too_old(&self, fields: &[u8]) -> bool {
         let made = resp::field(fields, "made").and_then(|ms| ms.parse::<u64>().ok());
-        made.zip(age).is_some_and(|(ms, age)| (ms + 1) * 1000 + age < self.at)
+        made.zip(self.max_age_us).is_some_and(|(ms, age)| (ms + 1) * 1000 + age < self.at)
     }
 }
 
@@ -159,7 +160,7 @@
         if fill.keep > 0 {
             add("keep", &fill.keep.to_string());
         }
-        if let Some(age) = fill.max_age_us {
+        if let Some(age) = sending.max_age_us {
             // Rounded down, so that no copy from before a purge passes; 0 would mean the class's fresh time.
             add("maxage", &(age / 1000).max(1).to_string());
         }
@@ -294,12 +295,13 @@
             if let Some(frame) = frame(core, now, attempt) {
                 if frame.len() > limits.output_ring {
                     told.push(Told::Ended(attempt, Outcome::Moot.into()));
-                } else if let Some((asked, _)) = core.sending(attempt) {
+                } else if let Some((asked, sending)) = core.sending(attempt) {
                     let first = conn.written;
                     conn.output.push(&frame);
                     let whole = first + frame.len() as u64;
                     let behind = self.gave_up(&asked.id);
-                    let sent = Sent { attempt, at: now, first, whole, behind };
+                    let max_age_us = sending.max_age_us;
+                    let sent = Sent { attempt, at: now, first, whole, max_age_us, behind };
                     self.open.insert(asked.id.clone(), Stream::Attempt(sent));
                 }
             } else {
@@ -438,8 +440,7 @@
             };
             let (fields, body) = (items.next().unwrap_or_default(), items.next().unwrap_or_default());
             let Ok(id) = std::str::from_utf8(&id) else { continue };
-            let old =
-                matches!(self.open.get(id), Some(Stream::Attempt(sent)) if sent.is_too_old(core, &fields));
+            let old = matches!(self.open.get(id), Some(Stream::Attempt(sent)) if sent.is_too_old(&fields));
             if let Some(Stream::Attempt(sent)) = self.open.get_mut(id).filter(|_| old) {
                 // The answer to the attempt before may have crossed the word that it is given up: that one is
                 // over, and this one is still out.
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -71,7 +71,12 @@
     }
 
     fn send_with(&mut self, id: &str, body: Vec<u8>) -> AttemptId {
+        self.send_in(id, body, 0)
+    }
+
+    fn send_in(&mut self, id: &str, body: Vec<u8>, group: u64) -> AttemptId {
         let asked = Asked {
+            group,
             body,
             id: id.into(),
             class: "photo".into(),
@@ -313,3 +318,19 @@
         assert_eq!(rig.ends(), if begins { vec![] } else { vec![(repeat, Outcome::Moot)] }, "{waited_us}");
     }
 }
+
+#[test]
+fn a_purge_told_while_an_attempt_waits_for_its_connection_bounds_the_age_that_it_asks_for() {
+    for (object, group, bounded) in
+        [(Some("01-object"), 0, true), (None, 7, true), (Some("02-object"), 0, false), (None, 8, false)]
+    {
+        let mut rig = Rig::new(false);
+        rig.send_in("01", Vec::new(), 7);
+        rig.now += 400_000;
+        rig.core.purged(rig.now, object.map(str::to_owned), group, rig.now - 30_000);
+        rig.conn.up = true;
+        rig.pump();
+        let text = rig.reached("fetch", 1);
+        assert_eq!(text.contains("maxage=30"), bounded, "{object:?} {group}: {text}");
+    }
+}
