Take an attempt that is given up out of the ring, if the box has taken no byte of it

Seen in the review of clients that leave under back-pressure: where a box takes nothing, one frame may lie in its connection's ring with no byte written. Given up, it was followed there by the word of that, and both were written when the box read on: the attempt began long after its client had left. Ruled out: the queue behind it, which is taken back.

Now such a frame is taken out of the ring, as for a drain, also where the settings allow no calling off.

Guarded by `of_what_a_box_does_not_take_nothing_begins_once_it_is_given_up` over a pair of sockets with little room, red before.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -157,9 +157,9 @@
 
     pub(super) fn unqueue(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
         for key in self.links.get(&server).cloned().unwrap_or_default() {
-            let Some((_, link)) = self.link(key) else { continue };
+            let Some((conn, link)) = self.link(key) else { continue };
             let mut told = Vec::new();
-            if link.unqueue(attempt, &mut told) {
+            if link.unqueue(attempt, conn, &mut told) {
                 return self.tell(now, server, told);
             }
         }
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -336,14 +336,36 @@
         self.stalled.is_none_or(|(_, since)| now - since < limits.stalled_us)
     }
 
-    /// Takes an attempt out of the queue: nothing of it was written.
-    pub fn unqueue(&mut self, attempt: AttemptId, told: &mut Vec<Told>) -> bool {
-        let Some(at) = self.queue.iter().position(|a| *a == attempt) else { return false };
-        self.queue.remove(at);
+    /// Takes an attempt out of the queue, or out of the ring: nothing of it was written.
+    pub fn unqueue(&mut self, attempt: AttemptId, conn: &mut Conn, told: &mut Vec<Told>) -> bool {
+        if let Some(at) = self.queue.iter().position(|a| *a == attempt) {
+            self.queue.remove(at);
+        } else if self.lying(conn).is_none_or(|(lying, alone)| lying != attempt || !alone) {
+            return false;
+        } else {
+            self.take_out(attempt, conn);
+        }
         told.push(Told::Ended(attempt, Outcome::Cancelled.into()));
         true
     }
 
+    /// The attempt that lies in the ring with no byte written, where the box takes nothing just then, and whether
+    /// nothing else lies there.
+    fn lying(&self, conn: &Conn) -> Option<(AttemptId, bool)> {
+        let end = conn.written + conn.output.len() as u64;
+        self.open.values().find_map(|s| match s {
+            Stream::Attempt(sent) if conn.up && sent.first == conn.written && end > conn.written => {
+                Some((sent.attempt, sent.whole == end))
+            }
+            _ => None,
+        })
+    }
+
+    fn take_out(&mut self, attempt: AttemptId, conn: &mut Conn) {
+        conn.output.clear();
+        self.open.retain(|_, s| !matches!(s, Stream::Attempt(sent) if sent.attempt == attempt));
+    }
+
     /// Gives an attempt up: takes it out of the queue, or tells the box. False: the connection has no room
     /// even for that.
     pub fn give_up(
@@ -353,7 +375,7 @@
         conn: &mut Conn,
         told: &mut Vec<Told>,
     ) -> bool {
-        if self.unqueue(attempt, told) {
+        if self.unqueue(attempt, conn, told) {
             return true;
         }
         let is_it = |s: &Stream| matches!(s, Stream::Attempt(sent) if sent.attempt == attempt);
@@ -397,22 +419,14 @@
             }
             keep
         });
-        // The one in the ring, where the box takes nothing just then.
-        let lies = |s: &Stream| match s {
-            Stream::Attempt(sent) if conn.up && sent.first == conn.written && concerned(sent.attempt) => {
-                Some((sent.attempt, sent.whole))
-            }
-            _ => None,
+        let Some((attempt, alone)) = self.lying(conn).filter(|(attempt, _)| concerned(*attempt)) else {
+            return true;
         };
-        let lying = self.open.iter().find_map(|(id, s)| Some((id.clone(), lies(s)?)));
-        let Some((id, (attempt, whole))) = lying.filter(|_| !conn.output.is_empty()) else { return true };
-        if whole != conn.written + conn.output.len() as u64 {
-            return false;
+        if alone {
+            self.take_out(attempt, conn);
+            told.push(Told::Ended(attempt, Outcome::Moot.into()));
         }
-        conn.output.clear();
-        self.open.remove(&id);
-        told.push(Told::Ended(attempt, Outcome::Moot.into()));
-        true
+        alone
     }
 
     /// Reads what came in.
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -334,3 +334,24 @@
         assert_eq!(text.contains("maxage=30"), bounded, "{object:?} {group}: {text}");
     }
 }
+
+#[test]
+fn of_what_a_box_does_not_take_nothing_begins_once_it_is_given_up() {
+    let mut rig = Rig::new(true);
+    let (body, mut sent, mut lying) = (vec![b'.'; 3000], 0, None);
+    // The other side reads nothing, until an attempt lies in the ring of which no byte is written.
+    while lying.is_none() {
+        let before = rig.conn.written;
+        let attempt = rig.send_with(&format!("{sent:04}"), body.clone());
+        lying = Some(attempt).filter(|_| rig.conn.written == before && !rig.conn.output.is_empty());
+        sent += 1;
+        // One that has begun goes on until the ring is empty again.
+        while lying.is_none() && !rig.conn.output.is_empty() {
+            assert!(rig.far.read(&mut [0; 64]).is_ok_and(|got| got > 0) && rig.pump());
+        }
+    }
+    let attempt = lying.unwrap();
+    assert!(rig.link.give_up(rig.now, attempt, &mut rig.conn, &mut rig.told));
+    assert_eq!(rig.ends(), [(attempt, Outcome::Cancelled)], "at once: no box has seen a byte of it");
+    assert!(rig.conn.output.is_empty());
+}
