Move the sources to crates named for what they do

routing, settings, proxy, sim-adapter and testkit take the places of src, settings, daemon, drill and rehearse.

--- a/daemon/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,11 +1,11 @@
 //! The one place where configuration is read, given defaults and checked. Every message names the faulty key.
 
-use crate::bus::{read_event, BusEvent};
-use crate::front::cdni::footprint::Network;
-use crate::front::cdni::{Identity, Neighbour};
+use crate::discovery::event_bus::{read_event, BusEvent};
+use crate::frontend::interconnect::footprint::Network;
+use crate::frontend::interconnect::{Identity, Neighbour};
 use crate::limits::Limits;
-use linnetknot::Settings;
-use linnetknot_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
+use edge_routing::Settings;
+use edge_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -104,7 +104,7 @@
 impl Config {
     /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for keys that it
     /// lacks. The second front and Consul stand in a file of the deployment's own, `deploy/interconnect.json`
-    /// unless `LINNETKNOT_INTERCONNECT` names another.
+    /// unless `EDGE_PROXY_INTERCONNECT` names another.
     pub fn from_env() -> Result<Self> {
         let path = std::env::var("ROUTER_CONFIG").map_err(|_| "the variable ROUTER_CONFIG names no file")?;
         let mut m = file(&path)?;
@@ -114,7 +114,7 @@
             }
         }
         let mut config = Self::read(&m).map_err(|e| format!("{path}: {e}"))?;
-        let named = std::env::var("LINNETKNOT_INTERCONNECT").ok();
+        let named = std::env::var("EDGE_PROXY_INTERCONNECT").ok();
         let path = named.as_deref().unwrap_or(INTERCONNECT);
         if named.is_some() || Path::new(path).exists() {
             config.interconnect(&file(path)?).map_err(|e| format!("{path}: {e}"))?;
@@ -176,7 +176,7 @@
         parsed.rules.purge_done_us += SOCKET_SLACK_US;
         parsed.check().map_err(|e| format!("settings: {e}"))?;
         Ok(Config {
-            name: text_or(m, "name", "linnetknot")?,
+            name: text_or(m, "name", "edge-proxy")?,
             listen: address(m, "listen")?.ok_or("field 'listen' is missing")?,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong("seed"))?,
             limits: Limits {
--- a/daemon/src/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -1,12 +1,12 @@
 //! Consul as a source of the list of boxes: its health API by blocking queries, its catalogue for what is gone.
 
-use crate::bus::entry;
-use crate::core::Entry;
+use crate::discovery::event_bus::entry;
 use crate::limits::Limits;
-use crate::wire::http::{Head, Messages, Piece};
-use crate::wire::{Parser, WireError};
-use linnetknot::State;
-use linnetknot_settings::{get, int, list, object, text, wrong, Fields, Result};
+use crate::protocol::http::{Head, Messages, Piece};
+use crate::protocol::{Parser, WireError};
+use crate::request_table::Entry;
+use edge_routing::State;
+use edge_settings::{get, int, list, object, text, wrong, Fields, Result};
 use serde_json::Value;
 
 /// What the next query asks.
--- a/daemon/src/bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -1,12 +1,10 @@
 //! The event bus: numbered purges and changes of the list of boxes, read as server-sent events.
 
-use crate::core::{server_id, Entry};
 use crate::limits::Limits;
-use crate::wire::{http, sse, Parser, WireError};
-use linnetknot::{ListMode, Micros, Server, State};
-use linnetknot_settings::{
-    flag, get, int, int_or, list, num_or, object, text, text_or, wrong, Fields, Result,
-};
+use crate::protocol::{http, sse, Parser, WireError};
+use crate::request_table::{server_id, Entry};
+use edge_routing::{ListMode, Micros, Server, State};
+use edge_settings::{flag, get, int, int_or, list, num_or, object, text, text_or, wrong, Fields, Result};
 use serde_json::Value;
 
 /// What an event tells.
--- /dev/null
+++ b/crates/proxy/src/discovery/mod.rs
@@ -0,0 +1,6 @@
+//! Sources of the endpoint list and of purges: event bus, Consul, gossip between proxies and the purge log.
+
+pub mod consul;
+pub mod event_bus;
+pub mod purge_gossip;
+pub mod purge_log;
--- a/daemon/src/peers.rs
+++ b/crates/proxy/src/discovery/purge_gossip.rs
@@ -1,6 +1,6 @@
 //! Datagrams between the proxies of one installation: purges that only one of them was told of.
 
-use linnetknot::Micros;
+use edge_routing::Micros;
 
 /// The longest datagram that the platform carries.
 pub const MOST: usize = 256;
--- a/daemon/src/ledger.rs
+++ b/crates/proxy/src/discovery/purge_log.rs
@@ -1,7 +1,7 @@
 //! A file of the purges that only this proxy and its peers were told of: the boxes hear nothing of them, so a
 //! proxy that starts again must know them.
 
-use crate::peers::{self, Purge};
+use crate::discovery::purge_gossip::{self as peers, Purge};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -79,7 +79,7 @@
 
     #[test]
     fn what_was_added_is_there_after_a_crash_and_the_file_stays_short() {
-        let path = std::env::temp_dir().join(format!("linnetknot-ledger-{}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("edge-proxy-purge-log-{}", std::process::id()));
         let _ = fs::remove_file(&path);
         let mut ledger = Ledger::open(&path).unwrap();
         for at in 1..=5000 {
--- a/daemon/src/daemon/clients.rs
+++ b/crates/proxy/src/event_loop/clients.rs
@@ -1,12 +1,12 @@
 //! Clients' connections on the platform's front: who is taken in, who has to leave, what they ask and are answered.
 
 use super::{Connection, Daemon, Kind, Timer, LISTENER};
-use crate::core::{Answer, Client};
-use crate::front::fastcgi::Input;
+use crate::frontend::fastcgi::Input;
 use crate::limits::Limits;
 use crate::net::{Conn, Key, Progress};
-use crate::wire::WireError;
-use linnetknot::Micros;
+use crate::protocol::WireError;
+use crate::request_table::{Answer, Client};
+use edge_routing::Micros;
 use std::io;
 
 /// What a client's connection is at.
--- a/daemon/src/daemon/feeds.rs
+++ b/crates/proxy/src/event_loop/discovery.rs
@@ -1,11 +1,11 @@
 //! Where the list of boxes and purges come from: the event bus, Consul and the peers.
 
 use super::{Daemon, Kind, Timer};
-use crate::bus::{BusEvent, Feed, News};
-use crate::consul::Call;
+use crate::discovery::consul::Call;
+use crate::discovery::event_bus::{BusEvent, Feed, News};
+use crate::discovery::purge_gossip as peers;
 use crate::net::Key;
-use crate::peers;
-use linnetknot::{ListMode, Micros};
+use edge_routing::{ListMode, Micros};
 use std::io;
 
 impl Daemon {
@@ -82,7 +82,11 @@
     }
 
     /// The response to the last query, or none: it failed.
-    pub(super) fn consul_told(&mut self, now: Micros, response: Option<(crate::wire::http::Head, Vec<u8>)>) {
+    pub(super) fn consul_told(
+        &mut self,
+        now: Micros,
+        response: Option<(crate::protocol::http::Head, Vec<u8>)>,
+    ) {
         let Some((_, consul)) = &mut self.consul else { return };
         let told =
             response.ok_or("no answer".to_owned()).and_then(|(head, body)| consul.response(&head, &body));
--- a/daemon/src/daemon/neighbours.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,13 +1,13 @@
 //! The second front's sockets: what neighbours and redirected clients ask, and what neighbours are sent.
 
 use super::{Connection, Daemon, Kind, Timer, CDNI};
-use crate::core::{Answer, Client};
-use crate::front::cdni::{self, Effect, Post, Reply, Session, MEDIA};
+use crate::discovery::purge_gossip as peers;
+use crate::frontend::interconnect::{self as cdni, Effect, Post, Reply, Session, MEDIA};
 use crate::net::{Conn, Key, Progress};
-use crate::peers;
-use crate::wire::http::{self, Messages, Piece};
-use crate::wire::{Parser, WireError};
-use linnetknot::Micros;
+use crate::protocol::http::{self, Messages, Piece};
+use crate::protocol::{Parser, WireError};
+use crate::request_table::{Answer, Client};
+use edge_routing::Micros;
 
 /// A payload on its way to a neighbour.
 #[derive(Clone, Debug)]
--- a/daemon/src/daemon/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -1,28 +1,28 @@
 //! The loop: sockets and deadlines on one side, the core on the other.
 
-use crate::bus::{self, Feed};
 use crate::config::{Config, Source};
-use crate::consul::{Call, Consul};
-use crate::core::{Command, Core, Wake};
-use crate::front::cdni::{self, Desk};
-use crate::front::fastcgi::Session;
-use crate::ledger::Ledger;
+use crate::discovery::consul::{Call, Consul};
+use crate::discovery::event_bus::{self as bus, Feed};
+use crate::discovery::purge_log::Ledger;
+use crate::frontend::fastcgi::Session;
+use crate::frontend::interconnect::{self as cdni, Desk};
 use crate::limits::Limits;
 use crate::net::{connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
+use crate::protocol::WireError;
+use crate::request_table::{Command, Core, Wake};
 use crate::upstream::{Link, Told};
-use crate::wire::WireError;
-use linnetknot::{Micros, ServerId};
+use edge_routing::{Micros, ServerId};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
 
-mod boxes;
 mod clients;
-mod feeds;
-mod neighbours;
+mod discovery;
+mod interconnect;
+mod upstreams;
 
-use neighbours::Courier;
+use interconnect::Courier;
 
 const LISTENER: u64 = u64::MAX;
 const SIGNAL: u64 = u64::MAX - 1;
--- a/daemon/src/daemon/boxes.rs
+++ b/crates/proxy/src/event_loop/upstreams.rs
@@ -1,10 +1,10 @@
 //! Links to boxes: which connection an attempt takes, and what becomes of it.
 
 use super::{Connection, Daemon, Kind, Timer};
-use crate::core::AttemptId;
 use crate::net::{Conn, Key, Progress, Ready};
+use crate::request_table::AttemptId;
 use crate::upstream::{Link, Told};
-use linnetknot::{Micros, Outcome, ServerId};
+use edge_routing::{Micros, Outcome, ServerId};
 
 impl Daemon {
     pub(super) fn tell(&mut self, now: Micros, server: ServerId, told: Vec<Told>) {
--- a/daemon/src/front/fastcgi.rs
+++ b/crates/proxy/src/frontend/fastcgi.rs
@@ -1,10 +1,10 @@
 //! The platform's front: FastCGI requests become the core's, and its answers CGI responses.
 
-use crate::core::{Answer, Asked, Content, Ticket};
 use crate::limits::Limits;
 use crate::net::Ring;
-use crate::wire::fastcgi::{self as wire, kind, Record, Records};
-use crate::wire::{Parser, WireError};
+use crate::protocol::fastcgi::{self as wire, kind, Record, Records};
+use crate::protocol::{Parser, WireError};
+use crate::request_table::{Answer, Asked, Content, Ticket};
 use std::collections::{HashMap, VecDeque};
 
 /// What a connection asks for.
--- a/daemon/src/front/cdni/mod.rs
+++ b/crates/proxy/src/frontend/interconnect/mod.rs
@@ -10,9 +10,9 @@
 
 pub use session::Session;
 
-use crate::core::{Answer, Asked, Content};
-use crate::wire::http::Head;
-use linnetknot::Micros;
+use crate::protocol::http::Head;
+use crate::request_table::{Answer, Asked, Content};
+use edge_routing::Micros;
 use serde_json::Value;
 use std::net::SocketAddr;
 use triggers::Triggers;
--- a/daemon/src/front/cdni/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -1,10 +1,10 @@
 //! One HTTP connection of a neighbour or of a client that was redirected here.
 
 use super::Response;
-use crate::core::Ticket;
 use crate::net::Ring;
-use crate::wire::http::{self, Head, Messages, Piece};
-use crate::wire::{Parser, WireError};
+use crate::protocol::http::{self, Head, Messages, Piece};
+use crate::protocol::{Parser, WireError};
+use crate::request_table::Ticket;
 
 /// A connection. Its requests are answered one after the other: while one waits, the next stays in the ring.
 pub struct Session {
--- a/daemon/src/front/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -1,4 +1,4 @@
 //! Fronts: each translates between its wire and the core's requests and answers.
 
-pub mod cdni;
 pub mod fastcgi;
+pub mod interconnect;
--- a/daemon/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,7 +1,6 @@
 //! Starts the daemon: reads the configuration, runs the loop, turns errors into an exit code.
-#![forbid(unsafe_code)]
 
-use linnetknot_daemon::{config::Config, daemon::Daemon};
+use edge_proxy::{config::Config, event_loop::Daemon};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
--- a/daemon/src/net/conn.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -1,6 +1,6 @@
 //! A TCP connection with its two rings.
 
-use super::ring::Ring;
+use super::ring_buffer::Ring;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
--- a/daemon/src/core.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -3,8 +3,10 @@
 
 use crate::limits::Limits;
 use crate::net::{Key, Slots};
-use crate::trail::{self, Step, Trail};
-use linnetknot::{
+pub mod trace;
+
+use self::trace::{Step, Trail};
+use edge_routing::{
     Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, Server, ServerId,
     Settings, SettingsError, State,
 };
@@ -220,7 +222,7 @@
     /// Bytes of the bodies of all open requests.
     bodies: usize,
     most_bodies: usize,
-    log: trail::Budget,
+    log: trace::Budget,
     actions: Vec<Action>,
     commands: Vec<Command>,
     /// What was done so far.
@@ -243,7 +245,7 @@
             most_lasting: limits.purges,
             bodies: 0,
             most_bodies: limits.bodies,
-            log: trail::Budget::new(limits.log_lines),
+            log: trace::Budget::new(limits.log_lines),
             actions: Vec::new(),
             commands: Vec::new(),
             counts: Counts::default(),
--- a/daemon/src/trail.rs
+++ b/crates/proxy/src/request_table/trace.rs
@@ -1,6 +1,6 @@
 //! What became of a request, for the log: its attempts from first to last, in one line.
 
-use linnetknot::{Micros, Note, Outcome, ServerId};
+use edge_routing::{Micros, Note, Outcome, ServerId};
 use std::fmt::Write;
 
 /// An attempt that has ended.
--- a/daemon/src/upstream.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,11 +1,11 @@
 //! Connections to boxes: many attempts share one, and answers come in any order. A link is one connection; it
 //! knows frames and ids, not sockets.
 
-use crate::core::{Asked, AttemptId, Content, Core, Ended};
 use crate::limits::Limits;
 use crate::net::Conn;
-use crate::wire::{resp, Parser, WireError};
-use linnetknot::{Load, Micros, Note, Outcome, ServerId};
+use crate::protocol::{resp, Parser, WireError};
+use crate::request_table::{Asked, AttemptId, Content, Core, Ended};
+use edge_routing::{Load, Micros, Note, Outcome, ServerId};
 use std::collections::{HashMap, VecDeque};
 
 /// What is open on a link under an id.
--- a/daemon/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -1,8 +1,8 @@
 //! Consul as the source of the list: its answers, and a stand-in that the daemon reads.
 
-use linnetknot::State;
-use linnetknot_daemon::consul::Consul;
-use linnetknot_daemon::wire::http::Head;
+use edge_proxy::discovery::consul::Consul;
+use edge_proxy::protocol::http::Head;
+use edge_routing::State;
 use serde_json::{json, Value};
 
 fn health(checks: &[(&str, &str)]) -> Value {
--- a/daemon/tests/rig/mod.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -1,14 +1,14 @@
 //! A daemon on loopback with stand-ins around it, whose loop a test can hold while it arranges what comes next.
 #![allow(dead_code)]
 
-use linnetknot_daemon::config::Config;
-use linnetknot_daemon::daemon::{Control, Daemon};
-use linnetknot_daemon::limits::Limits;
-use linnetknot_rehearse::boxes::StandIn;
-use linnetknot_rehearse::bus::{entry, Bus};
-use linnetknot_rehearse::clients::{Answer, WebServer};
-use linnetknot_rehearse::puppet::Puppet;
-use linnetknot_rehearse::settings;
+use edge_proxy::config::Config;
+use edge_proxy::event_loop::{Control, Daemon};
+use edge_proxy::limits::Limits;
+use edge_testkit::clients::{Answer, WebServer};
+use edge_testkit::fake_cache::StandIn;
+use edge_testkit::fake_event_bus::{entry, Bus};
+use edge_testkit::scripted_server::Puppet;
+use edge_testkit::settings;
 use serde_json::{json, Value};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/daemon/tests/common/mod.rs
+++ b/crates/proxy/tests/support/parsing.rs
@@ -1,6 +1,6 @@
 //! The one helper of the parsers' tests: what a parser makes of bytes, however they are cut.
 
-use linnetknot_daemon::wire::{Parser, WireError};
+use edge_proxy::protocol::{Parser, WireError};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::fmt::Debug;
--- a/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,11 +1,11 @@
-//! linnetknot decides for a front of caches of large objects behind thin links: which cache a request goes to,
+//! edge_routing decides for a front of caches of large objects behind thin links: which cache a request goes to,
 //! where a miss is filled from, what is kept, and what happens when things fail.
 //!
 //! The library is sans-IO. A proxy feeds a [`Router`] with events and carries out the actions that come back;
 //! time is the `now` of each call, and randomness comes from the seed alone.
 //!
 //! ```
-//! use linnetknot::*;
+//! use edge_routing::*;
 //!
 //! let class = Class {
 //!     name: "video".into(), aim_us: 500_000, aim_stretch: 1.5, deadline_us: 5_000_000, worth: 2.0,
@@ -58,8 +58,6 @@
 //! assert_eq!(Router::new(settings, 42).err(), Some(SettingsError::NoClass));
 //! # Ok::<(), SettingsError>(())
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod checks;
 mod decide;
--- a/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings, lists and requests for the tests of the module.
 #![allow(dead_code)]
 
-use linnetknot::*;
+use edge_routing::*;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/defences.rs
+++ b/crates/routing/tests/defences.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetknot::*;
+use edge_routing::*;
 
 /// Servers that get requests for `n` objects, each answered as a hit.
 fn used(rig: &mut Rig, n: usize) -> Vec<ServerId> {
--- a/tests/ordinary.rs
+++ b/crates/routing/tests/ordinary.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetknot::*;
+use edge_routing::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 fn homes(rig: &mut Rig, n: usize) -> BTreeMap<usize, ServerId> {
--- a/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetknot::*;
+use edge_routing::*;
 
 fn alone(id: ServerId) -> Vec<Server> {
     vec![server(id, "town", "cache"), server(11, "hub", "parent"), server(21, "hub", "origin")]
--- a/tests/scale.rs
+++ b/crates/routing/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use linnetknot::*;
+use edge_routing::*;
 use std::collections::BTreeSet;
 
 /// Fills that `routers` routers of a location point at one cold server while each has `each` requests at once.
--- a/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,6 @@
 //! Reads the settings object that the drill and the daemon are both started with. Every message names the key.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
-use linnetknot as w;
+use edge_routing as w;
 use serde_json::{Map, Value};
 
 /// The fields of a JSON object.
--- a/drill/src/main.rs
+++ b/crates/sim-adapter/src/main.rs
@@ -1,5 +1,4 @@
 //! Hosts many router instances on the bench's wire: one JSON value a line in, one a line out. No decisions here.
-#![forbid(unsafe_code)]
 
 mod wire;
 
@@ -25,7 +24,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("linnetknot-drill: {message}");
+            eprintln!("edge-sim-adapter: {message}");
             ExitCode::from(2)
         }
     }
--- a/drill/src/wire.rs
+++ b/crates/sim-adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's messages to and from the interface's plain types.
 
-use linnetknot as w;
-use linnetknot_settings::{
+use edge_routing as w;
+use edge_settings::{
     flag, get, int, int_or, list, name, num_or, object, settings, text, text_or, wrong, Fields, Result,
 };
 use serde_json::{json, Value};
--- a/examples/toy.rs
+++ b/crates/testkit/examples/fake_caches.rs
@@ -1,6 +1,6 @@
 //! The boxes of `config.json`, for a first try: two that keep copies and an origin, until it is stopped.
 
-use linnetknot_rehearse::boxes::StandIn;
+use edge_testkit::fake_cache::StandIn;
 
 fn main() -> std::io::Result<()> {
     for (uid, address) in
--- a/rehearse/src/clients.rs
+++ b/crates/testkit/src/clients.rs
@@ -1,8 +1,8 @@
 //! Stand-in clients: a web server that speaks FastCGI, and callers and takers of HTTP.
 
-use linnetknot_daemon::wire::fastcgi::{self, kind, Records};
-use linnetknot_daemon::wire::http::{write_message, Head, Messages, Piece};
-use linnetknot_daemon::wire::Parser;
+use edge_proxy::protocol::fastcgi::{self, kind, Records};
+use edge_proxy::protocol::http::{write_message, Head, Messages, Piece};
+use edge_proxy::protocol::Parser;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/rehearse/src/boxes.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -1,7 +1,7 @@
 //! Stand-in boxes: they keep copies, honour the age that is asked for, and write down all that reaches them.
 
 use crate::{listen, unix_ms};
-use linnetknot_daemon::wire::{resp, Parser};
+use edge_proxy::protocol::{resp, Parser};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/rehearse/src/bus.rs
+++ b/crates/testkit/src/fake_event_bus.rs
@@ -1,6 +1,6 @@
 //! A stand-in event bus.
 
-use crate::boxes::StandIn;
+use crate::fake_cache::StandIn;
 use crate::listen;
 use serde_json::{json, Value};
 use std::io::{self, Read, Write};
--- a/rehearse/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,16 +1,14 @@
 //! A bounded rehearsal on loopback: stand-in boxes, a stand-in event bus and a stand-in CDNI neighbour play a
 //! purge and a drain against a real daemon, and every breach of the rules is reported.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
-pub mod boxes;
-pub mod bus;
 pub mod clients;
-pub mod consul;
-mod play;
-pub mod puppet;
+pub mod fake_cache;
+pub mod fake_consul;
+pub mod fake_event_bus;
+mod scenario;
+pub mod scripted_server;
 
-pub use play::{rehearse, settings, Plant};
+pub use scenario::{rehearse, settings, Plant};
 
 use std::fmt;
 use std::io;
--- a/rehearse/src/play.rs
+++ b/crates/testkit/src/scenario.rs
@@ -1,8 +1,8 @@
 //! The cases, and what must hold in them.
 
-use crate::boxes::{Arrival, Manner, StandIn};
-use crate::bus::{entry, Bus};
 use crate::clients::{call, neighbour, Answer, WebServer, PATIENCE};
+use crate::fake_cache::{Arrival, Manner, StandIn};
+use crate::fake_event_bus::{entry, Bus};
 use crate::{unix_ms, Report};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -72,7 +72,7 @@
 fn start(daemon: &Path, bus: &Bus, peer: SocketAddr) -> io::Result<Running> {
     // Named by the bus's port: rehearsals may run side by side in one process.
     let folder = std::env::temp_dir().join(format!(
-        "linnetknot-rehearse-{}-{}",
+        "edge-loopback-scenario-{}-{}",
         std::process::id(),
         bus.address.port()
     ));
@@ -92,7 +92,7 @@
     std::fs::write(&interconnect, text.to_string())?;
     let mut child = Command::new(daemon)
         .env("ROUTER_CONFIG", &config)
-        .env("LINNETKNOT_INTERCONNECT", &interconnect)
+        .env("EDGE_PROXY_INTERCONNECT", &interconnect)
         .env("RUST_LOG", "info")
         .stdin(Stdio::null())
         .stderr(Stdio::piped())
--- a/rehearse/src/puppet.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::PATIENCE;
 use crate::listen;
-use linnetknot_daemon::wire::{resp, Parser};
+use edge_proxy::protocol::{resp, Parser};
 use rustix::net::sockopt;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
