--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -79,7 +79,7 @@
             content: text(n, "content")?,
         });
     }
-    let read = settings.classes.iter().filter(|c| !c.write);
+    let read = settings.classes.iter().filter(|c| !c.is_write);
     let identity = Identity {
         provider: text(m, "provider")?,
         base: text(m, "base")?,
@@ -173,8 +173,8 @@
         let mut parsed = settings(object(m, "settings")?).map_err(|e| format!("settings: {e}"))?;
         // Boxes drop what was purged by themselves, each time limit on sockets being that much longer: until
         // then an age must be asked for.
-        parsed.rules.purge_done_us += SOCKET_SLACK_US;
-        parsed.check().map_err(|e| format!("settings: {e}"))?;
+        parsed.rules.purge_completion_us += SOCKET_SLACK_US;
+        parsed.validate().map_err(|e| format!("settings: {e}"))?;
         Ok(Config {
             name: text_or(m, "name", "edge-proxy")?,
             listen: address(m, "listen")?.ok_or("field 'listen' is missing")?,
--- a/crates/proxy/src/discovery/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -5,7 +5,7 @@
 use crate::protocol::http::{Head, Messages, Piece};
 use crate::protocol::{Parser, WireError};
 use crate::request_table::Entry;
-use edge_routing::State;
+use edge_routing::EndpointState;
 use edge_settings::{get, int, list, object, text, wrong, Fields, Result};
 use serde_json::Value;
 
@@ -129,7 +129,7 @@
         // Still registered, yet without health: its agent is on the way out.
         let unhealthy = self.told.iter().filter(|e| registered(e) && !entries.iter().any(|h| h.uid == e.uid));
         let mut unhealthy: Vec<Entry> = unhealthy.cloned().collect();
-        unhealthy.iter_mut().for_each(|e| e.server.state = State::Draining);
+        unhealthy.iter_mut().for_each(|e| e.server.state = EndpointState::Draining);
         entries.extend(unhealthy);
         entries.sort_by(|a, b| a.uid.cmp(&b.uid));
         let changed = entries != self.told;
--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -3,7 +3,7 @@
 use crate::limits::Limits;
 use crate::protocol::{http, sse, Parser, WireError};
 use crate::request_table::{server_id, Entry};
-use edge_routing::{ListMode, Micros, Server, State};
+use edge_routing::{Endpoint, EndpointListMode, EndpointState, Micros};
 use edge_settings::{flag, get, int, int_or, list, num_or, object, text, text_or, wrong, Fields, Result};
 use serde_json::Value;
 
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     /// The list of boxes, or changes to it.
-    List(ListMode, Vec<Entry>),
+    List(EndpointListMode, Vec<Entry>),
     /// An object, or with none a whole group, was purged at this Unix time.
     Purge {
         /// The object.
@@ -37,12 +37,12 @@
     let uid = text(m, "uid")?;
     let endpoint = text(m, "endpoint")?;
     let state = match text(m, "state")?.as_str() {
-        "ready" => State::Ready,
-        "draining" => State::Draining,
-        "gone" => State::Gone,
+        "ready" => EndpointState::Ready,
+        "draining" => EndpointState::Draining,
+        "gone" => EndpointState::Gone,
         _ => return Err(wrong("state")),
     };
-    let server = Server {
+    let server = Endpoint {
         id: server_id(&uid),
         zone: text_or(m, "az", "")?,
         cell: int_or(m, "pod_group", 0)?,
@@ -59,7 +59,7 @@
     let m = value.as_object().ok_or("an event is not an object")?;
     let news = if get(m, "topology").is_some() {
         let topology = object(m, "topology")?;
-        let mode = if flag(topology, "all")? { ListMode::Full } else { ListMode::Delta };
+        let mode = if flag(topology, "all")? { EndpointListMode::Snapshot } else { EndpointListMode::Delta };
         // One that can't be read must not keep the others' drains from being heard.
         let read = |v: &Value| match v.as_object().ok_or_else(|| wrong("targets")).and_then(entry) {
             Ok(entry) => Some(entry),
--- a/crates/proxy/src/event_loop/discovery.rs
+++ b/crates/proxy/src/event_loop/discovery.rs
@@ -5,7 +5,7 @@
 use crate::discovery::event_bus::{BusEvent, Feed, News};
 use crate::discovery::purge_gossip as peers;
 use crate::net::Key;
-use edge_routing::{ListMode, Micros};
+use edge_routing::{EndpointListMode, Micros};
 use std::io;
 
 impl Daemon {
@@ -93,7 +93,7 @@
         let again = match told {
             Ok(entries) => {
                 if let Some(entries) = entries {
-                    self.core.list(now, ListMode::Full, entries);
+                    self.core.list(now, EndpointListMode::Snapshot, entries);
                 }
                 now
             }
@@ -132,7 +132,7 @@
             let _ = socket.send_to(text.as_bytes(), peer);
         }
         if left > 0 {
-            self.deadlines.set(now + self.limits.repeat_us, Timer::Repeat(text, left - 1));
+            self.deadlines.set(now + self.limits.repeat_us, Timer::RepeatPurgeGossip(text, left - 1));
         }
     }
 
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -82,7 +82,7 @@
     /// A connection's next request, which waited for the answer to the one before.
     Serve(Key),
     /// A purge is told to the peers once more, and so many times again.
-    Repeat(String, u8),
+    RepeatPurgeGossip(String, u8),
     /// A client's connection is looked at: it may hold its place for nothing.
     Client(Key),
     /// Accepting goes on.
@@ -324,7 +324,7 @@
             Timer::Answered(key) => self.unanswered(now, key),
             Timer::Serve(key) => self.serve_cdni(now, key),
             Timer::Post(courier) => self.post(now, courier),
-            Timer::Repeat(text, left) => self.tell_peers(now, text, left),
+            Timer::RepeatPurgeGossip(text, left) => self.tell_peers(now, text, left),
             Timer::Accept => {
                 self.accepts_later = false;
                 self.accept(now);
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -7,8 +7,8 @@
 
 use self::trace::{Step, Trail};
 use edge_routing::{
-    Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, Server, ServerId,
-    Settings, SettingsError, State,
+    Action, AttemptReport, Endpoint, EndpointListMode, EndpointState, Event, Fill, FillResult, Idempotency,
+    LoadReport, Micros, Outcome, Request, Router, ServerId, Settings, SettingsError,
 };
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
@@ -99,7 +99,7 @@
     /// When it is given up at the latest.
     pub until: Micros,
     /// It must not begin behind this.
-    pub begin_by: Option<Micros>,
+    pub send_by: Option<Micros>,
 }
 
 /// How an attempt ended.
@@ -108,18 +108,18 @@
     /// Its outcome.
     pub outcome: Outcome,
     /// How the answer was made.
-    pub note: Note,
+    pub fill_result: FillResult,
     /// The fill's wait for its first byte.
-    pub waited_us: Micros,
+    pub fill_ttfb_us: Micros,
     /// The box's report of its load.
-    pub load: Option<Load>,
+    pub load: Option<LoadReport>,
     /// What an answer `Ok` brought.
     pub content: Option<Content>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, note: Note::None, waited_us: 0, load: None, content: None }
+        Ended { outcome, fill_result: FillResult::Unknown, fill_ttfb_us: 0, load: None, content: None }
     }
 }
 
@@ -157,7 +157,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// What the module is told.
-    pub server: Server,
+    pub server: Endpoint,
     /// The box's id on the wire.
     pub uid: String,
     /// Where it listens.
@@ -213,7 +213,7 @@
     ids: HashSet<String>,
     /// Classes that carry a key.
     keyed: Vec<String>,
-    boxes: BTreeMap<ServerId, (String, SocketAddr, State)>,
+    boxes: BTreeMap<ServerId, (String, SocketAddr, EndpointState)>,
     answer_ahead_us: Micros,
     look_us: Micros,
     /// Purges that hold for good.
@@ -232,7 +232,11 @@
 impl Core {
     /// A core without boxes.
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Result<Self, SettingsError> {
-        let keyed = settings.classes.iter().filter(|c| c.repeat == Repeat::Keyed).map(|c| c.name.clone());
+        let keyed = settings
+            .classes
+            .iter()
+            .filter(|c| c.idempotency == Idempotency::IdempotencyKey)
+            .map(|c| c.name.clone());
         Ok(Core {
             ids: HashSet::new(),
             keyed: keyed.collect(),
@@ -264,7 +268,7 @@
 
     /// Whether there are boxes to send to.
     pub fn is_ready(&self) -> bool {
-        self.boxes.values().any(|b| b.2 == State::Ready)
+        self.boxes.values().any(|b| b.2 == EndpointState::Ready)
     }
 
     /// A request's text and how its attempt is to be sent, while that attempt is out.
@@ -281,7 +285,7 @@
 
     /// Whether a box takes new work, as far as the list tells.
     pub fn takes_work(&self, id: ServerId) -> bool {
-        self.boxes.get(&id).is_some_and(|b| b.2 == State::Ready)
+        self.boxes.get(&id).is_some_and(|b| b.2 == EndpointState::Ready)
     }
 
     /// Id on the wire and address of a box.
@@ -290,29 +294,29 @@
     }
 
     /// The list of boxes, or changes to it.
-    pub fn list(&mut self, now: Micros, mode: ListMode, entries: Vec<Entry>) {
-        if mode == ListMode::Full {
+    pub fn list(&mut self, now: Micros, mode: EndpointListMode, entries: Vec<Entry>) {
+        if mode == EndpointListMode::Snapshot {
             let named = |id: &ServerId| entries.iter().any(|e| e.server.id == *id);
             let missing: Vec<ServerId> = self.boxes.keys().filter(|id| !named(id)).copied().collect();
-            missing.into_iter().for_each(|id| self.set_state(id, State::Gone));
+            missing.into_iter().for_each(|id| self.set_state(id, EndpointState::Gone));
         }
         let mut servers = Vec::new();
         for e in entries {
             let id = e.server.id;
             log::info!("box {} at {} is {:?}", e.uid, e.endpoint, e.server.state);
-            let known = self.boxes.entry(id).or_insert((e.uid, e.endpoint, State::Ready));
+            let known = self.boxes.entry(id).or_insert((e.uid, e.endpoint, EndpointState::Ready));
             known.1 = e.endpoint;
             self.set_state(id, e.server.state);
             servers.push(e.server);
         }
         // New boxes come under new ids all day long.
-        self.boxes.retain(|_, known| known.2 != State::Gone);
-        self.feed(now, Event::List { mode, servers });
+        self.boxes.retain(|_, known| known.2 != EndpointState::Gone);
+        self.feed(now, Event::EndpointList { mode, endpoints: servers });
     }
 
-    fn set_state(&mut self, id: ServerId, state: State) {
+    fn set_state(&mut self, id: ServerId, state: EndpointState) {
         let Some(known) = self.boxes.get_mut(&id) else { return };
-        if std::mem::replace(&mut known.2, state) == State::Ready && state != State::Ready {
+        if std::mem::replace(&mut known.2, state) == EndpointState::Ready && state != EndpointState::Ready {
             self.commands.push(Command::Withdraw(id));
         }
     }
@@ -324,7 +328,7 @@
             None => log::info!("group {group} was purged"),
         }
         self.bound(now, object.as_deref(), group, at);
-        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: false });
+        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), permanent: false });
     }
 
     /// As `purged`, but told to this proxy and its peers alone: it has to hold for good. False: too many do.
@@ -335,7 +339,7 @@
         }
         self.lasting.insert(what);
         self.bound(now, object.as_deref(), group, at);
-        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: true });
+        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), permanent: true });
         true
     }
 
@@ -375,7 +379,7 @@
             group: asked.group,
             size_kb: asked.size_kb,
             remaining_us,
-            repeated: false,
+            is_retry: false,
         };
         asked.remaining_us = remaining_us;
         let deadline = now + remaining_us;
@@ -397,7 +401,7 @@
         open.answered = true;
         open.trail.end(now, "left");
         self.counts.left += 1;
-        self.feed(now, Event::Left { request: ticket.to_u64() });
+        self.feed(now, Event::ClientDisconnected { request: ticket.to_u64() });
         // The module calls off what is out where the settings allow it. What is not written yet must not begin
         // in any case.
         let out = self.requests.get(ticket).and_then(|open| open.out.as_ref());
@@ -412,26 +416,34 @@
     pub fn ended(&mut self, now: Micros, attempt: AttemptId, ended: Ended) {
         let Some(open) = self.requests.get_mut(attempt.ticket) else { return };
         let Some(out) = open.out.take_if(|out| out.number == attempt.number) else { return };
-        let Ended { outcome, note, waited_us, load, content } = ended;
+        let Ended { outcome, fill_result, fill_ttfb_us, load, content } = ended;
         // What was in transit when it was given up is how it ended, all the same.
         let outcome = if outcome == Outcome::Cancelled { out.given_up.unwrap_or(outcome) } else { outcome };
         let (server, source) = (out.sending.server, out.sending.fill.map(|f| f.source));
-        open.trail.step(Step { server, source, sent: out.sent, ended: now, outcome, note, waited_us });
+        open.trail.step(Step {
+            server,
+            source,
+            sent: out.sent,
+            ended: now,
+            outcome,
+            fill_result,
+            fill_ttfb_us,
+        });
         if let Some(content) = content.filter(|_| outcome == Outcome::Ok && !open.answered) {
             self.finish(now, attempt.ticket, Answer::Served(content));
         }
         let settled = self.requests.get(attempt.ticket).is_none_or(|open| open.answered);
-        let event = Event::Outcome {
+        let event = Event::AttemptEnded(AttemptReport {
             request: attempt.ticket.to_u64(),
             attempt: attempt.number,
             server: out.sending.server,
             outcome,
             took_us: now.saturating_sub(out.sent),
             settled,
-            note,
-            waited_us,
+            fill_result,
+            fill_ttfb_us,
             load,
-        };
+        });
         self.feed(now, event);
         self.tidy(now, attempt.ticket);
     }
@@ -443,9 +455,9 @@
         server: ServerId,
         outcome: Outcome,
         took_us: Micros,
-        load: Option<Load>,
+        load: Option<LoadReport>,
     ) {
-        self.feed(now, Event::Probed { server, outcome, took_us, load });
+        self.feed(now, Event::ProbeEnded { server, outcome, took_us, load });
     }
 
     /// A wake-up has come due.
@@ -498,7 +510,7 @@
     fn fail(&mut self, now: Micros, ticket: Ticket) {
         if self.requests.get(ticket).is_some_and(|open| !open.answered) {
             self.finish(now, ticket, Answer::Failed);
-            self.feed(now, Event::Left { request: ticket.to_u64() });
+            self.feed(now, Event::ClientDisconnected { request: ticket.to_u64() });
             self.tidy(now, ticket);
         }
     }
@@ -567,7 +579,7 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Attempt { request, server, timeout_us, fill, begin_by } => {
+            Action::StartAttempt { request, server, timeout_us, fill, send_by } => {
                 let ticket = Key::from_u64(request);
                 let Some(open) = self.requests.get_mut(ticket).filter(|o| !o.answered && o.out.is_none())
                 else {
@@ -579,7 +591,7 @@
                 let number = open.attempts;
                 open.attempts += 1;
                 let max_age_us = fill.and_then(|f| f.max_age_us);
-                let sending = Sending { server, fill, max_age_us, until, begin_by };
+                let sending = Sending { server, fill, max_age_us, until, send_by };
                 open.out = Some(Out { number, sent: now, sending, given_up: None });
                 let attempt = AttemptId { ticket, number };
                 self.counts.attempts += 1;
@@ -588,11 +600,11 @@
                     self.commands.push(Command::Wake(until, Wake::Attempt(attempt)));
                 }
             }
-            Action::Cancel { request, attempt } => {
+            Action::CancelAttempt { request, attempt } => {
                 let attempt = AttemptId { ticket: Key::from_u64(request), number: attempt };
                 self.give_up(attempt, Outcome::Cancelled);
             }
-            Action::Refuse { request, retry_after_us } => {
+            Action::Reject { request, retry_after_us } => {
                 self.finish(now, Key::from_u64(request), Answer::Refused { wait_us: retry_after_us });
                 self.tidy(now, Key::from_u64(request));
             }
@@ -600,11 +612,11 @@
                 self.finish(now, Key::from_u64(request), Answer::Failed);
                 self.tidy(now, Key::from_u64(request));
             }
-            Action::Timer { at, tag } => self.commands.push(Command::Wake(at, Wake::Router(tag))),
+            Action::SetTimer { at, tag } => self.commands.push(Command::Wake(at, Wake::Router(tag))),
             Action::Probe { server } => self.commands.push(Command::Probe(server)),
             // The list is pushed by whatever source the configuration names.
-            Action::Watch => {}
-            Action::Report { line } => log::info!("{line}"),
+            Action::WatchEndpoints => {}
+            Action::Log { line } => log::info!("{line}"),
         }
     }
 }
--- a/crates/proxy/src/request_table/trace.rs
+++ b/crates/proxy/src/request_table/trace.rs
@@ -1,6 +1,6 @@
 //! What became of a request, for the log: its attempts from first to last, in one line.
 
-use edge_routing::{Micros, Note, Outcome, ServerId};
+use edge_routing::{FillResult, Micros, Outcome, ServerId};
 use std::fmt::Write;
 
 /// An attempt that has ended.
@@ -17,9 +17,9 @@
     /// How it ended.
     pub outcome: Outcome,
     /// How the answer was made.
-    pub note: Note,
+    pub fill_result: FillResult,
     /// The fill's wait for its first byte.
-    pub waited_us: Micros,
+    pub fill_ttfb_us: Micros,
 }
 
 /// The attempts of a request, as many as the module may make, and how it ended.
@@ -67,11 +67,11 @@
                 let _ = write!(out, " from {}", name(source));
             }
             let _ = write!(out, " {:?}", s.outcome);
-            if s.note != Note::None {
-                let _ = write!(out, " {:?}", s.note);
+            if s.fill_result != FillResult::Unknown {
+                let _ = write!(out, " {:?}", s.fill_result);
             }
-            if s.waited_us > 0 {
-                let _ = write!(out, " waited {:.1}", s.waited_us as f64 / 1e3);
+            if s.fill_ttfb_us > 0 {
+                let _ = write!(out, " waited {:.1}", s.fill_ttfb_us as f64 / 1e3);
             }
         }
         out
@@ -120,16 +120,22 @@
             source: Some(2),
             sent: 1_000_500,
             ended: 1_020_000,
-            outcome: Outcome::Full,
-            note: Note::SourceLost,
-            waited_us: 7_500,
+            outcome: Outcome::Rejected,
+            fill_result: FillResult::SourceUnreachable,
+            fill_ttfb_us: 7_500,
         };
         trail.step(step);
-        trail.step(Step { server: 3, source: Some(3), note: Note::None, waited_us: 0, ..step });
+        trail.step(Step {
+            server: 3,
+            source: Some(3),
+            fill_result: FillResult::Unknown,
+            fill_ttfb_us: 0,
+            ..step
+        });
         trail.end(1_030_000, "refused");
         let line = trail.line(|id| (id < 3).then_some("s-1"));
-        let first = "0.5 to 20.0: s-1 from s-1 Full SourceLost waited 7.5";
-        assert_eq!(line, format!("refused after 30.0 ms; {first}; 0.5 to 20.0: #0000000000000003 Full"));
+        let first = "0.5 to 20.0: s-1 from s-1 Rejected SourceUnreachable waited 7.5";
+        assert_eq!(line, format!("refused after 30.0 ms; {first}; 0.5 to 20.0: #0000000000000003 Rejected"));
         assert!(!trail.is_smooth(2_000_000));
         let mut served = Trail::new(0);
         served.step(step);
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -5,7 +5,7 @@
 use crate::net::Conn;
 use crate::protocol::{resp, Parser, WireError};
 use crate::request_table::{Asked, AttemptId, Content, Core, Ended};
-use edge_routing::{Load, Micros, Note, Outcome, ServerId};
+use edge_routing::{FillResult, LoadReport, Micros, Outcome, ServerId};
 use std::collections::{HashMap, VecDeque};
 
 /// What is open on a link under an id.
@@ -59,7 +59,7 @@
     /// An attempt ended.
     Ended(AttemptId, Ended),
     /// A probe ended.
-    Probed(Outcome, Micros, Option<Load>),
+    Probed(Outcome, Micros, Option<LoadReport>),
 }
 
 impl Told {
@@ -89,30 +89,30 @@
     garbled: bool,
 }
 
-fn note(fields: &[u8]) -> Note {
+fn note(fields: &[u8]) -> FillResult {
     match resp::field(fields, "how") {
-        Some("local") => Note::Hit,
-        Some("pulled") => Note::Filled,
-        Some("pulled_far") => Note::FilledByOrigin,
-        Some("rode") => Note::Joined,
-        Some("expired") => Note::Stale,
-        Some("turned_away") => Note::SourceRefused,
-        Some("cut_off") => Note::SourceLost,
-        Some("not_there") => Note::SourceLacks,
-        Some("no_place") => Note::NoFillPlace,
-        Some("far_fault") => Note::OriginFailed,
-        _ => Note::None,
+        Some("local") => FillResult::Hit,
+        Some("pulled") => FillResult::Filled,
+        Some("pulled_far") => FillResult::FilledFromOrigin,
+        Some("rode") => FillResult::Coalesced,
+        Some("expired") => FillResult::Stale,
+        Some("turned_away") => FillResult::SourceRejected,
+        Some("cut_off") => FillResult::SourceUnreachable,
+        Some("not_there") => FillResult::SourceMiss,
+        Some("no_place") => FillResult::NoFillSlot,
+        Some("far_fault") => FillResult::OriginFailed,
+        _ => FillResult::Unknown,
     }
 }
 
-fn load(fields: &[u8]) -> Option<Load> {
+fn load(fields: &[u8]) -> Option<LoadReport> {
     let stats = resp::field(fields, "stats")?;
     let value = |name: &str| {
         let of = |pair: &str| pair.split_once(':').filter(|(n, _)| *n == name)?.1.parse().ok();
         stats.split(';').find_map(of)
     };
-    let (util, inflight) = (value("util"), value("inflight"));
-    Some(Load { util, inflight, hit_share: value("x0"), link_use: value("x1") })
+    let (cpu_utilization, in_flight) = (value("util"), value("inflight"));
+    Some(LoadReport { cpu_utilization, in_flight, hit_ratio: value("x0"), link_utilization: value("x1") })
 }
 
 fn ended(word: &[u8], fields: &[u8], body: Vec<u8>, asked: Option<&Asked>) -> Ended {
@@ -124,16 +124,16 @@
             (Outcome::Ok, Some(Content::Unchanged))
         }
         b"404" => (Outcome::Miss, None),
-        b"503" => (Outcome::Full, None),
-        b"504" => (Outcome::Moot, None),
+        b"503" => (Outcome::Rejected, None),
+        b"504" => (Outcome::NotSent, None),
         // Also what this page does not know: it may have run.
         _ => (Outcome::Error, None),
     };
     let waited = resp::field(fields, "ttfb").and_then(|ms| ms.parse::<f64>().ok()).unwrap_or(0.0);
     Ended {
         outcome,
-        note: note(fields),
-        waited_us: (waited.max(0.0) * 1e3) as Micros,
+        fill_result: note(fields),
+        fill_ttfb_us: (waited.max(0.0) * 1e3) as Micros,
         load: load(fields),
         content,
     }
@@ -142,7 +142,7 @@
 /// The frame of an attempt that may still begin.
 fn frame(core: &Core, now: Micros, attempt: AttemptId) -> Option<Vec<u8>> {
     let (asked, sending) = core.sending(attempt)?;
-    if sending.begin_by.is_some_and(|by| now >= by) {
+    if sending.send_by.is_some_and(|by| now >= by) {
         return None;
     }
     let mut fields = format!("class={},key={},part={}", asked.class, asked.object, asked.part);
@@ -157,18 +157,18 @@
         if fill.source != sending.server {
             add("src", core.location(fill.source)?.0);
         }
-        if fill.keep > 0 {
-            add("keep", &fill.keep.to_string());
+        if fill.retention_rank > 0 {
+            add("keep", &fill.retention_rank.to_string());
         }
         if let Some(age) = sending.max_age_us {
             // Rounded down, so that no copy from before a purge passes; 0 would mean the class's fresh time.
             add("maxage", &(age / 1000).max(1).to_string());
         }
         let words = [
-            (fill.join, "wait-for"),
-            (fill.only_held, "no-fetch"),
+            (fill.coalesce, "wait-for"),
+            (fill.only_if_cached, "no-fetch"),
             (fill.bypass_parent, "no-keep"),
-            (fill.renew, "background"),
+            (fill.background_refresh, "background"),
         ];
         let words: Vec<&str> = words.iter().filter(|w| w.0).map(|w| w.1).collect();
         if !words.is_empty() {
@@ -294,7 +294,7 @@
             let Some(attempt) = self.queue.front().copied() else { break };
             if let Some(frame) = frame(core, now, attempt) {
                 if frame.len() > limits.output_ring {
-                    told.push(Told::Ended(attempt, Outcome::Moot.into()));
+                    told.push(Told::Ended(attempt, Outcome::NotSent.into()));
                 } else if let Some((asked, sending)) = core.sending(attempt) {
                     let first = conn.written;
                     conn.output.push(&frame);
@@ -305,7 +305,7 @@
                     self.open.insert(asked.id.clone(), Stream::Attempt(sent));
                 }
             } else {
-                told.push(Told::Ended(attempt, Outcome::Moot.into()));
+                told.push(Told::Ended(attempt, Outcome::NotSent.into()));
             }
             self.queue.pop_front();
             if conn.write() == crate::net::Progress::Broken {
@@ -415,7 +415,7 @@
         self.queue.retain(|attempt| {
             let keep = !concerned(*attempt);
             if !keep {
-                told.push(Told::Ended(*attempt, Outcome::Moot.into()));
+                told.push(Told::Ended(*attempt, Outcome::NotSent.into()));
             }
             keep
         });
@@ -424,7 +424,7 @@
         };
         if alone {
             self.take_out(attempt, conn);
-            told.push(Told::Ended(attempt, Outcome::Moot.into()));
+            told.push(Told::Ended(attempt, Outcome::NotSent.into()));
         }
         alone
     }
@@ -499,7 +499,7 @@
     /// The connection is over. What never arrived whole can't have run; the rest may have. Only one that never
     /// came up tells that its box can't be reached.
     pub fn broken(self, up: bool, written: u64, told: &mut Vec<Told>) {
-        let unsent = if up { Outcome::Moot } else { Outcome::ConnectFailed };
+        let unsent = if up { Outcome::NotSent } else { Outcome::ConnectFailed };
         for attempt in self.queue {
             told.push(Told::Ended(attempt, unsent.into()));
         }
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -18,7 +18,7 @@
     assert_eq!((config.bus, config.known.0, config.limits.descriptors), (None, 0, 1024));
     assert!(config.cdni.is_none() && config.consul.is_none() && config.peers.is_none());
     // Time limits are longer on sockets, that of the boxes' own dropping among them.
-    assert_eq!(config.settings.rules.purge_done_us, 6_050_000);
+    assert_eq!(config.settings.rules.purge_completion_us, 6_050_000);
 }
 
 #[test]
--- a/crates/proxy/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -2,7 +2,7 @@
 
 use edge_proxy::discovery::consul::Consul;
 use edge_proxy::protocol::http::Head;
-use edge_routing::State;
+use edge_routing::EndpointState;
 use serde_json::{json, Value};
 
 fn health(checks: &[(&str, &str)]) -> Value {
@@ -21,7 +21,7 @@
     ids.iter().map(|id| json!({"ServiceID": id, "ServiceName": "pop-cache"})).collect()
 }
 
-fn answer(consul: &mut Consul, index: u64, body: &Value) -> Option<Vec<(String, State)>> {
+fn answer(consul: &mut Consul, index: u64, body: &Value) -> Option<Vec<(String, EndpointState)>> {
     let headers = vec![("x-consul-index".to_owned(), index.to_string())];
     let head = Head { start: "HTTP/1.1 200 OK".to_owned(), headers };
     let entries = consul.response(&head, body.to_string().as_bytes()).unwrap()?;
@@ -44,12 +44,19 @@
     assert_eq!(target(&consul), "/v1/catalog/service/pop-cache");
     let list = answer(&mut consul, 5, &catalogue(&["a", "b", "c"])).unwrap();
     let state = |id: &str, state| (id.to_owned(), state);
-    assert_eq!(list, [state("a", State::Ready), state("b", State::Draining), state("c", State::Ready)]);
+    assert_eq!(
+        list,
+        [
+            state("a", EndpointState::Ready),
+            state("b", EndpointState::Draining),
+            state("c", EndpointState::Ready)
+        ]
+    );
     assert_eq!(target(&consul), "/v1/health/service/pop-cache?index=5&wait=10s");
     // One is registered no more, one has no health any more.
     assert_eq!(answer(&mut consul, 6, &health(&[("b", "passing"), ("c", "passing")])), None);
     let list = answer(&mut consul, 6, &catalogue(&["a", "b"])).unwrap();
-    assert_eq!(list, [state("a", State::Draining), state("b", State::Ready)], "c is gone");
+    assert_eq!(list, [state("a", EndpointState::Draining), state("b", EndpointState::Ready)], "c is gone");
     // Nothing new is told where nothing has changed.
     answer(&mut consul, 7, &health(&[("b", "passing")]));
     assert_eq!(answer(&mut consul, 7, &catalogue(&["a", "b"])), None);
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -5,15 +5,15 @@
 use edge_proxy::request_table::{
     server_id, Answer, Asked, AttemptId, Client, Command, Content, Core, Ended, Entry, Wake,
 };
-use edge_routing::{ListMode, Outcome, Server, State};
+use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome};
 use edge_testkit::settings;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 const NOW: u64 = 1_000_000_000;
 
-fn entry(uid: &str, zone: &str, kind: &str, state: State) -> Entry {
+fn entry(uid: &str, zone: &str, kind: &str, state: EndpointState) -> Entry {
     let (zone, kind) = (zone.to_owned(), kind.to_owned());
-    let server = Server { id: server_id(uid), zone, cell: 0, kind, weight: 8.0, state, started: None };
+    let server = Endpoint { id: server_id(uid), zone, cell: 0, kind, weight: 8.0, state, started: None };
     Entry { server, uid: uid.to_owned(), endpoint: ([127, 0, 0, 1], 9).into() }
 }
 
@@ -21,8 +21,8 @@
     let settings = edge_settings::settings(settings().as_object().unwrap()).unwrap();
     let mut core = Core::new(settings, 1, limits).unwrap();
     let list = [("a", "here", "box"), ("b", "here", "box"), ("o", "hub", "origin")];
-    let list = list.map(|(uid, zone, kind)| entry(uid, zone, kind, State::Ready));
-    core.list(NOW, ListMode::Full, list.to_vec());
+    let list = list.map(|(uid, zone, kind)| entry(uid, zone, kind, EndpointState::Ready));
+    core.list(NOW, EndpointListMode::Snapshot, list.to_vec());
     core.commands();
     core
 }
@@ -163,10 +163,10 @@
 #[test]
 fn word_of_a_drain_takes_back_what_is_not_written_yet() {
     let mut core = core(&limits());
-    core.list(NOW, ListMode::Delta, vec![entry("a", "here", "box", State::Draining)]);
+    core.list(NOW, EndpointListMode::Delta, vec![entry("a", "here", "box", EndpointState::Draining)]);
     assert_eq!(core.commands().first(), Some(&Command::Withdraw(server_id("a"))));
     // What a full list does not name any more is gone.
-    core.list(NOW, ListMode::Full, vec![entry("a", "here", "box", State::Draining)]);
+    core.list(NOW, EndpointListMode::Snapshot, vec![entry("a", "here", "box", EndpointState::Draining)]);
     let withdrawn = core.commands();
     assert!(withdrawn.contains(&Command::Withdraw(server_id("b"))) && !core.is_ready());
     assert!(core.location(server_id("a")).is_some(), "it finishes what it has");
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -5,7 +5,7 @@
 use edge_proxy::protocol::resp;
 use edge_proxy::request_table::{server_id, Asked, AttemptId, Client, Command, Core, Entry};
 use edge_proxy::upstream::{Link, Told};
-use edge_routing::{ListMode, Outcome, Server, ServerId, State};
+use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome, ServerId};
 use edge_testkit::settings;
 use rustix::net::sockopt;
 use std::io::{Read, Write};
@@ -35,17 +35,17 @@
         let limits = Limits::for_machine(1024, 192);
         let settings = edge_settings::settings(settings().as_object().unwrap()).unwrap();
         let mut core = Core::new(settings, 1, &limits).unwrap();
-        let server = Server {
+        let server = Endpoint {
             id: server_id("a"),
             zone: zone.into(),
             cell: 0,
             kind: kind.into(),
             weight: 8.0,
-            state: State::Ready,
+            state: EndpointState::Ready,
             started: None,
         };
         let entry = Entry { server, uid: "a".into(), endpoint: ([127, 0, 0, 1], 9).into() };
-        core.list(NOW, ListMode::Full, vec![entry]);
+        core.list(NOW, EndpointListMode::Snapshot, vec![entry]);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         // Little fits between the two, so that a side which reads nothing shows soon.
         sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
@@ -167,7 +167,7 @@
     rig.conn.up = false;
     let waiting = rig.send("04");
     assert!(rig.link.withdraw(rig.server, &mut rig.conn, &rig.core, &mut rig.told));
-    assert_eq!(rig.ends(), [(waiting, Outcome::Moot)]);
+    assert_eq!(rig.ends(), [(waiting, Outcome::NotSent)]);
     assert!(![kept, withdrawn].contains(&waiting) && !rig.link.is_idle());
 }
 
@@ -263,7 +263,7 @@
     let mut rig = Rig::new(false);
     let queued = rig.send("01");
     rig.link.broken(true, rig.conn.written, &mut rig.told);
-    assert!(matches!(&rig.told[..], [Told::Ended(a, e)] if *a == queued && e.outcome == Outcome::Moot));
+    assert!(matches!(&rig.told[..], [Told::Ended(a, e)] if *a == queued && e.outcome == Outcome::NotSent));
 }
 
 #[test]
@@ -296,7 +296,7 @@
 #[test]
 fn a_repeat_that_waited_for_its_connection_does_not_begin_behind_its_window() {
     // The window of the settings is 3 s, and the client waits for longer.
-    for (waited_us, begins) in [(2_900_000, true), (3_000_000, false)] {
+    for (fill_ttfb_us, begins) in [(2_900_000, true), (3_000_000, false)] {
         let mut rig = Rig::to("hub", "origin", true);
         let asked = Asked {
             id: "01".into(),
@@ -312,10 +312,14 @@
         rig.link = Link::new(rig.server, &rig.limits, NOW);
         rig.conn.up = false;
         let repeat = rig.pass_on();
-        rig.now += waited_us;
+        rig.now += fill_ttfb_us;
         rig.conn.up = true;
         rig.pump();
-        assert_eq!(rig.ends(), if begins { vec![] } else { vec![(repeat, Outcome::Moot)] }, "{waited_us}");
+        assert_eq!(
+            rig.ends(),
+            if begins { vec![] } else { vec![(repeat, Outcome::NotSent)] },
+            "{fill_ttfb_us}"
+        );
     }
 }
 
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -3,8 +3,9 @@
 //! Reading order: constants, what is remembered, the ordinary path (`route`, `pick_cache`, `pick_source`),
 //! then the defences: health by symptom, silence, crowding, cold budgets, further attempts and giving up.
 
-use crate::checks::SettingsError;
-use crate::interface::*;
+use crate::action::*;
+use crate::event::*;
+use crate::settings::*;
 use std::collections::{btree_map, BTreeMap, HashMap, VecDeque};
 
 // ---- Constants. Times in microseconds unless the name says otherwise. ----
@@ -132,7 +133,7 @@
     zone: usize,
     cell: u64,
     weight: f64,
-    state: State,
+    state: EndpointState,
     started: Option<Micros>,
     lost: bool, // It could not be reached; when it answers again, its process is taken to have just started.
     back: Option<Micros>,
@@ -246,8 +247,9 @@
 impl Router {
     /// A router for one proxy. Equal settings, seed and events give equal actions.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        settings.check()?;
-        let usual_s: Vec<_> = settings.classes.iter().map(|c| (c.aim_us as f64 / 1e6 / 2.0, 0.0)).collect();
+        settings.validate()?;
+        let usual_s: Vec<_> =
+            settings.classes.iter().map(|c| (c.latency_objective_us as f64 / 1e6 / 2.0, 0.0)).collect();
         Ok(Router {
             settings,
             random: mix(seed ^ 0x5bd1_e995),
@@ -274,31 +276,33 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !self.ticking {
             self.ticking = true;
-            actions.push(Action::Timer { at: now + TICK_US, tag: TICK_TAG });
-            actions.extend(self.settings.ask_for_list.then_some(Action::Watch));
+            actions.push(Action::SetTimer { at: now + TICK_US, tag: TICK_TAG });
+            actions.extend(self.settings.poll_endpoint_list.then_some(Action::WatchEndpoints));
         }
         match event {
-            Event::List { mode: ListMode::Failed, .. } => {
-                actions.push(Action::Timer { at: now + WATCH_AGAIN_US, tag: WATCH_TAG });
+            Event::EndpointList { mode: EndpointListMode::Failed, .. } => {
+                actions.push(Action::SetTimer { at: now + WATCH_AGAIN_US, tag: WATCH_TAG });
+            }
+            Event::EndpointList { mode, endpoints } => {
+                self.list(mode == EndpointListMode::Snapshot, endpoints)
             }
-            Event::List { mode, servers } => self.list(mode == ListMode::Full, servers),
             Event::Request(r) => self.request(now, r, actions),
-            Event::Begun { request, attempt } => {
+            Event::StreamStarted { request, attempt } => {
                 if let Some(open) = self.open.get_mut(&request) {
                     open.begun |= open.out.as_ref().is_some_and(|a| a.number == attempt);
                 }
             }
-            Event::Outcome { .. } => self.outcome(now, event, actions),
-            Event::Left { request } => self.left(request, actions),
+            Event::AttemptEnded(report) => self.outcome(now, report, actions),
+            Event::ClientDisconnected { request } => self.left(request, actions),
             Event::Timer { tag: TICK_TAG } => self.tick(now, actions),
-            Event::Timer { tag: WATCH_TAG } => actions.push(Action::Watch),
-            Event::Timer { .. } | Event::Probed { .. } => {}
-            Event::Purged { object, group, age_us, lasting } => {
+            Event::Timer { tag: WATCH_TAG } => actions.push(Action::WatchEndpoints),
+            Event::Timer { .. } | Event::ProbeEnded { .. } => {}
+            Event::Purged { object, group, age_us, permanent } => {
                 let at = now.saturating_sub(age_us);
                 self.voided = if object.is_none() { Some(now) } else { self.voided };
                 let key = object.map_or(group_key(group), |object| hash_text(&object));
                 let last = self.purged.entry(key).or_insert((at, false));
-                *last = (at.max(last.0), lasting || last.1);
+                *last = (at.max(last.0), permanent || last.1);
                 if self.purged.len() > 2 * TABLE_SIZE {
                     let oldest = self.purged.values().filter(|p| !p.1).map(|p| p.0).min();
                     self.purged.retain(|_, (at, lasting)| *lasting || Some(*at) > oldest);
@@ -307,12 +311,12 @@
         }
     }
 
-    fn list(&mut self, full: bool, entries: Vec<Server>) {
+    fn list(&mut self, full: bool, entries: Vec<Endpoint>) {
         if full {
             let named: Vec<ServerId> = entries.iter().map(|e| e.id).collect();
             for (id, known) in &mut self.servers {
                 if !named.contains(id) {
-                    known.state = State::Gone;
+                    known.state = EndpointState::Gone;
                 }
             }
         }
@@ -338,7 +342,7 @@
             };
             match self.servers.get_mut(&e.id) {
                 // A new start wipes what was held against the old process; what is out to it still counts.
-                Some(known) if known.started != e.started && e.state == State::Ready => {
+                Some(known) if known.started != e.started && e.state == EndpointState::Ready => {
                     let out = known.out;
                     *known = Known { out, charged: std::mem::take(&mut known.charged), ..fresh };
                 }
@@ -348,9 +352,10 @@
                 }
             }
         }
-        self.servers.retain(|_, s| s.state != State::Gone || s.out > 0); // New ones come under new ids.
+        self.servers.retain(|_, s| s.state != EndpointState::Gone || s.out > 0); // New ones come under new ids.
         self.ready = [Role::Cache, Role::Parent, Role::Origin].map(|role| {
-            let ready = self.servers.iter().filter(|(_, s)| s.role == role && s.state == State::Ready);
+            let ready =
+                self.servers.iter().filter(|(_, s)| s.role == role && s.state == EndpointState::Ready);
             ready.map(|(id, _)| *id).collect()
         });
     }
@@ -358,19 +363,19 @@
     fn request(&mut self, now: Micros, r: Request, actions: &mut Vec<Action>) {
         let Some(class) = self.settings.classes.iter().position(|c| c.name == r.class) else {
             // Nothing is known of what it may do: it was not tried, so it may be refused.
-            actions.push(Action::Refuse { request: r.id, retry_after_us: None });
+            actions.push(Action::Reject { request: r.id, retry_after_us: None });
             return;
         };
         let object = hash_text(&r.object);
         let unit = mix(object.wrapping_add(r.part.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
-        let sized = self.settings.flow_kb_per_s > 0.0 && r.size_kb > 0.0;
-        let work_s = if sized { r.size_kb / self.settings.flow_kb_per_s } else { self.usual_s[class].0 };
+        let sized = self.settings.transfer_kb_per_s > 0.0 && r.size_kb > 0.0;
+        let work_s = if sized { r.size_kb / self.settings.transfer_kb_per_s } else { self.usual_s[class].0 };
         // What could never be sent in time is no usual size: a client may claim any.
         if sized && work_s * 1e6 <= self.settings.classes[class].deadline_us as f64 {
             self.learn_usual(class, work_s);
         }
         let c = &self.settings.classes[class];
-        let aim_at = now + c.aim_us + (c.aim_stretch * work_s * 1e6) as Micros;
+        let aim_at = now + c.latency_objective_us + (c.objective_per_transfer_time * work_s * 1e6) as Micros;
         let open = Open {
             class,
             unit,
@@ -378,8 +383,8 @@
             group: r.group,
             work_s,
             sized,
-            count: if c.write { 0.0 } else { self.objects.add(object, now) },
-            repeats: if c.write { 0.0 } else { self.parts.add(unit, now) },
+            count: if c.is_write { 0.0 } else { self.objects.add(object, now) },
+            repeats: if c.is_write { 0.0 } else { self.parts.add(unit, now) },
             aim_at,
             deadline: now + r.remaining_us,
             ..Open::default()
@@ -411,16 +416,16 @@
         let late = open.deadline.saturating_sub(now) < LEAST_US
             || open.attempts >= self.settings.max_attempts
             || open.errors >= ERRORS;
-        let barred = open.may_have_run.is_some_and(|(sent, ..)| match class.repeat {
-            Repeat::Safe => false,
-            Repeat::Keyed => now.saturating_sub(sent) + LEAST_US >= class.window_us,
-            Repeat::Unsafe => true,
+        let barred = open.may_have_run.is_some_and(|(sent, ..)| match class.idempotency {
+            Idempotency::Idempotent => false,
+            Idempotency::IdempotencyKey => now.saturating_sub(sent) + LEAST_US >= class.dedup_window_us,
+            Idempotency::NonIdempotent => true,
         });
         let target = if late || barred {
             None
         } else {
             let ranked = self.rank(open.unit);
-            if class.write {
+            if class.is_write {
                 self.pick_for_write(now, open, &ranked)
             } else {
                 self.pick_cache(now, open, &ranked).or_else(|| self.pick_beyond(now, open, &ranked))
@@ -460,7 +465,7 @@
         let cold = |id: &ServerId| self.servers.get(id).is_none_or(|s| self.warmth(s, now) < 1.0);
         let first = order.iter().copied().find(|id| *id != chosen)?;
         let likely = order.first() != Some(&chosen) || cold(&chosen);
-        let fits = self.settings.siblings != Siblings::Off && likely && !open.bad_sources.contains(&first);
+        let fits = self.settings.peer_fill != PeerFill::Off && likely && !open.bad_sources.contains(&first);
         let able = self.is_well(first, now) && !cold(&first) && self.has_room(first, now, open);
         (fits && able && self.in_time(first, now, open)).then_some(first)
     }
@@ -487,7 +492,7 @@
 
     fn rank(&self, unit: u64) -> Ranked {
         let order = |role: usize| {
-            let weight = |s: &Known| if self.settings.weights_told { s.weight } else { 1.0 };
+            let weight = |s: &Known| if self.settings.weights_known { s.weight } else { 1.0 };
             let placed = self.ready[role].iter().filter_map(|id| self.servers.get_key_value(id));
             let mut order: Vec<_> = placed.map(|(id, s)| (place(unit, *id, weight(s)), *id)).collect();
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -513,15 +518,24 @@
         let purges = [open.object, group_key(open.group)].map(|key| self.purged.get(&key));
         // However long ago: a fill under way may have brought an older copy behind the servers' own drop.
         let age = purges.into_iter().flatten().map(|(at, _)| now.saturating_sub(*at).max(1)).min();
-        let max_age_us = age.map(|age| if class.fresh_us > 0 { age.min(class.fresh_us) } else { age });
+        let max_age_us =
+            age.map(
+                |age| {
+                    if class.freshness_lifetime_us > 0 {
+                        age.min(class.freshness_lifetime_us)
+                    } else {
+                        age
+                    }
+                },
+            );
         let fill = Fill {
             source: source.unwrap_or(server),
-            keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
+            retention_rank: if class.is_write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
             max_age_us,
-            join: self.settings.joins && !class.write,
-            only_held: !class.write && source.is_some() && draw >= self.origin_share,
+            coalesce: self.settings.coalescing && !class.is_write,
+            only_if_cached: !class.is_write && source.is_some() && draw >= self.origin_share,
             bypass_parent: false,
-            renew: class.fresh_us > 0 && open.repeats >= REPEAT_COUNT,
+            background_refresh: class.freshness_lifetime_us > 0 && open.repeats >= REPEAT_COUNT,
         };
         let direct = self.servers.get(&server).is_some_and(|s| s.role != Role::Cache);
         let attempt = Attempt {
@@ -532,14 +546,14 @@
             overdue_at: now + (overdue_s * 1e6) as Micros,
             held,
             fills,
-            purged: purges[1].is_some_and(|(at, _)| now <= *at + self.settings.rules.purge_done_us),
+            purged: purges[1].is_some_and(|(at, _)| now <= *at + self.settings.rules.purge_completion_us),
             cancelled: false,
             stuck_at: now + (bound * 1e6) as Micros,
             stuck: false,
         };
         open.attempts += 1;
-        let ran = open.may_have_run.filter(|_| class.repeat == Repeat::Keyed);
-        let begin_by = ran.map(|(sent, ..)| sent + class.window_us);
+        let ran = open.may_have_run.filter(|_| class.idempotency == Idempotency::IdempotencyKey);
+        let send_by = ran.map(|(sent, ..)| sent + class.dedup_window_us);
         self.filling += self.missing;
         open.out = Some(attempt);
         let work_s = self.usual_s[open.class].0.max(open.work_s);
@@ -550,15 +564,25 @@
             }
         }
         self.servers.entry(server).and_modify(|s| s.out += 1);
-        let fill = if direct { Fill { keep: 0, join: false, renew: false, ..fill } } else { fill };
-        actions.push(Action::Attempt { request: id, server, timeout_us: None, fill: Some(fill), begin_by });
+        let fill = if direct {
+            Fill { retention_rank: 0, coalesce: false, background_refresh: false, ..fill }
+        } else {
+            fill
+        };
+        actions.push(Action::StartAttempt {
+            request: id,
+            server,
+            timeout_us: None,
+            fill: Some(fill),
+            send_by,
+        });
     }
 
     // ---- Where the ordinary path has no answer ----
 
     /// A write runs at the origin: straight where that is allowed, else by way of a cache.
     fn pick_for_write(&self, now: Micros, open: &Open, ranked: &Ranked) -> Option<Target> {
-        let scope = self.settings.classes[open.class].scope;
+        let scope = self.settings.classes[open.class].dedup_scope;
         let same_group = |id: &ServerId| match (open.may_have_run, self.servers.get(id)) {
             (Some((_, zone, _)), Some(s)) if scope == DedupScope::Zone => s.zone == zone,
             (Some((.., cell)), Some(s)) if scope == DedupScope::Cell => s.cell == cell,
@@ -566,7 +590,7 @@
         };
         // There is one origin, so a mark on it leaves no other way: it is asked all the same.
         let origin = ranked.origin?;
-        if self.settings.direct && same_group(&origin) {
+        if self.settings.direct_requests && same_group(&origin) {
             return Some((origin, None));
         }
         let fits =
@@ -581,7 +605,7 @@
         let free = |id: &&ServerId| !open.tried.contains(id) && self.has_room(**id, now, open);
         let none_well = !ranked.caches.iter().any(|id| self.is_well(*id, now));
         let failed = ranked.origin.is_some_and(|id| open.bad_sources.contains(&id));
-        if none_well && self.settings.direct && !failed && !self.link_full(now, open) {
+        if none_well && self.settings.direct_requests && !failed && !self.link_full(now, open) {
             if let Some(parent) = ranked.parents.iter().filter(free).find(|id| self.is_well(**id, now)) {
                 return Some((*parent, ranked.origin));
             }
@@ -606,7 +630,9 @@
     /// Whether the rules let a server be given this request, as target or as source of its fill.
     fn has_room(&self, id: ServerId, now: Micros, open: &Open) -> bool {
         let work_s = open.work_s.max(self.usual_s[open.class].0);
-        self.servers.get(&id).is_some_and(|s| s.state == State::Ready && self.cold_room(id, s, now, work_s))
+        self.servers
+            .get(&id)
+            .is_some_and(|s| s.state == EndpointState::Ready && self.cold_room(id, s, now, work_s))
     }
 
     /// Time until the answer is wanted; once that is past, until the client gives up.
@@ -636,7 +662,7 @@
 
     /// Routers of this location.
     fn routers(&self) -> f64 {
-        f64::from(self.settings.zones[self.settings.zone].routers.max(1))
+        f64::from(self.settings.zones[self.settings.zone].edge_proxies.max(1))
     }
 
     /// Capacity in transfers as recent hits showed it: where each took longer than its size explains, the
@@ -651,7 +677,7 @@
 
     /// What a server's link fits at full pace, in transfers.
     fn capacity(&self, s: &Known) -> f64 {
-        if self.settings.weights_told {
+        if self.settings.weights_known {
             return s.weight;
         }
         // Not told. A location's link carries only the misses of its caches, so its part for one cache is
@@ -659,7 +685,7 @@
         let z = &self.settings.zones;
         let links: f64 = z.iter().map(|z| z.link_kb_per_s).sum();
         let places = z.iter().filter(|z| z.link_kb_per_s > 0.0).count().max(1) as f64;
-        let link = links / places / self.settings.flow_kb_per_s.max(1.0);
+        let link = links / places / self.settings.transfer_kb_per_s.max(1.0);
         let caches = self.servers.values().filter(|s| s.role == Role::Cache).count().max(1) as f64;
         let part = if s.role == Role::Cache { link / caches } else { link };
         part.max(1.0)
@@ -671,7 +697,7 @@
     fn link_full(&self, now: Micros, open: &Open) -> bool {
         let told = self.settings.zones[self.settings.zone].link_kb_per_s;
         let fits = if told > 0.0 {
-            told / self.settings.flow_kb_per_s.max(1.0)
+            told / self.settings.transfer_kb_per_s.max(1.0)
         } else {
             match self.link.told(now).filter(|(stretch, _)| *stretch >= STRETCHED) {
                 Some((stretch, held)) if now <= self.link.at + STALE_US => held / stretch,
@@ -687,10 +713,10 @@
     /// wait for is worked off all the same: it would be late for all, long after its trouble is over. So the
     /// fewer requests may have it asked, the more of its answers are late; parents still give what they hold.
     /// `late`: the wait for the answer, over its class's aim.
-    fn learn_origin(&mut self, note: Note, late: f64) {
-        self.origin_share = match note {
-            Note::FilledByOrigin if late <= 1.0 => (self.origin_share + ORIGIN_STEP).min(1.0),
-            Note::FilledByOrigin | Note::OriginFailed | Note::SourceLost => {
+    fn learn_origin(&mut self, fill_result: FillResult, late: f64) {
+        self.origin_share = match fill_result {
+            FillResult::FilledFromOrigin if late <= 1.0 => (self.origin_share + ORIGIN_STEP).min(1.0),
+            FillResult::FilledFromOrigin | FillResult::OriginFailed | FillResult::SourceUnreachable => {
                 (self.origin_share * ORIGIN_FALL.powf(late.clamp(1.0, ORIGIN_FALL_MOST))).max(ORIGIN_LEAST)
             }
             _ => return,
@@ -706,30 +732,34 @@
     fn warmth(&self, s: &Known, at: Micros) -> f64 {
         let r = &self.settings.rules;
         let parent = s.role == Role::Parent;
-        let (share, cold_us) =
-            if parent { (r.parent_cold_share, r.parent_cold_us) } else { (r.cold_share, r.cold_us) };
+        let (share, warm_up_us) = if parent {
+            (r.parent_warm_up_initial_share, r.parent_warm_up_us)
+        } else {
+            (r.warm_up_initial_share, r.warm_up_us)
+        };
         let age = s.started.max(s.back).map_or(Micros::MAX, |started| at.saturating_sub(started));
-        (share + (1.0 - share) * age as f64 / cold_us.max(1) as f64).min(1.0)
+        (share + (1.0 - share) * age as f64 / warm_up_us.max(1) as f64).min(1.0)
     }
 
     /// Rule on cold servers: this router's part of the budget, retries and fills charged with the rest.
     fn cold_room(&self, id: ServerId, s: &Known, now: Micros, work_s: f64) -> bool {
         let r = &self.settings.rules;
-        let all = self.settings.zones.iter().map(|z| z.routers).sum();
+        let all = self.settings.zones.iter().map(|z| z.edge_proxies).sum();
         let (multiple, routers) = match s.role {
-            Role::Parent => (r.parent_fall_multiple, all),
-            _ => (r.fall_multiple, self.settings.zones[self.settings.zone].routers),
+            Role::Parent => (r.parent_overload_multiple, all),
+            _ => (r.overload_multiple, self.settings.zones[self.settings.zone].edge_proxies),
         };
-        let warmth = self.warmth(s, now.saturating_sub(r.fall_us));
+        let warmth = self.warmth(s, now.saturating_sub(r.overload_window_us));
         if warmth >= 1.0 || s.role == Role::Origin {
             return true;
         }
-        let window_s = r.fall_us as f64 / 1e6;
+        let window_s = r.overload_window_us as f64 / 1e6;
         let budget = COLD_USE * multiple * warmth * self.capacity(s) * window_s / f64::from(routers.max(1));
-        let spent: f64 = s.charged.iter().filter(|c| c.0 + r.fall_us >= now).map(|c| c.1).sum();
+        let spent: f64 = s.charged.iter().filter(|c| c.0 + r.overload_window_us >= now).map(|c| c.1).sum();
         // A part smaller than one request is spent by turns: each router sends one with the chance that keeps
         // the sum of all, drawn once for a request and window: further attempts must not be further chances.
-        let draw = mix(self.seed ^ mix((now / r.fall_us.max(1)) ^ mix(id))) as f64 / u64::MAX as f64;
+        let draw =
+            mix(self.seed ^ mix((now / r.overload_window_us.max(1)) ^ mix(id))) as f64 / u64::MAX as f64;
         spent + work_s <= budget || spent == 0.0 && draw * work_s < budget
     }
 
@@ -768,8 +798,8 @@
     /// Silence: a server that hangs shows only in what does not come back. All that is overdue there is
     /// called off and goes elsewhere.
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        actions.push(Action::Timer { at: now + TICK_US, tag: TICK_TAG });
-        let keep = self.settings.rules.fall_us;
+        actions.push(Action::SetTimer { at: now + TICK_US, tag: TICK_TAG });
+        let keep = self.settings.rules.overload_window_us;
         self.origin_share = (self.origin_share + ORIGIN_TICK).min(1.0);
         let step = TICK_US as f64 / 1e6 / MEAN_S;
         for s in self.servers.values_mut() {
@@ -803,11 +833,11 @@
                 Self::mark(s, now);
             }
         }
-        if !self.settings.cancel {
+        if !self.settings.cancellation {
             return;
         }
         for (id, o) in &mut self.open {
-            let safe = self.settings.classes[o.class].repeat == Repeat::Safe && !o.begun;
+            let safe = self.settings.classes[o.class].idempotency == Idempotency::Idempotent && !o.begun;
             let Some(a) = o.out.as_mut().filter(|a| safe && !a.cancelled) else { continue };
             let silent = |id: &ServerId| {
                 self.servers.get(id).is_some_and(|s| now < s.marked_until && s.last_ok < a.sent)
@@ -816,18 +846,22 @@
             if hangs || now > a.stuck_at {
                 a.stuck = !hangs;
                 a.cancelled = true;
-                actions.push(Action::Cancel { request: *id, attempt: a.number });
+                actions.push(Action::CancelAttempt { request: *id, attempt: a.number });
             }
         }
     }
 
-    fn outcome(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        let Event::Outcome {
-            request: id, attempt: number, outcome, took_us, settled, note, waited_us, ..
-        } = event
-        else {
-            return;
-        };
+    fn outcome(&mut self, now: Micros, report: AttemptReport, actions: &mut Vec<Action>) {
+        let AttemptReport {
+            request: id,
+            attempt: number,
+            outcome,
+            took_us,
+            settled,
+            fill_result,
+            fill_ttfb_us,
+            ..
+        } = report;
         let Some(base_s) = self.open.get(&id).map(|open| self.base_s(open)) else { return };
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.out.take_if(|a| a.number == number) else { return };
@@ -842,9 +876,10 @@
         let again = slow && open.stuck == 1;
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         // A parent that is lost tells nothing of the origin: the others must go on asking it.
-        let by_origin = attempt.source.is_some_and(|id| note != Note::SourceLost || answered(id));
+        let by_origin =
+            attempt.source.is_some_and(|id| fill_result != FillResult::SourceUnreachable || answered(id));
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
-        let hit = outcome == Outcome::Ok && matches!(note, Note::Hit | Note::Stale);
+        let hit = outcome == Outcome::Ok && matches!(fill_result, FillResult::Hit | FillResult::Stale);
         let took_s = took_us as f64 / 1e6;
         if hit && !sized {
             // Sizes are not told: what hits take, less the sharing that the told link explains.
@@ -864,22 +899,31 @@
         }
         // What was called off as slow had its share of the link all the while. What timed out at the client's
         // deadline may as well have waited for the origin, which says nothing of the link.
-        let filled = outcome == Outcome::Ok && matches!(note, Note::Filled | Note::FilledByOrigin);
+        let filled = outcome == Outcome::Ok
+            && matches!(fill_result, FillResult::Filled | FillResult::FilledFromOrigin);
         if sized && attempt.source.is_some() && (filled || slow) {
-            let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
+            let moving_s = took_us.saturating_sub(fill_ttfb_us) as f64 / 1e6;
             self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
         // A renewal of a purged copy that never came, asked for or joined, was late at the origin.
         let never = attempt.purged && matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
         if by_origin || never {
-            let (note, waited_us) = if never { (Note::OriginFailed, took_us) } else { (note, waited_us) };
-            self.learn_origin(note, waited_us as f64 / self.settings.classes[class].aim_us.max(1) as f64);
+            let (fill_result, fill_ttfb_us) =
+                if never { (FillResult::OriginFailed, took_us) } else { (fill_result, fill_ttfb_us) };
+            self.learn_origin(
+                fill_result,
+                fill_ttfb_us as f64 / self.settings.classes[class].latency_objective_us.max(1) as f64,
+            );
         }
-        let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
+        let told = matches!(
+            fill_result,
+            FillResult::SourceRejected | FillResult::SourceUnreachable | FillResult::OriginFailed
+        );
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
         // and the sound one is cleared by its other answers.
         let failing = |id: ServerId| self.servers.get(&id).map_or(0.0, |s| s.failing) + FAIL_STEP / 4.0;
-        let untold = self.settings.tells != Tells::All && matches!(outcome, Outcome::Full | Outcome::Error);
+        let untold = self.settings.provenance != Provenance::Full
+            && matches!(outcome, Outcome::Rejected | Outcome::Error);
         let shared = attempt.source.filter(|_| untold).map(failing);
         let blame = shared.map_or(f64::from(u8::from(told)), |source| source / (source + failing(server)));
         let by_source = blame >= 0.5;
@@ -894,7 +938,7 @@
                     if hit {
                         // Found in the cache: the source was never asked.
                         self.servers.entry(source).and_modify(|s| s.charged.retain(|c| c.2 != id));
-                    } else if note != Note::None && note != Note::Joined {
+                    } else if fill_result != FillResult::Unknown && fill_result != FillResult::Coalesced {
                         self.judge(now, source, None);
                         if let Some(s) = self.servers.get_mut(&source).filter(|_| sized) {
                             s.fills.add(now, took_s, work_s + WAY_S, 0.0);
@@ -911,9 +955,10 @@
                 let muted = [Some(server).filter(|_| !again), mute];
                 muted.into_iter().flatten().for_each(|id| self.judge(now, id, Some(STUCK_WEIGHT)));
             }
-            Outcome::Miss | Outcome::Moot | Outcome::Cancelled => {}
+            Outcome::Miss | Outcome::NotSent | Outcome::Cancelled => {}
             _ if told => attempt.source.into_iter().for_each(|id| self.judge(now, id, Some(1.0))),
-            Outcome::Full if note == Note::NoFillPlace || note == Note::SourceLacks => {}
+            Outcome::Rejected
+                if fill_result == FillResult::NoFillSlot || fill_result == FillResult::SourceMiss => {}
             _ if shared.is_some() => {
                 self.judge(now, server, Some(1.0 - blame));
                 attempt.source.into_iter().for_each(|id| self.judge(now, id, Some(blame)));
@@ -941,7 +986,8 @@
         let lost = outcome == Outcome::Cancelled && attempt.source.is_some_and(|id| !self.is_well(id, now));
         let by_source = by_source || lost && self.is_well(server, now);
         let Some(open) = self.open.get_mut(&id) else { return };
-        let ran = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
+        let ran =
+            !matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss);
         if ran && open.may_have_run.is_none() {
             let place = self.servers.get(&server).map_or((usize::MAX, u64::MAX), |s| (s.zone, s.cell));
             open.may_have_run = Some((attempt.sent, place.0, place.1));
@@ -955,9 +1001,9 @@
         open.failed_fills += if shared.is_some() { 2 } else { u32::from(by_source || mute.is_some()) };
         if outcome == Outcome::Miss && attempt.source.is_none() {
             open.missed = true;
-        } else if by_source || outcome == Outcome::Miss || note == Note::SourceLacks {
+        } else if by_source || outcome == Outcome::Miss || fill_result == FillResult::SourceMiss {
             open.bad_sources.extend(attempt.source);
-        } else if !self.settings.classes[class].write && !again {
+        } else if !self.settings.classes[class].is_write && !again {
             open.tried.push(server);
         }
         self.route(now, id, actions);
@@ -968,9 +1014,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         open.over = true;
         if let Some(a) = open.out.as_mut() {
-            if self.settings.cancel && !a.cancelled && !open.begun {
+            if self.settings.cancellation && !a.cancelled && !open.begun {
                 a.cancelled = true;
-                actions.push(Action::Cancel { request: id, attempt: a.number });
+                actions.push(Action::CancelAttempt { request: id, attempt: a.number });
             }
         } else {
             self.open.remove(&id);
@@ -982,16 +1028,18 @@
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.remove(&id) else { return };
         let class = &self.settings.classes[open.class];
-        let refusable = match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Keyed => open.may_have_run.is_none() || class.scope == DedupScope::All,
-            Repeat::Unsafe => open.may_have_run.is_none(),
+        let refusable = match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey => {
+                open.may_have_run.is_none() || class.dedup_scope == DedupScope::All
+            }
+            Idempotency::NonIdempotent => open.may_have_run.is_none(),
         };
         if refusable {
             let advice = RETRY_AFTER_US.min(self.settings.max_retry_after_us);
             // Given also where clients are not said to follow it: it does them no harm.
             let retry_after_us = (self.settings.max_retry_after_us > 0).then_some(advice);
-            actions.push(Action::Refuse { request: id, retry_after_us });
+            actions.push(Action::Reject { request: id, retry_after_us });
         } else {
             actions.push(Action::Fail { request: id });
         }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -11,32 +11,36 @@
 pub fn class(name: &str) -> Class {
     Class {
         name: name.into(),
-        aim_us: 500 * MS,
-        aim_stretch: 1.5,
+        latency_objective_us: 500 * MS,
+        objective_per_transfer_time: 1.5,
         deadline_us: 5 * S,
-        worth: 1.0,
-        late_worth: 0.1,
-        repeat: Repeat::Safe,
-        scope: DedupScope::All,
-        window_us: 2 * S,
+        priority_weight: 1.0,
+        late_weight: 0.1,
+        idempotency: Idempotency::Idempotent,
+        dedup_scope: DedupScope::All,
+        dedup_window_us: 2 * S,
         streaming: false,
-        parts: true,
-        write: false,
-        fresh_us: 0,
-        grace_us: 0,
-        stale_worth: 0.5,
+        multipart: true,
+        is_write: false,
+        freshness_lifetime_us: 0,
+        stale_grace_us: 0,
+        stale_weight: 0.5,
     }
 }
 
 pub fn settings() -> Settings {
-    let zone =
-        |name: &str, routers, link_kb_per_s| Zone { name: name.into(), routers, hub: 0, link_kb_per_s };
+    let zone = |name: &str, edge_proxies, link_kb_per_s| Zone {
+        name: name.into(),
+        edge_proxies,
+        hub: 0,
+        link_kb_per_s,
+    };
     Settings {
         classes: vec![
             class("video"),
-            Class { fresh_us: 10 * S, ..class("page") },
-            Class { repeat: Repeat::Keyed, write: true, ..class("order") },
-            Class { repeat: Repeat::Unsafe, write: true, ..class("charge") },
+            Class { freshness_lifetime_us: 10 * S, ..class("page") },
+            Class { idempotency: Idempotency::IdempotencyKey, is_write: true, ..class("order") },
+            Class { idempotency: Idempotency::NonIdempotent, is_write: true, ..class("charge") },
             Class { streaming: true, ..class("stream") },
         ],
         tenants: vec![],
@@ -44,52 +48,52 @@
         zone: 1,
         parent_kind: Some("parent".into()),
         origin_kind: "origin".into(),
-        ask_for_list: false,
-        direct: true,
-        joins: true,
-        siblings: Siblings::Off,
-        tells: Tells::All,
-        reports: Reports::Off,
-        weights_told: true,
-        flow_kb_per_s: 5_000.0,
+        poll_endpoint_list: false,
+        direct_requests: true,
+        coalescing: true,
+        peer_fill: PeerFill::Off,
+        provenance: Provenance::Full,
+        load_reports: LoadReportSource::Off,
+        weights_known: true,
+        transfer_kb_per_s: 5_000.0,
         max_attempts: 6,
-        second_copies: false,
-        cancel: true,
-        probes: false,
+        hedging: false,
+        cancellation: true,
+        probing: false,
         retry_after: true,
         max_retry_after_us: S,
-        origin_fall_multiple: 2.5,
+        origin_overload_multiple: 2.5,
         rules: Rules {
             drain_grace_us: S,
-            cold_share: 0.2,
-            cold_us: 10 * S,
-            fall_multiple: 3.0,
-            fall_us: S,
-            parent_cold_share: 0.1,
-            parent_cold_us: 20 * S,
-            parent_fall_multiple: 2.0,
+            warm_up_initial_share: 0.2,
+            warm_up_us: 10 * S,
+            overload_multiple: 3.0,
+            overload_window_us: S,
+            parent_warm_up_initial_share: 0.1,
+            parent_warm_up_us: 20 * S,
+            parent_overload_multiple: 2.0,
             purge_grace_us: 500 * MS,
-            purge_done_us: 6 * S,
-            ask_within_us: 0,
+            purge_completion_us: 6 * S,
+            poll_within_us: 0,
         },
     }
 }
 
-pub fn server(id: ServerId, zone: &str, kind: &str) -> Server {
-    Server {
+pub fn server(id: ServerId, zone: &str, kind: &str) -> Endpoint {
+    Endpoint {
         id,
         zone: zone.into(),
         cell: id,
         kind: kind.into(),
         weight: if kind == "parent" { 30.0 } else { 8.0 },
-        state: State::Ready,
+        state: EndpointState::Ready,
         started: None,
     }
 }
 
 /// Caches 1 to 4 of the router's location, one of another, two parents and the origin.
-pub fn fleet() -> Vec<Server> {
-    let mut all: Vec<Server> = (1..=4).map(|id| server(id, "town", "cache")).collect();
+pub fn fleet() -> Vec<Endpoint> {
+    let mut all: Vec<Endpoint> = (1..=4).map(|id| server(id, "town", "cache")).collect();
     all.push(server(5, "shore", "cache"));
     all.push(server(11, "hub", "parent"));
     all.push(server(12, "hub", "parent"));
@@ -112,9 +116,9 @@
 }
 
 impl Rig {
-    pub fn new(settings: Settings, fleet: Vec<Server>) -> Rig {
+    pub fn new(settings: Settings, fleet: Vec<Endpoint>) -> Rig {
         let mut rig = Rig { router: Router::new(settings, 7).expect("usable settings"), now: T0, next: 1 };
-        rig.handle(Event::List { mode: ListMode::Full, servers: fleet });
+        rig.handle(Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: fleet });
         rig
     }
 
@@ -143,8 +147,8 @@
         let id = self.next;
         self.next += 1;
         let (class, object) = (class.into(), object.into());
-        let (tenant, part, group, repeated) = (None, 0, 3, false);
-        let request = Request { id, class, tenant, object, part, group, size_kb, remaining_us, repeated };
+        let (tenant, part, group, is_retry) = (None, 0, 3, false);
+        let request = Request { id, class, tenant, object, part, group, size_kb, remaining_us, is_retry };
         let actions = self.handle(Event::Request(request));
         (id, actions)
     }
@@ -162,7 +166,7 @@
         server: ServerId,
         outcome: Outcome,
     ) -> Vec<Action> {
-        self.end_with(request, attempt, server, outcome, Note::None)
+        self.end_with(request, attempt, server, outcome, FillResult::Unknown)
     }
 
     pub fn end_with(
@@ -171,19 +175,19 @@
         attempt: u32,
         server: ServerId,
         outcome: Outcome,
-        note: Note,
+        fill_result: FillResult,
     ) -> Vec<Action> {
-        self.handle(Event::Outcome {
+        self.handle(Event::AttemptEnded(AttemptReport {
             request,
             attempt,
             server,
             outcome,
             took_us: 100 * MS,
             settled: outcome == Outcome::Ok,
-            note,
-            waited_us: 0,
+            fill_result,
+            fill_ttfb_us: 0,
             load: None,
-        })
+        }))
     }
 
     pub fn tick(&mut self) -> Vec<Action> {
@@ -193,7 +197,7 @@
 
 pub fn sent(actions: &[Action]) -> Option<Sent> {
     actions.iter().find_map(|a| match a {
-        Action::Attempt { request, server, timeout_us, fill: Some(fill), .. } => {
+        Action::StartAttempt { request, server, timeout_us, fill: Some(fill), .. } => {
             Some(Sent { request: *request, server: *server, fill: *fill, timeout_us: *timeout_us })
         }
         _ => None,
@@ -201,5 +205,5 @@
 }
 
 pub fn finals(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count()
+    actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count()
 }
--- a/crates/routing/tests/defences.rs
+++ b/crates/routing/tests/defences.rs
@@ -10,7 +10,7 @@
         .filter_map(|n| {
             let (id, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
             let s = sent(&actions)?;
-            rig.end_with(id, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(id, 0, s.server, Outcome::Ok, FillResult::Hit);
             Some(s.server)
         })
         .collect()
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_cache_that_cannot_be_reached_comes_back_as_just_started() {
-    let mut rig = Rig::new(Settings { direct: false, ..settings() }, fleet());
+    let mut rig = Rig::new(Settings { direct_requests: false, ..settings() }, fleet());
     let first = rig.send("video", "/o/a");
     rig.end(first.request, 0, first.server, Outcome::ConnectFailed);
     assert!(!used(&mut rig, 40).contains(&first.server), "marked at once");
@@ -37,7 +37,8 @@
 /// Which attempts are called off once all that was sent has been out for so long.
 fn called_off(rig: &mut Rig, after: Micros) -> Vec<RequestId> {
     rig.now += after;
-    let cancel = |a: &Action| if let Action::Cancel { request, .. } = a { Some(*request) } else { None };
+    let cancel =
+        |a: &Action| if let Action::CancelAttempt { request, .. } = a { Some(*request) } else { None };
     rig.tick().iter().filter_map(cancel).collect()
 }
 
@@ -46,7 +47,7 @@
     let purged = |object: Option<&str>, group| {
         let mut rig = Rig::new(settings(), fleet());
         let object = object.map(str::to_owned);
-        rig.handle(Event::Purged { object, group, age_us: 100 * MS, lasting: false });
+        rig.handle(Event::Purged { object, group, age_us: 100 * MS, permanent: false });
         for _ in 0..6 {
             rig.send("video", "/o/1");
         }
@@ -81,7 +82,7 @@
         if s.server == 2 {
             stuck.push(s);
         } else {
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
         }
     }
     assert!(stuck.len() >= 2);
@@ -90,7 +91,7 @@
         .tick()
         .iter()
         .filter_map(|a| match a {
-            Action::Cancel { request, attempt: 0 } => Some(*request),
+            Action::CancelAttempt { request, attempt: 0 } => Some(*request),
             _ => None,
         })
         .collect();
@@ -104,7 +105,7 @@
 
 #[test]
 fn marks_that_would_leave_no_cache_are_passed_over() {
-    let mut rig = Rig::new(Settings { direct: false, ..settings() }, fleet());
+    let mut rig = Rig::new(Settings { direct_requests: false, ..settings() }, fleet());
     for n in 0..60 {
         let (id, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
         let Some(s) = sent(&actions) else { break };
@@ -126,14 +127,24 @@
             let (r, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
             let s = sent(&actions).expect("an attempt");
             let hit = s.server == id;
-            rig.end_with(r, 0, s.server, if hit { Outcome::ConnectFailed } else { Outcome::Ok }, Note::None);
+            rig.end_with(
+                r,
+                0,
+                s.server,
+                if hit { Outcome::ConnectFailed } else { Outcome::Ok },
+                FillResult::Unknown,
+            );
             hit
         });
         assert!(n.is_some(), "cache {id} was never picked");
     }
     let s = rig.send("video", "/o/z");
     assert!(s.server == 11 || s.server == 12, "{s:?}");
-    assert_eq!((s.fill.source, s.fill.keep, s.fill.join), (21, 0, false), "the parent fetches what it lacks");
+    assert_eq!(
+        (s.fill.source, s.fill.retention_rank, s.fill.coalesce),
+        (21, 0, false),
+        "the parent fetches what it lacks"
+    );
 }
 
 #[test]
@@ -147,17 +158,17 @@
     assert!(first.fill.source == 11 || first.fill.source == 12);
     let last = (1..400).map(|n| rig.send("video", &format!("/o/{n}"))).last().expect("one");
     assert_eq!(last.fill.source, last.server, "only looked into");
-    assert!(last.fill.join, "a fill under way is waited for");
+    assert!(last.fill.coalesce, "a fill under way is waited for");
     let answer = rig.end(last.request, 0, last.server, Outcome::Miss);
-    assert_eq!(answer, vec![Action::Refuse { request: last.request, retry_after_us: Some(200 * MS) }]);
+    assert_eq!(answer, vec![Action::Reject { request: last.request, retry_after_us: Some(200 * MS) }]);
 }
 
 #[test]
 fn a_source_that_refuses_is_not_asked_again_for_the_same_request() {
     let mut rig = Rig::new(settings(), fleet());
     let s = rig.send("video", "/o/a");
-    let again =
-        sent(&rig.end_with(s.request, 0, s.server, Outcome::Full, Note::SourceRefused)).expect("again");
+    let again = sent(&rig.end_with(s.request, 0, s.server, Outcome::Rejected, FillResult::SourceRejected))
+        .expect("again");
     assert_eq!(again.server, s.server, "the cache is not to blame");
     assert_ne!(again.fill.source, s.fill.source);
 }
@@ -172,10 +183,10 @@
         // The same cache goes on answering others.
         let (id, actions) = rig.ask("page", &format!("/o/{n}"), 5 * S);
         let s = sent(&actions).expect("an attempt");
-        rig.end_with(id, 0, s.server, Outcome::Ok, Note::Hit);
-        cancelled.extend(rig.tick().into_iter().filter(|a| matches!(a, Action::Cancel { .. })));
+        rig.end_with(id, 0, s.server, Outcome::Ok, FillResult::Hit);
+        cancelled.extend(rig.tick().into_iter().filter(|a| matches!(a, Action::CancelAttempt { .. })));
     }
-    assert_eq!(cancelled, vec![Action::Cancel { request: stuck.request, attempt: 0 }]);
+    assert_eq!(cancelled, vec![Action::CancelAttempt { request: stuck.request, attempt: 0 }]);
     let again = sent(&rig.end(stuck.request, 0, stuck.server, Outcome::Cancelled)).expect("another attempt");
     assert_eq!(again.server, stuck.server, "the work ran: the copy is there");
     // Lost a second time, it is given more time, then asked for elsewhere.
@@ -184,26 +195,26 @@
     while actions.is_empty() && waited < 200 {
         rig.now += 100 * MS;
         waited += 1;
-        actions.extend(rig.tick().into_iter().filter(|a| matches!(a, Action::Cancel { .. })));
+        actions.extend(rig.tick().into_iter().filter(|a| matches!(a, Action::CancelAttempt { .. })));
     }
-    assert_eq!(actions, vec![Action::Cancel { request: stuck.request, attempt: 1 }]);
+    assert_eq!(actions, vec![Action::CancelAttempt { request: stuck.request, attempt: 1 }]);
     assert!(waited > 20, "longer than the first: {waited}");
 }
 
 #[test]
 fn a_failing_parent_is_not_put_on_its_caches_where_reasons_are_not_told() {
-    let mut rig = Rig::new(Settings { tells: Tells::Hit, ..settings() }, fleet());
+    let mut rig = Rig::new(Settings { provenance: Provenance::HitOnly, ..settings() }, fleet());
     let mut failing = None;
     for n in 0..30 {
         let s = rig.send("video", &format!("/o/{n}"));
         let bad = *failing.get_or_insert(s.fill.source);
         if s.fill.source != bad {
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Filled);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Filled);
             continue;
         }
         let again = sent(&rig.end(s.request, 0, s.server, Outcome::Error)).expect("another try");
         assert_ne!(again.fill.source, bad, "the parent is left out of the next try");
-        rig.end_with(s.request, 1, again.server, Outcome::Ok, Note::Filled);
+        rig.end_with(s.request, 1, again.server, Outcome::Ok, FillResult::Filled);
     }
     let later: Vec<Sent> = (0..40).map(|n| rig.send("page", &format!("/p/{n}"))).collect();
     assert!((1..=4).all(|id| later.iter().any(|s| s.server == id)), "no cache is marked");
@@ -215,8 +226,8 @@
     let mut rig = Rig::new(settings(), fleet());
     let s = rig.send("video", "/o/a");
     assert_eq!(
-        rig.handle(Event::Left { request: s.request }),
-        vec![Action::Cancel { request: s.request, attempt: 0 }]
+        rig.handle(Event::ClientDisconnected { request: s.request }),
+        vec![Action::CancelAttempt { request: s.request, attempt: 0 }]
     );
     assert!(rig.end(s.request, 0, s.server, Outcome::Cancelled).is_empty(), "no answer is owed any more");
 }
@@ -225,16 +236,16 @@
 fn a_begun_stream_is_left_alone() {
     let mut rig = Rig::new(settings(), fleet());
     let s = rig.send("stream", "/o/a");
-    rig.handle(Event::Begun { request: s.request, attempt: 0 });
+    rig.handle(Event::StreamStarted { request: s.request, attempt: 0 });
     rig.now += 20 * S;
-    assert!(!rig.tick().iter().any(|a| matches!(a, Action::Cancel { .. })));
+    assert!(!rig.tick().iter().any(|a| matches!(a, Action::CancelAttempt { .. })));
 }
 
 #[test]
 fn a_sibling_fills_a_cache_that_has_just_started() {
     let mut servers = fleet();
     servers[0].started = Some(T0 - 5 * S);
-    let mut rig = Rig::new(Settings { siblings: Siblings::Location, ..settings() }, servers);
+    let mut rig = Rig::new(Settings { peer_fill: PeerFill::SameLocation, ..settings() }, servers);
     let filled = (0..40).map(|n| rig.send("video", &format!("/o/{n}"))).find(|s| s.server == 1);
     let source = filled.expect("its part of the objects").fill.source;
     assert!((2..=4).contains(&source), "{source}");
@@ -252,14 +263,14 @@
         rig.now += 100 * MS;
         let other = rig.send("video", &object);
         assert_eq!(other.server, slow.server);
-        rig.end_with(other.request, 0, other.server, Outcome::Ok, Note::Hit);
-        while !rig.tick().contains(&Action::Cancel { request: slow.request, attempt: 0 }) {
+        rig.end_with(other.request, 0, other.server, Outcome::Ok, FillResult::Hit);
+        while !rig.tick().contains(&Action::CancelAttempt { request: slow.request, attempt: 0 }) {
             rig.now += 50 * MS;
         }
         waits.push(rig.now - start);
         let again =
             sent(&rig.end(slow.request, 0, slow.server, Outcome::Cancelled)).expect("another attempt");
-        rig.end_with(again.request, 1, again.server, Outcome::Ok, Note::Hit);
+        rig.end_with(again.request, 1, again.server, Outcome::Ok, FillResult::Hit);
     }
     assert!(waits.is_sorted() && waits[3] > waits[0] * 4 / 3, "{waits:?}");
 }
@@ -278,17 +289,17 @@
         rig.tick();
         rig.now += 600 * MS;
         for s in &fills {
-            rig.handle(Event::Outcome {
+            rig.handle(Event::AttemptEnded(AttemptReport {
                 request: s.request,
                 attempt: 0,
                 server: s.server,
                 outcome,
                 took_us: took_ms * MS,
                 settled: outcome == Outcome::Ok,
-                note: if outcome == Outcome::Ok { Note::Filled } else { Note::None },
-                waited_us: 20 * MS,
+                fill_result: if outcome == Outcome::Ok { FillResult::Filled } else { FillResult::Unknown },
+                fill_ttfb_us: 20 * MS,
                 load: None,
-            });
+            }));
         }
         let under_load = rig.send("video", "/o/next");
         for _ in 0..2 {
@@ -307,48 +318,53 @@
 fn while_the_origin_is_late_few_requests_may_have_it_asked() {
     let mut rig = Rig::new(settings(), fleet());
     let mut next = 0;
-    let mut asking = |rig: &mut Rig, waited_us: Micros, note: Note| {
+    let mut asking = |rig: &mut Rig, fill_ttfb_us: Micros, fill_result: FillResult| {
         let count = (0..100).filter(|_| {
             next += 1;
             let s = rig.send("video", &format!("/o/{next}"));
             rig.now += 10 * MS;
-            rig.handle(Event::Outcome {
+            rig.handle(Event::AttemptEnded(AttemptReport {
                 request: s.request,
                 attempt: 0,
                 server: s.server,
                 outcome: Outcome::Ok,
-                took_us: waited_us + 100 * MS,
+                took_us: fill_ttfb_us + 100 * MS,
                 settled: true,
-                note,
-                waited_us,
+                fill_result,
+                fill_ttfb_us,
                 load: None,
-            });
+            }));
             if rig.now.is_multiple_of(50 * MS) {
                 rig.tick();
             }
             assert_ne!(s.fill.source, s.server);
-            !s.fill.only_held
+            !s.fill.only_if_cached
         });
         count.count()
     };
-    assert_eq!(asking(&mut rig, 100 * MS, Note::FilledByOrigin), 100);
-    asking(&mut rig, 900 * MS, Note::FilledByOrigin);
-    let late = asking(&mut rig, 900 * MS, Note::FilledByOrigin);
+    assert_eq!(asking(&mut rig, 100 * MS, FillResult::FilledFromOrigin), 100);
+    asking(&mut rig, 900 * MS, FillResult::FilledFromOrigin);
+    let late = asking(&mut rig, 900 * MS, FillResult::FilledFromOrigin);
     assert!((1..20).contains(&late), "{late}: a few find out whether it is well again");
-    assert!(asking(&mut rig, 10 * MS, Note::Filled) < 20, "a parent's own copies tell nothing of the origin");
-    asking(&mut rig, 100 * MS, Note::FilledByOrigin);
-    assert_eq!(asking(&mut rig, 100 * MS, Note::FilledByOrigin), 100);
-    let [little, much] = [600 * MS, 2 * S].map(|waited_us| {
+    assert!(
+        asking(&mut rig, 10 * MS, FillResult::Filled) < 20,
+        "a parent's own copies tell nothing of the origin"
+    );
+    asking(&mut rig, 100 * MS, FillResult::FilledFromOrigin);
+    assert_eq!(asking(&mut rig, 100 * MS, FillResult::FilledFromOrigin), 100);
+    let [little, much] = [600 * MS, 2 * S].map(|fill_ttfb_us| {
         let mut rig = Rig::new(settings(), fleet());
-        asking(&mut rig, waited_us, Note::FilledByOrigin)
+        asking(&mut rig, fill_ttfb_us, FillResult::FilledFromOrigin)
     });
     assert!(much < little, "{much}, {little}: the later, the further it falls");
 }
 
 #[test]
 fn a_trial_that_ends_without_a_verdict_is_followed_by_another() {
-    for (outcome, note) in [(Outcome::Miss, Note::SourceLacks), (Outcome::Full, Note::NoFillPlace)] {
-        let mut rig = Rig::new(Settings { direct: false, ..settings() }, fleet());
+    for (outcome, fill_result) in
+        [(Outcome::Miss, FillResult::SourceMiss), (Outcome::Rejected, FillResult::NoFillSlot)]
+    {
+        let mut rig = Rig::new(Settings { direct_requests: false, ..settings() }, fleet());
         let first = rig.send("video", "/o/a");
         rig.end(first.request, 0, first.server, Outcome::Reset);
         for _ in 0..3 {
@@ -358,10 +374,11 @@
                 let s = rig.send("video", &format!("/o/{n}"));
                 let trial = s.server == first.server;
                 tried |= trial;
-                let (outcome, note) = if trial { (outcome, note) } else { (Outcome::Ok, Note::Hit) };
+                let (outcome, fill_result) =
+                    if trial { (outcome, fill_result) } else { (Outcome::Ok, FillResult::Hit) };
                 let (mut attempt, mut out) = (0, Some(s));
                 while let Some(s) = out {
-                    out = sent(&rig.end_with(s.request, attempt, s.server, outcome, note));
+                    out = sent(&rig.end_with(s.request, attempt, s.server, outcome, fill_result));
                     attempt += 1;
                 }
             }
@@ -377,7 +394,7 @@
         let s = rig.send("video", &format!("/o/unknown-{n}"));
         let again = sent(&rig.end(s.request, 0, s.server, Outcome::Error)).expect("another attempt");
         let actions = rig.end(s.request, 1, again.server, Outcome::Error);
-        assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
+        assert!(matches!(actions[..], [Action::Reject { .. }]), "{actions:?}");
     }
     let all = used(&mut rig, 60);
     assert!((1..=4).all(|id| all.contains(&id)), "{all:?}");
@@ -403,8 +420,8 @@
         rig.ask_sized(&format!("/o/huge-{n}"), 1e9);
     }
     // A cache that has just started takes what its budget fits, judged by what is usual.
-    let started = Server { started: Some(rig.now - 2 * S), ..server(2, "town", "cache") };
-    rig.handle(Event::List { mode: ListMode::Delta, servers: vec![started] });
+    let started = Endpoint { started: Some(rig.now - 2 * S), ..server(2, "town", "cache") };
+    rig.handle(Event::EndpointList { mode: EndpointListMode::Delta, endpoints: vec![started] });
     let all = used(&mut rig, 60);
     assert!(all.contains(&2), "{all:?}");
 }
@@ -415,15 +432,16 @@
     for n in 0..60 {
         rig.now += 2 * MS;
         let s = rig.send("video", &format!("/o/{n}"));
-        let note = if s.fill.source == 11 { Note::SourceLost } else { Note::Filled };
-        let outcome = if s.fill.source == 11 { Outcome::Full } else { Outcome::Ok };
-        let mut again = sent(&rig.end_with(s.request, 0, s.server, outcome, note));
+        let fill_result =
+            if s.fill.source == 11 { FillResult::SourceUnreachable } else { FillResult::Filled };
+        let outcome = if s.fill.source == 11 { Outcome::Rejected } else { Outcome::Ok };
+        let mut again = sent(&rig.end_with(s.request, 0, s.server, outcome, fill_result));
         for attempt in 1..6 {
             let Some(s) = again else { break };
-            again = sent(&rig.end_with(s.request, attempt, s.server, Outcome::Ok, Note::Filled));
+            again = sent(&rig.end_with(s.request, attempt, s.server, Outcome::Ok, FillResult::Filled));
         }
     }
-    let held = (0..40).filter(|n| rig.send("video", &format!("/p/{n}")).fill.only_held).count();
+    let held = (0..40).filter(|n| rig.send("video", &format!("/p/{n}")).fill.only_if_cached).count();
     assert_eq!(held, 0, "the parent that is left asks the origin for what it lacks");
 }
 
@@ -434,15 +452,15 @@
         let mut held_back = 0;
         for n in 0..40 {
             let s = rig.send("video", &format!("/o/{n}"));
-            held_back += u32::from(s.fill.only_held);
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            held_back += u32::from(s.fill.only_if_cached);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
         }
         held_back
     };
     for n in 0..30 {
         let s = rig.send("video", &format!("/x/{n}"));
-        rig.end_with(s.request, 0, s.server, Outcome::Full, Note::OriginFailed);
-        rig.handle(Event::Left { request: s.request });
+        rig.end_with(s.request, 0, s.server, Outcome::Rejected, FillResult::OriginFailed);
+        rig.handle(Event::ClientDisconnected { request: s.request });
     }
     assert!(held_back(&mut rig) > 30, "all of its fills have failed at the origin");
     for _ in 0..10 * 20 {
@@ -460,13 +478,13 @@
 fn a_renewal_that_never_came_shuts_the_gate_before_the_origin() {
     let held_back = |group| {
         let mut rig = Rig::new(settings(), fleet());
-        rig.handle(Event::Purged { object: None, group, age_us: 100 * MS, lasting: false });
+        rig.handle(Event::Purged { object: None, group, age_us: 100 * MS, permanent: false });
         for n in 0..20 {
             let s = rig.send("video", &format!("/x/{n}"));
-            rig.end_with(s.request, 0, s.server, Outcome::Timeout, Note::None);
-            rig.handle(Event::Left { request: s.request });
+            rig.end_with(s.request, 0, s.server, Outcome::Timeout, FillResult::Unknown);
+            rig.handle(Event::ClientDisconnected { request: s.request });
         }
-        (0..40).filter(|n| rig.send("video", &format!("/o/{n}")).fill.only_held).count()
+        (0..40).filter(|n| rig.send("video", &format!("/o/{n}")).fill.only_if_cached).count()
     };
     assert!(held_back(3) > 20, "the origin alone could have given these");
     assert_eq!(held_back(4), 0, "a time-out of what may be held anywhere says nothing of the origin");
@@ -481,11 +499,11 @@
             break;
         }
         rig.end(s.request, 0, s.server, Outcome::ConnectFailed);
-        rig.handle(Event::Left { request: s.request });
+        rig.handle(Event::ClientDisconnected { request: s.request });
     }
     let s = rig.send("video", "/o/1");
     assert_eq!((s.server > 10, s.fill.source), (true, 21), "no cache is well: straight to a parent");
-    let actions = rig.end_with(s.request, 0, s.server, Outcome::Miss, Note::SourceLacks);
+    let actions = rig.end_with(s.request, 0, s.server, Outcome::Miss, FillResult::SourceMiss);
     assert!(sent(&actions).is_none_or(|s| s.server <= 10), "{actions:?}");
 }
 
@@ -494,7 +512,7 @@
     let run = |purge: bool| {
         let mut rig = Rig::new(settings(), fleet());
         if purge {
-            rig.handle(Event::Purged { object: None, group: 4, age_us: 100 * MS, lasting: false });
+            rig.handle(Event::Purged { object: None, group: 4, age_us: 100 * MS, permanent: false });
             rig.now += 10 * S;
         }
         // Nothing has answered yet, and until some have, answers are taken to need 0.9 seconds.
@@ -514,17 +532,17 @@
     let mut rig = Rig::new(s, fleet());
     let fills: Vec<Sent> = (0..6).map(|n| rig.send("video", &format!("/x/{n}"))).collect();
     for s in fills {
-        rig.handle(Event::Outcome {
+        rig.handle(Event::AttemptEnded(AttemptReport {
             request: s.request,
             attempt: 0,
             server: s.server,
             outcome: Outcome::Ok,
             took_us: 4 * S,
             settled: true,
-            note: Note::Filled,
-            waited_us: 20 * MS,
+            fill_result: FillResult::Filled,
+            fill_ttfb_us: 20 * MS,
             load: None,
-        });
+        }));
     }
     let filled = |s: Sent| s.fill.source != s.server;
     let full = filled(rig.send("video", "/o/1"));
--- a/crates/routing/tests/ordinary.rs
+++ b/crates/routing/tests/ordinary.rs
@@ -9,7 +9,7 @@
     (0..n)
         .map(|n| {
             let s = rig.send("video", &format!("/o/{n}"));
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
             (n, s.server)
         })
         .collect()
@@ -28,7 +28,7 @@
 #[test]
 fn a_cache_that_goes_moves_only_its_own_objects() {
     let before = homes(&mut Rig::new(settings(), fleet()), 300);
-    let fewer: Vec<Server> = fleet().into_iter().filter(|s| s.id != 3).collect();
+    let fewer: Vec<Endpoint> = fleet().into_iter().filter(|s| s.id != 3).collect();
     let after = homes(&mut Rig::new(settings(), fewer), 300);
     for (n, home) in &before {
         if *home != 3 {
@@ -45,13 +45,13 @@
         let mut used = BTreeSet::new();
         for n in 0..600 {
             let s = rig.send("video", "/o/hot");
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
             if n > 300 {
                 used.insert(s.server);
             }
             for k in 0..others {
                 let s = rig.send("video", &format!("/o/{n}-{k}"));
-                rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+                rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
             }
         }
         assert_eq!(used.len(), copies);
@@ -63,7 +63,7 @@
     let mut rig = Rig::new(settings(), fleet());
     for _ in 0..200 {
         let s = rig.send("video", "/o/hot");
-        rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+        rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
     }
     rig.now += 300 * S;
     let mut used = BTreeSet::new();
@@ -74,7 +74,7 @@
                 continue;
             }
             let s = rig.send("video", &object);
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
             if hot {
                 used.insert(s.server);
             }
@@ -98,7 +98,7 @@
 fn what_is_asked_for_again_is_kept_at_a_higher_rank() {
     let mut rig = Rig::new(settings(), fleet());
     let (a, b) = (rig.send("video", "/o/a"), rig.send("video", "/o/a"));
-    assert_eq!((a.fill.keep, b.fill.keep), (1, 2));
+    assert_eq!((a.fill.retention_rank, b.fill.retention_rank), (1, 2));
 }
 
 fn script(router: &mut Router, seed: u64, step: u64) -> Vec<Action> {
@@ -113,21 +113,21 @@
         group: 1,
         size_kb: 300.0,
         remaining_us: 3 * S,
-        repeated: false,
+        is_retry: false,
     };
     router.handle(now, Event::Request(request), &mut actions);
     if let Some(s) = sent(&actions).filter(|_| step % 4 != 0) {
-        let event = Event::Outcome {
+        let event = Event::AttemptEnded(AttemptReport {
             request: s.request,
             attempt: 0,
             server: s.server,
             outcome: if step % 7 == 0 { Outcome::Error } else { Outcome::Ok },
             took_us: 50 * MS,
             settled: step % 7 != 0,
-            note: Note::Hit,
-            waited_us: 0,
+            fill_result: FillResult::Hit,
+            fill_ttfb_us: 0,
             load: None,
-        };
+        });
         router.handle(now + MS, event, &mut actions);
     }
     if step % 10 == 0 {
@@ -138,7 +138,11 @@
 
 fn started(seed: u64) -> Router {
     let mut router = Router::new(settings(), seed).expect("usable settings");
-    router.handle(T0, Event::List { mode: ListMode::Full, servers: fleet() }, &mut Vec::new());
+    router.handle(
+        T0,
+        Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: fleet() },
+        &mut Vec::new(),
+    );
     router
 }
 
@@ -160,16 +164,18 @@
     assert!(rig.end(999, 0, 1, Outcome::Error).is_empty());
     assert!(rig.end(999, 3, 777, Outcome::Ok).is_empty());
     assert!(rig.handle(Event::Timer { tag: 12_345 }).is_empty());
-    assert!(rig.handle(Event::Left { request: 999 }).is_empty());
-    assert!(rig.handle(Event::Begun { request: 999, attempt: 0 }).is_empty());
+    assert!(rig.handle(Event::ClientDisconnected { request: 999 }).is_empty());
+    assert!(rig.handle(Event::StreamStarted { request: 999, attempt: 0 }).is_empty());
     let outcome = Outcome::Ok;
-    assert!(rig.handle(Event::Probed { server: 777, outcome, took_us: 1, load: None }).is_empty());
-    let gone = Server { state: State::Gone, ..server(777, "nowhere", "thing") };
-    assert!(rig.handle(Event::List { mode: ListMode::Delta, servers: vec![gone] }).is_empty());
+    assert!(rig.handle(Event::ProbeEnded { server: 777, outcome, took_us: 1, load: None }).is_empty());
+    let gone = Endpoint { state: EndpointState::Gone, ..server(777, "nowhere", "thing") };
+    assert!(rig
+        .handle(Event::EndpointList { mode: EndpointListMode::Delta, endpoints: vec![gone] })
+        .is_empty());
     let s = rig.send("video", "/o/a");
     assert!(rig.end(s.request, 5, s.server, Outcome::Error).is_empty(), "no such attempt");
     let (id, actions) = rig.ask("no such class", "/o/a", 5 * S);
-    assert_eq!(actions, vec![Action::Refuse { request: id, retry_after_us: None }]);
+    assert_eq!(actions, vec![Action::Reject { request: id, retry_after_us: None }]);
 }
 
 #[test]
@@ -187,12 +193,21 @@
         change(&mut s);
         Router::new(s, 1).err()
     };
-    assert_eq!(error(&|s| s.classes.clear()), Some(SettingsError::NoClass));
-    assert_eq!(error(&|s| s.zone = 3), Some(SettingsError::ZoneOutOfRange));
-    assert_eq!(error(&|s| s.zones[1].hub = 9), Some(SettingsError::ZoneOutOfRange));
-    assert_eq!(error(&|s| s.rules.fall_us = 0), Some(SettingsError::BadFigure("fall time")));
-    assert_eq!(error(&|s| s.max_attempts = 0), Some(SettingsError::BadFigure("attempts")));
-    assert_eq!(error(&|s| s.flow_kb_per_s = f64::NAN), Some(SettingsError::BadFigure("flow")));
-    assert_eq!(error(&|s| s.rules.cold_share = -1.0), Some(SettingsError::BadFigure("cold share")));
+    assert_eq!(error(&|s| s.classes.clear()), Some(SettingsError::NoClasses));
+    assert_eq!(error(&|s| s.zone = 3), Some(SettingsError::UnknownZone));
+    assert_eq!(error(&|s| s.zones[1].hub = 9), Some(SettingsError::UnknownZone));
+    assert_eq!(
+        error(&|s| s.rules.overload_window_us = 0),
+        Some(SettingsError::InvalidValue("overload window"))
+    );
+    assert_eq!(error(&|s| s.max_attempts = 0), Some(SettingsError::InvalidValue("attempts")));
+    assert_eq!(
+        error(&|s| s.transfer_kb_per_s = f64::NAN),
+        Some(SettingsError::InvalidValue("transfer rate"))
+    );
+    assert_eq!(
+        error(&|s| s.rules.warm_up_initial_share = -1.0),
+        Some(SettingsError::InvalidValue("warm-up share"))
+    );
     assert_eq!(error(&|_| ()), None);
 }
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -4,7 +4,7 @@
 use common::*;
 use edge_routing::*;
 
-fn alone(id: ServerId) -> Vec<Server> {
+fn alone(id: ServerId) -> Vec<Endpoint> {
     vec![server(id, "town", "cache"), server(11, "hub", "parent"), server(21, "hub", "origin")]
 }
 
@@ -12,7 +12,7 @@
 fn a_request_without_time_left_is_refused_at_once() {
     let mut rig = Rig::new(settings(), fleet());
     let (id, actions) = rig.ask("video", "/o/a", 0);
-    assert_eq!(actions, vec![Action::Refuse { request: id, retry_after_us: Some(200 * MS) }]);
+    assert_eq!(actions, vec![Action::Reject { request: id, retry_after_us: Some(200 * MS) }]);
 }
 
 #[test]
@@ -45,9 +45,9 @@
 
 #[test]
 fn an_unsafe_request_that_never_ran_may_be_resent() {
-    let mut rig = Rig::new(Settings { direct: false, ..settings() }, fleet());
+    let mut rig = Rig::new(Settings { direct_requests: false, ..settings() }, fleet());
     let s = rig.send("charge", "/o/a");
-    let again = sent(&rig.end(s.request, 0, s.server, Outcome::Full)).expect("a second attempt");
+    let again = sent(&rig.end(s.request, 0, s.server, Outcome::Rejected)).expect("a second attempt");
     let failed = rig.end(s.request, 1, again.server, Outcome::Error);
     assert_eq!(failed, vec![Action::Fail { request: s.request }]);
 }
@@ -66,31 +66,31 @@
 
 #[test]
 fn a_keyed_request_stays_in_the_group_that_drops_its_repeats() {
-    let mut s = Settings { direct: false, ..settings() };
-    s.classes[2].scope = DedupScope::Cell;
+    let mut s = Settings { direct_requests: false, ..settings() };
+    s.classes[2].dedup_scope = DedupScope::Cell;
     let mut rig = Rig::new(s, fleet());
     let first = rig.send("order", "/o/a");
     let again = sent(&rig.end(first.request, 0, first.server, Outcome::Error));
     assert_eq!(again.map(|a| a.server), Some(first.server), "each cache is a cell of its own");
     let mut gone = server(first.server, "town", "cache");
-    gone.state = State::Gone;
-    rig.handle(Event::List { mode: ListMode::Delta, servers: vec![gone] });
+    gone.state = EndpointState::Gone;
+    rig.handle(Event::EndpointList { mode: EndpointListMode::Delta, endpoints: vec![gone] });
     let last = rig.end(first.request, 1, first.server, Outcome::Error);
     assert_eq!(last, vec![Action::Fail { request: first.request }], "nor may it be refused");
 }
 
 #[test]
 fn drained_and_gone_servers_get_nothing_new() {
-    for state in [State::Draining, State::Gone] {
+    for state in [EndpointState::Draining, EndpointState::Gone] {
         let mut rig = Rig::new(settings(), fleet());
-        let change = |id, zone, kind| Server { state, ..server(id, zone, kind) };
+        let change = |id, zone, kind| Endpoint { state, ..server(id, zone, kind) };
         let servers = vec![change(1, "town", "cache"), change(11, "hub", "parent")];
-        rig.handle(Event::List { mode: ListMode::Delta, servers });
+        rig.handle(Event::EndpointList { mode: EndpointListMode::Delta, endpoints: servers });
         for n in 0..60 {
             let s = rig.send("video", &format!("/o/{n}"));
             assert_ne!(s.server, 1);
             assert_ne!(s.fill.source, 11, "nor as the source of a fill");
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
         }
     }
 }
@@ -98,15 +98,15 @@
 #[test]
 fn a_server_missing_from_a_full_list_gets_nothing_new() {
     let mut rig = Rig::new(settings(), fleet());
-    rig.handle(Event::List { mode: ListMode::Full, servers: alone(3) });
+    rig.handle(Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: alone(3) });
     for n in 0..30 {
         let s = rig.send("video", &format!("/o/{n}"));
         assert_eq!(s.server, 3);
-        rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+        rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
     }
 }
 
-fn accepted(settings: Settings, fleet: Vec<Server>, id: ServerId) -> usize {
+fn accepted(settings: Settings, fleet: Vec<Endpoint>, id: ServerId) -> usize {
     let mut rig = Rig::new(settings, fleet);
     (0..200)
         .filter(|n| {
@@ -119,8 +119,8 @@
 #[test]
 fn a_cold_cache_gets_no_more_than_its_budget_in_a_window() {
     let cold = |routers| {
-        let mut s = Settings { direct: false, ..settings() };
-        s.zones[1].routers = routers;
+        let mut s = Settings { direct_requests: false, ..settings() };
+        s.zones[1].edge_proxies = routers;
         let mut servers = alone(1);
         servers[0].started = Some(T0);
         accepted(s, servers, 1)
@@ -135,7 +135,7 @@
     let mut servers = alone(1);
     servers[1].started = Some(T0);
     servers[0].weight = 1000.0;
-    let s = Settings { direct: false, ..settings() };
+    let s = Settings { direct_requests: false, ..settings() };
     let mut rig = Rig::new(s, servers);
     let fills = (0..300)
         .filter(|n| {
@@ -154,7 +154,7 @@
         object: object.map(Into::into),
         group: 3,
         age_us: 200 * MS,
-        lasting: false,
+        permanent: false,
     };
     for (event, object) in [(purge(Some("/o/a")), "/o/a"), (purge(None), "/o/b")] {
         rig.handle(event);
@@ -165,7 +165,7 @@
             rig.tick();
             let s = rig.send("video", object);
             assert_eq!(s.fill.max_age_us, Some(200 * MS + wait), "to the purge and no further");
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, Note::Hit);
+            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
         }
     }
 }
@@ -173,23 +173,23 @@
 #[test]
 fn an_age_bound_is_never_zero_and_never_past_the_fresh_time() {
     let mut rig = Rig::new(settings(), fleet());
-    rig.handle(Event::Purged { object: Some("/o/a".into()), group: 3, age_us: 0, lasting: false });
+    rig.handle(Event::Purged { object: Some("/o/a".into()), group: 3, age_us: 0, permanent: false });
     assert_eq!(rig.send("page", "/o/a").fill.max_age_us, Some(1), "0 would mean the default");
     let mut s = settings();
-    s.rules.purge_done_us = 60 * S;
+    s.rules.purge_completion_us = 60 * S;
     let mut rig = Rig::new(s, fleet());
-    rig.handle(Event::Purged { object: Some("/o/a".into()), group: 3, age_us: 30 * S, lasting: false });
+    rig.handle(Event::Purged { object: Some("/o/a".into()), group: 3, age_us: 30 * S, permanent: false });
     assert_eq!(rig.send("page", "/o/a").fill.max_age_us, Some(10 * S));
 }
 
 #[test]
 fn a_purge_that_servers_are_not_told_of_holds_for_good() {
     let mut rig = Rig::new(settings(), fleet());
-    let purge = |object: Option<&str>, lasting| Event::Purged {
+    let purge = |object: Option<&str>, permanent| Event::Purged {
         object: object.map(Into::into),
         group: 3,
         age_us: 0,
-        lasting,
+        permanent,
     };
     rig.handle(purge(None, true));
     rig.now += 60 * S;
@@ -214,5 +214,5 @@
     let mut rig =
         Rig::new(Settings { retry_after: false, max_retry_after_us: 150 * MS, ..settings() }, vec![]);
     let (request, actions) = rig.ask("video", "/o/a", S);
-    assert_eq!(actions, vec![Action::Refuse { request, retry_after_us: Some(150 * MS) }]);
+    assert_eq!(actions, vec![Action::Reject { request, retry_after_us: Some(150 * MS) }]);
 }
--- a/crates/routing/tests/scale.rs
+++ b/crates/routing/tests/scale.rs
@@ -5,20 +5,24 @@
 use edge_routing::*;
 use std::collections::BTreeSet;
 
-/// Fills that `routers` routers of a location point at one cold server while each has `each` requests at once.
-fn sum_of_work(routers: u32, each: usize, cold: ServerId) -> f64 {
-    let mut settings = Settings { direct: false, ..settings() };
-    settings.zones[1].routers = routers;
-    settings.zones[2].routers = 0;
+/// Fills that `edge_proxies` edge_proxies of a location point at one cold server while each has `each` requests at once.
+fn sum_of_work(edge_proxies: u32, each: usize, cold: ServerId) -> f64 {
+    let mut settings = Settings { direct_requests: false, ..settings() };
+    settings.zones[1].edge_proxies = edge_proxies;
+    settings.zones[2].edge_proxies = 0;
     settings.zones[1].link_kb_per_s = 1e9;
     let mut servers = fleet();
     let place = servers.iter().position(|s| s.id == cold).expect("in the fleet");
     servers[place].started = Some(T0 - S);
     let mut sum = 0.0;
-    for seed in 0..u64::from(routers) {
+    for seed in 0..u64::from(edge_proxies) {
         let mut router = Router::new(settings.clone(), seed.wrapping_mul(0x9e37_79b9)).expect("usable");
         let mut actions = Vec::new();
-        router.handle(T0, Event::List { mode: ListMode::Full, servers: servers.clone() }, &mut actions);
+        router.handle(
+            T0,
+            Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: servers.clone() },
+            &mut actions,
+        );
         for n in 0..each {
             let request = Request {
                 id: n as u64 + 1,
@@ -29,12 +33,12 @@
                 group: 1,
                 size_kb: 500.0,
                 remaining_us: 5 * S,
-                repeated: false,
+                is_retry: false,
             };
             router.handle(T0, Event::Request(request), &mut actions);
         }
         let to_it = |a: &&Action| match a {
-            Action::Attempt { server, fill: Some(fill), .. } => *server == cold || fill.source == cold,
+            Action::StartAttempt { server, fill: Some(fill), .. } => *server == cold || fill.source == cold,
             _ => false,
         };
         sum += 0.1 * actions.iter().filter(to_it).count() as f64;
@@ -46,27 +50,27 @@
 fn a_cold_cache_is_used_within_its_budget_by_one_router_and_by_hundreds() {
     // Share 0.2 to 1 in 10 s, 8 transfers, 3 times that in 1 s: 0.2 x 8 x 3 x 1 s at its start.
     let limit = 0.2 * 8.0 * 3.0;
-    for routers in [1, 8, 200] {
-        let sum = sum_of_work(routers, 60, 1);
-        assert!(sum > 0.0, "{routers} routers leave it idle");
-        assert!(sum < limit, "{routers} routers send {sum} of {limit}");
+    for edge_proxies in [1, 8, 200] {
+        let sum = sum_of_work(edge_proxies, 60, 1);
+        assert!(sum > 0.0, "{edge_proxies} edge_proxies leave it idle");
+        assert!(sum < limit, "{edge_proxies} edge_proxies send {sum} of {limit}");
     }
 }
 
 #[test]
 fn a_cold_parent_is_used_within_its_budget_by_one_router_and_by_hundreds() {
     let limit = 0.1 * 30.0 * 2.0;
-    for routers in [1, 8, 200] {
-        let sum = sum_of_work(routers, 60, 11);
-        assert!(sum > 0.0, "{routers} routers leave it idle");
-        assert!(sum < limit, "{routers} routers send {sum} of {limit}");
+    for edge_proxies in [1, 8, 200] {
+        let sum = sum_of_work(edge_proxies, 60, 11);
+        assert!(sum > 0.0, "{edge_proxies} edge_proxies leave it idle");
+        assert!(sum < limit, "{edge_proxies} edge_proxies send {sum} of {limit}");
     }
 }
 
 #[test]
 fn one_own_transfer_among_hundreds_of_routers_does_not_make_a_cache_full() {
     let mut settings = settings();
-    settings.zones[1].routers = 200;
+    settings.zones[1].edge_proxies = 200;
     let mut rig = Rig::new(settings, fleet());
     let servers: BTreeSet<ServerId> = (0..3).map(|_| rig.send("video", "/o/same").server).collect();
     assert_eq!(servers.len(), 1, "the object's cache is not full by this router's few transfers");
@@ -77,24 +81,24 @@
     let parent_of = |rig: &mut Rig, n: usize| rig.send("video", &format!("/o/{n}"));
     let run = |slow_ms: u64, size_told: bool| {
         let flow = if size_told { 5_000.0 } else { 0.0 };
-        let mut rig = Rig::new(Settings { flow_kb_per_s: flow, ..settings() }, fleet());
+        let mut rig = Rig::new(Settings { transfer_kb_per_s: flow, ..settings() }, fleet());
         let first = parent_of(&mut rig, 0).fill.source;
         let mut later = 0;
         for n in 0..60 {
             let s = parent_of(&mut rig, n % 6);
             let took_us = if s.fill.source == first { slow_ms * MS } else { 150 * MS };
             rig.now += 20 * MS;
-            rig.handle(Event::Outcome {
+            rig.handle(Event::AttemptEnded(AttemptReport {
                 request: s.request,
                 attempt: 0,
                 server: s.server,
                 outcome: Outcome::Ok,
                 took_us,
                 settled: true,
-                note: Note::Filled,
-                waited_us: 0,
+                fill_result: FillResult::Filled,
+                fill_ttfb_us: 0,
                 load: None,
-            });
+            }));
             later += usize::from(n >= 40 && s.fill.source == first);
         }
         later
@@ -106,13 +110,13 @@
 
 #[test]
 fn hundreds_of_servers_in_any_order_give_the_same_actions() {
-    let list: Vec<Server> = (1..=300)
+    let list: Vec<Endpoint> = (1..=300)
         .map(|id| server(id, if id % 20 == 0 { "town" } else { "shore" }, "cache"))
         .chain([server(1011, "hub", "parent"), server(1012, "hub", "parent"), server(1021, "hub", "origin")])
         .collect();
     let mut turned = list.clone();
     turned.reverse();
-    let run = |servers: Vec<Server>| {
+    let run = |servers: Vec<Endpoint>| {
         let mut rig = Rig::new(settings(), servers);
         (0..200).map(|n| rig.ask("video", &format!("/o/{}", n % 50), 5 * S).1).collect::<Vec<_>>()
     };
@@ -121,23 +125,23 @@
 
 #[test]
 fn absurd_load_reports_do_no_harm() {
-    let run = |load: Option<Load>| {
+    let run = |load: Option<LoadReport>| {
         let mut rig = Rig::new(settings(), fleet());
         (0..50)
             .map(|n| {
                 let s = rig.send("video", &format!("/o/{n}"));
                 rig.now += 10 * MS;
-                rig.handle(Event::Outcome {
+                rig.handle(Event::AttemptEnded(AttemptReport {
                     request: s.request,
                     attempt: 0,
                     server: s.server,
                     outcome: Outcome::Ok,
                     took_us: 100 * MS,
                     settled: true,
-                    note: Note::Hit,
-                    waited_us: 0,
+                    fill_result: FillResult::Hit,
+                    fill_ttfb_us: 0,
                     load,
-                });
+                }));
                 s
             })
             .collect::<Vec<_>>()
@@ -145,7 +149,15 @@
     let calm = run(None);
     for value in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
         let all = Some(value);
-        assert_eq!(run(Some(Load { util: all, inflight: all, hit_share: all, link_use: all })), calm);
+        assert_eq!(
+            run(Some(LoadReport {
+                cpu_utilization: all,
+                in_flight: all,
+                hit_ratio: all,
+                link_utilization: all
+            })),
+            calm
+        );
     }
 }
 
@@ -158,8 +170,8 @@
         let object = if often { "/o/often".to_string() } else { format!("/o/{n}") };
         let (id, actions) = rig.ask("page", &object, 5 * S);
         if let Some(s) = sent(&actions) {
-            rig.end_with(id, 0, s.server, Outcome::Ok, Note::Hit);
-            last = last.filter(|_| !often).or(often.then_some(s.fill.keep));
+            rig.end_with(id, 0, s.server, Outcome::Ok, FillResult::Hit);
+            last = last.filter(|_| !often).or(often.then_some(s.fill.retention_rank));
         }
         rig.now += MS / 10;
     }
@@ -170,11 +182,11 @@
 fn unknown_classes_and_changes_for_unknown_servers_are_taken_in() {
     let mut rig = Rig::new(settings(), fleet());
     let (id, actions) = rig.ask("no-such-class", "/o/a", 5 * S);
-    assert_eq!(actions, vec![Action::Refuse { request: id, retry_after_us: None }]);
-    let gone = Server { state: State::Gone, ..server(77, "town", "cache") };
-    rig.handle(Event::List { mode: ListMode::Delta, servers: vec![gone] });
+    assert_eq!(actions, vec![Action::Reject { request: id, retry_after_us: None }]);
+    let gone = Endpoint { state: EndpointState::Gone, ..server(77, "town", "cache") };
+    rig.handle(Event::EndpointList { mode: EndpointListMode::Delta, endpoints: vec![gone] });
     let new = server(78, "town", "cache");
-    rig.handle(Event::List { mode: ListMode::Delta, servers: vec![new] });
+    rig.handle(Event::EndpointList { mode: EndpointListMode::Delta, endpoints: vec![new] });
     let servers: BTreeSet<ServerId> = (0..60).map(|n| rig.send("page", &format!("/o/{n}")).server).collect();
     assert!(!servers.contains(&77), "it is gone");
     assert!(servers.contains(&78), "it is ready");
@@ -182,11 +194,11 @@
 }
 
 /// What reaches one cold cache in its first windows, in requests of mean work, of what the settings allow, where
-/// `routers` routers see a request each every `every` and some of them start anew half-way through.
-fn cold_calls(routers: u32, every: Micros, restarted: u32, windows: u64) -> Vec<(f64, f64)> {
-    let mut settings = Settings { direct: false, ..settings() };
-    settings.zones[1].routers = routers;
-    settings.zones[2].routers = 0;
+/// `edge_proxies` edge_proxies see a request each every `every` and some of them start anew half-way through.
+fn cold_calls(edge_proxies: u32, every: Micros, restarted: u32, windows: u64) -> Vec<(f64, f64)> {
+    let mut settings = Settings { direct_requests: false, ..settings() };
+    settings.zones[1].edge_proxies = edge_proxies;
+    settings.zones[2].edge_proxies = 0;
     settings.zones[1].link_kb_per_s = 1e9;
     let mut servers = fleet();
     servers[0].started = Some(T0);
@@ -194,16 +206,20 @@
         let mut router =
             Router::new(settings.clone(), u64::from(seed).wrapping_mul(0x9e37_79b9)).expect("usable");
         let mut actions = Vec::new();
-        router.handle(now, Event::List { mode: ListMode::Full, servers: servers.clone() }, &mut actions);
+        router.handle(
+            now,
+            Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: servers.clone() },
+            &mut actions,
+        );
         router
     };
-    let mut fleet: Vec<Router> = (0..routers).map(|seed| new(seed, T0)).collect();
+    let mut fleet: Vec<Router> = (0..edge_proxies).map(|seed| new(seed, T0)).collect();
     let (mut id, mut calls) = (0, Vec::new());
     let end = T0 + windows * S;
     let mut now = T0;
     while now < end {
         if now == T0 + windows * S / 2 {
-            (0..restarted).for_each(|seed| fleet[seed as usize] = new(routers + seed, now));
+            (0..restarted).for_each(|seed| fleet[seed as usize] = new(edge_proxies + seed, now));
         }
         for router in &mut fleet {
             id += 1;
@@ -217,24 +233,24 @@
                 group: 1,
                 size_kb: 500.0,
                 remaining_us: 5 * S,
-                repeated: false,
+                is_retry: false,
             };
             let mut actions = Vec::new();
             router.handle(now, Event::Request(request), &mut actions);
             for a in &actions {
-                let Action::Attempt { server, .. } = a else { continue };
+                let Action::StartAttempt { server, .. } = a else { continue };
                 calls.extend((*server == 1).then_some(now));
-                let outcome = Event::Outcome {
+                let outcome = Event::AttemptEnded(AttemptReport {
                     request: id,
                     attempt: 0,
                     server: *server,
                     outcome: Outcome::Ok,
                     took_us: 100 * MS,
                     settled: true,
-                    note: Note::Hit,
-                    waited_us: 0,
+                    fill_result: FillResult::Hit,
+                    fill_ttfb_us: 0,
                     load: None,
-                };
+                });
                 router.handle(now, outcome, &mut Vec::new());
             }
         }
@@ -248,14 +264,14 @@
 
 #[test]
 fn what_all_routers_send_to_a_cold_cache_stays_within_its_ramp_however_many_ask() {
-    for (routers, every, restarted) in
+    for (edge_proxies, every, restarted) in
         [(30, 20 * MS, 0), (30, 20 * MS, 10), (100, 20 * MS, 30), (300, 50 * MS, 0)]
     {
-        let windows = cold_calls(routers, every, restarted, 6);
+        let windows = cold_calls(edge_proxies, every, restarted, 6);
         let most = windows.iter().map(|(calls, n)| calls / (n + 2.0 * n.sqrt() + 2.0)).fold(0.0, f64::max);
         assert!(
             most <= 1.0,
-            "{routers} routers, one request each {every} us: {most} of what a cold cache bears"
+            "{edge_proxies} edge_proxies, one request each {every} us: {most} of what a cold cache bears"
         );
         assert!(windows.iter().any(|(calls, _)| *calls > 0.0), "it is used at all");
     }
--- a/crates/sim-adapter/src/wire.rs
+++ b/crates/sim-adapter/src/wire.rs
@@ -21,44 +21,44 @@
 fn outcome(m: &Fields) -> Result<w::Outcome> {
     Ok(match text(m, "how")?.as_str() {
         "ok" => w::Outcome::Ok,
-        "full" => w::Outcome::Full,
+        "full" => w::Outcome::Rejected,
         "timeout" => w::Outcome::Timeout,
         "connect_failed" => w::Outcome::ConnectFailed,
         "reset" => w::Outcome::Reset,
         "cancelled" => w::Outcome::Cancelled,
-        "moot" => w::Outcome::Moot,
+        "moot" => w::Outcome::NotSent,
         "miss" => w::Outcome::Miss,
         // Anything that this page does not know may have run.
         _ => w::Outcome::Error,
     })
 }
 
-fn load(m: &Fields) -> Result<Option<w::Load>> {
+fn load(m: &Fields) -> Result<Option<w::LoadReport>> {
     let Some(v) = get(m, "usage") else { return Ok(None) };
     let r = v.as_object().ok_or_else(|| wrong("usage"))?;
     let value = |key: &str| get(r, key).and_then(Value::as_f64);
-    Ok(Some(w::Load {
-        util: value("cpu_share"),
-        inflight: value("busy_reqs"),
-        hit_share: value("x0"),
-        link_use: value("x1"),
+    Ok(Some(w::LoadReport {
+        cpu_utilization: value("cpu_share"),
+        in_flight: value("busy_reqs"),
+        hit_ratio: value("x0"),
+        link_utilization: value("x1"),
     }))
 }
 
-fn servers(m: &Fields) -> Result<Vec<w::Server>> {
+fn servers(m: &Fields) -> Result<Vec<w::Endpoint>> {
     let mut servers = Vec::new();
     for v in list(m, "items")? {
         let e = v.as_object().ok_or_else(|| wrong("items"))?;
-        servers.push(w::Server {
+        servers.push(w::Endpoint {
             id: int(e, "store")?,
             zone: text_or(e, "campus", "")?,
             cell: int_or(e, "group", 0)?,
             kind: text_or(e, "shape", "")?,
             weight: num_or(e, "weight", 1.0)?,
             state: match int(e, "state")? {
-                1 => w::State::Ready,
-                2 => w::State::Draining,
-                _ => w::State::Gone,
+                1 => w::EndpointState::Ready,
+                2 => w::EndpointState::Draining,
+                _ => w::EndpointState::Gone,
             },
             started: Some(int_or(e, "born-us", 0)?).filter(|t| *t > 0),
         });
@@ -68,13 +68,13 @@
 
 fn event(kind: &str, m: &Fields) -> Result<Option<w::Event>> {
     Ok(Some(match kind {
-        "PeersKnown" => w::Event::List {
+        "PeersKnown" => w::Event::EndpointList {
             mode: match int(m, "mode")? {
-                1 | 3 => w::ListMode::Full,
-                2 => w::ListMode::Delta,
-                _ => w::ListMode::Failed,
+                1 | 3 => w::EndpointListMode::Snapshot,
+                2 => w::EndpointListMode::Delta,
+                _ => w::EndpointListMode::Failed,
             },
-            servers: servers(m)?,
+            endpoints: servers(m)?,
         },
         "Order" => w::Event::Request(w::Request {
             id: int(m, "request-id")?,
@@ -88,35 +88,37 @@
                 .map_or(Err("field 'remaining-us' is missing".into()), |v| {
                     v.as_f64().map(|f| f.max(0.0) as u64).ok_or_else(|| wrong("remaining-us"))
                 })?,
-            repeated: int_or(m, "marks", 0)? & 2 != 0,
+            is_retry: int_or(m, "marks", 0)? & 2 != 0,
         }),
-        "Accepted" => w::Event::Begun { request: int(m, "request-id")?, attempt: int_or(m, "go", 0)? as u32 },
-        "Resolved" => w::Event::Outcome {
+        "Accepted" => {
+            w::Event::StreamStarted { request: int(m, "request-id")?, attempt: int_or(m, "go", 0)? as u32 }
+        }
+        "Resolved" => w::Event::AttemptEnded(w::AttemptReport {
             request: int(m, "request-id")?,
             attempt: int_or(m, "go", 0)? as u32,
             server: int(m, "store")?,
             outcome: outcome(m)?,
             took_us: int_or(m, "took-us", 0)?,
             settled: flag(m, "settled")?,
-            note: match int_or(m, "note", 0)? {
-                1 => w::Note::Hit,
-                2 => w::Note::Filled,
-                3 => w::Note::FilledByOrigin,
-                4 => w::Note::Joined,
-                5 => w::Note::Stale,
-                6 => w::Note::SourceRefused,
-                7 => w::Note::SourceLost,
-                8 => w::Note::SourceLacks,
-                9 => w::Note::NoFillPlace,
-                10 => w::Note::OriginFailed,
-                _ => w::Note::None,
+            fill_result: match int_or(m, "note", 0)? {
+                1 => w::FillResult::Hit,
+                2 => w::FillResult::Filled,
+                3 => w::FillResult::FilledFromOrigin,
+                4 => w::FillResult::Coalesced,
+                5 => w::FillResult::Stale,
+                6 => w::FillResult::SourceRejected,
+                7 => w::FillResult::SourceUnreachable,
+                8 => w::FillResult::SourceMiss,
+                9 => w::FillResult::NoFillSlot,
+                10 => w::FillResult::OriginFailed,
+                _ => w::FillResult::Unknown,
             },
-            waited_us: int_or(m, "first-byte-us", 0)?,
+            fill_ttfb_us: int_or(m, "first-byte-us", 0)?,
             load: load(m)?,
-        },
-        "ClientLeft" => w::Event::Left { request: int(m, "request-id")? },
+        }),
+        "ClientLeft" => w::Event::ClientDisconnected { request: int(m, "request-id")? },
         "Elapsed" => w::Event::Timer { tag: int(m, "ctx")? },
-        "CheckResult" => w::Event::Probed {
+        "CheckResult" => w::Event::ProbeEnded {
             server: int(m, "store")?,
             outcome: outcome(m)?,
             took_us: int_or(m, "took-us", 0)?,
@@ -126,7 +128,7 @@
             object: name(m, "content-id")?,
             group: int_or(m, "batch-id", 0)?,
             age_us: int_or(m, "how-old-us", 0)?,
-            lasting: false,
+            permanent: false,
         },
         // Messages between instances are not used, and later kinds of message are not known.
         _ => return Ok(None),
@@ -135,27 +137,27 @@
 
 fn action(i: u64, a: &w::Action) -> Value {
     match a {
-        w::Action::Attempt { request, server, timeout_us, fill: None, .. } => json!({
+        w::Action::StartAttempt { request, server, timeout_us, fill: None, .. } => json!({
             "event_type": "Assign", "i": i, "request-id": request, "store": server,
             "allow-for-us": timeout_us,
         }),
-        w::Action::Attempt { request, server, timeout_us, fill: Some(f), .. } => json!({
+        w::Action::StartAttempt { request, server, timeout_us, fill: Some(f), .. } => json!({
             "event_type": "ReadThrough", "i": i, "request-id": request, "store": server,
-            "allow-for-us": timeout_us, "feeder": f.source, "tier-rank": f.keep, "how-old-us": f.max_age_us,
-            "how": u8::from(f.join) + 2 * u8::from(f.only_held) + 4 * u8::from(f.bypass_parent)
-                + 8 * u8::from(f.renew),
+            "allow-for-us": timeout_us, "feeder": f.source, "tier-rank": f.retention_rank, "how-old-us": f.max_age_us,
+            "how": u8::from(f.coalesce) + 2 * u8::from(f.only_if_cached) + 4 * u8::from(f.bypass_parent)
+                + 8 * u8::from(f.background_refresh),
         }),
-        w::Action::Cancel { request, attempt } => {
+        w::Action::CancelAttempt { request, attempt } => {
             json!({"event_type": "Retract", "i": i, "request-id": request, "go": attempt})
         }
-        w::Action::Refuse { request, retry_after_us } => json!({
+        w::Action::Reject { request, retry_after_us } => json!({
             "event_type": "PushBack", "i": i, "request-id": request, "retry-after-us": retry_after_us,
         }),
         w::Action::Fail { request } => json!({"event_type": "Abort", "i": i, "request-id": request}),
-        w::Action::Timer { at, tag } => json!({"event_type": "After", "i": i, "at-us": at, "ctx": tag}),
+        w::Action::SetTimer { at, tag } => json!({"event_type": "After", "i": i, "at-us": at, "ctx": tag}),
         w::Action::Probe { server } => json!({"event_type": "SoundOut", "i": i, "store": server}),
-        w::Action::Watch => json!({"event_type": "Track", "i": i, "want": true}),
-        w::Action::Report { line } => json!({"event_type": "Emit", "i": i, "msg": line}),
+        w::Action::WatchEndpoints => json!({"event_type": "Track", "i": i, "want": true}),
+        w::Action::Log { line } => json!({"event_type": "Emit", "i": i, "msg": line}),
     }
 }
 
--- a/crates/sim-adapter/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -134,5 +134,5 @@
     let born = born().replace("\"tip-after-us\":1000000", "\"tip-after-us\":0");
     let out = run(&batch(1, 1, &[born]));
     assert!(!out.status.success());
-    assert!(String::from_utf8_lossy(&out.stderr).contains("fall time"));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("overload window"));
 }
