--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,7 +33,7 @@
 //!     id, zone: zone.into(), cell: 0, kind: kind.into(), weight: 8.0, state: EndpointState::Ready, started: None,
 //! };
 //! let servers = vec![server(1, "town", "cache"), server(9, "hub", "origin")];
-//! router.handle(0, Event::EndpointList { mode: EndpointListMode::Snapshot, servers }, &mut actions);
+//! router.handle(0, Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: servers }, &mut actions);
 //!
 //! // A request: the router names the cache, and the origin as the source of a fill.
 //! actions.clear();
