--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,8 +1,8 @@
 //! The one place where configuration is read, given defaults and checked. Every message names the faulty key.
 
-use crate::discovery::event_bus::{read_event, BusEvent};
+use crate::discovery::event_bus::{read_event, EventBusMessage};
 use crate::frontend::interconnect::footprint::Network;
-use crate::frontend::interconnect::{Identity, Neighbour};
+use crate::frontend::interconnect::{Identity, PeerCdn};
 use crate::limits::Limits;
 use edge_routing::Settings;
 use edge_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
@@ -27,7 +27,7 @@
     /// The event bus; none: the list comes from elsewhere.
     pub bus: Option<SocketAddr>,
     /// The events up to the start, and the number of the last.
-    pub known: (u64, Vec<BusEvent>),
+    pub known: (u64, Vec<EventBusMessage>),
     /// What the decision module is told.
     pub settings: Settings,
     /// Where peers send to, and where they are sent to.
@@ -53,25 +53,34 @@
 const SOCKET_SLACK_US: u64 = 50_000;
 
 fn address(m: &Fields, key: &str) -> Result<Option<SocketAddr>> {
-    get(m, key).map(|_| text(m, key)?.parse().map_err(|_| wrong(key))).transpose()
+    get(m, key)
+        .map(|_| text(m, key)?.parse().map_err(|_| wrong(key)))
+        .transpose()
 }
 
-fn known(m: &Fields) -> Result<(u64, Vec<BusEvent>)> {
+fn known(m: &Fields) -> Result<(u64, Vec<EventBusMessage>)> {
     if get(m, "known").is_none() {
         return Ok((0, Vec::new()));
     }
     let known = object(m, "known")?;
-    let events = list(known, "batch")?.iter().map(read_event).collect::<Result<_>>()?;
+    let events = list(known, "batch")?
+        .iter()
+        .map(read_event)
+        .collect::<Result<_>>()?;
     Ok((int_or(known, "offset", 0)?, events))
 }
 
 fn cdni(m: &Fields, settings: &Settings) -> Result<Option<Cdni>> {
-    let Some(listen) = address(m, "listen")? else { return Ok(None) };
-    let networks = list(m, "footprint")?.iter().map(|v| v.as_str().and_then(Network::read));
+    let Some(listen) = address(m, "listen")? else {
+        return Ok(None);
+    };
+    let networks = list(m, "footprint")?
+        .iter()
+        .map(|v| v.as_str().and_then(Network::read));
     let mut neighbours = Vec::new();
     for v in list(m, "neighbours")? {
         let n = v.as_object().ok_or_else(|| wrong("neighbours"))?;
-        neighbours.push(Neighbour {
+        neighbours.push(PeerCdn {
             provider: text(n, "provider")?,
             address: address(n, "address")?.ok_or("field 'address' is missing")?,
             triggers: text_or(n, "triggers", "/cdni/triggers")?,
@@ -83,12 +92,21 @@
     let identity = Identity {
         provider: text(m, "provider")?,
         base: text(m, "base")?,
-        footprint: networks.collect::<Option<_>>().ok_or_else(|| wrong("footprint"))?,
+        footprint: networks
+            .collect::<Option<_>>()
+            .ok_or_else(|| wrong("footprint"))?,
         neighbours,
         classes: read.map(|c| (c.name.clone(), c.deadline_us)).collect(),
     };
-    let purges = get(m, "purges").map(|_| text(m, "purges")).transpose()?.map(PathBuf::from);
-    Ok(Some(Cdni { listen, identity, purges }))
+    let purges = get(m, "purges")
+        .map(|_| text(m, "purges"))
+        .transpose()?
+        .map(PathBuf::from);
+    Ok(Some(Cdni {
+        listen,
+        identity,
+        purges,
+    }))
 }
 
 /// The object of a file.
@@ -106,7 +124,8 @@
     /// lacks. The second front and Consul stand in a file of the deployment's own, `deploy/interconnect.json`
     /// unless `EDGE_PROXY_INTERCONNECT` names another.
     pub fn from_env() -> Result<Self> {
-        let path = std::env::var("ROUTER_CONFIG").map_err(|_| "the variable ROUTER_CONFIG names no file")?;
+        let path = std::env::var("ROUTER_CONFIG")
+            .map_err(|_| "the variable ROUTER_CONFIG names no file")?;
         let mut m = file(&path)?;
         for (key, variable) in [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN")] {
             if let (None, Ok(said)) = (get(&m, key), std::env::var(variable)) {
@@ -117,7 +136,9 @@
         let named = std::env::var("EDGE_PROXY_INTERCONNECT").ok();
         let path = named.as_deref().unwrap_or(INTERCONNECT);
         if named.is_some() || Path::new(path).exists() {
-            config.interconnect(&file(path)?).map_err(|e| format!("{path}: {e}"))?;
+            config
+                .interconnect(&file(path)?)
+                .map_err(|e| format!("{path}: {e}"))?;
         }
         Ok(config)
     }
@@ -125,12 +146,14 @@
     /// Reads where the second front listens and whether Consul is asked; both are off where nothing is said.
     pub fn interconnect(&mut self, m: &Fields) -> Result<()> {
         if get(m, "cdni").is_some() {
-            self.cdni = cdni(object(m, "cdni")?, &self.settings).map_err(|e| format!("cdni: {e}"))?;
+            self.cdni =
+                cdni(object(m, "cdni")?, &self.settings).map_err(|e| format!("cdni: {e}"))?;
         }
         if get(m, "consul").is_some() {
             let consul = object(m, "consul")?;
             let to = address(consul, "address").map_err(|e| format!("consul: {e}"))?;
-            let service = text_or(consul, "service", "pop-cache").map_err(|e| format!("consul: {e}"))?;
+            let service =
+                text_or(consul, "service", "pop-cache").map_err(|e| format!("consul: {e}"))?;
             self.consul = to.map(|to| (to, service));
         }
         Ok(())
@@ -150,13 +173,21 @@
             ("cdni", self.cdni != new.cdni),
             ("consul", self.consul != new.consul),
         ];
-        changes.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+        changes
+            .into_iter()
+            .filter(|(_, changed)| *changed)
+            .map(|(key, _)| key)
+            .collect()
     }
 
     /// Reads a configuration.
     pub fn read(m: &Fields) -> Result<Self> {
         let none = Fields::new();
-        let machine = if get(m, "limits").is_some() { object(m, "limits")? } else { &none };
+        let machine = if get(m, "limits").is_some() {
+            object(m, "limits")?
+        } else {
+            &none
+        };
         let whole = |key: &str, default: u64| {
             int_or(machine, key, default).and_then(|n| {
                 let n = usize::try_from(n).map_err(|_| wrong(&format!("limits.{key}")))?;
@@ -168,8 +199,12 @@
             })
         };
         let seed = text_or(m, "seed", "0")?;
-        let peers = list(m, "peers")?.iter().map(|v| v.as_str().and_then(|p| p.parse().ok()));
-        let peers = peers.collect::<Option<Vec<_>>>().ok_or_else(|| wrong("peers"))?;
+        let peers = list(m, "peers")?
+            .iter()
+            .map(|v| v.as_str().and_then(|p| p.parse().ok()));
+        let peers = peers
+            .collect::<Option<Vec<_>>>()
+            .ok_or_else(|| wrong("peers"))?;
         let mut parsed = settings(object(m, "settings")?).map_err(|e| format!("settings: {e}"))?;
         // Boxes drop what was purged by themselves, each time limit on sockets being that much longer: until
         // then an age must be asked for.
@@ -180,9 +215,14 @@
             listen: address(m, "listen")?.ok_or("field 'listen' is missing")?,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong("seed"))?,
             limits: Limits {
-                back_off_us: parsed.max_retry_after_us.min(200_000),
+                retry_after_us: parsed.max_retry_after_us.min(200_000),
                 shutdown_deadline_us: Limits::shutdown_deadline_us(
-                    parsed.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0),
+                    parsed
+                        .classes
+                        .iter()
+                        .map(|c| c.deadline_us)
+                        .max()
+                        .unwrap_or(0),
                 ),
                 ..Limits::for_machine(whole("sockets", 1024)?, whole("memory_mb", 192)?)
             },
--- a/crates/proxy/src/discovery/purge_gossip.rs
+++ b/crates/proxy/src/discovery/purge_gossip.rs
@@ -19,9 +19,13 @@
 
 /// Object, group and time of a purge, if the datagram is one.
 pub fn read(bytes: &[u8]) -> Option<Purge> {
-    let text = std::str::from_utf8(bytes).ok().filter(|t| t.len() <= MOST)?;
+    let text = std::str::from_utf8(bytes)
+        .ok()
+        .filter(|t| t.len() <= MOST)?;
     let mut words = text.split(' ');
-    let (Some("purge"), kind, what, at) = (words.next(), words.next()?, words.next()?, words.next()?) else {
+    let (Some("purge"), kind, what, at) =
+        (words.next(), words.next()?, words.next()?, words.next()?)
+    else {
         return None;
     };
     let at = at.parse().ok().filter(|_| words.next().is_none())?;
@@ -38,10 +42,23 @@
 
     #[test]
     fn datagrams_come_back_as_they_were_and_stay_short() {
-        assert_eq!(read(write(Some("0a"), 0, 7).unwrap().as_bytes()), Some((Some("0a".into()), 0, 7)));
-        assert_eq!(read(write(None, 9, 8).unwrap().as_bytes()), Some((None, 9, 8)));
+        assert_eq!(
+            read(write(Some("0a"), 0, 7).unwrap().as_bytes()),
+            Some((Some("0a".into()), 0, 7))
+        );
+        assert_eq!(
+            read(write(None, 9, 8).unwrap().as_bytes()),
+            Some((None, 9, 8))
+        );
         assert_eq!(write(Some(&"a".repeat(250)), 0, 1), None);
-        for bad in ["", "purge", "purge group x 1", "purge group 1 1 1", "purge object a -1", "hello a b 1"] {
+        for bad in [
+            "",
+            "purge",
+            "purge group x 1",
+            "purge group 1 1 1",
+            "purge object a -1",
+            "hello a b 1",
+        ] {
             assert_eq!(read(bad.as_bytes()), None, "{bad}");
         }
     }
--- a/crates/proxy/src/event_loop/clients.rs
+++ b/crates/proxy/src/event_loop/clients.rs
@@ -1,11 +1,11 @@
 //! Clients' connections on the platform's front: who is taken in, who has to leave, what they ask and are answered.
 
 use super::{Connection, Daemon, Kind, Timer, LISTENER};
-use crate::frontend::fastcgi::Input;
+use crate::frontend::fastcgi::SessionEvent;
 use crate::limits::Limits;
-use crate::net::{Conn, Key, Progress};
-use crate::protocol::WireError;
-use crate::request_table::{Answer, Client};
+use crate::net::{BufferedSocket, IoProgress, SlabKey};
+use crate::protocol::ProtocolError;
+use crate::request_table::{Answer, ResponseTarget};
 use edge_routing::Micros;
 use std::io;
 
@@ -27,12 +27,12 @@
 /// When a connection ends that stays what it has been since then; none while answers are owed.
 fn leaves_at(standing: Standing, owed: usize, since: Micros, limits: &Limits) -> Option<Micros> {
     let after = match standing {
-        Standing::Lingering => limits.linger_us,
-        Standing::Silent | Standing::Half => limits.client_half_us,
-        Standing::Idle => limits.client_idle_us,
+        Standing::Lingering => limits.lingering_close_us,
+        Standing::Silent | Standing::Half => limits.client_request_timeout_us,
+        Standing::Idle => limits.client_idle_timeout_us,
         Standing::Busy if owed > 0 => return None,
         // All is said, and the client takes none of it.
-        Standing::Busy => limits.client_stalled_us,
+        Standing::Busy => limits.client_write_timeout_us,
     };
     Some(since + after)
 }
@@ -40,22 +40,32 @@
 impl Daemon {
     fn standing(c: &Connection) -> Option<Standing> {
         let (busy, half, asked) = match &c.kind {
-            Kind::Client(s) => (s.is_waiting(), s.is_half(), s.has_asked()),
-            Kind::Cdni(s) => (!s.is_idle(), s.is_half(), s.has_asked()),
+            Kind::Client(s) => (s.is_busy(), s.has_partial_input(), s.has_received_request()),
+            Kind::Cdni(s) => (
+                !s.is_idle(),
+                s.has_partial_input(),
+                s.has_received_request(),
+            ),
             Kind::Lingering(_) => return Some(Standing::Lingering),
             _ => return None,
         };
-        Some(match (busy || !c.conn.output.is_empty(), half || !c.conn.input.is_empty(), asked) {
-            (true, ..) => Standing::Busy,
-            (_, true, _) => Standing::Half,
-            (.., true) => Standing::Idle,
-            _ => Standing::Silent,
-        })
+        Some(
+            match (
+                busy || !c.conn.output.is_empty(),
+                half || !c.conn.input.is_empty(),
+                asked,
+            ) {
+                (true, ..) => Standing::Busy,
+                (_, true, _) => Standing::Half,
+                (.., true) => Standing::Idle,
+                _ => Standing::Silent,
+            },
+        )
     }
 
-    fn owed(c: &Connection) -> usize {
+    fn unanswered(c: &Connection) -> usize {
         match &c.kind {
-            Kind::Client(s) => s.owed(),
+            Kind::Client(s) => s.unanswered(),
             Kind::Cdni(s) => usize::from(s.waiting.is_some()),
             _ => 0,
         }
@@ -66,9 +76,9 @@
     /// and keep their connection for good, must not shut all others out. One that came a moment ago is let be:
     /// its request is on its way.
     /// So is one whose request has come but was not read yet.
-    pub(super) fn room_for_client(&mut self, now: Micros) -> io::Result<Option<Key>> {
+    pub(super) fn room_for_client(&mut self, now: Micros) -> io::Result<Option<SlabKey>> {
         loop {
-            if self.clients < self.limits.clients && self.has_place() {
+            if self.clients < self.limits.client_connections && self.has_place() {
                 return Ok(None);
             }
             let leaver = self.leaver(now).ok_or(io::ErrorKind::OutOfMemory)?;
@@ -81,21 +91,28 @@
     }
 
     /// The client's connection that is the first to make room.
-    fn leaver(&self, now: Micros) -> Option<Key> {
-        let settled = now.saturating_sub(self.limits.settle_us);
-        let leaves = |key: &Key| {
+    fn leaver(&self, now: Micros) -> Option<SlabKey> {
+        let settled = now.saturating_sub(self.limits.eviction_immunity_us);
+        let leaves = |key: &SlabKey| {
             let c = self.connections.get(*key)?;
             let standing = Self::standing(c).filter(|s| *s != Standing::Busy)?;
             Some((standing, c.since)).filter(|(_, since)| *since <= settled)
         };
         let keys = self.connections.keys();
-        keys.iter().filter_map(|key| Some((leaves(key)?, *key))).min().map(|(_, key)| key)
+        keys.iter()
+            .filter_map(|key| Some((leaves(key)?, *key)))
+            .min()
+            .map(|(_, key)| key)
     }
 
     /// Notes what a client's connection is at since when, after something was read or written there.
-    pub(super) fn note_client(&mut self, now: Micros, key: Key) {
-        let Some(c) = self.connections.get_mut(key) else { return };
-        let Some(standing) = Self::standing(c) else { return };
+    pub(super) fn note_client(&mut self, now: Micros, key: SlabKey) {
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        let Some(standing) = Self::standing(c) else {
+            return;
+        };
         let half = standing == Standing::Half;
         // A request that comes in crumbs stays the one that began with the first.
         if standing == Standing::Busy || half && !std::mem::replace(&mut c.half, half) {
@@ -104,23 +121,29 @@
         c.half = half;
         // Hundreds of clients may ask once and keep their connections: what each has taken must not add up.
         if standing == Standing::Idle {
-            c.conn.input.release();
-            c.conn.output.release();
+            c.conn.input.release_memory();
+            c.conn.output.release_memory();
         }
     }
 
-    /// Counts what a client's connection holds of requests that have come in part. Where all of them hold too much,
+    /// RequestCounters what a client's connection holds of requests that have come in part. Where all of them hold too much,
     /// the one that holds the most is ended.
-    pub(super) fn bound_half(&mut self, now: Micros, key: Key) {
-        let Some(Connection { kind: Kind::Client(session), half_bytes, .. }) = self.connections.get_mut(key)
+    pub(super) fn bound_half(&mut self, now: Micros, key: SlabKey) {
+        let Some(Connection {
+            kind: Kind::Client(session),
+            half_bytes,
+            ..
+        }) = self.connections.get_mut(key)
         else {
             return;
         };
-        let before = std::mem::replace(half_bytes, session.half_bytes());
+        let before = std::mem::replace(half_bytes, session.partial_request_bytes());
         self.half_bytes = self.half_bytes + *half_bytes - before;
-        while self.half_bytes > self.limits.half_requests {
-            let held = |key: &Key| self.connections.get(*key).map(|c| c.half_bytes);
-            let Some(most) = self.connections.keys().into_iter().max_by_key(held) else { return };
+        while self.half_bytes > self.limits.partial_request_bytes {
+            let held = |key: &SlabKey| self.connections.get(*key).map(|c| c.half_bytes);
+            let Some(most) = self.connections.keys().into_iter().max_by_key(held) else {
+                return;
+            };
             log::info!("a connection is ended: it holds the most of too many requests in part");
             self.end(now, most);
         }
@@ -128,22 +151,39 @@
 
     /// Ends a client's connection that holds its place for nothing. Usual clients end theirs sooner, so none of
     /// their requests can cross this.
-    pub(super) fn look_at_client(&mut self, now: Micros, key: Key) {
-        let due = |c: &Connection| leaves_at(Self::standing(c)?, Self::owed(c), c.since, &self.limits);
-        if self.connections.get(key).and_then(due).is_some_and(|due| due <= now) {
+    pub(super) fn look_at_client(&mut self, now: Micros, key: SlabKey) {
+        let due = |c: &Connection| {
+            leaves_at(
+                Self::standing(c)?,
+                Self::unanswered(c),
+                c.since,
+                &self.limits,
+            )
+        };
+        if self
+            .connections
+            .get(key)
+            .and_then(due)
+            .is_some_and(|due| due <= now)
+        {
             self.look_for_input(now, key);
         }
-        let Some(c) = self.connections.get_mut(key) else { return };
-        let Some(standing) = Self::standing(c) else { return };
-        match leaves_at(standing, Self::owed(c), c.since, &self.limits) {
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        let Some(standing) = Self::standing(c) else {
+            return;
+        };
+        match leaves_at(standing, Self::unanswered(c), c.since, &self.limits) {
             // One that takes nothing, of what is written or of the end, is not waited for any longer.
             Some(due) if due <= now && matches!(standing, Standing::Busy | Standing::Lingering) => {
                 self.close(now, key);
             }
             Some(due) if due <= now => self.end(now, key),
             due => {
-                let look = now + self.limits.client_look_us;
-                self.deadlines.set(due.map_or(look, |due| due.min(look)), Timer::Client(key));
+                let look = now + self.limits.client_sweep_us;
+                self.timers
+                    .set(due.map_or(look, |due| due.min(look)), Timer::Client(key));
             }
         }
     }
@@ -152,13 +192,18 @@
         while self.listener.is_some() {
             // With no room left, connections wait in the kernel's queue: others end, and these are taken then.
             let room = self.room_for_client(now);
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else {
+                return;
+            };
             let taken = room.and_then(|leaver| Ok((listener.accept()?.0, leaver)));
             let (socket, leaver) = match taken {
                 Ok(taken) => taken,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted
+                    ) =>
                 {
                     continue
                 }
@@ -170,7 +215,12 @@
                     return self.accept_later(now);
                 }
             };
-            let conn = Conn::new(socket, true, self.limits.input_ring, self.limits.output_ring);
+            let conn = BufferedSocket::new(
+                socket,
+                true,
+                self.limits.input_buffer_bytes,
+                self.limits.output_buffer_bytes,
+            );
             if let Ok(conn) = conn {
                 self.take_in(now, conn, Kind::Client(Default::default()), leaver);
             }
@@ -184,47 +234,79 @@
     /// of them would set two more while the table stays full.
     pub(super) fn accept_later(&mut self, now: Micros) {
         if !std::mem::replace(&mut self.accepts_later, true) {
-            self.deadlines.set(now + self.limits.accept_again_us, Timer::Accept);
+            self.timers
+                .set(now + self.limits.accept_retry_us, Timer::Accept);
         }
     }
 
     /// A client's connection, of either front, and who leaves for it.
-    pub(super) fn take_in(&mut self, now: Micros, conn: Conn, kind: Kind, leaver: Option<Key>) {
+    pub(super) fn take_in(
+        &mut self,
+        now: Micros,
+        conn: BufferedSocket,
+        kind: Kind,
+        leaver: Option<SlabKey>,
+    ) {
         if let Some(leaver) = leaver {
             self.close(now, leaver);
         }
         if let Some(key) = self.open(now, conn, kind) {
             self.clients += 1;
-            self.deadlines.set(now + self.limits.client_half_us, Timer::Client(key));
+            self.timers.set(
+                now + self.limits.client_request_timeout_us,
+                Timer::Client(key),
+            );
         }
     }
 
     /// Takes in what a client's connection asks.
-    pub(super) fn read_client(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
+    pub(super) fn read_client(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
         loop {
-            let Some(c) = self.connections.get_mut(key) else { return Ok(()) };
-            let Kind::Client(session) = &mut c.kind else { return Ok(()) };
+            let Some(c) = self.connections.get_mut(key) else {
+                return Ok(());
+            };
+            let Kind::Client(session) = &mut c.kind else {
+                return Ok(());
+            };
             match session.read(&mut c.conn.input, &self.limits)? {
                 None => return Ok(()),
-                Some(Input::Leave(ticket)) => self.core.leave(now, ticket),
-                Some(Input::Health(stream)) => {
-                    let ready = self.core.is_ready() && !self.stopping;
-                    session.say(stream, if ready { "200 OK" } else { "503 Service Unavailable" });
+                Some(SessionEvent::Abort(request_key)) => {
+                    self.request_table.client_disconnected(now, request_key)
+                }
+                Some(SessionEvent::HealthCheck(stream)) => {
+                    let ready = self.request_table.is_ready() && !self.stopping;
+                    session.respond_with_status(
+                        stream,
+                        if ready {
+                            "200 OK"
+                        } else {
+                            "503 Service Unavailable"
+                        },
+                    );
                 }
-                Some(Input::Ask(stream, asked)) => {
-                    let client = Client { connection: key, stream: u32::from(stream) };
-                    let slow = self.waiting_answers > self.limits.waiting_answers;
+                Some(SessionEvent::Request(stream, asked)) => {
+                    let client = ResponseTarget {
+                        connection: key,
+                        stream: u32::from(stream),
+                    };
+                    let slow = self.waiting_answers > self.limits.unsent_answer_bytes;
                     // One client's flood must leave room for the requests of the others.
-                    let flood = !self.limits.admits(session.owed(), self.core.is_crowded());
-                    let ticket = if slow || flood || self.grace_over {
+                    let flood = !self
+                        .limits
+                        .admits(session.unanswered(), self.request_table.is_half_full());
+                    let request_key = if slow || flood || self.grace_over {
                         None
                     } else {
-                        self.core.ask(now, client, asked)
+                        self.request_table.admit(now, client, asked)
                     };
-                    match ticket {
-                        Some(ticket) => session.taken(stream, ticket),
-                        None => session
-                            .answer(stream, &Answer::Refused { wait_us: Some(self.limits.back_off_us) }),
+                    match request_key {
+                        Some(request_key) => session.request_admitted(stream, request_key),
+                        None => session.respond(
+                            stream,
+                            &Answer::Rejected {
+                                retry_after_us: Some(self.limits.retry_after_us),
+                            },
+                        ),
                     }
                 }
             }
@@ -233,11 +315,13 @@
         }
     }
 
-    pub(super) fn answer(&mut self, now: Micros, client: Client, answer: Answer) {
-        let Some(c) = self.connections.get_mut(client.connection) else { return };
+    pub(super) fn answer(&mut self, now: Micros, client: ResponseTarget, answer: Answer) {
+        let Some(c) = self.connections.get_mut(client.connection) else {
+            return;
+        };
         match &mut c.kind {
             Kind::Client(session) => {
-                session.answer(client.stream as u16, &answer);
+                session.respond(client.stream as u16, &answer);
                 self.write_client(client.connection);
             }
             Kind::Cdni(_) => self.answer_cdni(now, client.connection, answer),
@@ -245,16 +329,20 @@
         }
     }
 
-    pub(super) fn write_client(&mut self, key: Key) {
-        let Some(c) = self.connections.get_mut(key) else { return };
-        let Kind::Client(session) = &mut c.kind else { return };
+    pub(super) fn write_client(&mut self, key: SlabKey) {
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        let Kind::Client(session) = &mut c.kind else {
+            return;
+        };
         loop {
             session.write(&mut c.conn.output);
-            if c.conn.write() != Progress::Moved {
+            if c.conn.write() != IoProgress::Advanced {
                 break;
             }
         }
-        let before = std::mem::replace(&mut c.waiting, session.waiting());
+        let before = std::mem::replace(&mut c.waiting, session.unsent_bytes());
         self.waiting_answers = self.waiting_answers + c.waiting - before;
     }
 }
@@ -268,9 +356,15 @@
         let limits = Limits::for_machine(256, 32);
         let at = |standing, owed| leaves_at(standing, owed, 7, &limits);
         assert_eq!(at(Standing::Busy, 1), None);
-        assert_eq!(at(Standing::Busy, 0), Some(7 + limits.client_stalled_us), "it takes no answer");
+        assert_eq!(
+            at(Standing::Busy, 0),
+            Some(7 + limits.client_write_timeout_us),
+            "it takes no answer"
+        );
         // What is owed within three seconds of connecting, and what usual clients end by themselves after four.
-        assert!([Standing::Silent, Standing::Half].iter().all(|s| at(*s, 0) < Some(7 + 3_000_000)));
+        assert!([Standing::Silent, Standing::Half]
+            .iter()
+            .all(|s| at(*s, 0) < Some(7 + 3_000_000)));
         assert!(at(Standing::Idle, 0) > Some(7 + 4_000_000));
         assert!(Standing::Silent < Standing::Half && Standing::Half < Standing::Idle);
     }
--- a/crates/proxy/src/event_loop/discovery.rs
+++ b/crates/proxy/src/event_loop/discovery.rs
@@ -1,27 +1,31 @@
 //! Where the list of boxes and purges come from: the event bus, Consul and the peers.
 
 use super::{Daemon, Kind, Timer};
-use crate::discovery::consul::Call;
-use crate::discovery::event_bus::{BusEvent, Feed, News};
+use crate::discovery::consul::ConsulQuery;
+use crate::discovery::event_bus::{DiscoveryEvent, EventBusMessage, EventStreamClient};
 use crate::discovery::purge_gossip as peers;
-use crate::net::Key;
+use crate::net::SlabKey;
 use edge_routing::{EndpointListMode, Micros};
 use std::io;
 
 impl Daemon {
-    pub(super) fn news(&mut self, now: Micros, event: BusEvent) {
-        match event.news {
+    pub(super) fn news(&mut self, now: Micros, event: EventBusMessage) {
+        match event.event {
             // One source has the list: two would take each other's boxes for gone.
-            Some(News::List(..)) if self.consul.is_some() => {}
-            Some(News::List(mode, entries)) => self.core.list(now, mode, entries),
-            Some(News::Purge { object, group, at }) => self.core.purged(now, object, group, at),
+            Some(DiscoveryEvent::List(..)) if self.consul.is_some() => {}
+            Some(DiscoveryEvent::List(mode, entries)) => {
+                self.request_table.update_endpoints(now, mode, entries)
+            }
+            Some(DiscoveryEvent::Purge { object, group, at }) => {
+                self.request_table.purged(now, object, group, at)
+            }
             None => log::debug!("event {} of the bus is of an unknown kind", event.offset),
         }
     }
 
     /// An event that has just happened: neighbours hear of purges too.
-    pub(super) fn heard(&mut self, now: Micros, event: BusEvent) {
-        if let Some(News::Purge { object, group, .. }) = &event.news {
+    pub(super) fn heard(&mut self, now: Micros, event: EventBusMessage) {
+        if let Some(DiscoveryEvent::Purge { object, group, .. }) = &event.event {
             self.pass_on(now, object.as_deref(), *group);
         }
         self.news(now, event);
@@ -29,8 +33,16 @@
 
     pub(super) fn call_bus(&mut self, now: Micros) {
         let Some(bus) = self.config.bus else { return };
-        self.feed = self.call(now, bus, Kind::Bus(Feed::new(&self.limits, now)));
-        let silent = if self.feed.is_some() { self.limits.bus_silence_us } else { self.limits.bus_again_us };
+        self.feed = self.call(
+            now,
+            bus,
+            Kind::Bus(EventStreamClient::new(&self.limits, now)),
+        );
+        let silent = if self.feed.is_some() {
+            self.limits.event_bus_silence_us
+        } else {
+            self.limits.reconnect_delay_us
+        };
         self.wake_bus(now + silent);
     }
 
@@ -43,26 +55,28 @@
     }
 
     pub(super) fn wake_bus(&mut self, at: Micros) {
-        if let Some(due) = self.bus_timer.replace(self.deadlines.set(at, Timer::Bus)) {
-            self.deadlines.take_back(due);
+        if let Some(due) = self.bus_timer.replace(self.timers.set(at, Timer::Bus)) {
+            self.timers.cancel(due);
         }
     }
 
     /// A bus that has gone silent may have gone without a word: what it has to tell counts as told all the same.
     pub(super) fn check_bus(&mut self, now: Micros) {
-        let read = self.feed.and_then(|key| match &self.connections.get(key)?.kind {
-            Kind::Bus(feed) => Some((key, feed.last_read())),
-            _ => None,
-        });
+        let read = self
+            .feed
+            .and_then(|key| match &self.connections.get(key)?.kind {
+                Kind::Bus(feed) => Some((key, feed.last_read())),
+                _ => None,
+            });
         match read {
             None => self.call_bus(now),
-            Some((key, at)) if at + self.limits.bus_silence_us <= now => {
+            Some((key, at)) if at + self.limits.event_bus_silence_us <= now => {
                 log::warn!("the event bus is silent and called again");
                 self.feed = None;
                 self.close(now, key);
                 self.call_bus(now);
             }
-            Some((_, at)) => self.wake_bus(at + self.limits.bus_silence_us),
+            Some((_, at)) => self.wake_bus(at + self.limits.event_bus_silence_us),
         }
     }
 
@@ -71,12 +85,14 @@
     pub(super) fn call_consul(&mut self, now: Micros) {
         let Some((to, _)) = &self.consul else { return };
         let to = *to;
-        match self.call(now, to, Kind::Consul(Call::new(&self.limits))) {
+        match self.call(now, to, Kind::Consul(ConsulQuery::new(&self.limits))) {
             Some(key) => {
-                self.deadlines.set(now + self.limits.consul_us, Timer::Answered(key));
+                self.timers
+                    .set(now + self.limits.consul_timeout_us, Timer::Answered(key));
             }
             None => {
-                self.deadlines.set(now + self.limits.bus_again_us, Timer::Consul);
+                self.timers
+                    .set(now + self.limits.reconnect_delay_us, Timer::Consul);
             }
         }
     }
@@ -87,23 +103,27 @@
         now: Micros,
         response: Option<(crate::protocol::http::Head, Vec<u8>)>,
     ) {
-        let Some((_, consul)) = &mut self.consul else { return };
-        let told =
-            response.ok_or("no answer".to_owned()).and_then(|(head, body)| consul.response(&head, &body));
+        let Some((_, consul)) = &mut self.consul else {
+            return;
+        };
+        let told = response
+            .ok_or("no answer".to_owned())
+            .and_then(|(head, body)| consul.response(&head, &body));
         let again = match told {
             Ok(entries) => {
                 if let Some(entries) = entries {
-                    self.core.list(now, EndpointListMode::Snapshot, entries);
+                    self.request_table
+                        .update_endpoints(now, EndpointListMode::Snapshot, entries);
                 }
                 now
             }
             Err(e) => {
                 log::warn!("Consul: {e}");
                 consul.failed();
-                now + self.limits.bus_again_us
+                now + self.limits.reconnect_delay_us
             }
         };
-        self.deadlines.set(again, Timer::Consul);
+        self.timers.set(again, Timer::Consul);
     }
 
     // ---- Peers ----
@@ -126,19 +146,28 @@
 
     /// Sends a purge to the peers, and again: any datagram may be lost.
     pub(super) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
-        let Some((socket, known)) = &self.peers else { return };
+        let Some((socket, known)) = &self.peers else {
+            return;
+        };
         let own = socket.local_addr().ok();
         for peer in known.iter().filter(|peer| Some(**peer) != own) {
             let _ = socket.send_to(text.as_bytes(), peer);
         }
         if left > 0 {
-            self.deadlines.set(now + self.limits.repeat_us, Timer::RepeatPurgeGossip(text, left - 1));
+            self.timers.set(
+                now + self.limits.gossip_repeat_us,
+                Timer::RepeatPurgeGossip(text, left - 1),
+            );
         }
     }
 
     /// Ends a connection whose answer has not come in time.
-    pub(super) fn unanswered(&mut self, now: Micros, key: Key) {
-        if self.connections.get(key).is_some_and(|c| matches!(c.kind, Kind::Consul(_) | Kind::Post(_))) {
+    pub(super) fn answer_timed_out(&mut self, now: Micros, key: SlabKey) {
+        if self
+            .connections
+            .get(key)
+            .is_some_and(|c| matches!(c.kind, Kind::Consul(_) | Kind::Notification(_)))
+        {
             self.close(now, key);
         }
     }
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -1,16 +1,19 @@
-//! The loop: sockets and deadlines on one side, the core on the other.
+//! The loop: sockets and timers on one side, the request_table on the other.
 
 use crate::config::{Config, Source};
-use crate::discovery::consul::{Call, Consul};
-use crate::discovery::event_bus::{self as bus, Feed};
-use crate::discovery::purge_log::Ledger;
+use crate::discovery::consul::{Consul, ConsulQuery};
+use crate::discovery::event_bus::{self as bus, EventStreamClient};
+use crate::discovery::purge_log::PurgeLog;
 use crate::frontend::fastcgi::Session;
-use crate::frontend::interconnect::{self as cdni, Desk};
+use crate::frontend::interconnect::{self as cdni, InterconnectFrontend};
 use crate::limits::Limits;
-use crate::net::{connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
-use crate::protocol::WireError;
-use crate::request_table::{Command, Core, Wake};
-use crate::upstream::{Link, Told};
+use crate::net::{
+    connect, BufferedSocket, Clock, IoProgress, Poller, Readiness, Slab, SlabKey, TimerKey,
+    TimerQueue,
+};
+use crate::protocol::ProtocolError;
+use crate::request_table::{Command, RequestTable, RequestTimer};
+use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Micros, ServerId};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
@@ -22,7 +25,7 @@
 mod interconnect;
 mod upstreams;
 
-use interconnect::Courier;
+use interconnect::NotificationDelivery;
 
 const LISTENER: u64 = u64::MAX;
 const SIGNAL: u64 = u64::MAX - 1;
@@ -34,14 +37,14 @@
 
 enum Kind {
     Client(Session),
-    Box(Link),
-    Bus(Feed),
-    Consul(Call),
+    Box(UpstreamConnection),
+    Bus(EventStreamClient),
+    Consul(ConsulQuery),
     Cdni(Box<cdni::Session>),
     /// A client's whose writing side is shut: it is read until its client ends it too, and so many bytes were
     /// passed over.
     Lingering(usize),
-    Post(Box<Courier>),
+    Notification(Box<NotificationDelivery>),
 }
 
 impl Kind {
@@ -51,7 +54,7 @@
 }
 
 struct Connection {
-    conn: Conn,
+    conn: BufferedSocket,
     kind: Kind,
     /// A client's: when it was last waited for here, or what it is now at began.
     since: Micros,
@@ -66,25 +69,25 @@
 /// What has a deadline.
 #[derive(Clone, Debug)]
 enum Timer {
-    Core(Wake),
+    Request(RequestTimer),
     /// A connection begun from here must be up.
-    Connect(Key),
+    Connect(SlabKey),
     /// A link is looked at again: barred ids, stalled writing.
-    Link(Key),
+    UpstreamConnection(SlabKey),
     /// The bus is called, or found silent.
     Bus,
     /// Consul is asked.
     Consul,
     /// The answer on a connection must have come.
-    Answered(Key),
+    Answered(SlabKey),
     /// A payload is sent to a neighbour once more.
-    Post(Box<Courier>),
+    RetryNotification(Box<NotificationDelivery>),
     /// A connection's next request, which waited for the answer to the one before.
-    Serve(Key),
+    Serve(SlabKey),
     /// A purge is told to the peers once more, and so many times again.
     RepeatPurgeGossip(String, u8),
     /// A client's connection is looked at: it may hold its place for nothing.
-    Client(Key),
+    Client(SlabKey),
     /// Accepting goes on.
     Accept,
     /// The grace after SIGTERM is over.
@@ -136,8 +139,8 @@
 pub struct Daemon {
     clock: Clock,
     limits: Limits,
-    core: Core,
-    poll: Poll,
+    request_table: RequestTable,
+    poll: Poller,
     listener: Option<TcpListener>,
     accepting: bool,
     accepts_later: bool,
@@ -146,17 +149,17 @@
     /// The configuration that is in force, and where a new one is read from.
     config: Config,
     source: Source,
-    connections: Slots<Connection>,
+    connections: Slab<Connection>,
     clients: usize,
-    links: BTreeMap<ServerId, Vec<Key>>,
-    deadlines: Deadlines<Timer>,
-    feed: Option<Key>,
-    bus_timer: Option<Due>,
+    links: BTreeMap<ServerId, Vec<SlabKey>>,
+    timers: TimerQueue<Timer>,
+    feed: Option<SlabKey>,
+    bus_timer: Option<TimerKey>,
     last_event: u64,
     consul: Option<(SocketAddr, Consul)>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
-    desk: Option<(TcpListener, Desk)>,
-    ledger: Option<Ledger>,
+    interconnect: Option<(TcpListener, InterconnectFrontend)>,
+    purge_log: Option<PurgeLog>,
     /// Payloads to neighbours that are on their way or wait to be tried again.
     posts: usize,
     /// What neighbours were last told of our being able to serve.
@@ -172,56 +175,65 @@
     pub fn start(mut config: Config, source: Source) -> Result<Self, String> {
         let text = |e: io::Error| e.to_string();
         let limits = config.limits.clone();
-        let listener =
-            TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        let listener = TcpListener::bind(config.listen)
+            .map_err(|e| format!("listen: {}: {e}", config.listen))?;
         listener.set_nonblocking(true).map_err(text)?;
         let term = Signal::register(signal_hook::consts::SIGTERM).map_err(text)?;
         let hup = Signal::register(signal_hook::consts::SIGHUP).map_err(text)?;
-        let poll = Poll::new(256).map_err(text)?;
+        let poll = Poller::new(256).map_err(text)?;
         poll.add(&listener, LISTENER, true, false).map_err(text)?;
         poll.add(&term.heard, SIGNAL, true, false).map_err(text)?;
         poll.add(&hup.heard, RELOAD, true, false).map_err(text)?;
-        let (mut desk, mut peers, mut ledger) = (None, None, None);
+        let (mut interconnect, mut peers, mut purge_log) = (None, None, None);
         if let Some(cdni) = config.cdni.clone() {
-            let listener =
-                TcpListener::bind(cdni.listen).map_err(|e| format!("cdni.listen: {}: {e}", cdni.listen))?;
+            let listener = TcpListener::bind(cdni.listen)
+                .map_err(|e| format!("cdni.listen: {}: {e}", cdni.listen))?;
             listener.set_nonblocking(true).map_err(text)?;
             poll.add(&listener, CDNI, true, false).map_err(text)?;
-            desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
+            interconnect = Some((
+                listener,
+                InterconnectFrontend::new(cdni.identity, config.seed, limits.triggers),
+            ));
             if let Some(path) = cdni.purges {
-                let open = Ledger::open(&path);
-                ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
+                let open = PurgeLog::open(&path);
+                purge_log =
+                    Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
             }
             // Peers are only told what the second front is told.
             if let Some((own, known)) = config.peers.clone() {
-                let socket = UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
+                let socket =
+                    UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
                 socket.set_nonblocking(true).map_err(text)?;
                 poll.add(&socket, PEERS, true, false).map_err(text)?;
                 peers = Some((socket, known));
             }
         }
-        let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
+        let request_table = RequestTable::new(config.settings.clone(), config.seed, &limits)
+            .map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
         let mut daemon = Daemon {
             clock: Clock::start(),
-            core,
+            request_table,
             poll,
             listener: Some(listener),
             accepting: true,
             accepts_later: false,
             term,
             hup,
-            connections: Slots::new(limits.connections),
+            connections: Slab::new(limits.connections),
             clients: 0,
             links: BTreeMap::new(),
-            deadlines: Deadlines::default(),
+            timers: TimerQueue::default(),
             feed: None,
             bus_timer: None,
             last_event,
-            consul: config.consul.clone().map(|(to, service)| (to, Consul::new(service, 10))),
+            consul: config
+                .consul
+                .clone()
+                .map(|(to, service)| (to, Consul::new(service, 10))),
             peers,
-            desk,
-            ledger,
+            interconnect,
+            purge_log,
             posts: 0,
             told_ready: false,
             waiting_answers: 0,
@@ -233,9 +245,15 @@
             source,
         };
         let now = daemon.clock.now();
-        let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
+        let kept = daemon
+            .purge_log
+            .as_ref()
+            .map(PurgeLog::purges)
+            .unwrap_or_default();
         for (object, group, at) in kept {
-            daemon.core.purged_for_good(now, object, group, at);
+            daemon
+                .request_table
+                .purge_permanently(now, object, group, at);
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.call_bus(now);
@@ -257,7 +275,10 @@
 
     /// What does to it from another thread what signals do.
     pub fn control(&self) -> io::Result<Control> {
-        Ok(Control { term: self.term.raised.try_clone()?, hup: self.hup.raised.try_clone()? })
+        Ok(Control {
+            term: self.term.raised.try_clone()?,
+            hup: self.hup.raised.try_clone()?,
+        })
     }
 
     /// Serves until SIGTERM, and then until all is answered.
@@ -265,18 +286,22 @@
         let mut ready = Vec::new();
         while !self.is_done() {
             let now = self.clock.now();
-            let wait = self.deadlines.next().map_or(IDLE_US, |at| at.saturating_sub(now)).min(IDLE_US);
+            let wait = self
+                .timers
+                .next_due()
+                .map_or(IDLE_US, |at| at.saturating_sub(now))
+                .min(IDLE_US);
             self.poll.wait(wait, &mut ready)?;
             for event in ready.drain(..) {
                 self.event(event);
             }
             let now = self.clock.now();
-            while let Some(timer) = self.deadlines.pop(now) {
+            while let Some(timer) = self.timers.pop_due(now) {
                 self.timer(now, timer);
                 self.settle(now);
             }
         }
-        let c = self.core.counts;
+        let c = self.request_table.counters;
         log::info!(
             "ended: {} taken, {} served, {} refused, {} failed, {} left, {} attempts",
             c.taken,
@@ -295,7 +320,7 @@
         self.grace_over && self.clients == 0
     }
 
-    fn event(&mut self, event: Ready) {
+    fn event(&mut self, event: Readiness) {
         let now = self.clock.now();
         match event.token {
             LISTENER => self.accept(now),
@@ -303,7 +328,7 @@
             RELOAD => self.reload(now),
             PEERS => self.hear_peers(now),
             CDNI => self.accept_cdni(now),
-            token => self.serve(now, Key::from_u64(token), event),
+            token => self.serve(now, SlabKey::from_u64(token), event),
         }
         self.settle(now);
         self.notify(now);
@@ -311,19 +336,19 @@
 
     fn timer(&mut self, now: Micros, timer: Timer) {
         match timer {
-            Timer::Core(wake) => self.core.wake(now, wake),
+            Timer::Request(wake) => self.request_table.timer_fired(now, wake),
             Timer::Connect(key) => {
-                if self.connections.get(key).is_some_and(|c| !c.conn.up) {
+                if self.connections.get(key).is_some_and(|c| !c.conn.connected) {
                     self.close(now, key);
                 }
             }
-            Timer::Link(key) => self.look_at_link(now, key),
+            Timer::UpstreamConnection(key) => self.look_at_link(now, key),
             Timer::Client(key) => self.look_at_client(now, key),
             Timer::Bus => self.check_bus(now),
             Timer::Consul => self.call_consul(now),
-            Timer::Answered(key) => self.unanswered(now, key),
+            Timer::Answered(key) => self.answer_timed_out(now, key),
             Timer::Serve(key) => self.serve_cdni(now, key),
-            Timer::Post(courier) => self.post(now, courier),
+            Timer::RetryNotification(delivery) => self.post(now, delivery),
             Timer::RepeatPurgeGossip(text, left) => self.tell_peers(now, text, left),
             Timer::Accept => {
                 self.accepts_later = false;
@@ -331,7 +356,7 @@
                 self.accept_cdni(now);
             }
             Timer::Term => self.end_grace(now),
-            Timer::ShutdownDeadline => self.core.shut_down(now),
+            Timer::ShutdownDeadline => self.request_table.fail_all_pending(now),
         }
     }
 
@@ -341,8 +366,12 @@
         self.term.clear();
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
-            self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
-            self.deadlines.set(now + self.limits.shutdown_deadline_us, Timer::ShutdownDeadline);
+            self.timers
+                .set(now + self.limits.shutdown_grace_us, Timer::Term);
+            self.timers.set(
+                now + self.limits.shutdown_deadline_us,
+                Timer::ShutdownDeadline,
+            );
         }
     }
 
@@ -351,13 +380,19 @@
     fn end_grace(&mut self, now: Micros) {
         self.accept(now);
         self.accept_cdni(now);
-        let clients: Vec<Key> =
-            self.connections.keys().into_iter().filter(|key| self.is_client(*key)).collect();
+        let clients: Vec<SlabKey> = self
+            .connections
+            .keys()
+            .into_iter()
+            .filter(|key| self.is_client(*key))
+            .collect();
         // What has come by now was taken within the grace.
-        clients.iter().for_each(|key| self.look_for_input(now, *key));
+        clients
+            .iter()
+            .for_each(|key| self.look_for_input(now, *key));
         self.grace_over = true;
         self.listener = None;
-        if let Some((listener, _)) = &self.desk {
+        if let Some((listener, _)) = &self.interconnect {
             let _ = self.poll.change(listener, CDNI, false, false);
         }
         for key in clients {
@@ -367,13 +402,15 @@
         }
     }
 
-    fn is_client(&self, key: Key) -> bool {
-        self.connections.get(key).is_some_and(|c| c.kind.is_client())
+    fn is_client(&self, key: SlabKey) -> bool {
+        self.connections
+            .get(key)
+            .is_some_and(|c| c.kind.is_client())
     }
 
     /// Takes in what a client has sent by now, also where the loop has not been told of it yet.
-    fn look_for_input(&mut self, now: Micros, key: Key) {
-        self.serve(now, key, Ready::to_read(key.to_u64()));
+    fn look_for_input(&mut self, now: Micros, key: SlabKey) {
+        self.serve(now, key, Readiness::readable(key.to_u64()));
         self.settle(now);
     }
 
@@ -396,7 +433,11 @@
         self.config.peers = new.peers.take().or(self.config.peers.take());
         log::info!(
             "SIGHUP: the configuration is read again{}",
-            if moved { "; the event bus has moved" } else { "" }
+            if moved {
+                "; the event bus has moved"
+            } else {
+                ""
+            }
         );
         if moved {
             self.move_bus(now);
@@ -405,11 +446,18 @@
 
     // ---- Connections ----
 
-    fn open(&mut self, now: Micros, conn: Conn, kind: Kind) -> Option<Key> {
-        let up = conn.up;
+    fn open(&mut self, now: Micros, conn: BufferedSocket, kind: Kind) -> Option<SlabKey> {
+        let up = conn.connected;
         let key = self
             .connections
-            .insert(Connection { conn, kind, since: now, half: false, waiting: 0, half_bytes: 0 })
+            .insert(Connection {
+                conn,
+                kind,
+                since: now,
+                half: false,
+                waiting: 0,
+                half_bytes: 0,
+            })
             .ok()?;
         let c = self.connections.get(key)?;
         if let Err(e) = self.poll.add(c.conn.socket(), key.to_u64(), true, !up) {
@@ -424,46 +472,66 @@
     /// then: without it nobody would hear of drains and purges.
     fn has_place(&self) -> bool {
         let kept = usize::from(self.config.bus.is_some() && self.feed.is_none());
-        self.connections.room() > kept
+        self.connections.free_slots() > kept
     }
 
-    fn call(&mut self, now: Micros, to: SocketAddr, kind: Kind) -> Option<Key> {
-        let socket = connect(to).map_err(|e| log::warn!("no connection to {to}: {e}")).ok()?;
-        let conn = Conn::new(socket, false, self.limits.input_ring, self.limits.output_ring).ok()?;
+    fn call(&mut self, now: Micros, to: SocketAddr, kind: Kind) -> Option<SlabKey> {
+        let socket = connect(to)
+            .map_err(|e| log::warn!("no connection to {to}: {e}"))
+            .ok()?;
+        let conn = BufferedSocket::new(
+            socket,
+            false,
+            self.limits.input_buffer_bytes,
+            self.limits.output_buffer_bytes,
+        )
+        .ok()?;
         let key = self.open(now, conn, kind)?;
-        self.deadlines.set(now + self.limits.connect_us, Timer::Connect(key));
+        self.timers
+            .set(now + self.limits.connect_timeout_us, Timer::Connect(key));
         Some(key)
     }
 
-    fn serve(&mut self, now: Micros, key: Key, ready: Ready) {
+    fn serve(&mut self, now: Micros, key: SlabKey, ready: Readiness) {
         // A stale event, of a connection that ended earlier in the same round, misses by its generation.
-        let Some(c) = self.connections.get_mut(key) else { return };
-        if ready.write && !c.conn.up {
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        if ready.write && !c.conn.connected {
             if c.conn.finish_connect().is_err() {
                 return self.close(now, key);
             }
             match (&c.kind, self.config.bus, &self.consul) {
                 (Kind::Bus(_), Some(bus), _) => {
-                    c.conn.output.push(&bus::request(&bus.to_string(), self.last_event));
+                    c.conn
+                        .output
+                        .push(&bus::request(&bus.to_string(), self.last_event));
                 }
                 (Kind::Consul(_), _, Some((to, consul))) => {
                     c.conn.output.push(&consul.request(&to.to_string()));
                 }
-                (Kind::Post(courier), ..) => {
-                    c.conn.output.push(&courier.request());
+                (Kind::Notification(delivery), ..) => {
+                    c.conn.output.push(&delivery.request());
                 }
                 _ => {}
             }
         }
         let mut over = false;
-        if ready.read && c.conn.up {
+        if ready.read && c.conn.connected {
             let got = c.conn.read(ready.broken);
-            let ended = matches!(got, Progress::Ended | Progress::Broken);
+            let ended = matches!(got, IoProgress::PeerClosed | IoProgress::Broken);
             if let Err(e) = self.read(now, key) {
                 // Whoever sends garbage must not fill the log with it.
-                let client = self.connections.get(key).is_some_and(|c| c.kind.is_client());
+                let client = self
+                    .connections
+                    .get(key)
+                    .is_some_and(|c| c.kind.is_client());
                 log::log!(
-                    if client { log::Level::Debug } else { log::Level::Warn },
+                    if client {
+                        log::Level::Debug
+                    } else {
+                        log::Level::Warn
+                    },
                     "a connection is ended: {e}"
                 );
                 over = true;
@@ -479,28 +547,30 @@
         self.bound_half(now, key);
     }
 
-    fn read(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
-        let Some(c) = self.connections.get_mut(key) else { return Ok(()) };
+    fn read(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
+        let Some(c) = self.connections.get_mut(key) else {
+            return Ok(());
+        };
         match &mut c.kind {
             Kind::Client(_) => self.read_client(now, key),
             Kind::Cdni(_) => self.read_cdni(now, key),
             Kind::Lingering(passed_over) => {
                 *passed_over += c.conn.input.len();
                 c.conn.input.clear();
-                if *passed_over > self.limits.linger_bytes {
-                    return Err(WireError::TooLong("what comes behind the end"));
+                if *passed_over > self.limits.lingering_close_bytes {
+                    return Err(ProtocolError::TooLong("what comes behind the end"));
                 }
                 Ok(())
             }
-            Kind::Post(courier) => {
-                let front = c.conn.input.front();
+            Kind::Notification(delivery) => {
+                let front = c.conn.input.readable();
                 let taken = front.len();
-                let result = courier.read(front);
+                let result = delivery.read(front);
                 c.conn.input.consume(taken);
                 result
             }
             Kind::Consul(call) => {
-                let front = c.conn.input.front();
+                let front = c.conn.input.readable();
                 let taken = front.len();
                 let response = call.read(front)?;
                 c.conn.input.consume(taken);
@@ -513,11 +583,14 @@
             }
             Kind::Box(link) => {
                 let mut told = Vec::new();
-                let result = link.read(now, &mut c.conn, &self.core, &mut told);
+                let result = link.read(now, &mut c.conn, &self.request_table, &mut told);
                 let server = link.server;
-                if told.iter().any(Told::is_not_final) {
+                if told.iter().any(UpstreamEvent::is_not_final) {
                     // What is remembered of it goes then.
-                    self.deadlines.set(now + self.limits.forget_us + 1, Timer::Link(key));
+                    self.timers.set(
+                        now + self.limits.stream_memory_us + 1,
+                        Timer::UpstreamConnection(key),
+                    );
                 }
                 self.tell(now, server, told);
                 result
@@ -526,9 +599,11 @@
                 let mut events = Vec::new();
                 let mut result = Ok(());
                 while !c.conn.input.is_empty() && result.is_ok() {
-                    let front = c.conn.input.front();
+                    let front = c.conn.input.readable();
                     let taken = front.len();
-                    result = feed.read(now, front, &mut self.last_event).map(|e| events.extend(e));
+                    result = feed
+                        .read(now, front, &mut self.last_event)
+                        .map(|e| events.extend(e));
                     c.conn.input.consume(taken);
                 }
                 events.into_iter().for_each(|event| self.heard(now, event));
@@ -538,14 +613,17 @@
     }
 
     /// Writes what is waiting; false where the connection is over.
-    fn write(&mut self, now: Micros, key: Key) -> bool {
-        let Some(c) = self.connections.get_mut(key) else { return true };
+    fn write(&mut self, now: Micros, key: SlabKey) -> bool {
+        let Some(c) = self.connections.get_mut(key) else {
+            return true;
+        };
         let sound = match &mut c.kind {
             Kind::Client(_) => {
                 self.write_client(key);
                 self.connections.get(key).is_none_or(|c| match &c.kind {
                     Kind::Client(s) => {
-                        let last = s.is_over() || self.grace_over && s.is_idle() && !s.is_half();
+                        let last = s.is_finished()
+                            || self.grace_over && s.is_idle() && !s.has_partial_input();
                         !(last && c.conn.output.is_empty())
                     }
                     _ => true,
@@ -557,22 +635,26 @@
                 self.write_cdni(key)
                     && self.connections.get(key).is_none_or(|c| match &c.kind {
                         Kind::Cdni(s) => {
-                            let last = self.grace_over && s.is_idle() && !s.is_half();
+                            let last = self.grace_over && s.is_idle() && !s.has_partial_input();
                             !(last && c.conn.output.is_empty())
                         }
                         _ => true,
                     })
             }
-            Kind::Post(courier) => !courier.is_done() && c.conn.write() != Progress::Broken,
-            Kind::Bus(_) | Kind::Consul(_) => c.conn.write() != Progress::Broken,
+            Kind::Notification(delivery) => {
+                !delivery.is_done() && c.conn.write() != IoProgress::Broken
+            }
+            Kind::Bus(_) | Kind::Consul(_) => c.conn.write() != IoProgress::Broken,
         };
         self.watch(key);
         sound
     }
 
-    fn watch(&mut self, key: Key) {
-        let Some(c) = self.connections.get_mut(key) else { return };
-        if let Some((read, write)) = c.conn.watch() {
+    fn watch(&mut self, key: SlabKey) {
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        if let Some((read, write)) = c.conn.take_interest_change() {
             if let Err(e) = self.poll.change(c.conn.socket(), key.to_u64(), read, write) {
                 log::warn!("a connection can't be watched: {e}");
             }
@@ -581,12 +663,15 @@
 
     /// Ends a connection from here. A client's lingers: a close over bytes that are not read, or that cross it,
     /// would reset it, and what was written before would be lost on its way.
-    fn end(&mut self, now: Micros, key: Key) {
+    fn end(&mut self, now: Micros, key: SlabKey) {
         // What is answered is still owed; a client that takes none of it is not waited for.
         self.write_client(key);
-        let Some(c) = self.connections.get_mut(key) else { return };
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
         c.conn.write();
-        if !matches!(c.kind, Kind::Client(_) | Kind::Cdni(_)) || c.conn.shut().is_err() {
+        if !matches!(c.kind, Kind::Client(_) | Kind::Cdni(_)) || c.conn.shut_down_writes().is_err()
+        {
             return self.close(now, key);
         }
         c.conn.input.clear();
@@ -595,23 +680,28 @@
         self.waiting_answers -= std::mem::take(&mut c.waiting);
         self.half_bytes -= std::mem::take(&mut c.half_bytes);
         self.left_by(now, kind);
-        self.deadlines.set(now + self.limits.linger_us, Timer::Client(key));
+        self.timers
+            .set(now + self.limits.lingering_close_us, Timer::Client(key));
         self.watch(key);
     }
 
     /// No answer is owed any more for what a client's connection has open.
     fn left_by(&mut self, now: Micros, kind: Kind) {
-        let tickets = match kind {
-            Kind::Client(session) => session.tickets(),
+        let request_keys = match kind {
+            Kind::Client(session) => session.request_keys(),
             Kind::Cdni(session) => session.waiting.into_iter().collect(),
             _ => return,
         };
-        tickets.into_iter().for_each(|ticket| self.core.leave(now, ticket));
+        request_keys
+            .into_iter()
+            .for_each(|request_key| self.request_table.client_disconnected(now, request_key));
     }
 
-    fn close(&mut self, now: Micros, key: Key) {
+    fn close(&mut self, now: Micros, key: SlabKey) {
         self.read_rest(now, key);
-        let Some(c) = self.connections.remove(key) else { return };
+        let Some(c) = self.connections.remove(key) else {
+            return;
+        };
         match c.kind {
             kind @ (Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_)) => {
                 self.clients -= 1;
@@ -628,43 +718,43 @@
                     }
                 }
                 let mut told = Vec::new();
-                link.broken(c.conn.up, c.conn.written, &mut told);
+                link.broken(c.conn.connected, c.conn.bytes_written, &mut told);
                 self.tell(now, server, told);
             }
-            Kind::Post(courier) => self.posted(now, courier),
+            Kind::Notification(delivery) => self.posted(now, delivery),
             Kind::Consul(_) => self.consul_told(now, None),
             Kind::Bus(_) if self.feed == Some(key) => {
                 self.feed = None;
-                self.wake_bus(now + self.limits.bus_again_us);
+                self.wake_bus(now + self.limits.reconnect_delay_us);
             }
             Kind::Bus(_) => {} // The one before the bus has moved.
         }
     }
 
-    /// Carries out what the core wants done, and what follows from that.
+    /// Carries out what the request_table wants done, and what follows from that.
     fn settle(&mut self, now: Micros) {
         loop {
-            let commands = self.core.commands();
+            let commands = self.request_table.take_commands();
             if commands.is_empty() {
                 return;
             }
             for command in commands {
                 match command {
-                    Command::Send(attempt) => self.send(now, attempt),
-                    Command::GiveUp(attempt, server) => self.give_up(now, attempt, server),
-                    Command::Unqueue(attempt, server) => self.unqueue(now, attempt, server),
-                    Command::Answer(client, answer) => {
+                    Command::SendAttempt(attempt) => self.send(now, attempt),
+                    Command::CancelAttempt(attempt, server) => self.give_up(now, attempt, server),
+                    Command::DequeueAttempt(attempt, server) => self.unqueue(now, attempt, server),
+                    Command::Respond(client, answer) => {
                         self.answer(now, client, answer);
                         if !self.write(now, client.connection) {
                             self.end(now, client.connection);
                         }
                         self.note_client(now, client.connection);
                     }
-                    Command::Wake(at, wake) => {
-                        self.deadlines.set(at, Timer::Core(wake));
+                    Command::SetTimer(at, wake) => {
+                        self.timers.set(at, Timer::Request(wake));
                     }
                     Command::Probe(server) => self.probe(now, server),
-                    Command::Withdraw(server) => self.withdraw(now, server),
+                    Command::DrainServer(server) => self.withdraw(now, server),
                 }
             }
         }
--- a/crates/proxy/src/event_loop/upstreams.rs
+++ b/crates/proxy/src/event_loop/upstreams.rs
@@ -1,24 +1,35 @@
 //! Links to boxes: which connection an attempt takes, and what becomes of it.
 
 use super::{Connection, Daemon, Kind, Timer};
-use crate::net::{Conn, Key, Progress, Ready};
+use crate::net::{BufferedSocket, IoProgress, Readiness, SlabKey};
 use crate::request_table::AttemptId;
-use crate::upstream::{Link, Told};
+use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Micros, Outcome, ServerId};
 
 impl Daemon {
-    pub(super) fn tell(&mut self, now: Micros, server: ServerId, told: Vec<Told>) {
+    pub(super) fn tell(&mut self, now: Micros, server: ServerId, told: Vec<UpstreamEvent>) {
         for t in told {
             match t {
-                Told::Ended(attempt, ended) => self.core.ended(now, attempt, ended),
-                Told::Probed(outcome, took_us, load) => self.core.probed(now, server, outcome, took_us, load),
+                UpstreamEvent::AttemptEnded(attempt, ended) => {
+                    self.request_table.attempt_ended(now, attempt, ended)
+                }
+                UpstreamEvent::ProbeEnded(outcome, took_us, load) => self
+                    .request_table
+                    .probe_ended(now, server, outcome, took_us, load),
             }
         }
     }
 
-    pub(super) fn link(&mut self, key: Key) -> Option<(&mut Conn, &mut Link)> {
+    pub(super) fn link(
+        &mut self,
+        key: SlabKey,
+    ) -> Option<(&mut BufferedSocket, &mut UpstreamConnection)> {
         match self.connections.get_mut(key)? {
-            Connection { conn, kind: Kind::Box(link), .. } => Some((conn, link)),
+            Connection {
+                conn,
+                kind: Kind::Box(link),
+                ..
+            } => Some((conn, link)),
             _ => None,
         }
     }
@@ -28,28 +39,41 @@
         // Where nothing is open the box may have ended the connection by now: what is written there is lost, and
         // nobody could tell whether it ran.
         while let Some((.., key)) = best.filter(|((_, late, live), _)| !late && *live == 0) {
-            self.serve(now, key, Ready::to_read(key.to_u64()));
+            self.serve(now, key, Readiness::readable(key.to_u64()));
             if self.connections.get(key).is_some() {
                 break;
             }
             best = self.best_link(attempt);
         }
-        let Some((_, sending)) = self.core.sending(attempt) else { return };
-        let server = sending.server;
+        let Some((_, spec)) = self.request_table.attempt_spec(attempt) else {
+            return;
+        };
+        let server = spec.server;
         let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
         // One answer that can't be read ends all that is open on its connection: the more of them, the less is
         // lost at once. The next one is begun ahead, so that no attempt waits for it.
-        let up = |key: &Key| self.connections.get(*key).is_some_and(|c| c.conn.up);
-        let shared = best.is_some_and(|((.., live), _)| live >= self.limits.box_shared);
-        let spare = self.connections.room() > self.limits.spare_connections;
-        let ahead = shared && spare && links.len() < self.limits.box_connections && links.iter().all(up);
-        let full = links.len() >= self.limits.box_connections;
+        let up = |key: &SlabKey| self.connections.get(*key).is_some_and(|c| c.conn.connected);
+        let shared =
+            best.is_some_and(|((.., live), _)| live >= self.limits.attempts_before_new_connection);
+        let spare = self.connections.free_slots() > self.limits.spare_connections;
+        let ahead = shared
+            && spare
+            && links.len() < self.limits.connections_per_server
+            && links.iter().all(up);
+        let full = links.len() >= self.limits.connections_per_server;
         // One that leads nowhere any more may stay so for good, and says no word of it.
-        let silent = |key: &&Key| match self.connections.get(**key) {
-            Some(Connection { kind: Kind::Box(link), .. }) => link.is_silent(),
+        let silent = |key: &&SlabKey| match self.connections.get(**key) {
+            Some(Connection {
+                kind: Kind::Box(link),
+                ..
+            }) => link.is_silent(),
             _ => false,
         };
-        let leaver = links.iter().find(silent).copied().filter(|_| best.is_none() && full);
+        let leaver = links
+            .iter()
+            .find(silent)
+            .copied()
+            .filter(|_| best.is_none() && full);
         let fresh = best.is_none() && (!full || leaver.is_some());
         if let Some(leaver) = leaver {
             self.close(now, leaver);
@@ -71,83 +95,124 @@
                 self.watch(key);
             }
             // Nothing was written: it never ran.
-            None => self.core.ended(now, attempt, Outcome::ConnectFailed.into()),
+            None => self
+                .request_table
+                .attempt_ended(now, attempt, Outcome::ConnectFailed.into()),
         }
     }
 
     /// The connection that an attempt takes: whether it is another one than that on which the request was given
     /// up, whether it is not up yet, and what is open on it.
-    fn best_link(&self, attempt: AttemptId) -> Option<((bool, bool, usize), Key)> {
-        let (asked, sending) = self.core.sending(attempt)?;
+    fn best_link(&self, attempt: AttemptId) -> Option<((bool, bool, usize), SlabKey)> {
+        let (asked, spec) = self.request_table.attempt_spec(attempt)?;
         let id = asked.id.as_str();
-        let room = |key: &Key| match self.connections.get(*key) {
-            Some(Connection { conn, kind: Kind::Box(link), .. }) => {
-                Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
-            }
+        let room = |key: &SlabKey| match self.connections.get(*key) {
+            Some(Connection {
+                conn,
+                kind: Kind::Box(link),
+                ..
+            }) => Some((
+                !link.gave_up(id),
+                !conn.connected,
+                link.room_for(id, &self.request_table, &self.limits)?,
+            )),
             _ => None,
         };
-        self.links.get(&sending.server)?.iter().filter_map(|key| Some((room(key)?, *key))).min()
+        self.links
+            .get(&spec.server)?
+            .iter()
+            .filter_map(|key| Some((room(key)?, *key)))
+            .min()
     }
 
     /// Reads what a box had sent before its connection broke: those answers are answers.
-    pub(super) fn read_rest(&mut self, now: Micros, key: Key) {
-        for _ in 0..self.limits.last_reads {
+    pub(super) fn read_rest(&mut self, now: Micros, key: SlabKey) {
+        for _ in 0..self.limits.reads_after_close {
             let readable = self.connections.get(key).is_some_and(|c| match &c.kind {
-                Kind::Box(link) => c.conn.up && link.is_readable(now, &self.limits),
+                Kind::Box(link) => c.conn.connected && link.is_readable(now, &self.limits),
                 _ => false,
             });
-            let Some((conn, _)) = self.link(key).filter(|_| readable) else { return };
-            if conn.read(false) != Progress::Moved || self.read(now, key).is_err() {
+            let Some((conn, _)) = self.link(key).filter(|_| readable) else {
+                return;
+            };
+            if conn.read(false) != IoProgress::Advanced || self.read(now, key).is_err() {
                 return;
             }
         }
     }
 
     /// Begins a connection to a box.
-    fn dial(&mut self, now: Micros, server: ServerId) -> Option<Key> {
-        let (_, endpoint) = self.core.location(server).filter(|_| self.has_place())?;
-        let key = self.call(now, endpoint, Kind::Box(Link::new(server, &self.limits, now)))?;
+    fn dial(&mut self, now: Micros, server: ServerId) -> Option<SlabKey> {
+        let (_, endpoint) = self
+            .request_table
+            .address_of(server)
+            .filter(|_| self.has_place())?;
+        let key = self.call(
+            now,
+            endpoint,
+            Kind::Box(UpstreamConnection::new(server, &self.limits, now)),
+        )?;
         self.links.entry(server).or_default().push(key);
         Some(key)
     }
 
-    pub(super) fn pump(&mut self, now: Micros, key: Key) -> bool {
-        let Some(Connection { conn, kind: Kind::Box(link), .. }) = self.connections.get_mut(key) else {
+    pub(super) fn pump(&mut self, now: Micros, key: SlabKey) -> bool {
+        let Some(Connection {
+            conn,
+            kind: Kind::Box(link),
+            ..
+        }) = self.connections.get_mut(key)
+        else {
             return true;
         };
         let (server, mut told) = (link.server, Vec::new());
-        let sound = link.pump(now, conn, &self.core, &self.limits, &mut told);
-        let due = [link.report_at(&self.limits), link.half_at(&self.limits).filter(|_| sound)];
+        let sound = link.pump(now, conn, &self.request_table, &self.limits, &mut told);
+        let due = [
+            link.report_at(&self.limits),
+            link.half_at(&self.limits).filter(|_| sound),
+        ];
         for at in due.into_iter().flatten() {
-            self.deadlines.set(at, Timer::Link(key));
+            self.timers.set(at, Timer::UpstreamConnection(key));
         }
-        if conn.up && !conn.output.is_empty() {
-            self.deadlines.set(now + self.limits.stalled_us, Timer::Link(key));
+        if conn.connected && !conn.output.is_empty() {
+            self.timers.set(
+                now + self.limits.server_write_timeout_us,
+                Timer::UpstreamConnection(key),
+            );
         }
         // What drains or is gone gets nothing new: once all that it owed has come, its connections are of no use,
         // and where a machine has vanished nobody else would end them.
-        let done = link.is_idle() && !self.core.takes_work(server);
+        let done = link.is_idle() && !self.request_table.accepts_work(server);
         self.tell(now, server, told);
         sound && !done
     }
 
-    pub(super) fn look_at_link(&mut self, now: Micros, key: Key) {
+    pub(super) fn look_at_link(&mut self, now: Micros, key: SlabKey) {
         if !self.pump(now, key) {
             self.close(now, key);
         }
         self.watch(key);
-        if let Some(Connection { kind: Kind::Box(link), .. }) = self.connections.get_mut(key) {
+        if let Some(Connection {
+            kind: Kind::Box(link),
+            ..
+        }) = self.connections.get_mut(key)
+        {
             link.prune(now, &self.limits);
         }
     }
 
     pub(super) fn give_up(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
         for key in self.links.get(&server).cloned().unwrap_or_default() {
-            let Some((conn, link)) = self.link(key) else { continue };
+            let Some((conn, link)) = self.link(key) else {
+                continue;
+            };
             let mut told = Vec::new();
             let sound = link.give_up(now, attempt, conn, &mut told);
             self.tell(now, server, told);
-            self.deadlines.set(now + self.limits.forget_us, Timer::Link(key));
+            self.timers.set(
+                now + self.limits.stream_memory_us,
+                Timer::UpstreamConnection(key),
+            );
             if !sound || !self.pump(now, key) {
                 self.close(now, key);
             }
@@ -157,7 +222,9 @@
 
     pub(super) fn unqueue(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
         for key in self.links.get(&server).cloned().unwrap_or_default() {
-            let Some((conn, link)) = self.link(key) else { continue };
+            let Some((conn, link)) = self.link(key) else {
+                continue;
+            };
             let mut told = Vec::new();
             if link.unqueue(attempt, conn, &mut told) {
                 return self.tell(now, server, told);
@@ -167,11 +234,16 @@
 
     pub(super) fn withdraw(&mut self, now: Micros, server: ServerId) {
         for key in self.links.values().flatten().copied().collect::<Vec<_>>() {
-            let Some(Connection { conn, kind: Kind::Box(link), .. }) = self.connections.get_mut(key) else {
+            let Some(Connection {
+                conn,
+                kind: Kind::Box(link),
+                ..
+            }) = self.connections.get_mut(key)
+            else {
                 continue;
             };
             let (to, mut told) = (link.server, Vec::new());
-            let sound = link.withdraw(server, conn, &self.core, &mut told);
+            let sound = link.withdraw(server, conn, &self.request_table, &mut told);
             let over = !sound || to == server && link.is_idle();
             self.tell(now, to, told);
             if over {
@@ -182,13 +254,21 @@
     }
 
     pub(super) fn probe(&mut self, now: Micros, server: ServerId) {
-        let key = self.links.get(&server).and_then(|links| links.first()).copied();
-        let asked = key.and_then(|key| self.link(key)).is_some_and(|(conn, link)| link.probe(now, conn));
+        let key = self
+            .links
+            .get(&server)
+            .and_then(|links| links.first())
+            .copied();
+        let asked = key
+            .and_then(|key| self.link(key))
+            .is_some_and(|(conn, link)| link.probe(now, conn));
         match key.filter(|_| asked) {
             Some(key) => {
                 self.write(now, key);
             }
-            None => self.core.probed(now, server, Outcome::ConnectFailed, 0, None),
+            None => self
+                .request_table
+                .probe_ended(now, server, Outcome::ConnectFailed, 0, None),
         }
     }
 }
--- a/crates/proxy/src/frontend/interconnect/footprint.rs
+++ b/crates/proxy/src/frontend/interconnect/footprint.rs
@@ -20,7 +20,10 @@
     pub fn read(text: &str) -> Option<Self> {
         let (address, bits) = text.split_once('/')?;
         let bits = bits.parse().ok().filter(|bits| *bits <= 32)?;
-        Some(Network { address: address.parse::<Ipv4Addr>().ok()?.into(), bits })
+        Some(Network {
+            address: address.parse::<Ipv4Addr>().ok()?.into(),
+            bits,
+        })
     }
 
     /// Whether an address lies in it.
@@ -42,8 +45,14 @@
     let footprints = json!([{"footprint-type": "ipv4cidr", "footprint-value": networks}]);
     let capability = |kind: &str, value: Value| json!({"capability-type": kind, "capability-value": value, "footprints": footprints});
     let capabilities = [
-        capability("FCI.DeliveryProtocol", json!({"delivery-protocols": ["http/1.1"]})),
-        capability("FCI.RedirectionMode", json!({"redirection-modes": ["HTTP-I"]})),
+        capability(
+            "FCI.DeliveryProtocol",
+            json!({"delivery-protocols": ["http/1.1"]}),
+        ),
+        capability(
+            "FCI.RedirectionMode",
+            json!({"redirection-modes": ["HTTP-I"]}),
+        ),
     ];
     json!({"capabilities": if ready { &capabilities[..] } else { &[] }})
 }
@@ -61,7 +70,12 @@
                 .as_array()?
                 .iter()
                 .any(|p| p == "http/1.1");
-        for footprint in capability["footprints"].as_array().into_iter().flatten().filter(|_| delivers) {
+        for footprint in capability["footprints"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter(|_| delivers)
+        {
             if footprint["footprint-type"] == "ipv4cidr" {
                 for value in footprint["footprint-value"].as_array()? {
                     networks.push(Network::read(value.as_str()?)?);
--- a/crates/proxy/src/frontend/interconnect/redirect.rs
+++ b/crates/proxy/src/frontend/interconnect/redirect.rs
@@ -9,7 +9,11 @@
 /// A response that tells why there is no redirection.
 pub(super) fn error(code: u16, reason: &str) -> Response {
     // The response itself went well: what went wrong stands in its payload.
-    Response::payload(200, PTYPE, &json!({"error": {"error-code": code, "reason": reason}}))
+    Response::payload(
+        200,
+        PTYPE,
+        &json!({"error": {"error-code": code, "reason": reason}}),
+    )
 }
 
 /// Answers a redirection request: to our own content where the client lies in our footprint and we can serve,
@@ -20,11 +24,16 @@
     ready: bool,
     asked: &Value,
 ) -> Response {
-    let Some(cdn_path) = asked["cdn-path"].as_array() else { return error(400, "cdn-path is missing") };
+    let Some(cdn_path) = asked["cdn-path"].as_array() else {
+        return error(400, "cdn-path is missing");
+    };
     if looped(&asked["cdn-path"], &id.provider) {
         return error(502, "a loop");
     }
-    if asked["max-hops"].as_u64().is_some_and(|most| cdn_path.len() as u64 > most) {
+    if asked["max-hops"]
+        .as_u64()
+        .is_some_and(|most| cdn_path.len() as u64 > most)
+    {
         return error(503, "too many hops");
     }
     if asked["dns"].is_object() {
@@ -42,12 +51,20 @@
     else {
         return error(500, "the URI names no content of ours");
     };
-    let Ok(client) = client.parse::<Ipv4Addr>() else { return error(400, "c-ip is no IPv4 address") };
-    let within = |networks: &[footprint::Network]| networks.iter().find(|n| n.holds(client)).copied();
-    let own = within(&id.footprint).filter(|_| ready).map(|n| (n, id.base.as_str()));
+    let Ok(client) = client.parse::<Ipv4Addr>() else {
+        return error(400, "c-ip is no IPv4 address");
+    };
+    let within =
+        |networks: &[footprint::Network]| networks.iter().find(|n| n.holds(client)).copied();
+    let own = within(&id.footprint)
+        .filter(|_| ready)
+        .map(|n| (n, id.base.as_str()));
     let neighbour = || {
-        let unseen = heard.iter().filter(|(provider, _)| !cdn_path.iter().any(|p| p == provider));
-        let mut reached = unseen.filter_map(|(provider, networks)| Some((provider, within(networks)?)));
+        let unseen = heard
+            .iter()
+            .filter(|(provider, _)| !cdn_path.iter().any(|p| p == provider));
+        let mut reached =
+            unseen.filter_map(|(provider, networks)| Some((provider, within(networks)?)));
         let (provider, network) = reached.next()?;
         let base = id.neighbours.iter().find(|n| n.provider == *provider)?;
         Some((network, base.content.as_str()))
@@ -55,7 +72,9 @@
     let Some((network, base)) = own.or_else(neighbour) else {
         return error(504, "nothing here can serve this client");
     };
-    let query = uri.split_once('?').map_or(String::new(), |(_, query)| format!("?{query}"));
+    let query = uri
+        .split_once('?')
+        .map_or(String::new(), |(_, query)| format!("?{query}"));
     let response = json!({
         "http": {
             "sc-status": 302, "sc-version": "HTTP/1.1", "sc-reason": "Found", "cs-uri": uri,
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -1,10 +1,10 @@
 //! One HTTP connection of a neighbour or of a client that was redirected here.
 
 use super::Response;
-use crate::net::Ring;
+use crate::net::RingBuffer;
 use crate::protocol::http::{self, Head, Messages, Piece};
-use crate::protocol::{Parser, WireError};
-use crate::request_table::Ticket;
+use crate::protocol::{Parser, ProtocolError};
+use crate::request_table::RequestKey;
 
 /// A connection. Its requests are answered one after the other: while one waits, the next stays in the ring.
 pub struct Session {
@@ -12,8 +12,8 @@
     head: Option<Head>,
     body: Vec<u8>,
     keep: bool,
-    /// A request is with the core, under this ticket.
-    pub waiting: Option<Ticket>,
+    /// A request is with the request_table, under this request_key.
+    pub waiting: Option<RequestKey>,
     /// When its client gives up.
     pub until: u64,
     out: Vec<u8>,
@@ -65,17 +65,17 @@
     }
 
     /// Whether a request has come in part.
-    pub fn is_half(&self) -> bool {
+    pub fn has_partial_input(&self) -> bool {
         self.half
     }
 
     /// Whether any whole request has come.
-    pub fn has_asked(&self) -> bool {
+    pub fn has_received_request(&self) -> bool {
         self.asked
     }
 
     /// Whether the connection has done what it was for.
-    pub fn is_over(&self) -> bool {
+    pub fn is_finished(&self) -> bool {
         !self.keep && self.is_idle()
     }
 
@@ -85,16 +85,21 @@
     }
 
     /// Reads up to the next whole request, once the one before has its response.
-    pub fn read(&mut self, input: &mut Ring) -> Result<Option<(Head, Vec<u8>)>, WireError> {
+    pub fn read(
+        &mut self,
+        input: &mut RingBuffer,
+    ) -> Result<Option<(Head, Vec<u8>)>, ProtocolError> {
         while self.keep && self.is_idle() {
-            let (taken, piece) = self.messages.parse(input.front())?;
+            let (taken, piece) = self.messages.parse(input.readable())?;
             input.consume(taken);
             self.half |= taken > 0;
             match piece {
                 Some(Piece::Head(head)) => self.head = Some(head),
                 Some(Piece::Body(bytes)) => self.body.extend(bytes),
                 Some(Piece::End) => {
-                    let Some(head) = self.head.take() else { continue };
+                    let Some(head) = self.head.take() else {
+                        continue;
+                    };
                     (self.asked, self.half) = (true, false);
                     self.keep = head.keeps_open();
                     return Ok(Some((head, std::mem::take(&mut self.body))));
@@ -110,8 +115,11 @@
     pub fn respond(&mut self, response: &Response) {
         self.waiting = None;
         let connection = if self.keep { "keep-alive" } else { "close" };
-        let mut headers: Vec<_> =
-            response.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
+        let mut headers: Vec<_> = response
+            .headers
+            .iter()
+            .map(|(name, value)| (*name, value.as_str()))
+            .collect();
         headers.push(("Connection", connection));
         let start = format!("HTTP/1.1 {} {}", response.status, reason(response.status));
         http::write_message(&mut self.out, &start, &headers, &response.body);
@@ -124,7 +132,7 @@
     }
 
     /// Moves as much as fits into the ring.
-    pub fn write(&mut self, output: &mut Ring) {
+    pub fn write(&mut self, output: &mut RingBuffer) {
         self.at += output.push(&self.out[self.at..]);
         if self.at == self.out.len() {
             self.out.clear();
--- a/crates/proxy/src/frontend/interconnect/triggers.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers.rs
@@ -1,6 +1,6 @@
 //! Control Interface / Triggers (RFC 8007): commands, status resources and their collection.
 
-use super::{content_path, looped, path_of, Effect, Identity, Post, Response};
+use super::{content_path, looped, path_of, Effect, Identity, Notification, Response};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
 
@@ -50,12 +50,14 @@
         let mut unable = Vec::new();
         for value in values {
             let named = match selector.as_str() {
-                "content.urls" => {
-                    content_path(path_of(value.as_str()?)).map(|(_, key, _)| (Some(key.to_owned()), 0))
-                }
-                "content.ccid" => {
-                    value.as_str()?.parse().ok().filter(|group| *group < 256).map(|group| (None, group))
-                }
+                "content.urls" => content_path(path_of(value.as_str()?))
+                    .map(|(_, key, _)| (Some(key.to_owned()), 0)),
+                "content.ccid" => value
+                    .as_str()?
+                    .parse()
+                    .ok()
+                    .filter(|group| *group < 256)
+                    .map(|group| (None, group)),
                 // Metadata is not held here, and objects are known by their keys alone, so that no pattern
                 // can be matched against them.
                 _ => None,
@@ -73,12 +75,15 @@
 }
 
 /// A command to purge, for every neighbour that has not seen it.
-fn posts(id: &Identity, spec: &Value, cdn_path: &[Value]) -> Vec<Post> {
+fn posts(id: &Identity, spec: &Value, cdn_path: &[Value]) -> Vec<Notification> {
     let mut path = cdn_path.to_vec();
     path.push(json!(id.provider));
     let body = json!({"trigger": spec, "cdn-path": path}).to_string();
-    let unseen = id.neighbours.iter().filter(|n| !cdn_path.iter().any(|p| *p == n.provider));
-    let to = |n: &super::Neighbour| Post {
+    let unseen = id
+        .neighbours
+        .iter()
+        .filter(|n| !cdn_path.iter().any(|p| *p == n.provider));
+    let to = |n: &super::PeerCdn| Notification {
         address: n.address,
         path: n.triggers.clone(),
         ptype: COMMAND,
@@ -88,11 +93,16 @@
 }
 
 /// A purge that was told here by other ways, as commands for every neighbour.
-pub(super) fn outgoing(id: &Identity, object: Option<&str>, group: u64) -> Vec<Post> {
+pub(super) fn outgoing(id: &Identity, object: Option<&str>, group: u64) -> Vec<Notification> {
     let url = |object: &str, class: &str| format!("{}/content/{class}/{object}", id.base);
     let spec = match object {
         Some(object) => {
-            let urls: Vec<_> = id.classes.iter().take(1).map(|(class, _)| url(object, class)).collect();
+            let urls: Vec<_> = id
+                .classes
+                .iter()
+                .take(1)
+                .map(|(class, _)| url(object, class))
+                .collect();
             json!({"type": "purge", "content.urls": urls})
         }
         None => json!({"type": "purge", "content.ccid": [group.to_string()]}),
@@ -102,7 +112,11 @@
 
 impl Triggers {
     pub(super) fn new(most: usize) -> Self {
-        Triggers { held: BTreeMap::new(), next: 1, most }
+        Triggers {
+            held: BTreeMap::new(),
+            next: 1,
+            most,
+        }
     }
 
     fn url(id: &Identity, number: u64) -> String {
@@ -118,7 +132,9 @@
         command: &Value,
         effects: &mut Vec<Effect>,
     ) -> Response {
-        let Some(cdn_path) = command["cdn-path"].as_array() else { return Response::bare(400) };
+        let Some(cdn_path) = command["cdn-path"].as_array() else {
+            return Response::bare(400);
+        };
         if looped(&command["cdn-path"], &id.provider) {
             return Response::bare(403);
         }
@@ -138,7 +154,8 @@
         (spec, cdn_path): (&Map<String, Value>, &[Value]),
         effects: &mut Vec<Effect>,
     ) -> Response {
-        let (Some(kind), Some(plan)) = (spec.get("type").and_then(Value::as_str), plan(spec)) else {
+        let (Some(kind), Some(plan)) = (spec.get("type").and_then(Value::as_str), plan(spec))
+        else {
             return Response::bare(400);
         };
         if plan.purges.is_empty() && plan.unable.is_empty() {
@@ -154,8 +171,11 @@
             error.insert("description".to_owned(), why.into());
             Some(Value::Object(error))
         };
-        let all: Map<_, _> =
-            spec.iter().filter(|(key, _)| *key != "type").map(|(k, v)| (k.clone(), v.clone())).collect();
+        let all: Map<_, _> = spec
+            .iter()
+            .filter(|(key, _)| *key != "type")
+            .map(|(k, v)| (k.clone(), v.clone()))
+            .collect();
         let error = match kind {
             // Invalidated copies are not shown to be good again here: they are purged, which is stricter.
             "purge" | "invalidate" if plan.purges.len() > room => {
@@ -171,11 +191,28 @@
             _ => return Response::bare(501),
         };
         if kind != "preposition" && plan.purges.len() <= room {
-            effects.extend(plan.purges.iter().map(|(object, group)| Effect::Purge(object.clone(), *group)));
-            effects.extend(posts(id, &Value::Object(spec.clone()), cdn_path).into_iter().map(Effect::Post));
+            effects.extend(
+                plan.purges
+                    .iter()
+                    .map(|(object, group)| Effect::Purge(object.clone(), *group)),
+            );
+            effects.extend(
+                posts(id, &Value::Object(spec.clone()), cdn_path)
+                    .into_iter()
+                    .map(Effect::Notify),
+            );
         }
-        let status = if error.is_some() { "failed" } else { "complete" };
-        let trigger = Trigger { spec: Value::Object(spec.clone()), made: now, status, error };
+        let status = if error.is_some() {
+            "failed"
+        } else {
+            "complete"
+        };
+        let trigger = Trigger {
+            spec: Value::Object(spec.clone()),
+            made: now,
+            status,
+            error,
+        };
         let response = Response::payload(201, STATUS, &trigger.payload());
         let number = self.next;
         self.next += 1;
@@ -184,20 +221,32 @@
     }
 
     pub(super) fn collection(&self, id: &Identity, status: Option<&str>) -> Response {
-        let listed = self.held.iter().filter(|(_, t)| status.is_none_or(|s| s == t.status));
+        let listed = self
+            .held
+            .iter()
+            .filter(|(_, t)| status.is_none_or(|s| s == t.status));
         let urls: Vec<_> = listed.map(|(number, _)| Self::url(id, *number)).collect();
-        let mut value = json!({"triggers": urls, "staleresourcetime": STALE_S, "cdn-id": id.provider});
-        for (key, name) in [("coll-all", ""), ("coll-complete", "/complete"), ("coll-failed", "/failed")] {
+        let mut value =
+            json!({"triggers": urls, "staleresourcetime": STALE_S, "cdn-id": id.provider});
+        for (key, name) in [
+            ("coll-all", ""),
+            ("coll-complete", "/complete"),
+            ("coll-failed", "/failed"),
+        ] {
             value[key] = format!("{}/cdni/triggers{name}", id.base).into();
         }
         Response::payload(200, COLLECTION, &value)
     }
 
     pub(super) fn resource(&mut self, id: &Identity, method: &str, name: &str) -> Response {
-        if let (Some(status), "GET") = (["complete", "failed"].iter().find(|s| **s == name), method) {
+        if let (Some(status), "GET") = (["complete", "failed"].iter().find(|s| **s == name), method)
+        {
             return self.collection(id, Some(status));
         }
-        let number = name.parse().ok().filter(|number| self.held.contains_key(number));
+        let number = name
+            .parse()
+            .ok()
+            .filter(|number| self.held.contains_key(number));
         match (number, method) {
             (Some(number), "GET") => Response::payload(200, STATUS, &self.held[&number].payload()),
             (Some(number), _) => {
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -1,4 +1,4 @@
-//! Fronts: each translates between its wire and the core's requests and answers.
+//! Fronts: each translates between its wire and the request_table's requests and answers.
 
 pub mod fastcgi;
 pub mod interconnect;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! The edge proxy: the decision module on real sockets. One thread, one epoll loop.
 //!
-//! `core` deals in requests, attempts and outcomes and drives the module; fronts and upstreams translate between
-//! it and their wires; `net` owns sockets, buffers and deadlines; `daemon` ties them together.
+//! `request_table` deals in requests, attempts and outcomes and drives the module; fronts and upstreams translate between
+//! it and their wires; `net` owns sockets, buffers and timers; `daemon` ties them together.
 
 pub mod config;
 pub mod discovery;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,9 +6,14 @@
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let started = Config::from_env().and_then(|config| {
-        Daemon::start(config, Box::new(Config::from_env)).map_err(|e| format!("could not start: {e}"))
+        Daemon::start(config, Box::new(Config::from_env))
+            .map_err(|e| format!("could not start: {e}"))
     });
-    match started.and_then(|mut daemon| daemon.run().map_err(|e| format!("the event loop failed: {e}"))) {
+    match started.and_then(|mut daemon| {
+        daemon
+            .run()
+            .map_err(|e| format!("the event loop failed: {e}"))
+    }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             log::error!("{message}");
--- a/crates/proxy/src/net/clock.rs
+++ b/crates/proxy/src/net/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// The system's Unix clock at the start, carried on by its monotonic clock: deadlines and the ages of purges
+/// The system's Unix clock at the start, carried on by its monotonic clock: timers and the ages of purges
 /// are counted on one scale, and a step of the system's clock can't move either.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -13,8 +13,13 @@
 impl Clock {
     /// A clock set by the system's.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix_us: unix.as_micros() as u64, start: Instant::now() }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            unix_us: unix.as_micros() as u64,
+            start: Instant::now(),
+        }
     }
 
     /// Unix time in microseconds.
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -1,4 +1,4 @@
-//! Sockets without a runtime: epoll, connections, buffers, numbered slots, deadlines and the clock.
+//! Sockets without a runtime: epoll, connections, buffers, numbered slots, timers and the clock.
 
 mod clock;
 mod connection;
@@ -8,8 +8,8 @@
 mod timer_queue;
 
 pub use clock::Clock;
-pub use connection::{connect, Conn, Progress};
-pub use poll::{Poll, Ready};
-pub use ring_buffer::Ring;
-pub use slots::{Key, Slots};
-pub use timer_queue::{Deadlines, Due};
+pub use connection::{connect, BufferedSocket, IoProgress};
+pub use poll::{Poller, Readiness};
+pub use ring_buffer::RingBuffer;
+pub use slots::{Slab, SlabKey};
+pub use timer_queue::{TimerKey, TimerQueue};
--- a/crates/proxy/src/net/slots.rs
+++ b/crates/proxy/src/net/slots.rs
@@ -2,12 +2,12 @@
 
 /// A slot and the generation of what stood in it: the key of what has left never finds its successor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Key {
+pub struct SlabKey {
     slot: u32,
     generation: u32,
 }
 
-impl Key {
+impl SlabKey {
     /// As one number, for epoll.
     pub fn to_u64(self) -> u64 {
         u64::from(self.generation) << 32 | u64::from(self.slot)
@@ -15,21 +15,28 @@
 
     /// Back from `to_u64`.
     pub fn from_u64(n: u64) -> Self {
-        Key { slot: n as u32, generation: (n >> 32) as u32 }
+        SlabKey {
+            slot: n as u32,
+            generation: (n >> 32) as u32,
+        }
     }
 }
 
 /// A bounded table of slots.
-pub struct Slots<T> {
+pub struct Slab<T> {
     slots: Vec<(u32, Option<T>)>,
     free: Vec<u32>,
-    most: usize,
+    capacity: usize,
 }
 
-impl<T> Slots<T> {
+impl<T> Slab<T> {
     /// A table for so many entries at most.
-    pub fn new(most: usize) -> Self {
-        Slots { slots: Vec::new(), free: Vec::new(), most }
+    pub fn new(capacity: usize) -> Self {
+        Slab {
+            slots: Vec::new(),
+            free: Vec::new(),
+            capacity,
+        }
     }
 
     /// How many entries there are.
@@ -43,42 +50,59 @@
     }
 
     /// How many entries can be added.
-    pub fn room(&self) -> usize {
-        self.most - self.len()
+    pub fn free_slots(&self) -> usize {
+        self.capacity - self.len()
     }
 
     /// Whether half of the places are taken.
     pub fn is_half_full(&self) -> bool {
-        self.len() * 2 >= self.most
+        self.len() * 2 >= self.capacity
     }
 
     /// Adds an entry; gives it back where the table is full.
-    pub fn insert(&mut self, value: T) -> Result<Key, T> {
+    pub fn insert(&mut self, value: T) -> Result<SlabKey, T> {
         if let Some(slot) = self.free.pop() {
             let (generation, place) = &mut self.slots[slot as usize];
             *place = Some(value);
-            return Ok(Key { slot, generation: *generation });
+            return Ok(SlabKey {
+                slot,
+                generation: *generation,
+            });
         }
-        if self.slots.len() >= self.most {
+        if self.slots.len() >= self.capacity {
             return Err(value);
         }
         self.slots.push((0, Some(value)));
-        Ok(Key { slot: self.slots.len() as u32 - 1, generation: 0 })
+        Ok(SlabKey {
+            slot: self.slots.len() as u32 - 1,
+            generation: 0,
+        })
     }
 
     /// The entry of a key, unless it has left.
-    pub fn get(&self, key: Key) -> Option<&T> {
-        self.slots.get(key.slot as usize).filter(|s| s.0 == key.generation)?.1.as_ref()
+    pub fn get(&self, key: SlabKey) -> Option<&T> {
+        self.slots
+            .get(key.slot as usize)
+            .filter(|s| s.0 == key.generation)?
+            .1
+            .as_ref()
     }
 
     /// As `get`, to change it.
-    pub fn get_mut(&mut self, key: Key) -> Option<&mut T> {
-        self.slots.get_mut(key.slot as usize).filter(|s| s.0 == key.generation)?.1.as_mut()
+    pub fn get_mut(&mut self, key: SlabKey) -> Option<&mut T> {
+        self.slots
+            .get_mut(key.slot as usize)
+            .filter(|s| s.0 == key.generation)?
+            .1
+            .as_mut()
     }
 
     /// Takes an entry out; its slot may be used again under a new generation.
-    pub fn remove(&mut self, key: Key) -> Option<T> {
-        let place = self.slots.get_mut(key.slot as usize).filter(|s| s.0 == key.generation)?;
+    pub fn remove(&mut self, key: SlabKey) -> Option<T> {
+        let place = self
+            .slots
+            .get_mut(key.slot as usize)
+            .filter(|s| s.0 == key.generation)?;
         let value = place.1.take()?;
         place.0 = place.0.wrapping_add(1);
         self.free.push(key.slot);
@@ -86,9 +110,13 @@
     }
 
     /// All keys, in the order of the slots.
-    pub fn keys(&self) -> Vec<Key> {
+    pub fn keys(&self) -> Vec<SlabKey> {
         let held = self.slots.iter().enumerate().filter(|(_, s)| s.1.is_some());
-        held.map(|(slot, s)| Key { slot: slot as u32, generation: s.0 }).collect()
+        held.map(|(slot, s)| SlabKey {
+            slot: slot as u32,
+            generation: s.0,
+        })
+        .collect()
     }
 }
 
@@ -98,13 +126,13 @@
 
     #[test]
     fn a_stale_key_misses_the_slots_next_entry() {
-        let mut slots = Slots::new(1);
+        let mut slots = Slab::new(1);
         let old = slots.insert("old").unwrap();
         assert_eq!(slots.insert("no room"), Err("no room"));
         assert_eq!(slots.remove(old), Some("old"));
         let new = slots.insert("new").unwrap();
         assert_eq!((slots.get(old), slots.get(new)), (None, Some(&"new")));
         assert_eq!(slots.remove(old), None);
-        assert_eq!(Key::from_u64(new.to_u64()), new);
+        assert_eq!(SlabKey::from_u64(new.to_u64()), new);
     }
 }
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -1,6 +1,6 @@
 //! FastCGI 1.0, the side of an application in the Responder role, and CGI's form of answers.
 
-use super::{Parser, WireError};
+use super::{Parser, ProtocolError};
 
 /// Kinds of records.
 pub mod kind {
@@ -54,7 +54,7 @@
 
 impl Records {
     /// Whether a record has come in part.
-    pub fn is_half(&self) -> bool {
+    pub fn has_partial_input(&self) -> bool {
         !self.header.is_empty()
     }
 }
@@ -62,16 +62,21 @@
 impl Parser for Records {
     type Item = Record;
 
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Record>), WireError> {
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Record>), ProtocolError> {
         let mut rest = input;
         let mut take = |n: usize| {
             let (taken, left) = rest.split_at(n.min(rest.len()));
             rest = left;
             taken
         };
-        self.header.extend_from_slice(take(HEADER - self.header.len()));
-        if self.header.first().is_some_and(|version| *version != VERSION) {
-            return Err(WireError::Malformed("the version of a FastCGI record"));
+        self.header
+            .extend_from_slice(take(HEADER - self.header.len()));
+        if self
+            .header
+            .first()
+            .is_some_and(|version| *version != VERSION)
+        {
+            return Err(ProtocolError::Malformed("the version of a FastCGI record"));
         }
         if self.header.len() < HEADER {
             return Ok((input.len(), None));
@@ -79,7 +84,8 @@
         let h = &self.header;
         let length = usize::from(u16::from_be_bytes([h[4], h[5]]));
         let padding = usize::from(h[6]);
-        self.content.extend_from_slice(take(length - self.content.len()));
+        self.content
+            .extend_from_slice(take(length - self.content.len()));
         if self.content.len() == length {
             self.skipped += take(padding - self.skipped).len();
         }
@@ -88,7 +94,11 @@
             return Ok((input.len(), None));
         }
         let id = u16::from_be_bytes([h[2], h[3]]);
-        let record = Record { kind: h[1], id, content: std::mem::take(&mut self.content) };
+        let record = Record {
+            kind: h[1],
+            id,
+            content: std::mem::take(&mut self.content),
+        };
         self.header.clear();
         self.skipped = 0;
         Ok((input.len() - left, Some(record)))
@@ -109,19 +119,21 @@
 }
 
 /// Role and flags of a BEGIN_REQUEST record.
-pub fn read_begin(content: &[u8]) -> Result<(u16, u8), WireError> {
+pub fn read_begin(content: &[u8]) -> Result<(u16, u8), ProtocolError> {
     match content {
         [a, b, flags, _, _, _, _, _] => Ok((u16::from_be_bytes([*a, *b]), *flags)),
-        _ => Err(WireError::Malformed("a BEGIN_REQUEST record")),
+        _ => Err(ProtocolError::Malformed("a BEGIN_REQUEST record")),
     }
 }
 
 /// Names and values of a whole parameter stream.
-pub fn read_pairs(mut bytes: &[u8]) -> Result<Vec<(String, String)>, WireError> {
-    const BAD: WireError = WireError::Malformed("a FastCGI parameter");
-    fn length(bytes: &mut &[u8]) -> Result<usize, WireError> {
+pub fn read_pairs(mut bytes: &[u8]) -> Result<Vec<(String, String)>, ProtocolError> {
+    const BAD: ProtocolError = ProtocolError::Malformed("a FastCGI parameter");
+    fn length(bytes: &mut &[u8]) -> Result<usize, ProtocolError> {
         let (n, size) = match **bytes {
-            [a, b, c, d, ..] if a >> 7 == 1 => (u32::from_be_bytes([a & 0x7f, b, c, d]) as usize, 4),
+            [a, b, c, d, ..] if a >> 7 == 1 => {
+                (u32::from_be_bytes([a & 0x7f, b, c, d]) as usize, 4)
+            }
             [a, ..] if a >> 7 == 0 => (usize::from(a), 1),
             _ => return Err(BAD),
         };
@@ -131,7 +143,10 @@
     let mut pairs = Vec::new();
     while !bytes.is_empty() {
         let (name, value) = (length(&mut bytes)?, length(&mut bytes)?);
-        let end = name.checked_add(value).filter(|end| *end <= bytes.len()).ok_or(BAD)?;
+        let end = name
+            .checked_add(value)
+            .filter(|end| *end <= bytes.len())
+            .ok_or(BAD)?;
         let text = |b: &[u8]| String::from_utf8(b.to_vec()).map_err(|_| BAD);
         pairs.push((text(&bytes[..name])?, text(&bytes[name..end])?));
         bytes = &bytes[end..];
--- a/crates/proxy/src/protocol/http.rs
+++ b/crates/proxy/src/protocol/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages: a head, then a body by length, in chunks or up to the connection's end.
 
-use super::{take_line, Parser, WireError};
+use super::{take_line, Parser, ProtocolError};
 
 /// A message's head.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -14,12 +14,20 @@
 impl Head {
     /// The value of a header, by its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, value)| value.as_str())
     }
 
     /// The status of a response.
     pub fn status(&self) -> Option<u16> {
-        self.start.strip_prefix("HTTP/1.")?.split(' ').nth(1)?.parse().ok()
+        self.start
+            .strip_prefix("HTTP/1.")?
+            .split(' ')
+            .nth(1)?
+            .parse()
+            .ok()
     }
 
     /// Method and target of a request.
@@ -33,7 +41,9 @@
     pub fn keeps_open(&self) -> bool {
         let says = |word: &str| {
             let words = self.header("connection").unwrap_or("").split(',');
-            words.into_iter().any(|w| w.trim().eq_ignore_ascii_case(word))
+            words
+                .into_iter()
+                .any(|w| w.trim().eq_ignore_ascii_case(word))
         };
         if self.start.contains("HTTP/1.0") {
             says("keep-alive")
@@ -97,47 +107,71 @@
 
     /// A reader of responses; `most_body` is `usize::MAX` for streams.
     pub fn responses(most_line: usize, most_body: usize) -> Self {
-        Messages { responses: true, ..Self::requests(most_line, most_body) }
+        Messages {
+            responses: true,
+            ..Self::requests(most_line, most_body)
+        }
     }
 
     /// Whether the connection's end now would also be the message's.
     pub fn may_end(&self) -> bool {
-        matches!(self.place, Place::ToTheEnd) || matches!(self.place, Place::Head) && self.head.is_none()
+        matches!(self.place, Place::ToTheEnd)
+            || matches!(self.place, Place::Head) && self.head.is_none()
     }
 
-    fn place_of_body(&self, head: &Head) -> Result<Place, WireError> {
-        const BAD: WireError = WireError::Malformed("an HTTP body's length");
+    fn place_of_body(&self, head: &Head) -> Result<Place, ProtocolError> {
+        const BAD: ProtocolError = ProtocolError::Malformed("an HTTP body's length");
         let length = head.header("content-length");
         let coding = head.header("transfer-encoding");
         // Two ways to tell where a message ends are how requests are smuggled.
         if length.is_some() && coding.is_some()
-            || head.headers.iter().filter(|(n, _)| n == "content-length").count() > 1
+            || head
+                .headers
+                .iter()
+                .filter(|(n, _)| n == "content-length")
+                .count()
+                > 1
         {
             return Err(BAD);
         }
         if let Some(coding) = coding {
-            return if coding.eq_ignore_ascii_case("chunked") { Ok(Place::ChunkSize) } else { Err(BAD) };
+            return if coding.eq_ignore_ascii_case("chunked") {
+                Ok(Place::ChunkSize)
+            } else {
+                Err(BAD)
+            };
         }
         if let Some(length) = length {
             let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
             let length: usize = length.parse().ok().filter(|_| digits).ok_or(BAD)?;
             return if length > self.most_body {
-                Err(WireError::TooLong("an HTTP body"))
+                Err(ProtocolError::TooLong("an HTTP body"))
             } else {
                 Ok(Place::Length(length))
             };
         }
         let empty = !self.responses || matches!(head.status(), Some(100..200 | 204 | 304));
-        Ok(if empty { Place::Length(0) } else { Place::ToTheEnd })
+        Ok(if empty {
+            Place::Length(0)
+        } else {
+            Place::ToTheEnd
+        })
     }
 
-    fn head_line(&mut self, line: Vec<u8>) -> Result<Option<Head>, WireError> {
-        let line = String::from_utf8(line).map_err(|_| WireError::Malformed("an HTTP head"))?;
+    fn head_line(&mut self, line: Vec<u8>) -> Result<Option<Head>, ProtocolError> {
+        let line = String::from_utf8(line).map_err(|_| ProtocolError::Malformed("an HTTP head"))?;
         let Some(head) = &mut self.head else {
             if !line.is_empty() {
-                let head = Head { start: line, headers: Vec::new() };
-                if if self.responses { head.status().is_none() } else { head.request().is_none() } {
-                    return Err(WireError::Malformed("an HTTP message's first line"));
+                let head = Head {
+                    start: line,
+                    headers: Vec::new(),
+                };
+                if if self.responses {
+                    head.status().is_none()
+                } else {
+                    head.request().is_none()
+                } {
+                    return Err(ProtocolError::Malformed("an HTTP message's first line"));
                 }
                 self.head = Some(head);
             }
@@ -147,11 +181,14 @@
             return Ok(self.head.take());
         }
         if head.headers.len() >= self.most_headers {
-            return Err(WireError::TooLong("an HTTP head"));
+            return Err(ProtocolError::TooLong("an HTTP head"));
         }
-        let named = line.split_once(':').filter(|(n, _)| !n.is_empty() && !n.contains([' ', '\t']));
-        let (name, value) = named.ok_or(WireError::Malformed("an HTTP header"))?;
-        head.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        let named = line
+            .split_once(':')
+            .filter(|(n, _)| !n.is_empty() && !n.contains([' ', '\t']));
+        let (name, value) = named.ok_or(ProtocolError::Malformed("an HTTP header"))?;
+        head.headers
+            .push((name.to_ascii_lowercase(), value.trim().to_owned()));
         Ok(None)
     }
 }
@@ -159,7 +196,7 @@
 impl Parser for Messages {
     type Item = Piece;
 
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Piece>), WireError> {
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Piece>), ProtocolError> {
         if std::mem::take(&mut self.done) {
             self.place = Place::Head;
             self.body = 0;
@@ -198,15 +235,25 @@
                     }
                 }
                 Place::ChunkSize => {
-                    let text =
-                        std::str::from_utf8(&line).unwrap_or("").split(';').next().unwrap_or("").trim();
-                    let size = usize::from_str_radix(text, 16).ok().filter(|_| !text.starts_with('+'));
-                    let size = size.ok_or(WireError::Malformed("an HTTP chunk"))?;
+                    let text = std::str::from_utf8(&line)
+                        .unwrap_or("")
+                        .split(';')
+                        .next()
+                        .unwrap_or("")
+                        .trim();
+                    let size = usize::from_str_radix(text, 16)
+                        .ok()
+                        .filter(|_| !text.starts_with('+'));
+                    let size = size.ok_or(ProtocolError::Malformed("an HTTP chunk"))?;
                     self.body = self.body.saturating_add(size);
                     if self.body > self.most_body && self.most_body != usize::MAX {
-                        return Err(WireError::TooLong("an HTTP body"));
+                        return Err(ProtocolError::TooLong("an HTTP body"));
                     }
-                    self.place = if size == 0 { Place::Trailers } else { Place::Chunk(size) };
+                    self.place = if size == 0 {
+                        Place::Trailers
+                    } else {
+                        Place::Chunk(size)
+                    };
                 }
                 Place::ChunkEnd if line.is_empty() => self.place = Place::ChunkSize,
                 Place::Trailers if line.is_empty() => {
@@ -215,7 +262,7 @@
                     return Ok((at, Some(Piece::End)));
                 }
                 Place::Trailers => {}
-                _ => return Err(WireError::Malformed("an HTTP chunk's end")),
+                _ => return Err(ProtocolError::Malformed("an HTTP chunk's end")),
             }
         }
         Ok((at, None))
--- a/crates/proxy/src/protocol/mod.rs
+++ b/crates/proxy/src/protocol/mod.rs
@@ -9,14 +9,14 @@
 
 /// Why input can't be read. It ends the connection that it came by.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WireError {
+pub enum ProtocolError {
     /// Longer than the limits allow.
     TooLong(&'static str),
     /// Not in the form of the protocol.
     Malformed(&'static str),
 }
 
-impl fmt::Display for WireError {
+impl fmt::Display for ProtocolError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::TooLong(what) => write!(f, "{what} is too long"),
@@ -25,7 +25,7 @@
     }
 }
 
-impl std::error::Error for WireError {}
+impl std::error::Error for ProtocolError {}
 
 /// A parser that takes bytes as they come.
 pub trait Parser {
@@ -33,15 +33,19 @@
     type Item;
     /// Takes from the front of `input` what it needs for the next item at most: bytes taken, and the item if
     /// it is whole. All input is taken where there is none.
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), WireError>;
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError>;
 }
 
 /// Moves bytes up to the line's end into `line`: bytes taken, and whether the line is whole (without its end).
-pub(crate) fn take_line(input: &[u8], line: &mut Vec<u8>, most: usize) -> Result<(usize, bool), WireError> {
+pub(crate) fn take_line(
+    input: &[u8],
+    line: &mut Vec<u8>,
+    most: usize,
+) -> Result<(usize, bool), ProtocolError> {
     let end = input.iter().position(|b| *b == b'\n');
     let taken = end.map_or(input.len(), |at| at + 1);
     if line.len() + taken > most {
-        return Err(WireError::TooLong("a line"));
+        return Err(ProtocolError::TooLong("a line"));
     }
     line.extend_from_slice(&input[..end.unwrap_or(input.len())]);
     if end.is_some() && line.last() == Some(&b'\r') {
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -1,6 +1,6 @@
 //! RESP arrays of bulk strings, as pop caches speak them.
 
-use super::{take_line, Parser, WireError};
+use super::{take_line, Parser, ProtocolError};
 
 const MOST_ITEMS: usize = 8;
 const LINE: usize = 32;
@@ -20,11 +20,18 @@
 impl Arrays {
     /// A reader that takes strings of so many bytes at most.
     pub fn new(most: usize) -> Self {
-        Arrays { most, line: Vec::new(), lacking: None, length: None, items: Vec::new(), item: Vec::new() }
+        Arrays {
+            most,
+            line: Vec::new(),
+            lacking: None,
+            length: None,
+            items: Vec::new(),
+            item: Vec::new(),
+        }
     }
 
     /// Whether an array has come in part.
-    pub fn is_half(&self) -> bool {
+    pub fn has_partial_input(&self) -> bool {
         self.lacking.is_some() || !self.line.is_empty()
     }
 
@@ -33,14 +40,21 @@
         self.items.first().map(Vec::as_slice)
     }
 
-    fn number(&mut self, mark: u8, most: usize, what: &'static str) -> Result<usize, WireError> {
+    fn number(
+        &mut self,
+        mark: u8,
+        most: usize,
+        what: &'static str,
+    ) -> Result<usize, ProtocolError> {
         let line = std::mem::take(&mut self.line);
-        let digits = line.strip_prefix(&[mark]).filter(|d| d.iter().all(u8::is_ascii_digit));
+        let digits = line
+            .strip_prefix(&[mark])
+            .filter(|d| d.iter().all(u8::is_ascii_digit));
         let number = digits.and_then(|d| std::str::from_utf8(d).ok()?.parse().ok());
-        let number = number.ok_or(WireError::Malformed(what))?;
+        let number = number.ok_or(ProtocolError::Malformed(what))?;
         // Checked before anything is taken for it: a peer names any length it likes.
         if number > most {
-            return Err(WireError::TooLong(what));
+            return Err(ProtocolError::TooLong(what));
         }
         Ok(number)
     }
@@ -49,7 +63,7 @@
 impl Parser for Arrays {
     type Item = Vec<Vec<u8>>;
 
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), WireError> {
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError> {
         let mut at = 0;
         loop {
             if self.lacking == Some(0) {
@@ -76,7 +90,7 @@
             at += taken;
             if taken == wanted {
                 if !self.item.ends_with(b"\r\n") {
-                    return Err(WireError::Malformed("the end of a RESP string"));
+                    return Err(ProtocolError::Malformed("the end of a RESP string"));
                 }
                 self.item.truncate(length);
                 self.items.push(std::mem::take(&mut self.item));
@@ -100,5 +114,9 @@
 /// The value of a name in a list `name=value,name=value`.
 pub fn field<'a>(fields: &'a [u8], name: &str) -> Option<&'a str> {
     let fields = std::str::from_utf8(fields).ok()?;
-    fields.split(',').find_map(|f| f.split_once('=').filter(|(n, _)| *n == name).map(|(_, value)| value))
+    fields.split(',').find_map(|f| {
+        f.split_once('=')
+            .filter(|(n, _)| *n == name)
+            .map(|(_, value)| value)
+    })
 }
--- a/crates/proxy/src/protocol/sse.rs
+++ b/crates/proxy/src/protocol/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events.
 
-use super::{take_line, Parser, WireError};
+use super::{take_line, Parser, ProtocolError};
 
 /// One event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,14 +22,19 @@
 impl Events {
     /// A reader of events of so many bytes at most.
     pub fn new(most: usize) -> Self {
-        Events { most, line: Vec::new(), id: String::new(), data: None }
+        Events {
+            most,
+            line: Vec::new(),
+            id: String::new(),
+            data: None,
+        }
     }
 }
 
 impl Parser for Events {
     type Item = Event;
 
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Event>), WireError> {
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Event>), ProtocolError> {
         let mut at = 0;
         while at < input.len() {
             let (taken, whole) = take_line(&input[at..], &mut self.line, self.most)?;
@@ -38,10 +43,16 @@
                 break;
             }
             let line = String::from_utf8(std::mem::take(&mut self.line))
-                .map_err(|_| WireError::Malformed("an event's text"))?;
+                .map_err(|_| ProtocolError::Malformed("an event's text"))?;
             if line.is_empty() {
                 if let Some(data) = self.data.take() {
-                    return Ok((at, Some(Event { id: self.id.clone(), data })));
+                    return Ok((
+                        at,
+                        Some(Event {
+                            id: self.id.clone(),
+                            data,
+                        }),
+                    ));
                 }
                 continue;
             }
@@ -52,7 +63,7 @@
                 "data" => {
                     let data = self.data.get_or_insert_default();
                     if data.len() + value.len() > self.most {
-                        return Err(WireError::TooLong("an event"));
+                        return Err(ProtocolError::TooLong("an event"));
                     }
                     if !data.is_empty() {
                         data.push('\n');
--- a/crates/proxy/src/request_table/trace.rs
+++ b/crates/proxy/src/request_table/trace.rs
@@ -5,7 +5,7 @@
 
 /// An attempt that has ended.
 #[derive(Clone, Copy, Debug)]
-pub struct Step {
+pub struct TraceEvent {
     /// The box.
     pub server: ServerId,
     /// The source of its fill; the box itself: none.
@@ -24,20 +24,24 @@
 
 /// The attempts of a request, as many as the module may make, and how it ended.
 #[derive(Clone, Debug)]
-pub struct Trail {
+pub struct RequestTrace {
     asked: Micros,
-    steps: Vec<Step>,
+    steps: Vec<TraceEvent>,
     end: Option<(Micros, &'static str)>,
 }
 
-impl Trail {
-    /// The trail of a request that came at this time.
+impl RequestTrace {
+    /// The trace of a request that came at this time.
     pub fn new(asked: Micros) -> Self {
-        Trail { asked, steps: Vec::new(), end: None }
+        RequestTrace {
+            asked,
+            steps: Vec::new(),
+            end: None,
+        }
     }
 
     /// An attempt has ended.
-    pub fn step(&mut self, step: Step) {
+    pub fn step(&mut self, step: TraceEvent) {
         self.steps.push(step);
     }
 
@@ -49,7 +53,10 @@
     /// Served by its first attempt, in the first half of its time: nothing to tell.
     pub fn is_smooth(&self, deadline: Micros) -> bool {
         let half = self.asked + deadline.saturating_sub(self.asked) / 2;
-        self.steps.len() == 1 && self.end.is_some_and(|(at, how)| how == "served" && at <= half)
+        self.steps.len() == 1
+            && self
+                .end
+                .is_some_and(|(at, how)| how == "served" && at <= half)
     }
 
     /// All of it in one line; `uid` gives the name of a box that is still listed.
@@ -62,7 +69,13 @@
             let _ = write!(out, "{how} after {:.1} ms", ms(at));
         }
         for s in &self.steps {
-            let _ = write!(out, "; {:.1} to {:.1}: {}", ms(s.sent), ms(s.ended), name(s.server));
+            let _ = write!(
+                out,
+                "; {:.1} to {:.1}: {}",
+                ms(s.sent),
+                ms(s.ended),
+                name(s.server)
+            );
             if let Some(source) = s.source.filter(|source| *source != s.server) {
                 let _ = write!(out, " from {}", name(source));
             }
@@ -80,17 +93,22 @@
 
 /// Lines that may be written in a second.
 #[derive(Clone, Copy, Debug)]
-pub struct Budget {
+pub struct LogRateLimiter {
     most: u32,
     second: u64,
     used: u32,
     passed_over: u32,
 }
 
-impl Budget {
+impl LogRateLimiter {
     /// So many lines a second.
     pub fn new(most: u32) -> Self {
-        Budget { most, second: 0, used: 0, passed_over: 0 }
+        LogRateLimiter {
+            most,
+            second: 0,
+            used: 0,
+            passed_over: 0,
+        }
     }
 
     /// Whether one more line may be written; what to add to it where some were not.
@@ -104,7 +122,11 @@
         }
         self.used += 1;
         let passed_over = std::mem::take(&mut self.passed_over);
-        Some(if passed_over > 0 { format!(" ({passed_over} lines passed over)") } else { String::new() })
+        Some(if passed_over > 0 {
+            format!(" ({passed_over} lines passed over)")
+        } else {
+            String::new()
+        })
     }
 }
 
@@ -114,8 +136,8 @@
 
     #[test]
     fn a_line_tells_every_attempt_and_smooth_requests_have_none() {
-        let mut trail = Trail::new(1_000_000);
-        let step = Step {
+        let mut trace = RequestTrace::new(1_000_000);
+        let step = TraceEvent {
             server: 1,
             source: Some(2),
             sent: 1_000_500,
@@ -124,20 +146,23 @@
             fill_result: FillResult::SourceUnreachable,
             fill_ttfb_us: 7_500,
         };
-        trail.step(step);
-        trail.step(Step {
+        trace.step(step);
+        trace.step(TraceEvent {
             server: 3,
             source: Some(3),
             fill_result: FillResult::Unknown,
             fill_ttfb_us: 0,
             ..step
         });
-        trail.end(1_030_000, "refused");
-        let line = trail.line(|id| (id < 3).then_some("s-1"));
+        trace.end(1_030_000, "refused");
+        let line = trace.line(|id| (id < 3).then_some("s-1"));
         let first = "0.5 to 20.0: s-1 from s-1 Rejected SourceUnreachable waited 7.5";
-        assert_eq!(line, format!("refused after 30.0 ms; {first}; 0.5 to 20.0: #0000000000000003 Rejected"));
-        assert!(!trail.is_smooth(2_000_000));
-        let mut served = Trail::new(0);
+        assert_eq!(
+            line,
+            format!("refused after 30.0 ms; {first}; 0.5 to 20.0: #0000000000000003 Rejected")
+        );
+        assert!(!trace.is_smooth(2_000_000));
+        let mut served = RequestTrace::new(0);
         served.step(step);
         served.end(50, "served");
         assert!(served.is_smooth(100) && !served.is_smooth(99));
@@ -145,10 +170,16 @@
 
     #[test]
     fn a_flood_does_not_fill_the_log() {
-        let mut budget = Budget::new(2);
+        let mut budget = LogRateLimiter::new(2);
         let mut take = |at| budget.take(at);
         let none = Some(String::new());
-        assert_eq!([take(0), take(1), take(2), take(999_999)], [none.clone(), none.clone(), None, None]);
-        assert_eq!([take(1_000_000), take(1_000_001)], [Some(" (2 lines passed over)".to_owned()), none]);
+        assert_eq!(
+            [take(0), take(1), take(2), take(999_999)],
+            [none.clone(), none.clone(), None, None]
+        );
+        assert_eq!(
+            [take(1_000_000), take(1_000_001)],
+            [Some(" (2 lines passed over)".to_owned()), none]
+        );
     }
 }
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -15,7 +15,10 @@
 #[test]
 fn what_is_not_said_has_a_default() {
     let config = read(&good()).unwrap();
-    assert_eq!((config.bus, config.known.0, config.limits.descriptors), (None, 0, 1024));
+    assert_eq!(
+        (config.bus, config.known.0, config.limits.descriptors),
+        (None, 0, 1024)
+    );
     assert!(config.cdni.is_none() && config.consul.is_none() && config.peers.is_none());
     // Time limits are longer on sockets, that of the boxes' own dropping among them.
     assert_eq!(config.settings.rules.purge_completion_us, 6_050_000);
@@ -30,7 +33,10 @@
         ("bus", json!(7)),
         ("peers", json!(["a"])),
         ("settings", json!({"categories": 3})),
-        ("known", json!({"batch": [{"offset": 1, "ban": {"url": "a"}}]})),
+        (
+            "known",
+            json!({"batch": [{"offset": 1, "ban": {"url": "a"}}]}),
+        ),
         ("limits", json!({"sockets": 0})),
     ] {
         let mut config = good();
@@ -45,12 +51,16 @@
 #[test]
 fn the_second_front_is_off_until_it_is_told_where_to_listen() {
     let mut config = read(&good()).unwrap();
-    let shipped: Value = serde_json::from_str(include_str!("../../../deploy/interconnect.json")).unwrap();
+    let shipped: Value =
+        serde_json::from_str(include_str!("../../../deploy/interconnect.json")).unwrap();
     config.interconnect(shipped.as_object().unwrap()).unwrap();
     assert!(config.cdni.is_none() && config.consul.is_none());
     for (file, key) in [
         (json!({"cdni": {"listen": "x"}}), "listen"),
-        (json!({"cdni": {"listen": "127.0.0.1:0", "base": "b"}}), "provider"),
+        (
+            json!({"cdni": {"listen": "127.0.0.1:0", "base": "b"}}),
+            "provider",
+        ),
         (
             json!({"cdni": {"listen": "127.0.0.1:0", "base": "b", "provider": "p", "footprint": ["1.2.3.4"]}}),
             "footprint",
@@ -67,7 +77,14 @@
     let text = include_str!("../../../examples/config.json");
     let mut config = read(&serde_json::from_str(text).unwrap()).unwrap();
     let text = include_str!("../../../examples/interconnect.json");
-    config.interconnect(serde_json::from_str::<Value>(text).unwrap().as_object().unwrap()).unwrap();
+    config
+        .interconnect(
+            serde_json::from_str::<Value>(text)
+                .unwrap()
+                .as_object()
+                .unwrap(),
+        )
+        .unwrap();
     assert!(config.cdni.is_some());
 }
 
@@ -75,9 +92,14 @@
 fn what_a_running_daemon_can_not_follow_is_told_by_its_key() {
     let old = read(&good()).unwrap();
     let mut new = good();
-    (new["bus"], new["seed"], new["known"]) = (json!("127.0.0.1:1"), json!("7"), json!({"offset": 3}));
+    (new["bus"], new["seed"], new["known"]) =
+        (json!("127.0.0.1:1"), json!("7"), json!({"offset": 3}));
     assert!(old.fixed_changes(&read(&new).unwrap()).is_empty());
-    (new["listen"], new["limits"], new["name"]) = (json!("127.0.0.1:9"), json!({"sockets": 99}), json!("n"));
+    (new["listen"], new["limits"], new["name"]) =
+        (json!("127.0.0.1:9"), json!({"sockets": 99}), json!("n"));
     new["settings"]["limits"]["try-limit"] = json!(2);
-    assert_eq!(old.fixed_changes(&read(&new).unwrap()), ["name", "listen", "limits", "settings"]);
+    assert_eq!(
+        old.fixed_changes(&read(&new).unwrap()),
+        ["name", "listen", "limits", "settings"]
+    );
 }
--- a/crates/proxy/tests/connection_endings.rs
+++ b/crates/proxy/tests/connection_endings.rs
@@ -21,15 +21,22 @@
 
 /// Whether a client's connection was ended by a close, not by a reset.
 fn is_closed(web: &mut WebServer) -> bool {
-    web.end().is_err_and(|e| e.kind() == ErrorKind::UnexpectedEof)
+    web.end()
+        .is_err_and(|e| e.kind() == ErrorKind::UnexpectedEof)
 }
 
 #[test]
 fn once_the_grace_is_over_nothing_that_is_read_is_sent_on_and_what_is_open_is_answered() {
     let puppet = Puppet::start().unwrap();
-    let mut rig = Rig::puppet(&puppet, |_| {}, |limits| limits.linger_us = MINUTE_US);
+    let mut rig = Rig::puppet(
+        &puppet,
+        |_| {},
+        |limits| limits.lingering_close_us = MINUTE_US,
+    );
     let (mut busy, mut resting) = (rig.web(), rig.web());
-    resting.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+    resting
+        .send(&WebServer::request(1, "/_health", &[], b""))
+        .unwrap();
     resting.end().unwrap();
     busy.ask(1, WRITE, &object(1), 60_000).unwrap();
     let mut line = puppet.line().unwrap();
@@ -42,7 +49,8 @@
     busy.ask(2, WRITE, &object(3), 60_000).unwrap();
     let (id, answer) = busy.end().unwrap();
     assert_eq!((id, answer.unwrap().status), (2, 503));
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     let (id, answer) = busy.end().unwrap();
     assert_eq!((id, answer.unwrap().status), (1, 200));
     assert!(is_closed(&mut busy), "nothing is open on it any more");
@@ -53,22 +61,35 @@
 
 #[test]
 fn bytes_that_cross_the_end_reset_no_answer_away() {
-    let mut rig = Rig::bounded(&["s-0a"], |_| {}, |limits| limits.linger_us = MINUTE_US);
+    let mut rig = Rig::bounded(
+        &["s-0a"],
+        |_| {},
+        |limits| limits.lingering_close_us = MINUTE_US,
+    );
     // More than the sockets between take at once: the rest is still on its way when all is written.
-    rig.origin.behave(Manner { padding: 480_000, ..Manner::default() });
+    rig.origin.behave(Manner {
+        padding: 480_000,
+        ..Manner::default()
+    });
     let mut web = rig.web();
     for id in 1..=8 {
         web.ask(id, WRITE, &object(u64::from(id)), 60_000).unwrap();
     }
     (1..=8).for_each(|n| {
-        rig.origin.wait_for(|a| a.field("key") == Some(&object(n))).unwrap();
+        rig.origin
+            .wait_for(|a| a.field("key") == Some(&object(n)))
+            .unwrap();
     });
     rig.end_grace();
     for n in 1..=8 {
         // It sends on while it reads: the first bytes of a request that never becomes whole.
         let request = WebServer::request(100, "/invoke/photo", &[("HTTP_REQUEST_ID", "0a")], b"");
         web.send(&request[n - 1..n]).unwrap();
-        assert_eq!(web.end().unwrap().1.unwrap().status, 200, "answer {n} came whole");
+        assert_eq!(
+            web.end().unwrap().1.unwrap().status,
+            200,
+            "answer {n} came whole"
+        );
     }
     drop(web);
     rig.run.join().unwrap().unwrap();
@@ -77,7 +98,11 @@
 #[test]
 fn a_client_that_does_not_keep_its_connection_gets_its_answer_and_then_the_end() {
     let puppet = Puppet::start().unwrap();
-    let rig = Rig::puppet(&puppet, |_| {}, |limits| limits.client_idle_us = MINUTE_US);
+    let rig = Rig::puppet(
+        &puppet,
+        |_| {},
+        |limits| limits.client_idle_timeout_us = MINUTE_US,
+    );
     let mut web = rig.web();
     let id = object(0x77);
     let once = id.repeat(2);
@@ -94,7 +119,8 @@
     web.send(&request).unwrap();
     let mut line = puppet.line().unwrap();
     let open = line.frame().unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     assert!(is_closed(&mut web), "it waits for nothing but the end");
     rig.stop();
@@ -106,7 +132,7 @@
     let mut rig = Rig::bounded(
         &["s-0a"],
         |config| config["limits"]["sockets"] = 3.into(),
-        |limits| limits.settle_us = 0,
+        |limits| limits.eviction_immunity_us = 0,
     );
     let mut first = rig.web();
     assert_eq!(one(&mut first, "photo", &object(1)).status, 200);
@@ -114,7 +140,11 @@
     let mut second = rig.web();
     first.ask(2, "photo", &object(2), 60_000).unwrap();
     drop(held);
-    assert_eq!(first.end().unwrap().1.unwrap().status, 200, "its request was there when room was looked for");
+    assert_eq!(
+        first.end().unwrap().1.unwrap().status,
+        200,
+        "its request was there when room was looked for"
+    );
     second.ask(1, "photo", &object(3), 60_000).unwrap();
     assert_eq!(second.end().unwrap().1.unwrap().status, 200);
     rig.stop();
@@ -130,7 +160,8 @@
     let open = line.frame().unwrap();
     let held = rig.hold();
     second.ask(1, WRITE, &object(2), 60_000).unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     line.reset().unwrap();
     drop(held);
     // The next request has to be sent elsewhere; the first one was answered.
@@ -138,7 +169,8 @@
     let again = line.frame().unwrap();
     assert_eq!(again.key(), Some(object(2).as_str()));
     assert_eq!(first.end().unwrap().1.unwrap().status, 200);
-    line.answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     assert_eq!(second.end().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
@@ -146,12 +178,14 @@
 #[test]
 fn a_connection_that_has_ended_is_not_used_again_for_what_may_not_be_repeated() {
     let puppet = Puppet::start().unwrap();
-    let once = |config: &mut Value| config["settings"]["categories"][1]["repeat"] = json!("side_effect");
+    let once =
+        |config: &mut Value| config["settings"]["categories"][1]["repeat"] = json!("side_effect");
     let mut rig = Rig::puppet(&puppet, once, |_| {});
     let mut web = rig.web();
     let served = |web: &mut WebServer, line: &mut Line| {
         let open = line.frame().unwrap();
-        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+            .unwrap();
         web.end().unwrap().1.unwrap().status
     };
     web.ask(1, WRITE, &object(1), 60_000).unwrap();
@@ -173,7 +207,11 @@
 fn connections_that_have_gone_silent_do_not_bar_the_way_to_their_box() {
     let puppet = Puppet::start().unwrap();
     // One connection, and any silence makes it one that may lead nowhere.
-    let rig = Rig::puppet(&puppet, |_| {}, |limits| (limits.box_connections, limits.suspect_us) = (1, 0));
+    let rig = Rig::puppet(
+        &puppet,
+        |_| {},
+        |limits| (limits.connections_per_server, limits.unresponsive_after_us) = (1, 0),
+    );
     let mut web = rig.web();
     web.ask(1, WRITE, &object(1), 300).unwrap();
     let mut silent = puppet.line().unwrap();
@@ -183,7 +221,8 @@
     web.ask(2, WRITE, &object(2), 60_000).unwrap();
     let mut line = puppet.line().unwrap();
     let open = line.frame().unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     assert!(silent.frame().is_err(), "the silent one made room");
     rig.stop();
@@ -206,10 +245,13 @@
     // An answer behind the copy on its connection shows that the copy was read.
     web.ask(2, WRITE, &object(2), 60_000).unwrap();
     let next = line.frame().unwrap();
-    line.answer(&next.id, "200", "how=local,made=1,etag=t2", "the second").unwrap();
+    line.answer(&next.id, "200", "how=local,made=1,etag=t2", "the second")
+        .unwrap();
     let (id, answer) = web.end().unwrap();
     assert_eq!((id, answer.unwrap().status), (2, 200));
-    other.answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    other
+        .answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     let (id, answer) = web.end().unwrap();
     assert_eq!((id, answer.unwrap().status), (1, 200));
     rig.stop();
@@ -219,8 +261,11 @@
 fn nothing_begins_for_a_client_that_has_gone_also_where_attempts_cannot_be_called_off() {
     for cancel in [true, false] {
         let puppet = Puppet::start().unwrap();
-        let mut rig =
-            Rig::puppet(&puppet, |config| config["settings"]["limits"]["cancel"] = cancel.into(), |_| {});
+        let mut rig = Rig::puppet(
+            &puppet,
+            |config| config["settings"]["limits"]["cancel"] = cancel.into(),
+            |_| {},
+        );
         let held = rig.hold();
         let (mut leaves, mut closes, mut stays) = (rig.web(), rig.web(), rig.web());
         // All of it comes before the connection to the box is up.
@@ -232,8 +277,13 @@
         drop(held);
         let mut line = puppet.line().unwrap();
         let open = line.frame().unwrap();
-        assert_eq!(open.key(), Some(object(3).as_str()), "calling off allowed: {cancel}");
-        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+        assert_eq!(
+            open.key(),
+            Some(object(3).as_str()),
+            "calling off allowed: {cancel}"
+        );
+        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+            .unwrap();
         assert_eq!(stays.end().unwrap().1.unwrap().status, 200);
         rig.stop();
     }
@@ -243,24 +293,40 @@
 fn an_answer_that_never_ends_costs_what_waits_for_it_and_no_later_request() {
     let puppet = Puppet::start().unwrap();
     // It never pauses for long enough to be taken for one that stopped short.
-    let rig =
-        Rig::puppet(&puppet, |_| {}, |limits| (limits.half_answer_us, limits.endless_us) = (MINUTE_US, 0));
+    let rig = Rig::puppet(
+        &puppet,
+        |_| {},
+        |limits| {
+            (
+                limits.partial_answer_timeout_us,
+                limits.unawaited_answer_timeout_us,
+            ) = (MINUTE_US, 0)
+        },
+    );
     let mut web = rig.web();
     web.ask(1, WRITE, &object(1), 300).unwrap();
     let mut endless = puppet.line().unwrap();
     let open = endless.frame().unwrap();
     endless
-        .send(format!("*4\r\n$16\r\n{}\r\n$3\r\n200\r\n$1\r\n-\r\n$9000\r\n...", open.id).as_bytes())
+        .send(
+            format!(
+                "*4\r\n$16\r\n{}\r\n$3\r\n200\r\n$1\r\n-\r\n$9000\r\n...",
+                open.id
+            )
+            .as_bytes(),
+        )
         .unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 503, "its time was up");
     assert!(endless.ends().unwrap(), "nobody waits for the rest of it");
     web.ask(2, WRITE, &object(2), 60_000).unwrap();
     let mut line = puppet.line().unwrap();
     let open = line.frame().unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     // An answer under an id that nobody asked for is not waited for either.
-    line.send(b"*4\r\n$16\r\nffffffffffffffff\r\n$3\r\n200\r\n").unwrap();
+    line.send(b"*4\r\n$16\r\nffffffffffffffff\r\n$3\r\n200\r\n")
+        .unwrap();
     assert!(line.ends().unwrap(), "it holds up all behind it");
     rig.stop();
 }
@@ -278,10 +344,11 @@
     rig.bus.list(true, list);
     let mut web = rig.web();
     let mut health = || {
-        web.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+        web.send(&WebServer::request(1, "/_health", &[], b""))
+            .unwrap();
         web.end().unwrap().1.unwrap().status
     };
-    // Asked until the event has come; a further call would mean that it was given up in the middle.
+    // ClientRequest until the event has come; a further call would mean that it was given up in the middle.
     while health() != 200 {
         assert!(rig.bus.calls() <= 1, "it is read by the first call");
     }
@@ -307,7 +374,8 @@
             ("HTTP_BUDGET_MS", "60000"),
             ("HTTP_X_VER", held),
         ];
-        web.send(&WebServer::request(1, "/invoke/photo", &asked, b"")).unwrap();
+        web.send(&WebServer::request(1, "/invoke/photo", &asked, b""))
+            .unwrap();
         let mut line = puppet.line().unwrap();
         let open = line.frame().unwrap();
         line.answer(&open.id, "304", &fields, "").unwrap();
@@ -323,19 +391,29 @@
 
 #[test]
 fn a_purge_bounds_the_age_also_behind_the_time_in_which_the_boxes_drop_their_copies() {
-    let soon = |config: &mut Value| config["settings"]["family-info"]["purge-takes-us"] = 200_000.into();
+    let soon =
+        |config: &mut Value| config["settings"]["family-info"]["purge-takes-us"] = 200_000.into();
     let rig = Rig::with(&["s-0a"], soon);
     let mut web = rig.web();
-    rig.bus.push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
-    // Asked for until the purge is known, and once more when every box says that it holds no older copy.
-    let bounded = || rig.boxes[0].arrivals().last().is_some_and(|a| a.field("maxage").is_some());
+    rig.bus
+        .push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
+    // ClientRequest for until the purge is known, and once more when every box says that it holds no older copy.
+    let bounded = || {
+        rig.boxes[0]
+            .arrivals()
+            .last()
+            .is_some_and(|a| a.field("maxage").is_some())
+    };
     while !bounded() {
         assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
     }
     let known = unix_ms();
     while unix_ms() <= known + 260 {}
     assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
-    assert!(bounded(), "a fill that was under way may have brought an older one");
+    assert!(
+        bounded(),
+        "a fill that was under way may have brought an older one"
+    );
     rig.stop();
 }
 
@@ -343,7 +421,7 @@
 fn what_a_client_left_behind_is_freed_when_its_time_is_up_also_if_no_answer_ever_comes() {
     let puppet = Puppet::start().unwrap();
     let never = |config: &mut Value| config["settings"]["limits"]["cancel"] = false.into();
-    let rig = Rig::puppet(&puppet, never, |limits| limits.requests = 1);
+    let rig = Rig::puppet(&puppet, never, |limits| limits.open_requests = 1);
     let mut web = rig.web();
     web.ask(1, WRITE, &object(1), 300).unwrap();
     let mut line = puppet.line().unwrap();
@@ -354,7 +432,8 @@
     let until = Instant::now() + PATIENCE;
     let open = loop {
         web.ask(2, WRITE, &object(2), 60_000).unwrap();
-        web.send(&WebServer::request(3, "/_health", &[], b"")).unwrap();
+        web.send(&WebServer::request(3, "/_health", &[], b""))
+            .unwrap();
         match web.end().unwrap() {
             (3, _) => break line.fetch().unwrap(),
             (_, answer) => assert_eq!(answer.unwrap().status, 503),
@@ -363,7 +442,8 @@
         assert!(Instant::now() < until, "its place is never freed");
     };
     assert_eq!(open.key(), Some(object(2).as_str()));
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it").unwrap();
+    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
@@ -394,8 +474,12 @@
     let mut web = rig.web();
     let mut odd = entry(&rig.boxes[1], "here", "box", "melting");
     odd["uid"] = "s-0c".into();
-    rig.bus.list(false, vec![odd, entry(&rig.boxes[0], "here", "box", "draining")]);
-    rig.bus.push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
+    rig.bus.list(
+        false,
+        vec![odd, entry(&rig.boxes[0], "here", "box", "draining")],
+    );
+    rig.bus
+        .push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
     // The purge behind the list is known once an age is asked for.
     let bounded = |b: &StandIn| b.arrivals().iter().any(|a| a.field("maxage").is_some());
     while !rig.boxes.iter().any(bounded) {
@@ -430,16 +514,21 @@
 
 #[test]
 fn the_shutdown_deadline_lies_before_the_earliest_time_at_which_the_process_may_be_killed() {
-    for (deadline_us, shutdown_deadline_us) in
-        [(1_500_000, 2_150_000), (3_000_000, 3_650_000), (9_000_000, 3_650_000)]
-    {
+    for (deadline_us, shutdown_deadline_us) in [
+        (1_500_000, 2_150_000),
+        (3_000_000, 3_650_000),
+        (9_000_000, 3_650_000),
+    ] {
         let mut settings = settings();
         for class in settings["categories"].as_array_mut().unwrap() {
             class["deadline-us"] = deadline_us.into();
         }
         let config = json!({"listen": "127.0.0.1:0", "settings": settings});
         let limits = Config::read(config.as_object().unwrap()).unwrap().limits;
-        assert_eq!(limits.shutdown_deadline_us, shutdown_deadline_us, "{deadline_us}");
+        assert_eq!(
+            limits.shutdown_deadline_us, shutdown_deadline_us,
+            "{deadline_us}"
+        );
     }
 }
 
@@ -449,14 +538,24 @@
     let rig = Rig::bounded(
         &["s-0a"],
         |_| {},
-        |limits| (limits.half_requests, limits.client_half_us) = (100_000, MINUTE_US),
+        |limits| {
+            (
+                limits.partial_request_bytes,
+                limits.client_request_timeout_us,
+            ) = (100_000, MINUTE_US)
+        },
     );
     let half = |web: &mut WebServer, stream: u16, bytes: usize| {
-        let request =
-            WebServer::request(stream, "/invoke/post", &[("HTTP_REQUEST_ID", "0a")], &vec![b'.'; bytes]);
+        let request = WebServer::request(
+            stream,
+            "/invoke/post",
+            &[("HTTP_REQUEST_ID", "0a")],
+            &vec![b'.'; bytes],
+        );
         web.send(&request[..request.len() - 8]).unwrap();
         // Read by now: what comes behind it is answered.
-        web.send(&WebServer::request(100, "/_health", &[], b"")).unwrap();
+        web.send(&WebServer::request(100, "/_health", &[], b""))
+            .unwrap();
         web.end()
     };
     let (mut large, mut small, mut usual) = (rig.web(), rig.web(), rig.web());
@@ -487,7 +586,12 @@
 fn what_comes_behind_a_request_and_cannot_be_read_does_not_cost_its_answer() {
     let rig = Rig::start();
     let mut web = rig.web();
-    let mut bytes = WebServer::request(1, "/invoke/photo", &[("HTTP_REQUEST_ID", "not hexadecimal!")], b"");
+    let mut bytes = WebServer::request(
+        1,
+        "/invoke/photo",
+        &[("HTTP_REQUEST_ID", "not hexadecimal!")],
+        b"",
+    );
     bytes.extend(WebServer::request(2, "/_health", &[], b""));
     bytes.extend(b"GET / HTTP/1.1\r\n\r\n");
     web.send(&bytes).unwrap();
--- a/crates/proxy/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -18,14 +18,26 @@
 }
 
 fn catalogue(ids: &[&str]) -> Value {
-    ids.iter().map(|id| json!({"ServiceID": id, "ServiceName": "pop-cache"})).collect()
+    ids.iter()
+        .map(|id| json!({"ServiceID": id, "ServiceName": "pop-cache"}))
+        .collect()
 }
 
 fn answer(consul: &mut Consul, index: u64, body: &Value) -> Option<Vec<(String, EndpointState)>> {
     let headers = vec![("x-consul-index".to_owned(), index.to_string())];
-    let head = Head { start: "HTTP/1.1 200 OK".to_owned(), headers };
-    let entries = consul.response(&head, body.to_string().as_bytes()).unwrap()?;
-    Some(entries.into_iter().map(|e| (e.uid, e.server.state)).collect())
+    let head = Head {
+        start: "HTTP/1.1 200 OK".to_owned(),
+        headers,
+    };
+    let entries = consul
+        .response(&head, body.to_string().as_bytes())
+        .unwrap()?;
+    Some(
+        entries
+            .into_iter()
+            .map(|e| (e.uid, e.endpoint.state))
+            .collect(),
+    )
 }
 
 fn target(consul: &Consul) -> String {
@@ -38,7 +50,11 @@
     let mut consul = Consul::new("pop-cache".into(), 10);
     assert_eq!(target(&consul), "/v1/health/service/pop-cache");
     assert_eq!(
-        answer(&mut consul, 5, &health(&[("a", "passing"), ("b", "critical"), ("c", "warning")])),
+        answer(
+            &mut consul,
+            5,
+            &health(&[("a", "passing"), ("b", "critical"), ("c", "warning")])
+        ),
         None
     );
     assert_eq!(target(&consul), "/v1/catalog/service/pop-cache");
@@ -52,11 +68,28 @@
             state("c", EndpointState::Ready)
         ]
     );
-    assert_eq!(target(&consul), "/v1/health/service/pop-cache?index=5&wait=10s");
+    assert_eq!(
+        target(&consul),
+        "/v1/health/service/pop-cache?index=5&wait=10s"
+    );
     // One is registered no more, one has no health any more.
-    assert_eq!(answer(&mut consul, 6, &health(&[("b", "passing"), ("c", "passing")])), None);
+    assert_eq!(
+        answer(
+            &mut consul,
+            6,
+            &health(&[("b", "passing"), ("c", "passing")])
+        ),
+        None
+    );
     let list = answer(&mut consul, 6, &catalogue(&["a", "b"])).unwrap();
-    assert_eq!(list, [state("a", EndpointState::Draining), state("b", EndpointState::Ready)], "c is gone");
+    assert_eq!(
+        list,
+        [
+            state("a", EndpointState::Draining),
+            state("b", EndpointState::Ready)
+        ],
+        "c is gone"
+    );
     // Nothing new is told where nothing has changed.
     answer(&mut consul, 7, &health(&[("b", "passing")]));
     assert_eq!(answer(&mut consul, 7, &catalogue(&["a", "b"])), None);
@@ -65,19 +98,40 @@
 #[test]
 fn an_index_that_goes_back_or_a_failed_query_reads_all_anew() {
     let mut consul = Consul::new("s".into(), 10);
-    for (index, next) in [(9, "?index=9&wait=10s"), (3, ""), (4, "?index=4&wait=10s"), (0, "")] {
+    for (index, next) in [
+        (9, "?index=9&wait=10s"),
+        (3, ""),
+        (4, "?index=4&wait=10s"),
+        (0, ""),
+    ] {
         answer(&mut consul, index, &health(&[]));
         answer(&mut consul, 1, &catalogue(&[]));
-        assert_eq!(target(&consul), format!("/v1/health/service/s{next}"), "after index {index}");
+        assert_eq!(
+            target(&consul),
+            format!("/v1/health/service/s{next}"),
+            "after index {index}"
+        );
     }
     answer(&mut consul, 8, &health(&[]));
     consul.failed();
     assert_eq!(target(&consul), "/v1/health/service/s");
-    let head = Head { start: "HTTP/1.1 500 Internal Server Error".to_owned(), headers: vec![] };
-    assert!(consul.response(&head, b"rpc error").unwrap_err().contains("500"));
-    let head = Head { start: "HTTP/1.1 200 OK".to_owned(), headers: vec![] };
-    let text =
-        |consul: &mut Consul, body: Value| consul.response(&head, body.to_string().as_bytes()).unwrap_err();
+    let head = Head {
+        start: "HTTP/1.1 500 Internal Server Error".to_owned(),
+        headers: vec![],
+    };
+    assert!(consul
+        .response(&head, b"rpc error")
+        .unwrap_err()
+        .contains("500"));
+    let head = Head {
+        start: "HTTP/1.1 200 OK".to_owned(),
+        headers: vec![],
+    };
+    let text = |consul: &mut Consul, body: Value| {
+        consul
+            .response(&head, body.to_string().as_bytes())
+            .unwrap_err()
+    };
     assert!(text(&mut consul, json!([{"Node": {}, "Service": {"ID": "a"}}])).contains("Address"));
     assert!(text(&mut consul, json!({})).contains("not a list"));
 }
--- a/crates/proxy/tests/loopback.rs
+++ b/crates/proxy/tests/loopback.rs
@@ -20,7 +20,11 @@
     let first = WebServer::request(
         7,
         "/invoke/photo",
-        &[("HTTP_REQUEST_ID", &object(10)), ("HTTP_RESOURCE_KEY", &object(11)), ("HTTP_BUDGET_MS", "2000")],
+        &[
+            ("HTTP_REQUEST_ID", &object(10)),
+            ("HTTP_RESOURCE_KEY", &object(11)),
+            ("HTTP_BUDGET_MS", "2000"),
+        ],
         b"",
     );
     web.send(&first[..20]).unwrap();
@@ -32,7 +36,10 @@
     let (id, answer) = web.end().unwrap();
     let answer = answer.unwrap();
     assert_eq!((id, answer.status), (7, 200));
-    assert!(answer.body.starts_with(b"000000000000000b/0@"), "the bytes that the box gave");
+    assert!(
+        answer.body.starts_with(b"000000000000000b/0@"),
+        "the bytes that the box gave"
+    );
     // Many answers after each other: sums over what waits to be written must come back to nothing.
     for n in 0..50 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
@@ -46,8 +53,14 @@
     assert_eq!(one(&mut rig.web(), "post", &object(1)).status, 200);
     let arrival = rig.origin.wait_for(|a| a.word == "fetch").unwrap();
     assert_eq!(arrival.body, b"a comment");
-    assert_eq!(arrival.field("once"), Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
-    assert_eq!((arrival.field("src"), rig.boxes[0].arrivals().len()), (None, 0));
+    assert_eq!(
+        arrival.field("once"),
+        Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+    );
+    assert_eq!(
+        (arrival.field("src"), rig.boxes[0].arrivals().len()),
+        (None, 0)
+    );
     rig.stop();
 }
 
@@ -55,14 +68,24 @@
 fn with_no_box_to_reach_a_request_is_refused_and_told_when_to_come_back() {
     let rig = Rig::with(&["s-0a"], |config| {
         // An address at which nothing listens any more: refused connections prove that nothing ran.
-        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        for target in config["known"]["batch"][0]["topology"]["targets"].as_array_mut().unwrap() {
+        let free = TcpListener::bind("127.0.0.1:0")
+            .unwrap()
+            .local_addr()
+            .unwrap();
+        for target in config["known"]["batch"][0]["topology"]["targets"]
+            .as_array_mut()
+            .unwrap()
+        {
             target["endpoint"] = free.to_string().into();
         }
     });
     for class in ["photo", "post"] {
         let answer = one(&mut rig.web(), class, &object(1));
-        assert_eq!((answer.status, answer.header("back-off-ms")), (503, Some("200")), "{class}");
+        assert_eq!(
+            (answer.status, answer.header("back-off-ms")),
+            (503, Some("200")),
+            "{class}"
+        );
     }
     rig.stop();
 }
@@ -70,16 +93,27 @@
 #[test]
 fn a_silent_box_costs_one_answer_and_an_aborted_request_is_given_up_there() {
     let rig = Rig::start();
-    rig.boxes[0].behave(Manner { mute: true, ..Manner::default() });
+    rig.boxes[0].behave(Manner {
+        mute: true,
+        ..Manner::default()
+    });
     let mut web = rig.web();
     web.ask(1, "photo", &object(1), 300).unwrap();
     let (id, answer) = web.end().unwrap();
-    assert_eq!((id, answer.unwrap().status), (1, 503), "safe to repeat, so refused");
+    assert_eq!(
+        (id, answer.unwrap().status),
+        (1, 503),
+        "safe to repeat, so refused"
+    );
     web.ask(2, "photo", &object(2), 60_000).unwrap();
-    let sent = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(2))).unwrap();
+    let sent = rig.boxes[0]
+        .wait_for(|a| a.field("key") == Some(&object(2)))
+        .unwrap();
     web.abort(2).unwrap();
     assert_eq!(web.end().unwrap(), (2, None));
-    assert!(rig.boxes[0].wait_for(|a| a.word == "abort" && a.id == sent.id).is_some());
+    assert!(rig.boxes[0]
+        .wait_for(|a| a.word == "abort" && a.id == sent.id)
+        .is_some());
     rig.stop();
 }
 
@@ -88,7 +122,11 @@
     let rig = Rig::start();
     let (mut web, mut other) = (rig.web(), rig.web());
     let (id, key) = (object(1), object(2));
-    let good = [("HTTP_REQUEST_ID", id.as_str()), ("HTTP_RESOURCE_KEY", &key), ("HTTP_BUDGET_MS", "2000")];
+    let good = [
+        ("HTTP_REQUEST_ID", id.as_str()),
+        ("HTTP_RESOURCE_KEY", &key),
+        ("HTTP_BUDGET_MS", "2000"),
+    ];
     for (name, value) in [
         ("HTTP_REQUEST_ID", "a,b"),
         ("HTTP_REQUEST_ID", ""),
@@ -109,12 +147,18 @@
     ] {
         let mut fields: Vec<_> = good.into_iter().filter(|(n, _)| *n != name).collect();
         fields.push((name, value));
-        let path = if name == "SCRIPT_NAME" { value } else { "/invoke/photo" };
-        web.send(&WebServer::request(1, path, &fields, b"")).unwrap();
+        let path = if name == "SCRIPT_NAME" {
+            value
+        } else {
+            "/invoke/photo"
+        };
+        web.send(&WebServer::request(1, path, &fields, b""))
+            .unwrap();
         assert_eq!(web.end().unwrap().1.unwrap().status, 400, "{name}: {value}");
     }
     assert_eq!(rig.boxes[0].arrivals(), [], "nothing of it was passed on");
-    web.send(&WebServer::request(2, "/elsewhere", &[], b"")).unwrap();
+    web.send(&WebServer::request(2, "/elsewhere", &[], b""))
+        .unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 404);
     web.send(b"GET / HTTP/1.1\r\n\r\n").unwrap();
     assert!(web.end().is_err(), "the connection is ended");
@@ -127,12 +171,14 @@
     let rig = Rig::with(&[], |config| config["known"] = Value::Null);
     let mut web = rig.web();
     let mut health = || {
-        web.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+        web.send(&WebServer::request(1, "/_health", &[], b""))
+            .unwrap();
         web.end().unwrap().1.unwrap().status
     };
     assert_eq!(health(), 503);
-    rig.bus.list(true, vec![entry(&rig.origin, "hub", "origin", READY)]);
-    // Asked until the event has come: bounded by the patience of the test's runner alone.
+    rig.bus
+        .list(true, vec![entry(&rig.origin, "hub", "origin", READY)]);
+    // ClientRequest until the event has come: bounded by the patience of the test's runner alone.
     while health() != 200 {}
     rig.stop();
 }
@@ -145,7 +191,8 @@
     let made = one(&mut web, "photo", &object(1)).made().unwrap();
     // In the same millisecond no age tells the copy from one behind the purge.
     while unix_ms() <= made + 1 {}
-    rig.bus.push(json!({"ban": {"url": object(1), "ts": made + 1}}));
+    rig.bus
+        .push(json!({"ban": {"url": object(1), "ts": made + 1}}));
     while one(&mut web, "photo", &object(1)).made() == Some(made) {}
     rig.bus.cut();
     assert_eq!(rig.bus.call(1), Some(1));
@@ -158,8 +205,13 @@
     let mut web = rig.web();
     assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
     let heir = rig.boxes[0].heir("s-0b");
-    rig.bus
-        .list(false, vec![entry(&rig.boxes[0], "here", "box", "gone"), entry(&heir, "here", "box", READY)]);
+    rig.bus.list(
+        false,
+        vec![
+            entry(&rig.boxes[0], "here", "box", "gone"),
+            entry(&heir, "here", "box", READY),
+        ],
+    );
     while rig.boxes[0].connections() < 2 {
         assert_eq!(one(&mut web, "photo", &object(2)).status, 200);
     }
@@ -169,11 +221,16 @@
 #[test]
 fn what_is_open_at_the_end_is_answered() {
     let rig = Rig::start();
-    rig.boxes[0].behave(Manner { hold_ms: 150, ..Manner::default() });
+    rig.boxes[0].behave(Manner {
+        hold_ms: 150,
+        ..Manner::default()
+    });
     let mut web = rig.web();
     web.ask(1, "photo", &object(1), 2500).unwrap();
     rig.boxes[0].wait_for(|a| a.word == "fetch").unwrap();
-    let Rig { mut control, run, .. } = rig;
+    let Rig {
+        mut control, run, ..
+    } = rig;
     control.stop().unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     run.join().unwrap().unwrap();
@@ -186,22 +243,52 @@
     let url = format!("http://cdn.example/content/photo/{}", object(1));
     let trigger = |kind: &str, selector: &str, value: &str| json!({"trigger": {"type": kind, selector: [value]}, "cdn-path": ["AS64501:0"]});
     assert_eq!(exchange(rig.cdni, b"what?\r\n\r\n").unwrap().status, 400);
-    assert_eq!(call(rig.cdni, "PUT", "/cdni/triggers", "").unwrap().status, 405);
-    assert_eq!(post("/cdni/triggers", json!({"trigger": {"type": "purge"}})).status, 400);
-    let own = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64500:0"]});
+    assert_eq!(
+        call(rig.cdni, "PUT", "/cdni/triggers", "").unwrap().status,
+        405
+    );
+    assert_eq!(
+        post("/cdni/triggers", json!({"trigger": {"type": "purge"}})).status,
+        400
+    );
+    let own =
+        json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64500:0"]});
     assert_eq!(post("/cdni/triggers", own).status, 403, "a loop");
     for (command, status, error) in [
         (trigger("purge", "content.urls", &url), "complete", None),
-        (trigger("invalidate", "content.ccid", "17"), "complete", None),
-        (trigger("purge", "content.urls", "http://elsewhere.example/x"), "failed", Some("ereject")),
-        (trigger("purge", "content.patterns", "*"), "failed", Some("ereject")),
-        (trigger("preposition", "content.urls", &url), "failed", Some("ereject")),
+        (
+            trigger("invalidate", "content.ccid", "17"),
+            "complete",
+            None,
+        ),
+        (
+            trigger("purge", "content.urls", "http://elsewhere.example/x"),
+            "failed",
+            Some("ereject"),
+        ),
+        (
+            trigger("purge", "content.patterns", "*"),
+            "failed",
+            Some("ereject"),
+        ),
+        (
+            trigger("preposition", "content.urls", &url),
+            "failed",
+            Some("ereject"),
+        ),
     ] {
         let answer = post("/cdni/triggers", command);
         let value: Value = serde_json::from_slice(&answer.body).unwrap();
-        assert_eq!((answer.status, value["status"].as_str()), (201, Some(status)));
+        assert_eq!(
+            (answer.status, value["status"].as_str()),
+            (201, Some(status))
+        );
         assert_eq!(value["errors"][0]["error"].as_str(), error);
-        let place = answer.header("location").unwrap().strip_prefix("http://cdn.example").unwrap();
+        let place = answer
+            .header("location")
+            .unwrap()
+            .strip_prefix("http://cdn.example")
+            .unwrap();
         assert_eq!(call(rig.cdni, "GET", place, "").unwrap().body, answer.body);
         assert_eq!(call(rig.cdni, "DELETE", place, "").unwrap().status, 204);
         assert_eq!(call(rig.cdni, "GET", place, "").unwrap().status, 404);
@@ -213,12 +300,25 @@
     let asked = |client: &str| json!({"c-ip": client, "cs-uri": url, "cs-method": "GET"});
     let good = redirect(asked("127.0.0.1"), "AS64501:0");
     assert_eq!(good["http"]["sc-(location)"], format!("{url}/0"));
-    assert_eq!(redirect(asked("10.0.0.1"), "AS64501:0")["error"]["error-code"], 504);
-    assert_eq!(redirect(asked("127.0.0.1"), "AS64500:0")["error"]["error-code"], 502);
+    assert_eq!(
+        redirect(asked("10.0.0.1"), "AS64501:0")["error"]["error-code"],
+        504
+    );
+    assert_eq!(
+        redirect(asked("127.0.0.1"), "AS64500:0")["error"]["error-code"],
+        502
+    );
     assert_eq!(redirect(json!({}), "AS64501:0")["error"]["error-code"], 400);
     let footprint = call(rig.cdni, "GET", "/cdni/footprint", "").unwrap();
-    assert!(String::from_utf8(footprint.body).unwrap().contains("127.0.0.0/8"));
-    assert_eq!(call(rig.cdni, "GET", "/content/photo/nothing", "").unwrap().status, 404);
+    assert!(String::from_utf8(footprint.body)
+        .unwrap()
+        .contains("127.0.0.0/8"));
+    assert_eq!(
+        call(rig.cdni, "GET", "/content/photo/nothing", "")
+            .unwrap()
+            .status,
+        404
+    );
     rig.stop();
 }
 
@@ -236,12 +336,18 @@
     assert_eq!((answer.status, answer.surplus), (200, false));
     let arrival = rig.boxes[0].wait_for(|a| a.word == "fetch").unwrap();
     assert_eq!(
-        (arrival.field("class"), arrival.field("part"), arrival.id.len()),
+        (
+            arrival.field("class"),
+            arrival.field("part"),
+            arrival.id.len()
+        ),
         (Some("photo"), Some("3"), 16)
     );
     let tag = answer.header("etag").unwrap().to_owned();
     get(&format!("If-None-Match: {tag}\r\n"));
-    assert!(rig.boxes[0].wait_for(|a| a.field("have") == Some(tag.trim_matches('"'))).is_some());
+    assert!(rig.boxes[0]
+        .wait_for(|a| a.field("have") == Some(tag.trim_matches('"')))
+        .is_some());
     rig.stop();
 }
 
@@ -252,7 +358,15 @@
         config["known"] = Value::Null;
         config["consul"] = json!({"address": agent.address.to_string(), "service": "pop-cache"});
     });
-    let instance = |at: usize, status| (rig.boxes[at].uid, rig.boxes[at].address, "here", "box", status);
+    let instance = |at: usize, status| {
+        (
+            rig.boxes[at].uid,
+            rig.boxes[at].address,
+            "here",
+            "box",
+            status,
+        )
+    };
     agent.register(&[instance(0, "passing"), instance(1, "critical")]);
     let mut web = rig.web();
     while one(&mut web, "photo", &object(1)).status != 200 {}
@@ -279,14 +393,26 @@
     let rig = Rig::with(&["s-0a"], |config| config["limits"]["sockets"] = json!(3));
     let mut first = rig.web();
     assert_eq!(one(&mut first, "photo", &object(1)).status, 200);
-    rig.boxes[0].behave(Manner { hold_ms: 280, ..Manner::default() });
+    rig.boxes[0].behave(Manner {
+        hold_ms: 280,
+        ..Manner::default()
+    });
     let mut second = rig.web();
     second.ask(1, "photo", &object(2), 2500).unwrap();
-    rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(2))).unwrap();
-    assert!(first.end().is_err(), "it asked once, kept its connection and had to leave");
+    rig.boxes[0]
+        .wait_for(|a| a.field("key") == Some(&object(2)))
+        .unwrap();
+    assert!(
+        first.end().is_err(),
+        "it asked once, kept its connection and had to leave"
+    );
     let mut third = rig.web();
     third.ask(1, "photo", &object(3), 2500).unwrap();
-    assert_eq!(second.end().unwrap().1.unwrap().status, 200, "the third waited in the queue meanwhile");
+    assert_eq!(
+        second.end().unwrap().1.unwrap().status,
+        200,
+        "the third waited in the queue meanwhile"
+    );
     drop(second);
     assert_eq!(third.end().unwrap().1.unwrap().status, 200);
     rig.stop();
@@ -298,11 +424,17 @@
     // Twice as many as there is room for, and longer than they are waited for.
     let request = WebServer::request(1, "/invoke/photo", &[("HTTP_REQUEST_ID", "0a")], b"");
     let mut crowd: Vec<_> = (0..24).map(|_| rig.web()).collect();
-    crowd.iter_mut().skip(12).for_each(|half| half.send(&request[..30]).unwrap_or(()));
+    crowd
+        .iter_mut()
+        .skip(12)
+        .for_each(|half| half.send(&request[..30]).unwrap_or(()));
     assert_eq!(one(&mut rig.web(), "photo", &object(1)).status, 200);
     for client in &mut crowd {
         let gone = client.end().unwrap_err().kind();
-        assert!(matches!(gone, ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset), "{gone}");
+        assert!(
+            matches!(gone, ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset),
+            "{gone}"
+        );
     }
     rig.stop();
 }
@@ -314,46 +446,75 @@
     assert_eq!(rig.bus.call(0), Some(0));
     let moved = Bus::start().unwrap();
     moved.push(json!({"ban": {"tag": 1, "ts": 1}}));
-    rig.boxes[0].behave(Manner { hold_ms: 300, ..Manner::default() });
+    rig.boxes[0].behave(Manner {
+        hold_ms: 300,
+        ..Manner::default()
+    });
     let mut web = rig.web();
     web.ask(1, "photo", &object(1), 2500).unwrap();
-    let made = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(1))).unwrap().at;
+    let made = rig.boxes[0]
+        .wait_for(|a| a.field("key") == Some(&object(1)))
+        .unwrap()
+        .at;
     rig.file.lock().unwrap()["bus"] = json!("nowhere");
     rig.control.reload().unwrap();
     // A faulty file changes nothing: the bus that was is read on.
     rig.bus.push(json!({"ban": {"tag": 2, "ts": 1}}));
     assert_eq!(web.end().unwrap().1.unwrap().status, 200);
     rig.boxes[0].behave(Manner::default());
-    rig.bus.push(json!({"ban": {"url": object(1), "ts": made + 1}}));
+    rig.bus
+        .push(json!({"ban": {"url": object(1), "ts": made + 1}}));
     while one(&mut web, "photo", &object(1)).made() == Some(made) {}
     (0..2).for_each(|tag| moved.push(json!({"ban": {"tag": tag, "ts": 1}})));
     rig.file.lock().unwrap()["bus"] = json!(moved.address.to_string());
     rig.control.reload().unwrap();
     assert_eq!(moved.call(0), Some(3), "behind the last event");
-    assert_eq!(one(&mut web, "photo", &object(3)).status, 200, "on the same connection");
+    assert_eq!(
+        one(&mut web, "photo", &object(3)).status,
+        200,
+        "on the same connection"
+    );
     rig.stop();
 }
 
 #[test]
 fn a_purge_told_at_one_proxy_reaches_its_peers_and_none_is_taken_from_strangers() {
-    let (peer, stranger) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let (peer, stranger) = (
+        UdpSocket::bind("127.0.0.1:0").unwrap(),
+        UdpSocket::bind("127.0.0.1:0").unwrap(),
+    );
     let rig = Rig::with(&["s-0a"], |config| {
         config["peer_listen"] = json!("127.0.0.1:0");
         config["peers"] = json!([peer.local_addr().unwrap().to_string()]);
     });
     let mut web = rig.web();
-    let made: Vec<_> = [1, 3].iter().map(|n| one(&mut web, "photo", &object(*n)).made()).collect();
+    let made: Vec<_> = [1, 3]
+        .iter()
+        .map(|n| one(&mut web, "photo", &object(*n)).made())
+        .collect();
     while unix_ms() <= made[1].unwrap() + 1 {}
     let url = format!("http://cdn.example/content/photo/{}", object(2));
-    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
-    assert_eq!(call(rig.cdni, "POST", "/cdni/triggers", &command.to_string()).unwrap().status, 201);
+    let command =
+        json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    assert_eq!(
+        call(rig.cdni, "POST", "/cdni/triggers", &command.to_string())
+            .unwrap()
+            .status,
+        201
+    );
     let mut bytes = [0; 512];
     let (length, from) = peer.recv_from(&mut bytes).unwrap();
     let text = std::str::from_utf8(&bytes[..length]).unwrap();
-    assert!(text.starts_with(&format!("purge object {} ", object(2))), "{text}");
+    assert!(
+        text.starts_with(&format!("purge object {} ", object(2))),
+        "{text}"
+    );
     let now = unix_ms() * 1000;
-    stranger.send_to(format!("purge object {} {now}", object(3)).as_bytes(), from).unwrap();
-    peer.send_to(format!("purge object {} {now}", object(1)).as_bytes(), from).unwrap();
+    stranger
+        .send_to(format!("purge object {} {now}", object(3)).as_bytes(), from)
+        .unwrap();
+    peer.send_to(format!("purge object {} {now}", object(1)).as_bytes(), from)
+        .unwrap();
     while one(&mut web, "photo", &object(1)).made() == made[0] {}
     assert_eq!(one(&mut web, "photo", &object(3)).made(), made[1]);
     rig.stop();
@@ -365,14 +526,22 @@
     let kept = |config: &mut Value| config["purges"] = json!(path);
     let rig = Rig::with(&["s-0a"], kept);
     let url = format!("http://cdn.example/content/photo/{}", object(1));
-    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
-    assert_eq!(call(rig.cdni, "POST", "/cdni/triggers", &command.to_string()).unwrap().status, 201);
+    let command =
+        json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    assert_eq!(
+        call(rig.cdni, "POST", "/cdni/triggers", &command.to_string())
+            .unwrap()
+            .status,
+        201
+    );
     rig.stop();
     let rig = Rig::with(&["s-0a"], kept);
     let mut web = rig.web();
     for (n, bounded) in [(1, true), (2, false)] {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
-        let asked = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(n))).unwrap();
+        let asked = rig.boxes[0]
+            .wait_for(|a| a.field("key") == Some(&object(n)))
+            .unwrap();
         assert_eq!(asked.field("maxage").is_some(), bounded, "{}", asked.fields);
     }
     rig.stop();
@@ -382,11 +551,15 @@
 #[test]
 fn a_slow_reader_gets_its_answers_whole_and_holds_nobody_up() {
     let rig = Rig::start();
-    rig.boxes[0].behave(Manner { padding: 240_000, ..Manner::default() });
+    rig.boxes[0].behave(Manner {
+        padding: 240_000,
+        ..Manner::default()
+    });
     let (mut slow, mut other) = (rig.web(), rig.web());
     // Far more than the sockets and rings between take.
     for id in 1..=32 {
-        slow.ask(id, "photo", &object(u64::from(id)), 60_000).unwrap();
+        slow.ask(id, "photo", &object(u64::from(id)), 60_000)
+            .unwrap();
     }
     // Of another name than any of them.
     other.ask(99, "photo", &object(99), 2500).unwrap();
@@ -394,7 +567,11 @@
     for _ in 1..=32 {
         let (id, answer) = slow.end().unwrap();
         let answer = answer.unwrap();
-        assert!(answer.status == 503 || answer.body.len() / 1000 == 240, "{id}: {}", answer.status);
+        assert!(
+            answer.status == 503 || answer.body.len() / 1000 == 240,
+            "{id}: {}",
+            answer.status
+        );
     }
     rig.stop();
 }
@@ -403,12 +580,22 @@
 fn the_connections_of_a_box_that_is_gone_end_once_nothing_is_open_on_them() {
     let rig = Rig::with(&["s-0a", "s-0b"], |_| {});
     let mut web = rig.web();
-    rig.boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 250, ..Manner::default() }));
+    rig.boxes.iter().for_each(|b| {
+        b.behave(Manner {
+            hold_ms: 250,
+            ..Manner::default()
+        })
+    });
     (1..=6).for_each(|n| web.ask(n, "photo", &object(u64::from(n)), 2500).unwrap());
     rig.boxes[0].wait_for(|a| a.word == "fetch").unwrap();
-    rig.bus.list(false, vec![entry(&rig.boxes[0], "here", "box", "gone")]);
+    rig.bus
+        .list(false, vec![entry(&rig.boxes[0], "here", "box", "gone")]);
     for _ in 1..=6 {
-        assert_eq!(web.end().unwrap().1.unwrap().status, 200, "what was out there is answered");
+        assert_eq!(
+            web.end().unwrap().1.unwrap().status,
+            200,
+            "what was out there is answered"
+        );
     }
     while rig.boxes[0].open() > 0 {}
     rig.stop();
@@ -417,15 +604,25 @@
 #[test]
 fn many_attempts_at_one_box_are_spread_over_connections() {
     let rig = Rig::start();
-    rig.boxes[0].behave(Manner { hold_ms: 100, ..Manner::default() });
+    rig.boxes[0].behave(Manner {
+        hold_ms: 100,
+        ..Manner::default()
+    });
     let mut web = rig.web();
     for round in 0..3 {
-        (1..=8).for_each(|n| web.ask(n, "photo", &object(round * 8 + u64::from(n)), 2500).unwrap());
+        (1..=8).for_each(|n| {
+            web.ask(n, "photo", &object(round * 8 + u64::from(n)), 2500)
+                .unwrap()
+        });
         for _ in 1..=8 {
             assert_eq!(web.end().unwrap().1.unwrap().status, 200);
         }
     }
     // One that breaks takes two or three with it, not all.
-    assert!((3..=8).contains(&rig.boxes[0].connections()), "{}", rig.boxes[0].connections());
+    assert!(
+        (3..=8).contains(&rig.boxes[0].connections()),
+        "{}",
+        rig.boxes[0].connections()
+    );
     rig.stop();
 }
--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use edge_proxy::protocol::{fastcgi, http, resp, sse, WireError};
+use edge_proxy::protocol::{fastcgi, http, resp, sse, ProtocolError};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use support::parsing::{check, fixed, items};
@@ -97,14 +97,23 @@
 
 #[test]
 fn lengths_are_checked_before_anything_is_taken_for_them() {
-    assert_eq!(items(resp::Arrays::new(9), b"*1\r\n$10\r\n", &[]), Err(WireError::TooLong("a RESP string")));
+    assert_eq!(
+        items(resp::Arrays::new(9), b"*1\r\n$10\r\n", &[]),
+        Err(ProtocolError::TooLong("a RESP string"))
+    );
     assert_eq!(
         items(resp::Arrays::new(9), b"*99999999999999\r\n", &[]),
-        Err(WireError::TooLong("a RESP array"))
+        Err(ProtocolError::TooLong("a RESP array"))
     );
     let head = b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n";
-    assert_eq!(items(http::Messages::requests(99, 99), head, &[]), Err(WireError::TooLong("an HTTP body")));
-    assert_eq!(items(sse::Events::new(9), b"data: 0123456789\n\n", &[]), Err(WireError::TooLong("a line")));
+    assert_eq!(
+        items(http::Messages::requests(99, 99), head, &[]),
+        Err(ProtocolError::TooLong("an HTTP body"))
+    );
+    assert_eq!(
+        items(sse::Events::new(9), b"data: 0123456789\n\n", &[]),
+        Err(ProtocolError::TooLong("a line"))
+    );
 }
 
 #[test]
@@ -112,6 +121,6 @@
     for second in ["Content-Length: 1", "Transfer-Encoding: chunked"] {
         let text = format!("POST / HTTP/1.1\r\nContent-Length: 2\r\n{second}\r\n\r\n");
         let read = items(http::Messages::requests(99, 99), text.as_bytes(), &[]);
-        assert_eq!(read, Err(WireError::Malformed("an HTTP body's length")));
+        assert_eq!(read, Err(ProtocolError::Malformed("an HTTP body's length")));
     }
 }
--- a/crates/proxy/tests/scenario.rs
+++ b/crates/proxy/tests/scenario.rs
@@ -18,7 +18,13 @@
 fn planted_breaches_are_reported() {
     for (plant, rule) in [(Plant::StaleCopies, "purge"), (Plant::DrainUntold, "drain")] {
         let report = rehearse(daemon(), Some(plant)).expect("the rehearsal is played");
-        assert!(report.breaches.len() > 1, "each one is reported, not only the first: {report}");
-        assert!(report.breaches.iter().all(|b| b.rule == rule), "{plant:?}: {report}");
+        assert!(
+            report.breaches.len() > 1,
+            "each one is reported, not only the first: {report}"
+        );
+        assert!(
+            report.breaches.iter().all(|b| b.rule == rule),
+            "{plant:?}: {report}"
+        );
     }
 }
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -48,21 +48,39 @@
     }
 
     /// With a puppet in the place of the only box and of the origin.
-    pub fn puppet(puppet: &Puppet, change: impl Fn(&mut Value), bound: impl Fn(&mut Limits)) -> Rig {
+    pub fn puppet(
+        puppet: &Puppet,
+        change: impl Fn(&mut Value),
+        bound: impl Fn(&mut Limits),
+    ) -> Rig {
         let place = |config: &mut Value| {
-            let targets = config["known"]["batch"][0]["topology"]["targets"].as_array_mut().unwrap();
-            targets.iter_mut().for_each(|target| target["endpoint"] = puppet.address.to_string().into());
+            let targets = config["known"]["batch"][0]["topology"]["targets"]
+                .as_array_mut()
+                .unwrap();
+            targets
+                .iter_mut()
+                .for_each(|target| target["endpoint"] = puppet.address.to_string().into());
             change(config);
         };
         Rig::bounded(&["s-0a"], place, bound)
     }
 
     /// With other limits than those that fit the machine: so that no test waits for, or races with, a time-out.
-    pub fn bounded(boxes: &[&'static str], change: impl Fn(&mut Value), bound: impl Fn(&mut Limits)) -> Rig {
+    pub fn bounded(
+        boxes: &[&'static str],
+        change: impl Fn(&mut Value),
+        bound: impl Fn(&mut Limits),
+    ) -> Rig {
         let bus = Bus::start().unwrap();
-        let boxes: Vec<StandIn> = boxes.iter().map(|uid| StandIn::start(uid).unwrap()).collect();
+        let boxes: Vec<StandIn> = boxes
+            .iter()
+            .map(|uid| StandIn::start(uid).unwrap())
+            .collect();
         let origin = StandIn::start("s-0f").unwrap();
-        let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", READY)).collect();
+        let mut list: Vec<Value> = boxes
+            .iter()
+            .map(|b| entry(b, "here", "box", READY))
+            .collect();
         list.push(entry(&origin, "hub", "origin", READY));
         let known = json!({"offset": 0, "batch": [
             {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
@@ -98,7 +116,17 @@
             daemon.run()
         });
         let ((front, cdni), control) = told.recv().unwrap();
-        Rig { front, cdni, control, file, run, bus, boxes, origin, gate }
+        Rig {
+            front,
+            cdni,
+            control,
+            file,
+            run,
+            bus,
+            boxes,
+            origin,
+            gate,
+        }
     }
 
     pub fn web(&self) -> WebServer {
@@ -118,7 +146,9 @@
     /// Has it end as by SIGTERM, and waits until the grace after it is over: one that rests is ended then.
     pub fn end_grace(&mut self) {
         let mut resting = self.web();
-        resting.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+        resting
+            .send(&WebServer::request(1, "/_health", &[], b""))
+            .unwrap();
         resting.end().unwrap();
         self.control.stop().unwrap();
         assert_eq!(resting.end().unwrap_err().kind(), ErrorKind::UnexpectedEof);
--- a/crates/proxy/tests/support/parsing.rs
+++ b/crates/proxy/tests/support/parsing.rs
@@ -1,6 +1,6 @@
 //! The one helper of the parsers' tests: what a parser makes of bytes, however they are cut.
 
-use edge_proxy::protocol::{Parser, WireError};
+use edge_proxy::protocol::{Parser, ProtocolError};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::fmt::Debug;
@@ -16,7 +16,11 @@
 }
 
 /// All items of some bytes that come cut at these places, or the error that ends them.
-pub fn items<P: Parser>(mut parser: P, bytes: &[u8], cuts: &[usize]) -> Result<Vec<P::Item>, WireError> {
+pub fn items<P: Parser>(
+    mut parser: P,
+    bytes: &[u8],
+    cuts: &[usize],
+) -> Result<Vec<P::Item>, ProtocolError> {
     let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
     places.extend([0, bytes.len()]);
     places.sort_unstable();
@@ -46,7 +50,10 @@
     P::Item: Debug + PartialEq,
 {
     let whole = items(new(), valid, &[]).map(&join);
-    assert!(whole.as_ref().is_ok_and(|items| !items.is_empty()), "{whole:?}");
+    assert!(
+        whole.as_ref().is_ok_and(|items| !items.is_empty()),
+        "{whole:?}"
+    );
     assert_eq!(items(new(), valid, cuts).map(&join), whole);
     let at = cuts.first().map_or(0, |cut| cut % (valid.len() + 1));
     let _ = items(new(), garbage, cuts);
