--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -1,10 +1,12 @@
 //! Links to boxes: what becomes of attempts when connections end, and of ids that were given up.
 
 use edge_proxy::limits::Limits;
-use edge_proxy::net::{Conn, Key, Progress};
+use edge_proxy::net::{BufferedSocket, IoProgress, SlabKey};
 use edge_proxy::protocol::resp;
-use edge_proxy::request_table::{server_id, Asked, AttemptId, Client, Command, Core, Entry};
-use edge_proxy::upstream::{Link, Told};
+use edge_proxy::request_table::{
+    server_id, AttemptId, ClientRequest, Command, ListedServer, RequestTable, ResponseTarget,
+};
+use edge_proxy::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome, ServerId};
 use edge_testkit::settings;
 use rustix::net::sockopt;
@@ -14,13 +16,13 @@
 const NOW: u64 = 1_000_000_000;
 
 struct Rig {
-    core: Core,
-    link: Link,
-    conn: Conn,
+    request_table: RequestTable,
+    link: UpstreamConnection,
+    conn: BufferedSocket,
     far: TcpStream,
     limits: Limits,
     server: ServerId,
-    told: Vec<Told>,
+    told: Vec<UpstreamEvent>,
     now: u64,
     last: Vec<(String, AttemptId)>,
 }
@@ -34,7 +36,7 @@
     fn to(zone: &str, kind: &str, up: bool) -> Rig {
         let limits = Limits::for_machine(1024, 192);
         let settings = edge_settings::settings(settings().as_object().unwrap()).unwrap();
-        let mut core = Core::new(settings, 1, &limits).unwrap();
+        let mut request_table = RequestTable::new(settings, 1, &limits).unwrap();
         let server = Endpoint {
             id: server_id("a"),
             zone: zone.into(),
@@ -44,18 +46,28 @@
             state: EndpointState::Ready,
             started: None,
         };
-        let entry = Entry { server, uid: "a".into(), endpoint: ([127, 0, 0, 1], 9).into() };
-        core.list(NOW, EndpointListMode::Snapshot, vec![entry]);
+        let entry = ListedServer {
+            endpoint: server,
+            uid: "a".into(),
+            address: ([127, 0, 0, 1], 9).into(),
+        };
+        request_table.update_endpoints(NOW, EndpointListMode::Snapshot, vec![entry]);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         // Little fits between the two, so that a side which reads nothing shows soon.
         sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
         let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         sockopt::set_socket_send_buffer_size(&near, 4096).unwrap();
         let (far, server) = (listener.accept().unwrap().0, server_id("a"));
-        let conn = Conn::new(near, up, limits.input_ring, limits.output_ring).unwrap();
+        let conn = BufferedSocket::new(
+            near,
+            up,
+            limits.input_buffer_bytes,
+            limits.output_buffer_bytes,
+        )
+        .unwrap();
         Rig {
-            core,
-            link: Link::new(server, &limits, NOW),
+            request_table,
+            link: UpstreamConnection::new(server, &limits, NOW),
             conn,
             far,
             limits,
@@ -75,7 +87,7 @@
     }
 
     fn send_in(&mut self, id: &str, body: Vec<u8>, group: u64) -> AttemptId {
-        let asked = Asked {
+        let asked = ClientRequest {
             group,
             body,
             id: id.into(),
@@ -83,15 +95,26 @@
             object: format!("{id}-object"),
             size_kb: 40.0,
             remaining_us: 2_000_000,
-            ..Asked::default()
+            ..ClientRequest::default()
         };
-        // The core takes no two of one id: the one before is over by now.
+        // The request_table takes no two of one id: the one before is over by now.
         for (_, attempt) in self.last.iter().filter(|(last, _)| last == id) {
-            self.core.leave(self.now, attempt.ticket);
-            self.core.ended(self.now, *attempt, Outcome::Cancelled.into());
+            self.request_table
+                .client_disconnected(self.now, attempt.request_key);
+            self.request_table
+                .attempt_ended(self.now, *attempt, Outcome::Cancelled.into());
         }
-        self.core.commands();
-        self.core.ask(self.now, Client { connection: Key::from_u64(0), stream: 0 }, asked).unwrap();
+        self.request_table.take_commands();
+        self.request_table
+            .admit(
+                self.now,
+                ResponseTarget {
+                    connection: SlabKey::from_u64(0),
+                    stream: 0,
+                },
+                asked,
+            )
+            .unwrap();
         let attempt = self.pass_on();
         self.last.push((id.to_owned(), attempt));
         attempt
@@ -99,25 +122,44 @@
 
     /// Hands the attempt that the module has sent to the connection.
     fn pass_on(&mut self) -> AttemptId {
-        let sent = |c: Command| if let Command::Send(attempt) = c { Some(attempt) } else { None };
-        let attempt = self.core.commands().into_iter().find_map(sent).unwrap();
+        let sent = |c: Command| {
+            if let Command::SendAttempt(attempt) = c {
+                Some(attempt)
+            } else {
+                None
+            }
+        };
+        let attempt = self
+            .request_table
+            .take_commands()
+            .into_iter()
+            .find_map(sent)
+            .unwrap();
         self.link.send(attempt);
         self.pump();
         attempt
     }
 
     fn room_for(&self, id: &str) -> Option<usize> {
-        self.link.room_for(id, &self.core, &self.limits)
+        self.link.room_for(id, &self.request_table, &self.limits)
     }
 
     fn pump(&mut self) -> bool {
-        self.link.pump(self.now, &mut self.conn, &self.core, &self.limits, &mut self.told)
+        self.link.pump(
+            self.now,
+            &mut self.conn,
+            &self.request_table,
+            &self.limits,
+            &mut self.told,
+        )
     }
 
     fn give_up(&mut self, attempt: AttemptId) {
-        assert!(self.link.give_up(self.now, attempt, &mut self.conn, &mut self.told));
+        assert!(self
+            .link
+            .give_up(self.now, attempt, &mut self.conn, &mut self.told));
         self.pump();
-        self.now += self.limits.give_up_us;
+        self.now += self.limits.cancel_settle_us;
         self.pump();
     }
 
@@ -132,8 +174,13 @@
     }
 
     fn ends(&mut self) -> Vec<(AttemptId, Outcome)> {
-        let end =
-            |t| if let Told::Ended(attempt, ended) = t { (attempt, ended.outcome) } else { panic!("{t:?}") };
+        let end = |t| {
+            if let UpstreamEvent::AttemptEnded(attempt, ended) = t {
+                (attempt, ended.outcome)
+            } else {
+                panic!("{t:?}")
+            }
+        };
         self.told.drain(..).map(end).collect()
     }
 }
@@ -143,14 +190,28 @@
     let mut rig = Rig::new(true);
     let (written, given_up) = (rig.send("01"), rig.send("02"));
     rig.give_up(given_up);
-    assert_eq!(rig.ends(), [(given_up, Outcome::Cancelled)], "once the word of it is written");
-    rig.conn.up = false;
+    assert_eq!(
+        rig.ends(),
+        [(given_up, Outcome::Cancelled)],
+        "once the word of it is written"
+    );
+    rig.conn.connected = false;
     let queued = rig.send("03");
     let mut told = Vec::new();
-    rig.link.broken(rig.conn.up, rig.conn.written, &mut told);
-    let outcome = |t: &Told| if let Told::Ended(attempt, e) = t { Some((*attempt, e.outcome)) } else { None };
+    rig.link
+        .broken(rig.conn.connected, rig.conn.bytes_written, &mut told);
+    let outcome = |t: &UpstreamEvent| {
+        if let UpstreamEvent::AttemptEnded(attempt, e) = t {
+            Some((*attempt, e.outcome))
+        } else {
+            None
+        }
+    };
     let ends: Vec<_> = told.iter().filter_map(outcome).collect();
-    assert_eq!(ends, [(queued, Outcome::ConnectFailed), (written, Outcome::Reset)]);
+    assert_eq!(
+        ends,
+        [(queued, Outcome::ConnectFailed), (written, Outcome::Reset)]
+    );
 }
 
 #[test]
@@ -159,14 +220,18 @@
     let (given_up, kept, withdrawn) = (rig.send("01"), rig.send("02"), rig.send("03"));
     rig.give_up(given_up);
     assert_eq!(rig.ends(), [(given_up, Outcome::Cancelled)]);
-    rig.conn.up = true;
+    rig.conn.connected = true;
     rig.pump();
     let text = rig.reached("fetch", 2);
-    assert!(!text.contains("01-object") && text.contains("02-object") && text.contains("03-object"));
+    assert!(
+        !text.contains("01-object") && text.contains("02-object") && text.contains("03-object")
+    );
     // The list says that the box drains: what still waits for it comes back unsent.
-    rig.conn.up = false;
+    rig.conn.connected = false;
     let waiting = rig.send("04");
-    assert!(rig.link.withdraw(rig.server, &mut rig.conn, &rig.core, &mut rig.told));
+    assert!(rig
+        .link
+        .withdraw(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
     assert_eq!(rig.ends(), [(waiting, Outcome::NotSent)]);
     assert!(![kept, withdrawn].contains(&waiting) && !rig.link.is_idle());
 }
@@ -177,28 +242,39 @@
     let attempt = rig.send("01");
     assert!(rig.link.give_up(NOW, attempt, &mut rig.conn, &mut rig.told));
     rig.pump();
-    assert_eq!(rig.ends(), [], "written, but a further attempt might overtake it");
-    assert_eq!(rig.link.report_at(&rig.limits), Some(NOW + rig.limits.give_up_us));
+    assert_eq!(
+        rig.ends(),
+        [],
+        "written, but a further attempt might overtake it"
+    );
+    assert_eq!(
+        rig.link.report_at(&rig.limits),
+        Some(NOW + rig.limits.cancel_settle_us)
+    );
     assert_eq!(rig.room_for("01"), None);
-    rig.now += rig.limits.give_up_us;
+    rig.now += rig.limits.cancel_settle_us;
     rig.pump();
     assert_eq!(rig.ends(), [(attempt, Outcome::Cancelled)]);
     // A further attempt here comes behind the word of it, on the same connection.
     assert!(rig.link.gave_up("01") && rig.room_for("01").is_some());
-    rig.link.prune(NOW + rig.limits.forget_us + 1, &rig.limits);
+    rig.link
+        .prune(NOW + rig.limits.stream_memory_us + 1, &rig.limits);
     assert!(!rig.link.gave_up("01"));
 }
 
 #[test]
 fn a_copy_from_before_a_purge_is_never_passed_on() {
     let mut rig = Rig::new(true);
-    rig.core.purged(NOW, Some("01-object".into()), 0, NOW - 2_000);
+    rig.request_table
+        .purged(NOW, Some("01-object".into()), 0, NOW - 2_000);
     let answered = |rig: &mut Rig, made: u64| {
         let (mut answer, fields) = (Vec::new(), format!("how=local,made={made}"));
         resp::write_array(&mut answer, &[b"01", b"200", fields.as_bytes(), b"x"]);
         rig.far.write_all(&answer).unwrap();
-        while rig.conn.read(false) != Progress::Moved {}
-        rig.link.read(NOW, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
+        while rig.conn.read(false) != IoProgress::Advanced {}
+        rig.link
+            .read(NOW, &mut rig.conn, &rig.request_table, &mut rig.told)
+            .unwrap();
         rig.ends()
     };
     let (old, new) = (NOW / 1000 - 100, NOW / 1000);
@@ -221,8 +297,11 @@
     let attempt = rig.send("01");
     assert_eq!(rig.room_for("02"), Some(1));
     // Heard last before the attempt was sent: a short silence is a pause, a long one may be the end.
-    for (silent_us, room) in [(rig.limits.suspect_us, Some(0)), (rig.limits.suspect_us + 1, None)] {
-        rig.link = Link::new(rig.server, &rig.limits, NOW - silent_us);
+    for (silent_us, room) in [
+        (rig.limits.unresponsive_after_us, Some(0)),
+        (rig.limits.unresponsive_after_us + 1, None),
+    ] {
+        rig.link = UpstreamConnection::new(rig.server, &rig.limits, NOW - silent_us);
         rig.link.send(attempt);
         rig.pump();
         rig.give_up(attempt);
@@ -235,7 +314,11 @@
     for up in [true, false] {
         let mut rig = Rig::new(up);
         rig.send("01");
-        assert_eq!((rig.room_for("01"), rig.room_for("02")), (None, Some(1)), "written: {up}");
+        assert_eq!(
+            (rig.room_for("01"), rig.room_for("02")),
+            (None, Some(1)),
+            "written: {up}"
+        );
     }
 }
 
@@ -243,17 +326,33 @@
 fn an_answer_that_stops_short_ends_its_connection_and_all_on_it_may_have_run() {
     let mut rig = Rig::new(true);
     let attempts = [rig.send("01"), rig.send("02")];
-    rig.far.write_all(b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo").unwrap();
-    while rig.conn.read(false) != Progress::Moved {}
-    rig.link.read(NOW, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
-    assert_eq!(rig.link.half_at(&rig.limits), Some(NOW + rig.limits.half_answer_us));
-    rig.now += rig.limits.half_answer_us - 1;
+    rig.far
+        .write_all(b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo")
+        .unwrap();
+    while rig.conn.read(false) != IoProgress::Advanced {}
+    rig.link
+        .read(NOW, &mut rig.conn, &rig.request_table, &mut rig.told)
+        .unwrap();
+    assert_eq!(
+        rig.link.half_at(&rig.limits),
+        Some(NOW + rig.limits.partial_answer_timeout_us)
+    );
+    rig.now += rig.limits.partial_answer_timeout_us - 1;
     assert!(rig.pump(), "the rest may come yet");
     rig.now += 1;
-    assert!(!rig.pump(), "what comes now would be taken for the rest of it");
-    rig.link.broken(rig.conn.up, rig.conn.written, &mut rig.told);
-    let outcomes =
-        rig.told.iter().map(|t| if let Told::Ended(a, e) = t { Some((*a, e.outcome)) } else { None });
+    assert!(
+        !rig.pump(),
+        "what comes now would be taken for the rest of it"
+    );
+    rig.link
+        .broken(rig.conn.connected, rig.conn.bytes_written, &mut rig.told);
+    let outcomes = rig.told.iter().map(|t| {
+        if let UpstreamEvent::AttemptEnded(a, e) = t {
+            Some((*a, e.outcome))
+        } else {
+            None
+        }
+    });
     let ended = attempts.map(|a| Some((a, Outcome::Reset)));
     assert_eq!(outcomes.collect::<Vec<_>>(), ended);
 }
@@ -262,8 +361,10 @@
 fn a_connection_reset_when_it_has_just_come_up_is_no_sign_of_a_box_that_is_gone() {
     let mut rig = Rig::new(false);
     let queued = rig.send("01");
-    rig.link.broken(true, rig.conn.written, &mut rig.told);
-    assert!(matches!(&rig.told[..], [Told::Ended(a, e)] if *a == queued && e.outcome == Outcome::NotSent));
+    rig.link.broken(true, rig.conn.bytes_written, &mut rig.told);
+    assert!(
+        matches!(&rig.told[..], [UpstreamEvent::AttemptEnded(a, e)] if *a == queued && e.outcome == Outcome::NotSent)
+    );
 }
 
 #[test]
@@ -278,19 +379,29 @@
     (0..20).for_each(|n| {
         rig.send_with(&format!("{:04}", sent + n), body.clone());
     });
-    let begun_bytes = rig.conn.written;
-    assert!(rig.link.withdraw(rig.server, &mut rig.conn, &rig.core, &mut rig.told));
+    let begun_bytes = rig.conn.bytes_written;
+    assert!(rig
+        .link
+        .withdraw(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
     let stopped = rig.ends().len();
     let (mut reached, mut bytes) = (Vec::new(), [0; 65536]);
-    while rig.conn.written > reached.len() as u64 || !rig.conn.output.is_empty() {
+    while rig.conn.bytes_written > reached.len() as u64 || !rig.conn.output.is_empty() {
         assert!(rig.pump());
         let got = rig.far.read(&mut bytes).unwrap();
         reached.extend_from_slice(&bytes[..got]);
     }
-    let at = |text: &[u8]| text.windows(13).filter(|w| w == b"*4\r\n$5\r\nfetch").count();
+    let at = |text: &[u8]| {
+        text.windows(13)
+            .filter(|w| w == b"*4\r\n$5\r\nfetch")
+            .count()
+    };
     assert_eq!(at(&reached) + stopped, sent + 20);
     let begun = usize::try_from(begun_bytes).unwrap();
-    assert!(at(&reached[begun..]) == 0, "{} began after the drain was told", at(&reached[begun..]));
+    assert!(
+        at(&reached[begun..]) == 0,
+        "{} began after the drain was told",
+        at(&reached[begun..])
+    );
 }
 
 #[test]
@@ -298,26 +409,40 @@
     // The window of the settings is 3 s, and the client waits for longer.
     for (fill_ttfb_us, begins) in [(2_900_000, true), (3_000_000, false)] {
         let mut rig = Rig::to("hub", "origin", true);
-        let asked = Asked {
+        let asked = ClientRequest {
             id: "01".into(),
             class: "post".into(),
             object: "01-object".into(),
             once: Some("1".into()),
             remaining_us: 60_000_000,
-            ..Asked::default()
+            ..ClientRequest::default()
         };
-        rig.core.ask(NOW, Client { connection: Key::from_u64(0), stream: 0 }, asked).unwrap();
+        rig.request_table
+            .admit(
+                NOW,
+                ResponseTarget {
+                    connection: SlabKey::from_u64(0),
+                    stream: 0,
+                },
+                asked,
+            )
+            .unwrap();
         let first = rig.pass_on();
-        rig.core.ended(NOW, first, Outcome::Reset.into());
-        rig.link = Link::new(rig.server, &rig.limits, NOW);
-        rig.conn.up = false;
+        rig.request_table
+            .attempt_ended(NOW, first, Outcome::Reset.into());
+        rig.link = UpstreamConnection::new(rig.server, &rig.limits, NOW);
+        rig.conn.connected = false;
         let repeat = rig.pass_on();
         rig.now += fill_ttfb_us;
-        rig.conn.up = true;
+        rig.conn.connected = true;
         rig.pump();
         assert_eq!(
             rig.ends(),
-            if begins { vec![] } else { vec![(repeat, Outcome::NotSent)] },
+            if begins {
+                vec![]
+            } else {
+                vec![(repeat, Outcome::NotSent)]
+            },
             "{fill_ttfb_us}"
         );
     }
@@ -325,17 +450,25 @@
 
 #[test]
 fn a_purge_told_while_an_attempt_waits_for_its_connection_bounds_the_age_that_it_asks_for() {
-    for (object, group, bounded) in
-        [(Some("01-object"), 0, true), (None, 7, true), (Some("02-object"), 0, false), (None, 8, false)]
-    {
+    for (object, group, bounded) in [
+        (Some("01-object"), 0, true),
+        (None, 7, true),
+        (Some("02-object"), 0, false),
+        (None, 8, false),
+    ] {
         let mut rig = Rig::new(false);
         rig.send_in("01", Vec::new(), 7);
         rig.now += 400_000;
-        rig.core.purged(rig.now, object.map(str::to_owned), group, rig.now - 30_000);
-        rig.conn.up = true;
+        rig.request_table
+            .purged(rig.now, object.map(str::to_owned), group, rig.now - 30_000);
+        rig.conn.connected = true;
         rig.pump();
         let text = rig.reached("fetch", 1);
-        assert_eq!(text.contains("maxage=30"), bounded, "{object:?} {group}: {text}");
+        assert_eq!(
+            text.contains("maxage=30"),
+            bounded,
+            "{object:?} {group}: {text}"
+        );
     }
 }
 
@@ -345,9 +478,10 @@
     let (body, mut sent, mut lying) = (vec![b'.'; 3000], 0, None);
     // The other side reads nothing, until an attempt lies in the ring of which no byte is written.
     while lying.is_none() {
-        let before = rig.conn.written;
+        let before = rig.conn.bytes_written;
         let attempt = rig.send_with(&format!("{sent:04}"), body.clone());
-        lying = Some(attempt).filter(|_| rig.conn.written == before && !rig.conn.output.is_empty());
+        lying = Some(attempt)
+            .filter(|_| rig.conn.bytes_written == before && !rig.conn.output.is_empty());
         sent += 1;
         // One that has begun goes on until the ring is empty again.
         while lying.is_none() && !rig.conn.output.is_empty() {
@@ -355,7 +489,13 @@
         }
     }
     let attempt = lying.unwrap();
-    assert!(rig.link.give_up(rig.now, attempt, &mut rig.conn, &mut rig.told));
-    assert_eq!(rig.ends(), [(attempt, Outcome::Cancelled)], "at once: no box has seen a byte of it");
+    assert!(rig
+        .link
+        .give_up(rig.now, attempt, &mut rig.conn, &mut rig.told));
+    assert_eq!(
+        rig.ends(),
+        [(attempt, Outcome::Cancelled)],
+        "at once: no box has seen a byte of it"
+    );
     assert!(rig.conn.output.is_empty());
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,7 +25,11 @@
 
 /// A whole number, also where it is written with a point.
 pub fn as_int(v: &Value) -> Option<u64> {
-    v.as_u64().or_else(|| v.as_f64().filter(|f| *f >= 0.0 && f.is_finite()).map(|f| f as u64))
+    v.as_u64().or_else(|| {
+        v.as_f64()
+            .filter(|f| *f >= 0.0 && f.is_finite())
+            .map(|f| f as u64)
+    })
 }
 
 /// A whole number that must be there.
@@ -50,12 +54,17 @@
 
 /// A text that must be there.
 pub fn text(m: &Fields, key: &str) -> Result<String> {
-    need(m, key)?.as_str().map(str::to_owned).ok_or_else(|| wrong(key))
+    need(m, key)?
+        .as_str()
+        .map(str::to_owned)
+        .ok_or_else(|| wrong(key))
 }
 
 /// A text or its default.
 pub fn text_or(m: &Fields, key: &str, default: &str) -> Result<String> {
-    get(m, key).map_or(Ok(default.to_owned()), |v| v.as_str().map(str::to_owned).ok_or_else(|| wrong(key)))
+    get(m, key).map_or(Ok(default.to_owned()), |v| {
+        v.as_str().map(str::to_owned).ok_or_else(|| wrong(key))
+    })
 }
 
 /// A name that is left out, null or 0 when there is none.
@@ -70,7 +79,9 @@
 
 /// A list; empty by default.
 pub fn list<'a>(m: &'a Fields, key: &str) -> Result<&'a [Value]> {
-    get(m, key).map_or(Ok(&[][..]), |v| v.as_array().map(Vec::as_slice).ok_or_else(|| wrong(key)))
+    get(m, key).map_or(Ok(&[][..]), |v| {
+        v.as_array().map(Vec::as_slice).ok_or_else(|| wrong(key))
+    })
 }
 
 /// An object that must be there.
@@ -79,8 +90,16 @@
 }
 
 /// One place of a list.
-pub fn at<T>(m: &Fields, key: &str, i: usize, read: impl Fn(&Value) -> Option<T>) -> Result<Option<T>> {
-    list(m, key)?.get(i).map(|v| read(v).ok_or_else(|| wrong(key))).transpose()
+pub fn at<T>(
+    m: &Fields,
+    key: &str,
+    i: usize,
+    read: impl Fn(&Value) -> Option<T>,
+) -> Result<Option<T>> {
+    list(m, key)?
+        .get(i)
+        .map(|v| read(v).ok_or_else(|| wrong(key)))
+        .transpose()
 }
 
 /// The settings, from the object that an instance is started with.
@@ -123,7 +142,9 @@
     let kinds = list(m, "kinds")?;
     let kind = |key: &str| -> Result<Option<String>> {
         let place = num_or(family, key, -1.0)?;
-        Ok((place >= 0.0).then(|| kinds.get(place as usize)?.as_str().map(str::to_owned)).flatten())
+        Ok((place >= 0.0)
+            .then(|| kinds.get(place as usize)?.as_str().map(str::to_owned))
+            .flatten())
     };
     let zone_names = list(m, "localities")?;
     let mut zones = Vec::new();
@@ -136,11 +157,17 @@
         });
     }
     let own = text(m, "zone")?;
-    let zone = zones.iter().position(|z| z.name == own).unwrap_or(usize::MAX);
+    let zone = zones
+        .iter()
+        .position(|z| z.name == own)
+        .unwrap_or(usize::MAX);
     let mut tenants = Vec::new();
     for v in list(m, "customers")? {
         let t = v.as_object().ok_or_else(|| wrong("customers"))?;
-        tenants.push(w::Tenant { name: text(t, "name")?, quota_rps: num_or(t, "quota-rps", 0.0)? });
+        tenants.push(w::Tenant {
+            name: text(t, "name")?,
+            quota_rps: num_or(t, "quota-rps", 0.0)?,
+        });
     }
     let telemetry = sub("telemetry")?;
     Ok(w::Settings {
--- a/crates/sim-adapter/src/main.rs
+++ b/crates/sim-adapter/src/main.rs
@@ -13,8 +13,13 @@
         if line.trim().is_empty() {
             continue;
         }
-        if let Some(reply) = host.line(&line).map_err(|e| format!("line {}: {e}", number + 1))? {
-            out.write_all(reply.as_bytes()).and_then(|()| out.flush()).map_err(|e| e.to_string())?;
+        if let Some(reply) = host
+            .line(&line)
+            .map_err(|e| format!("line {}: {e}", number + 1))?
+        {
+            out.write_all(reply.as_bytes())
+                .and_then(|()| out.flush())
+                .map_err(|e| e.to_string())?;
         }
     }
     Ok(())
--- a/crates/sim-adapter/src/wire.rs
+++ b/crates/sim-adapter/src/wire.rs
@@ -2,7 +2,8 @@
 
 use edge_routing as w;
 use edge_settings::{
-    flag, get, int, int_or, list, name, num_or, object, settings, text, text_or, wrong, Fields, Result,
+    flag, get, int, int_or, list, name, num_or, object, settings, text, text_or, wrong, Fields,
+    Result,
 };
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -34,7 +35,9 @@
 }
 
 fn load(m: &Fields) -> Result<Option<w::LoadReport>> {
-    let Some(v) = get(m, "usage") else { return Ok(None) };
+    let Some(v) = get(m, "usage") else {
+        return Ok(None);
+    };
     let r = v.as_object().ok_or_else(|| wrong("usage"))?;
     let value = |key: &str| get(r, key).and_then(Value::as_f64);
     Ok(Some(w::LoadReport {
@@ -84,15 +87,20 @@
             part: int_or(m, "segment", 0)?,
             group: int_or(m, "purge-group", 0)?,
             size_kb: num_or(m, "length-kb", 0.0)?,
-            remaining_us: get(m, "remaining-us")
-                .map_or(Err("field 'remaining-us' is missing".into()), |v| {
-                    v.as_f64().map(|f| f.max(0.0) as u64).ok_or_else(|| wrong("remaining-us"))
-                })?,
+            remaining_us: get(m, "remaining-us").map_or(
+                Err("field 'remaining-us' is missing".into()),
+                |v| {
+                    v.as_f64()
+                        .map(|f| f.max(0.0) as u64)
+                        .ok_or_else(|| wrong("remaining-us"))
+                },
+            )?,
             is_retry: int_or(m, "marks", 0)? & 2 != 0,
         }),
-        "Accepted" => {
-            w::Event::StreamStarted { request: int(m, "request-id")?, attempt: int_or(m, "go", 0)? as u32 }
-        }
+        "Accepted" => w::Event::StreamStarted {
+            request: int(m, "request-id")?,
+            attempt: int_or(m, "go", 0)? as u32,
+        },
         "Resolved" => w::Event::AttemptEnded(w::AttemptReport {
             request: int(m, "request-id")?,
             attempt: int_or(m, "go", 0)? as u32,
@@ -116,8 +124,12 @@
             fill_ttfb_us: int_or(m, "first-byte-us", 0)?,
             load: load(m)?,
         }),
-        "ClientLeft" => w::Event::ClientDisconnected { request: int(m, "request-id")? },
-        "Elapsed" => w::Event::Timer { tag: int(m, "ctx")? },
+        "ClientLeft" => w::Event::ClientDisconnected {
+            request: int(m, "request-id")?,
+        },
+        "Elapsed" => w::Event::Timer {
+            tag: int(m, "ctx")?,
+        },
         "CheckResult" => w::Event::ProbeEnded {
             server: int(m, "store")?,
             outcome: outcome(m)?,
@@ -137,11 +149,23 @@
 
 fn action(i: u64, a: &w::Action) -> Value {
     match a {
-        w::Action::StartAttempt { request, server, timeout_us, fill: None, .. } => json!({
+        w::Action::StartAttempt {
+            request,
+            server,
+            timeout_us,
+            fill: None,
+            ..
+        } => json!({
             "event_type": "Assign", "i": i, "request-id": request, "store": server,
             "allow-for-us": timeout_us,
         }),
-        w::Action::StartAttempt { request, server, timeout_us, fill: Some(f), .. } => json!({
+        w::Action::StartAttempt {
+            request,
+            server,
+            timeout_us,
+            fill: Some(f),
+            ..
+        } => json!({
             "event_type": "ReadThrough", "i": i, "request-id": request, "store": server,
             "allow-for-us": timeout_us, "feeder": f.source, "tier-rank": f.retention_rank, "how-old-us": f.max_age_us,
             "how": u8::from(f.coalesce) + 2 * u8::from(f.only_if_cached) + 4 * u8::from(f.bypass_parent)
@@ -150,11 +174,18 @@
         w::Action::CancelAttempt { request, attempt } => {
             json!({"event_type": "Retract", "i": i, "request-id": request, "go": attempt})
         }
-        w::Action::Reject { request, retry_after_us } => json!({
+        w::Action::Reject {
+            request,
+            retry_after_us,
+        } => json!({
             "event_type": "PushBack", "i": i, "request-id": request, "retry-after-us": retry_after_us,
         }),
-        w::Action::Fail { request } => json!({"event_type": "Abort", "i": i, "request-id": request}),
-        w::Action::SetTimer { at, tag } => json!({"event_type": "After", "i": i, "at-us": at, "ctx": tag}),
+        w::Action::Fail { request } => {
+            json!({"event_type": "Abort", "i": i, "request-id": request})
+        }
+        w::Action::SetTimer { at, tag } => {
+            json!({"event_type": "After", "i": i, "at-us": at, "ctx": tag})
+        }
         w::Action::Probe { server } => json!({"event_type": "SoundOut", "i": i, "store": server}),
         w::Action::WatchEndpoints => json!({"event_type": "Track", "i": i, "want": true}),
         w::Action::Log { line } => json!({"event_type": "Emit", "i": i, "msg": line}),
@@ -188,14 +219,16 @@
         match kind {
             "Born" => {
                 let settings = settings(object(m, "setup")?)?;
-                let router = w::Router::new(settings, int(m, "nonce64")?).map_err(|e| e.to_string())?;
+                let router =
+                    w::Router::new(settings, int(m, "nonce64")?).map_err(|e| e.to_string())?;
                 self.routers.insert(i, router);
             }
             "Stop" => {
                 self.routers.remove(&i);
             }
             _ => {
-                let (Some(router), Some(event)) = (self.routers.get_mut(&i), event(kind, m)?) else {
+                let (Some(router), Some(event)) = (self.routers.get_mut(&i), event(kind, m)?)
+                else {
                     return Ok(());
                 };
                 router.handle(self.now, event, &mut self.actions);
--- a/crates/sim-adapter/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -10,7 +10,12 @@
         .stderr(Stdio::piped())
         .spawn()
         .expect("the adapter starts");
-    child.stdin.take().expect("its input").write_all(input.as_bytes()).unwrap_or(());
+    child
+        .stdin
+        .take()
+        .expect("its input")
+        .write_all(input.as_bytes())
+        .unwrap_or(());
     child.wait_with_output().expect("the adapter ends")
 }
 
@@ -42,7 +47,9 @@
 }
 
 fn born() -> String {
-    flat(&format!("{{\"event_type\":\"Born\",\"i\":0,\"nonce64\":12,\"setup\":{SETUP}}}"))
+    flat(&format!(
+        "{{\"event_type\":\"Born\",\"i\":0,\"nonce64\":12,\"setup\":{SETUP}}}"
+    ))
 }
 
 fn order(id: u64, class: &str, remaining: u64) -> String {
@@ -60,7 +67,10 @@
 }
 
 fn lines(out: &Output) -> Vec<String> {
-    String::from_utf8_lossy(&out.stdout).lines().map(str::to_owned).collect()
+    String::from_utf8_lossy(&out.stdout)
+        .lines()
+        .map(str::to_owned)
+        .collect()
 }
 
 fn has(lines: &[String], parts: &[&str]) -> bool {
@@ -90,16 +100,38 @@
         )
         + &batch(1_070_000, 7, &["{\"event_type\":\"Stop\",\"i\":0}".into()]);
     let out = run(&input);
-    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    assert!(
+        out.status.success(),
+        "{}",
+        String::from_utf8_lossy(&out.stderr)
+    );
     let l = lines(&out);
     assert_eq!(l.iter().filter(|l| l.contains("\"Ack\"")).count(), 7);
-    assert!(has(&l, &["ReadThrough", "\"request-id\":7", "\"store\":4", "\"feeder\":5", "\"tier-rank\":1"]));
-    assert!(has(&l, &["ReadThrough", "\"request-id\":8", "\"store\":6"]), "a write goes to the origin");
-    assert!(has(&l, &["PushBack", "\"request-id\":9", "\"retry-after-us\":200000"]));
+    assert!(has(
+        &l,
+        &[
+            "ReadThrough",
+            "\"request-id\":7",
+            "\"store\":4",
+            "\"feeder\":5",
+            "\"tier-rank\":1"
+        ]
+    ));
+    assert!(
+        has(&l, &["ReadThrough", "\"request-id\":8", "\"store\":6"]),
+        "a write goes to the origin"
+    );
+    assert!(has(
+        &l,
+        &["PushBack", "\"request-id\":9", "\"retry-after-us\":200000"]
+    ));
     assert!(has(&l, &["Abort", "\"request-id\":8"]));
     assert!(has(&l, &["Retract", "\"request-id\":10", "\"go\":0"]));
     assert!(has(&l, &["After", "\"at-us\":1110000", "\"ctx\":0"]));
-    assert!(has(&l, &["ReadThrough", "\"request-id\":11", "\"how-old-us\":5000"]));
+    assert!(has(
+        &l,
+        &["ReadThrough", "\"request-id\":11", "\"how-old-us\":5000"]
+    ));
 }
 
 #[test]
@@ -107,16 +139,29 @@
     let out = run("{\"event_type\":\"Clock\",\"at-time-us\":1,\"round\":1}\nnot json\n");
     assert!(!out.status.success());
     let message = String::from_utf8_lossy(&out.stderr).into_owned();
-    assert!(message.contains("line 2") && message.contains("not JSON"), "{message}");
+    assert!(
+        message.contains("line 2") && message.contains("not JSON"),
+        "{message}"
+    );
 }
 
 #[test]
 fn a_missing_field_is_named() {
-    let input = batch(1, 1, &[born(), "{\"event_type\":\"Order\",\"i\":0,\"request-id\":3}".into()]);
+    let input = batch(
+        1,
+        1,
+        &[
+            born(),
+            "{\"event_type\":\"Order\",\"i\":0,\"request-id\":3}".into(),
+        ],
+    );
     let out = run(&input);
     assert!(!out.status.success());
     let message = String::from_utf8_lossy(&out.stderr).into_owned();
-    assert!(message.contains("line 3") && message.contains("'grade'"), "{message}");
+    assert!(
+        message.contains("line 3") && message.contains("'grade'"),
+        "{message}"
+    );
     let out = run("{\"event_type\":\"Clock\",\"at-time-us\":1}\n");
     assert!(String::from_utf8_lossy(&out.stderr).contains("'round'"));
 }
--- a/crates/testkit/src/clients.rs
+++ b/crates/testkit/src/clients.rs
@@ -34,12 +34,20 @@
 impl Answer {
     /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_str())
     }
 
     /// When the copy that it brings left the stand-in origin.
     pub fn made(&self) -> Option<u64> {
-        std::str::from_utf8(&self.body).ok()?.rsplit_once('@')?.1.parse().ok()
+        std::str::from_utf8(&self.body)
+            .ok()?
+            .rsplit_once('@')?
+            .1
+            .parse()
+            .ok()
     }
 }
 
@@ -56,15 +64,27 @@
     pub fn connect(to: SocketAddr) -> io::Result<Self> {
         let socket = TcpStream::connect(to)?;
         socket.set_read_timeout(Some(PATIENCE))?;
-        Ok(WebServer { socket, records: Records::default(), input: Vec::new(), answers: HashMap::new() })
+        Ok(WebServer {
+            socket,
+            records: Records::default(),
+            input: Vec::new(),
+            answers: HashMap::new(),
+        })
     }
 
     /// The bytes of a request.
     pub fn request(id: u16, path: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
         let (mut out, mut params) = (Vec::new(), Vec::new());
-        fastcgi::write_record(&mut out, kind::BEGIN, id, &[0, 1, fastcgi::KEEP_CONN, 0, 0, 0, 0, 0]);
+        fastcgi::write_record(
+            &mut out,
+            kind::BEGIN,
+            id,
+            &[0, 1, fastcgi::KEEP_CONN, 0, 0, 0, 0, 0],
+        );
         fastcgi::write_pair(&mut params, "SCRIPT_NAME", path);
-        fields.iter().for_each(|(name, value)| fastcgi::write_pair(&mut params, name, value));
+        fields
+            .iter()
+            .for_each(|(name, value)| fastcgi::write_pair(&mut params, name, value));
         fastcgi::write_record(&mut out, kind::PARAMS, id, &params);
         fastcgi::write_record(&mut out, kind::PARAMS, id, &[]);
         if !body.is_empty() {
@@ -91,9 +111,18 @@
             ("HTTP_FOOTPRINT_KB", "40"),
             ("HTTP_ONCE_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
         ];
-        let fields = if class == "post" { &fields[..] } else { &fields[..4] };
+        let fields = if class == "post" {
+            &fields[..]
+        } else {
+            &fields[..4]
+        };
         let body: &[u8] = if class == "post" { b"a comment" } else { b"" };
-        self.send(&Self::request(id, &format!("/invoke/{class}"), fields, body))
+        self.send(&Self::request(
+            id,
+            &format!("/invoke/{class}"),
+            fields,
+            body,
+        ))
     }
 
     /// No longer waits for a request.
@@ -106,12 +135,21 @@
     /// Waits for the end of any request: its number and, unless it was aborted, its answer.
     pub fn end(&mut self) -> io::Result<(u16, Option<Answer>)> {
         loop {
-            let (taken, record) = self.records.parse(&self.input).map_err(|e| bad(&e.to_string()))?;
+            let (taken, record) = self
+                .records
+                .parse(&self.input)
+                .map_err(|e| bad(&e.to_string()))?;
             self.input.drain(..taken);
             match record {
-                Some(r) if r.kind == kind::STDOUT => self.answers.entry(r.id).or_default().extend(r.content),
+                Some(r) if r.kind == kind::STDOUT => {
+                    self.answers.entry(r.id).or_default().extend(r.content)
+                }
                 Some(r) if r.kind == kind::END => {
-                    let answer = self.answers.remove(&r.id).map(|bytes| cgi(&bytes)).transpose()?;
+                    let answer = self
+                        .answers
+                        .remove(&r.id)
+                        .map(|bytes| cgi(&bytes))
+                        .transpose()?;
                     return Ok((r.id, answer));
                 }
                 Some(_) => {}
@@ -135,11 +173,20 @@
         .ok_or_else(|| bad("a CGI response without an end"))?;
     let head = String::from_utf8_lossy(&bytes[..at]).into_owned();
     let pairs = head.lines().filter_map(|l| l.split_once(": "));
-    let headers: Vec<_> = pairs.map(|(n, v)| (n.to_lowercase(), v.to_owned())).collect();
-    let status =
-        headers.iter().find(|(n, _)| n == "status").and_then(|(_, v)| v.split(' ').next()?.parse().ok());
+    let headers: Vec<_> = pairs
+        .map(|(n, v)| (n.to_lowercase(), v.to_owned()))
+        .collect();
+    let status = headers
+        .iter()
+        .find(|(n, _)| n == "status")
+        .and_then(|(_, v)| v.split(' ').next()?.parse().ok());
     let status = status.ok_or_else(|| bad("a CGI response without a status"))?;
-    Ok(Answer { status, headers, body: bytes[at + 4..].to_vec(), surplus: false })
+    Ok(Answer {
+        status,
+        headers,
+        body: bytes[at + 4..].to_vec(),
+        surplus: false,
+    })
 }
 
 /// Reads one message and, where the other side closes behind it, whether anything else came.
@@ -160,7 +207,11 @@
             Some(Piece::End) => whole = true,
             None => {
                 let mut bytes = [0; 4096];
-                let got = if whole && !to_the_end { 0 } else { socket.read(&mut bytes)? };
+                let got = if whole && !to_the_end {
+                    0
+                } else {
+                    socket.read(&mut bytes)?
+                };
                 if got == 0 {
                     let head = head.filter(|_| whole).ok_or(io::ErrorKind::UnexpectedEof)?;
                     return Ok((head, body, surplus));
@@ -176,7 +227,12 @@
 pub fn call(to: SocketAddr, method: &str, target: &str, body: &str) -> io::Result<Answer> {
     let mut out = Vec::new();
     let headers = [("Host", "localhost"), ("Connection", "close")];
-    write_message(&mut out, &format!("{method} {target} HTTP/1.1"), &headers, body.as_bytes());
+    write_message(
+        &mut out,
+        &format!("{method} {target} HTTP/1.1"),
+        &headers,
+        body.as_bytes(),
+    );
     exchange(to, &out)
 }
 
@@ -185,9 +241,20 @@
     let mut socket = TcpStream::connect(to)?;
     socket.set_read_timeout(Some(PATIENCE))?;
     socket.write_all(bytes)?;
-    let (head, body, surplus) = message(&mut socket, &mut Messages::responses(1 << 16, 1 << 20), true)?;
-    let status = head.status().ok_or_else(|| bad("a response without a status"))?;
-    Ok(Answer { status, headers: head.headers, body, surplus })
+    let (head, body, surplus) = message(
+        &mut socket,
+        &mut Messages::responses(1 << 16, 1 << 20),
+        true,
+    )?;
+    let status = head
+        .status()
+        .ok_or_else(|| bad("a response without a status"))?;
+    Ok(Answer {
+        status,
+        headers: head.headers,
+        body,
+        surplus,
+    })
 }
 
 /// A neighbour's HTTP interface: gives each request that comes, after it was answered with 201.
@@ -197,13 +264,22 @@
     let (tell, told) = mpsc::channel();
     thread::spawn(move || {
         for mut socket in listener.incoming().flatten() {
-            let Ok((head, body, _)) = message(&mut socket, &mut Messages::requests(1 << 16, 1 << 20), false)
-            else {
+            let Ok((head, body, _)) = message(
+                &mut socket,
+                &mut Messages::requests(1 << 16, 1 << 20),
+                false,
+            ) else {
                 continue;
             };
             let _ = socket.write_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
-            let target = head.request().map(|(_, target)| target.to_owned()).unwrap_or_default();
-            if tell.send((target, String::from_utf8_lossy(&body).into_owned())).is_err() {
+            let target = head
+                .request()
+                .map(|(_, target)| target.to_owned())
+                .unwrap_or_default();
+            if tell
+                .send((target, String::from_utf8_lossy(&body).into_owned()))
+                .is_err()
+            {
                 return;
             }
         }
--- a/crates/testkit/src/fake_cache.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -76,13 +76,21 @@
         let state = Shared::default();
         let served = state.clone();
         let address = listen(address, move |socket| {
-            let stand_in = StandIn { uid, address: socket.local_addr().ok()?, state: served.clone() };
+            let stand_in = StandIn {
+                uid,
+                address: socket.local_addr().ok()?,
+                state: served.clone(),
+            };
             stand_in.state().connections += 1;
             let served = stand_in.serve(socket);
             stand_in.state().ended += 1;
             served
         })?;
-        Ok(StandIn { uid, address, state })
+        Ok(StandIn {
+            uid,
+            address,
+            state,
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -91,7 +99,10 @@
 
     /// The same box under another id, as if it had taken over the address.
     pub fn heir(&self, uid: &'static str) -> Self {
-        StandIn { uid, ..self.clone() }
+        StandIn {
+            uid,
+            ..self.clone()
+        }
     }
 
     /// Changes its manner.
@@ -120,7 +131,9 @@
         let waited = self
             .state
             .1
-            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| !s.arrivals.iter().any(&fits));
+            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| {
+                !s.arrivals.iter().any(&fits)
+            });
         let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
         state.arrivals.iter().find(|a| fits(a)).cloned()
     }
@@ -142,10 +155,20 @@
     }
 
     fn arrived(&self, array: &[Vec<u8>], socket: &TcpStream) {
-        let text =
-            |at: usize| array.get(at).map(|b| String::from_utf8_lossy(b).into_owned()).unwrap_or_default();
+        let text = |at: usize| {
+            array
+                .get(at)
+                .map(|b| String::from_utf8_lossy(b).into_owned())
+                .unwrap_or_default()
+        };
         let body = array.get(3).cloned().unwrap_or_default();
-        let arrival = Arrival { at: unix_ms(), word: text(0), id: text(1), fields: text(2), body };
+        let arrival = Arrival {
+            at: unix_ms(),
+            word: text(0),
+            id: text(1),
+            fields: text(2),
+            body,
+        };
         let mut state = self.state();
         state.arrivals.push(arrival.clone());
         self.state.1.notify_all();
@@ -153,14 +176,24 @@
         if arrival.word != "fetch" || manner.mute {
             return;
         }
-        let name = format!("{}/{}", arrival.field("key").unwrap_or(""), arrival.field("part").unwrap_or(""));
-        let oldest = arrival.field("maxage").and_then(|v| v.parse::<u64>().ok()).filter(|v| *v > 0);
+        let name = format!(
+            "{}/{}",
+            arrival.field("key").unwrap_or(""),
+            arrival.field("part").unwrap_or("")
+        );
+        let oldest = arrival
+            .field("maxage")
+            .and_then(|v| v.parse::<u64>().ok())
+            .filter(|v| *v > 0);
         let held = state.made.get(&name).copied();
-        let good = held.filter(|made| manner.any_age || oldest.is_none_or(|age| made + age >= arrival.at));
+        let good =
+            held.filter(|made| manner.any_age || oldest.is_none_or(|age| made + age >= arrival.at));
         let made = good.unwrap_or(arrival.at);
         state.made.insert(name.clone(), made);
         drop(state);
-        let Ok(mut socket) = socket.try_clone() else { return };
+        let Ok(mut socket) = socket.try_clone() else {
+            return;
+        };
         let mut answer = move || {
             thread::sleep(Duration::from_millis(manner.hold_ms));
             let how = if good.is_some() { "local" } else { "pulled" };
@@ -168,7 +201,15 @@
             let fields = format!("how={how},ttfb=1,made={told},etag=t{made}");
             let mut out = Vec::new();
             let body = format!("{}{name}@{made}", ".".repeat(manner.padding));
-            resp::write_array(&mut out, &[arrival.id.as_bytes(), b"200", fields.as_bytes(), body.as_bytes()]);
+            resp::write_array(
+                &mut out,
+                &[
+                    arrival.id.as_bytes(),
+                    b"200",
+                    fields.as_bytes(),
+                    body.as_bytes(),
+                ],
+            );
             let _ = socket.write_all(&out);
         };
         if manner.hold_ms > 0 {
--- a/crates/testkit/src/fake_event_bus.rs
+++ b/crates/testkit/src/fake_event_bus.rs
@@ -41,7 +41,10 @@
         let served = state.clone();
         let address = listen("127.0.0.1:0", move |socket| {
             let address = socket.local_addr()?;
-            let bus = Bus { address, state: served.clone() };
+            let bus = Bus {
+                address,
+                state: served.clone(),
+            };
             let end = bus.serve(socket);
             bus.state().ended += 1;
             bus.state.1.notify_all();
@@ -77,7 +80,10 @@
     pub fn cut_off(&self) {
         self.cut();
         let open = |s: &mut State| s.ended < s.calls.len();
-        let waited = self.state.1.wait_timeout_while(self.state(), Duration::from_secs(10), open);
+        let waited = self
+            .state
+            .1
+            .wait_timeout_while(self.state(), Duration::from_secs(10), open);
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
@@ -91,8 +97,15 @@
         let waited = self
             .state
             .1
-            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| s.calls.len() <= place);
-        waited.unwrap_or_else(PoisonError::into_inner).0.calls.get(place).copied()
+            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| {
+                s.calls.len() <= place
+            });
+        waited
+            .unwrap_or_else(PoisonError::into_inner)
+            .0
+            .calls
+            .get(place)
+            .copied()
     }
 
     fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
@@ -103,8 +116,10 @@
             head.extend(byte);
         }
         let head = String::from_utf8_lossy(&head).to_lowercase();
-        let last =
-            head.lines().find_map(|l| l.strip_prefix("last-event-id:")).and_then(|v| v.trim().parse().ok());
+        let last = head
+            .lines()
+            .find_map(|l| l.strip_prefix("last-event-id:"))
+            .and_then(|v| v.trim().parse().ok());
         let mut at = last.unwrap_or(0usize);
         let cuts = {
             let mut state = self.state();
@@ -115,7 +130,10 @@
         socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         loop {
             let waits = |s: &mut State| s.events.len() <= at && s.cuts == cuts;
-            let waited = self.state.1.wait_timeout_while(self.state(), Duration::from_secs(1), waits);
+            let waited =
+                self.state
+                    .1
+                    .wait_timeout_while(self.state(), Duration::from_secs(1), waits);
             let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
             if state.cuts != cuts {
                 return Ok(());
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -37,7 +37,10 @@
 
 /// Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 /// A broken rule.
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -97,13 +97,19 @@
         .stdin(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()?;
-    let log = child.stderr.take().ok_or_else(|| failed("the daemon has no log"))?;
+    let log = child
+        .stderr
+        .take()
+        .ok_or_else(|| failed("the daemon has no log"))?;
     let (tell, told) = mpsc::channel();
     thread::spawn(move || {
         // Read to the end, so that the daemon is never held up by its log.
         for line in BufReader::new(log).lines().map_while(Result::ok) {
             let address = |mark: &str| line.split_once(mark)?.1.trim().parse::<SocketAddr>().ok();
-            let found = [(false, address(" listens on ")), (true, address("neighbours connect to "))];
+            let found = [
+                (false, address(" listens on ")),
+                (true, address("neighbours connect to ")),
+            ];
             for (cdni, address) in found.into_iter().filter_map(|(cdni, a)| Some((cdni, a?))) {
                 let _ = tell.send((cdni, address));
             }
@@ -111,11 +117,17 @@
     });
     let mut addresses = BTreeMap::new();
     while addresses.len() < 2 {
-        let (cdni, address) = told.recv_timeout(PATIENCE).map_err(|_| failed("the daemon did not start"))?;
+        let (cdni, address) = told
+            .recv_timeout(PATIENCE)
+            .map_err(|_| failed("the daemon did not start"))?;
         addresses.insert(cdni, address);
     }
     let _ = std::fs::remove_dir_all(&folder);
-    Ok(Running { child, front: addresses[&false], cdni: addresses[&true] })
+    Ok(Running {
+        child,
+        front: addresses[&false],
+        cdni: addresses[&true],
+    })
 }
 
 /// Plays both cases against a daemon's program and reports every breach. Errors are those of the play itself.
@@ -124,7 +136,10 @@
     let boxes = [StandIn::start("s-0000000a")?, StandIn::start("s-0000000b")?];
     let origin = StandIn::start("s-0000000f")?;
     let bus = Bus::start()?;
-    let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
+    let mut list: Vec<Value> = boxes
+        .iter()
+        .map(|b| entry(b, "here", "box", "ready"))
+        .collect();
     list.push(entry(&origin, "hub", "origin", "ready"));
     bus.list(true, list);
     let (peer, told) = neighbour()?;
@@ -137,7 +152,12 @@
         thread::sleep(Duration::from_millis(10));
     }
     if plant == Some(Plant::StaleCopies) {
-        boxes.iter().for_each(|b| b.behave(Manner { any_age: true, ..Manner::default() }));
+        boxes.iter().for_each(|b| {
+            b.behave(Manner {
+                any_age: true,
+                ..Manner::default()
+            })
+        });
     }
     purge(&running, &boxes, &mut report)?;
     notices(&bus, &told, &mut report)?;
@@ -155,58 +175,93 @@
 /// A purge told by the neighbour: from its grace on, neither front serves an older copy.
 fn purge(running: &Running, boxes: &[StandIn], report: &mut Report) -> io::Result<()> {
     let warm = content(running.cdni, OBJECT)?;
-    report.hold("one answer", warm.status == 200, || format!("the first copy was answered {}", warm.status));
+    report.hold("one answer", warm.status == 200, || {
+        format!("the first copy was answered {}", warm.status)
+    });
     // The purge must lie behind the copy by more than the clock's step.
     thread::sleep(Duration::from_millis(5));
     let purged = unix_ms();
     let url = format!("http://cdn.example/content/photo/{OBJECT}");
-    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    let command =
+        json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
     let made = call(running.cdni, "POST", "/cdni/triggers", &command.to_string())?;
     let told = unix_ms();
-    report.hold("trigger", made.status == 201, || format!("the purge was answered {}", made.status));
-    let place = made.header("location").and_then(|l| l.strip_prefix("http://cdn.example")).unwrap_or("/");
+    report.hold("trigger", made.status == 201, || {
+        format!("the purge was answered {}", made.status)
+    });
+    let place = made
+        .header("location")
+        .and_then(|l| l.strip_prefix("http://cdn.example"))
+        .unwrap_or("/");
     let status = call(running.cdni, "GET", place, "")?;
-    let done = serde_json::from_slice::<Value>(&status.body).is_ok_and(|v| v["status"] == "complete");
-    report.hold("trigger", done, || format!("the status resource {place} does not tell a complete purge"));
+    let done =
+        serde_json::from_slice::<Value>(&status.body).is_ok_and(|v| v["status"] == "complete");
+    report.hold("trigger", done, || {
+        format!("the status resource {place} does not tell a complete purge")
+    });
     let (mut server, mut asked) = (WebServer::connect(running.front)?, 0u16);
     while unix_ms() < told + PURGE_GRACE_MS + 600 {
         let sent = unix_ms();
         asked += 1;
         server.ask(asked, "photo", OBJECT, 2500)?;
-        let fronts = [("FastCGI", server.end()?.1), ("CDNI", Some(content(running.cdni, OBJECT)?))];
+        let fronts = [
+            ("FastCGI", server.end()?.1),
+            ("CDNI", Some(content(running.cdni, OBJECT)?)),
+        ];
         for (front, answer) in fronts {
             let Some(answer) = answer else { continue };
-            let old = sent > told + PURGE_GRACE_MS && answer.made().is_some_and(|made| made < purged);
+            let old =
+                sent > told + PURGE_GRACE_MS && answer.made().is_some_and(|made| made < purged);
             report.hold("purge", !old, || {
                 format!(
                     "by {front}, {} ms after the purge was told, a copy from before it was served",
                     sent - told
                 )
             });
-            report.hold("one answer", !answer.surplus, || format!("bytes behind an answer by {front}"));
+            report.hold("one answer", !answer.surplus, || {
+                format!("bytes behind an answer by {front}")
+            });
         }
         thread::sleep(Duration::from_millis(20));
     }
     let reached: usize = boxes.iter().map(|b| b.arrivals().len()).sum();
-    report.played.push(format!("a purge by CDNI, {asked} requests by each front, {reached} at the boxes"));
+    report.played.push(format!(
+        "a purge by CDNI, {asked} requests by each front, {reached} at the boxes"
+    ));
     Ok(())
 }
 
 /// Our footprint and a purge of the bus reach the neighbour.
-fn notices(bus: &Bus, told: &mpsc::Receiver<(String, String)>, report: &mut Report) -> io::Result<()> {
+fn notices(
+    bus: &Bus,
+    told: &mpsc::Receiver<(String, String)>,
+    report: &mut Report,
+) -> io::Result<()> {
     bus.push(json!({"ban": {"url": "00000000000000ff", "ts": unix_ms()}}));
     let (mut footprint, mut purge) = (false, false);
     while !(footprint && purge) {
-        let Ok((target, body)) = told.recv_timeout(PATIENCE) else { break };
+        let Ok((target, body)) = told.recv_timeout(PATIENCE) else {
+            break;
+        };
         let body: Value = serde_json::from_str(&body).map_err(|e| failed(e.to_string()))?;
-        footprint |= target == "/notices" && body["capabilities"].as_array().is_some_and(|c| !c.is_empty());
+        footprint |= target == "/notices"
+            && body["capabilities"]
+                .as_array()
+                .is_some_and(|c| !c.is_empty());
         let urls = body["trigger"]["content.urls"].to_string();
-        purge |=
-            target == "/triggers" && urls.contains("00000000000000ff") && body["cdn-path"][0] == "AS64500:0";
+        purge |= target == "/triggers"
+            && urls.contains("00000000000000ff")
+            && body["cdn-path"][0] == "AS64500:0";
     }
-    report.hold("notice", footprint, || "our footprint did not reach the neighbour".to_owned());
-    report.hold("notice", purge, || "a purge of the event bus did not reach the neighbour".to_owned());
-    report.played.push("notices to the neighbour: footprint and purge".to_owned());
+    report.hold("notice", footprint, || {
+        "our footprint did not reach the neighbour".to_owned()
+    });
+    report.hold("notice", purge, || {
+        "a purge of the event bus did not reach the neighbour".to_owned()
+    });
+    report
+        .played
+        .push("notices to the neighbour: footprint and purge".to_owned());
     Ok(())
 }
 
@@ -219,31 +274,50 @@
     plant: Option<Plant>,
     report: &mut Report,
 ) -> io::Result<()> {
-    boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 150, ..Manner::default() }));
+    boxes.iter().for_each(|b| {
+        b.behave(Manner {
+            hold_ms: 150,
+            ..Manner::default()
+        })
+    });
     let mut clients = Vec::new();
     for n in 0..REDIRECTED {
-        let uri = format!("http://cdn.example/content/photo/{:016x}/0?kb=40", 0xb000 + n);
+        let uri = format!(
+            "http://cdn.example/content/photo/{:016x}/0?kb=40",
+            0xb000 + n
+        );
         let asked = json!({"http": {"c-ip": "127.0.0.9", "cs-uri": uri, "cs-method": "GET"}, "cdn-path": ["AS64501:0"]});
         let answer = call(running.cdni, "POST", "/cdni/redirect", &asked.to_string())?;
-        let value: Value = serde_json::from_slice(&answer.body).map_err(|e| failed(e.to_string()))?;
-        let location =
-            value["http"]["sc-(location)"].as_str().and_then(|l| l.strip_prefix("http://cdn.example"));
+        let value: Value =
+            serde_json::from_slice(&answer.body).map_err(|e| failed(e.to_string()))?;
+        let location = value["http"]["sc-(location)"]
+            .as_str()
+            .and_then(|l| l.strip_prefix("http://cdn.example"));
         let Some(target) = location.map(str::to_owned) else {
-            report.hold("redirection", false, || format!("no redirection but {value}"));
+            report.hold("redirection", false, || {
+                format!("no redirection but {value}")
+            });
             continue;
         };
         let to = running.cdni;
         clients.push(thread::spawn(move || (n, call(to, "GET", &target, ""))));
     }
     // The box that the first of them waits at drains.
-    let keys: Vec<_> = (0..REDIRECTED).map(|n| format!("{:016x}", 0xb000 + n)).collect();
-    let redirected = |a: &Arrival| a.field("key").is_some_and(|key| keys.iter().any(|k| k == key));
+    let keys: Vec<_> = (0..REDIRECTED)
+        .map(|n| format!("{:016x}", 0xb000 + n))
+        .collect();
+    let redirected = |a: &Arrival| {
+        a.field("key")
+            .is_some_and(|key| keys.iter().any(|k| k == key))
+    };
     let at = |b: &&StandIn| b.arrivals().iter().any(redirected);
     let until = Instant::now() + PATIENCE;
     let target = loop {
         match boxes.iter().find(at) {
             Some(target) => break target,
-            None if Instant::now() > until => return Err(failed("a redirected request reached no box")),
+            None if Instant::now() > until => {
+                return Err(failed("a redirected request reached no box"))
+            }
             None => thread::sleep(Duration::from_millis(2)),
         }
     };
@@ -254,7 +328,9 @@
     for client in clients {
         let (n, answer) = client.join().map_err(|_| failed("a client gave up"))?;
         match answer {
-            Err(e) => report.hold("one answer", false, || format!("redirected request {n} got none: {e}")),
+            Err(e) => report.hold("one answer", false, || {
+                format!("redirected request {n} got none: {e}")
+            }),
             Ok(answer) => {
                 let known = matches!(answer.status, 200 | 502 | 503 | 504);
                 report.hold("one answer", known && !answer.surplus, || {
@@ -276,14 +352,24 @@
             format!("bytes behind the answer to request {n} after a drain")
         });
     }
-    for a in target.arrivals().iter().filter(|a| a.word == "fetch" && a.at > drained + DRAIN_GRACE_MS) {
+    for a in target
+        .arrivals()
+        .iter()
+        .filter(|a| a.word == "fetch" && a.at > drained + DRAIN_GRACE_MS)
+    {
         report.hold("drain", false, || {
-            format!("{} reached {} {} ms after word that it drains", a.id, target.uid, a.at - drained)
+            format!(
+                "{} reached {} {} ms after word that it drains",
+                a.id,
+                target.uid,
+                a.at - drained
+            )
         });
     }
-    report
-        .played
-        .push(format!("a drain under {REDIRECTED} redirected requests, {} after it", 2 * REDIRECTED));
+    report.played.push(format!(
+        "a drain under {REDIRECTED} redirected requests, {} after it",
+        2 * REDIRECTED
+    ));
     Ok(())
 }
 
@@ -291,32 +377,53 @@
 fn attempts(boxes: &[StandIn], origin: &StandIn, report: &mut Report) {
     let mut counts: BTreeMap<String, u32> = BTreeMap::new();
     let all = boxes.iter().chain([origin]).flat_map(StandIn::arrivals);
-    all.filter(|a| a.word == "fetch").for_each(|a| *counts.entry(a.id).or_default() += 1);
+    all.filter(|a| a.word == "fetch")
+        .for_each(|a| *counts.entry(a.id).or_default() += 1);
     for (id, count) in counts.iter().filter(|c| *c.1 > 6) {
-        report.hold("attempts", false, || format!("{id} was tried {count} times"));
+        report.hold("attempts", false, || {
+            format!("{id} was tried {count} times")
+        });
     }
 }
 
 /// A planned end: what is open is answered, and the daemon ends well.
 fn end(running: &mut Running, boxes: &[StandIn], report: &mut Report) -> io::Result<()> {
     let before: usize = boxes.iter().map(|b| b.arrivals().len()).sum();
-    boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 150, ..Manner::default() }));
+    boxes.iter().for_each(|b| {
+        b.behave(Manner {
+            hold_ms: 150,
+            ..Manner::default()
+        })
+    });
     let mut server = WebServer::connect(running.front)?;
     server.ask(1, "photo", "00000000000000e1", 2500)?;
     let fits = |a: &Arrival| a.field("key") == Some("00000000000000e1");
     let until = Instant::now() + PATIENCE;
-    while boxes.iter().map(|b| b.arrivals().len()).sum::<usize>() == before && Instant::now() < until {
+    while boxes.iter().map(|b| b.arrivals().len()).sum::<usize>() == before
+        && Instant::now() < until
+    {
         thread::sleep(Duration::from_millis(2));
     }
-    report.hold("one answer", boxes.iter().any(|b| b.arrivals().iter().any(fits)), || {
-        "the last request strayed".into()
-    });
+    report.hold(
+        "one answer",
+        boxes.iter().any(|b| b.arrivals().iter().any(fits)),
+        || "the last request strayed".into(),
+    );
     // The shell sends the signal: the standard library can't.
-    Command::new("sh").arg("-c").arg(format!("kill -TERM {}", running.child.id())).status()?;
+    Command::new("sh")
+        .arg("-c")
+        .arg(format!("kill -TERM {}", running.child.id()))
+        .status()?;
     let answer = server.end()?.1;
-    report.hold("end", answer.is_some(), || "an open request was not answered at the end".to_owned());
+    report.hold("end", answer.is_some(), || {
+        "an open request was not answered at the end".to_owned()
+    });
     let status = running.child.wait()?;
-    report.hold("end", status.success(), || format!("the daemon ended with {status}"));
-    report.played.push("a planned end with a request open".to_owned());
+    report.hold("end", status.success(), || {
+        format!("the daemon ended with {status}")
+    });
+    report
+        .played
+        .push("a planned end with a request open".to_owned());
     Ok(())
 }
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -51,7 +51,10 @@
     pub fn start() -> io::Result<Self> {
         let (take, taken) = mpsc::channel();
         let address = listen("127.0.0.1:0", move |socket| take.send(socket))?;
-        Ok(Puppet { address, taken: Mutex::new(taken) })
+        Ok(Puppet {
+            address,
+            taken: Mutex::new(taken),
+        })
     }
 
     /// The next connection that is made to it.
@@ -59,7 +62,11 @@
         let taken = self.taken.lock().map_err(late)?;
         let socket = taken.recv_timeout(PATIENCE).map_err(late)?;
         socket.set_read_timeout(Some(PATIENCE))?;
-        Ok(Line { socket, arrays: resp::Arrays::new(1 << 20), input: Vec::new() })
+        Ok(Line {
+            socket,
+            arrays: resp::Arrays::new(1 << 20),
+            input: Vec::new(),
+        })
     }
 }
 
@@ -71,9 +78,16 @@
             self.input.drain(..taken);
             if let Some(array) = array {
                 let text = |at: usize| {
-                    array.get(at).map(|b| String::from_utf8_lossy(b).into_owned()).unwrap_or_default()
+                    array
+                        .get(at)
+                        .map(|b| String::from_utf8_lossy(b).into_owned())
+                        .unwrap_or_default()
                 };
-                return Ok(Frame { word: text(0), id: text(1), fields: text(2) });
+                return Ok(Frame {
+                    word: text(0),
+                    id: text(1),
+                    fields: text(2),
+                });
             }
             let mut bytes = [0; 4096];
             match self.socket.read(&mut bytes)? {
@@ -96,7 +110,15 @@
     /// Answers under an id.
     pub fn answer(&mut self, id: &str, word: &str, fields: &str, body: &str) -> io::Result<()> {
         let mut out = Vec::new();
-        resp::write_array(&mut out, &[id.as_bytes(), word.as_bytes(), fields.as_bytes(), body.as_bytes()]);
+        resp::write_array(
+            &mut out,
+            &[
+                id.as_bytes(),
+                word.as_bytes(),
+                fields.as_bytes(),
+                body.as_bytes(),
+            ],
+        );
         self.send(&out)
     }
 
@@ -124,6 +146,9 @@
 
     /// Breaks the connection off with a reset.
     pub fn reset(self) -> io::Result<()> {
-        Ok(sockopt::set_socket_linger(&self.socket, Some(Duration::ZERO))?)
+        Ok(sockopt::set_socket_linger(
+            &self.socket,
+            Some(Duration::ZERO),
+        )?)
     }
 }
