--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -5,7 +5,9 @@
 use crate::frontend::interconnect::{Identity, PeerCdn};
 use crate::limits::Limits;
 use edge_routing::Settings;
-use edge_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
+use edge_settings::{
+    from_json, get, int_or, list, need, object, text, text_or, wrong, Fields, Result,
+};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -132,19 +134,22 @@
                 m.insert(key.to_owned(), said.into());
             }
         }
-        let mut config = Self::read(&m).map_err(|e| format!("{path}: {e}"))?;
+        let mut config = Self::from_json(&Value::Object(m)).map_err(|e| format!("{path}: {e}"))?;
         let named = std::env::var("EDGE_PROXY_INTERCONNECT").ok();
         let path = named.as_deref().unwrap_or(INTERCONNECT);
         if named.is_some() || Path::new(path).exists() {
             config
-                .interconnect(&file(path)?)
+                .apply_interconnect(&Value::Object(file(path)?))
                 .map_err(|e| format!("{path}: {e}"))?;
         }
         Ok(config)
     }
 
     /// Reads where the second front listens and whether Consul is asked; both are off where nothing is said.
-    pub fn interconnect(&mut self, m: &Fields) -> Result<()> {
+    pub fn apply_interconnect(&mut self, value: &Value) -> Result<()> {
+        let m = value
+            .as_object()
+            .ok_or("the interconnect file is not an object")?;
         if get(m, "cdni").is_some() {
             self.cdni =
                 cdni(object(m, "cdni")?, &self.settings).map_err(|e| format!("cdni: {e}"))?;
@@ -181,7 +186,10 @@
     }
 
     /// Reads a configuration.
-    pub fn read(m: &Fields) -> Result<Self> {
+    pub fn from_json(value: &Value) -> Result<Self> {
+        let m = value
+            .as_object()
+            .ok_or("the configuration is not an object")?;
         let none = Fields::new();
         let machine = if get(m, "limits").is_some() {
             object(m, "limits")?
@@ -205,7 +213,7 @@
         let peers = peers
             .collect::<Option<Vec<_>>>()
             .ok_or_else(|| wrong("peers"))?;
-        let mut parsed = settings(object(m, "settings")?).map_err(|e| format!("settings: {e}"))?;
+        let mut parsed = from_json(need(m, "settings")?).map_err(|e| format!("settings: {e}"))?;
         // Boxes drop what was purged by themselves, each time limit on sockets being that much longer: until
         // then an age must be asked for.
         parsed.rules.purge_completion_us += SOCKET_SLACK_US;
--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -118,7 +118,7 @@
 /// The request that reads on behind an event.
 pub fn request(host: &str, last: u64) -> Vec<u8> {
     format!(
-        "GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\n\
+        "GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nCache-ControlHandle: no-cache\r\n\
          Last-Event-ID: {last}\r\n\r\n"
     )
     .into_bytes()
--- a/crates/proxy/src/event_loop/clients.rs
+++ b/crates/proxy/src/event_loop/clients.rs
@@ -1,6 +1,6 @@
 //! Clients' connections on the platform's front: who is taken in, who has to leave, what they ask and are answered.
 
-use super::{Connection, Daemon, Kind, Timer, LISTENER};
+use super::{Connection, EventLoop, Kind, Timer, LISTENER};
 use crate::frontend::fastcgi::SessionEvent;
 use crate::limits::Limits;
 use crate::net::{BufferedSocket, IoProgress, SlabKey};
@@ -37,7 +37,7 @@
     Some(since + after)
 }
 
-impl Daemon {
+impl EventLoop {
     fn standing(c: &Connection) -> Option<Standing> {
         let (busy, half, asked) = match &c.kind {
             Kind::Client(s) => (s.is_busy(), s.has_partial_input(), s.has_received_request()),
--- a/crates/proxy/src/event_loop/discovery.rs
+++ b/crates/proxy/src/event_loop/discovery.rs
@@ -1,6 +1,6 @@
 //! Where the list of boxes and purges come from: the event bus, Consul and the peers.
 
-use super::{Daemon, Kind, Timer};
+use super::{EventLoop, Kind, Timer};
 use crate::discovery::consul::ConsulQuery;
 use crate::discovery::event_bus::{DiscoveryEvent, EventBusMessage, EventStreamClient};
 use crate::discovery::purge_gossip as peers;
@@ -8,7 +8,7 @@
 use edge_routing::{EndpointListMode, Micros};
 use std::io;
 
-impl Daemon {
+impl EventLoop {
     pub(super) fn news(&mut self, now: Micros, event: EventBusMessage) {
         match event.event {
             // One source has the list: two would take each other's boxes for gone.
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,6 +1,6 @@
 //! The second front's sockets: what neighbours and redirected clients ask, and what neighbours are sent.
 
-use super::{Connection, Daemon, Kind, Timer, CDNI};
+use super::{Connection, EventLoop, Kind, Timer, CDNI};
 use crate::discovery::purge_gossip as peers;
 use crate::frontend::interconnect::{
     self as cdni, Effect, InterconnectReply, Notification, Session, MEDIA,
@@ -55,7 +55,7 @@
     }
 }
 
-impl Daemon {
+impl EventLoop {
     /// Where neighbours connect.
     pub fn cdni_address(&self) -> Option<std::net::SocketAddr> {
         self.interconnect.as_ref()?.0.local_addr().ok()
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -97,12 +97,12 @@
 }
 
 /// Does to a daemon what the signals do.
-pub struct Control {
+pub struct ControlHandle {
     term: UnixStream,
     hup: UnixStream,
 }
 
-impl Control {
+impl ControlHandle {
     /// Ends it as SIGTERM does, once all that it has taken is answered.
     pub fn stop(&mut self) -> io::Result<()> {
         io::Write::write_all(&mut self.term, b"t")
@@ -136,7 +136,7 @@
 }
 
 /// The daemon.
-pub struct Daemon {
+pub struct EventLoop {
     clock: Clock,
     limits: Limits,
     request_table: RequestTable,
@@ -170,7 +170,7 @@
     grace_over: bool,
 }
 
-impl Daemon {
+impl EventLoop {
     /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from `source`.
     pub fn start(mut config: Config, source: Source) -> Result<Self, String> {
         let text = |e: io::Error| e.to_string();
@@ -211,7 +211,7 @@
         let request_table = RequestTable::new(config.settings.clone(), config.seed, &limits)
             .map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
-        let mut daemon = Daemon {
+        let mut daemon = EventLoop {
             clock: Clock::start(),
             request_table,
             poll,
@@ -263,7 +263,7 @@
             log::info!("{} listens on {address}", daemon.config.name);
         }
         if let Some(address) = daemon.cdni_address() {
-            log::info!("neighbours connect to {address}");
+            log::info!("peer CDNs connect to {address}");
         }
         Ok(daemon)
     }
@@ -274,8 +274,8 @@
     }
 
     /// What does to it from another thread what signals do.
-    pub fn control(&self) -> io::Result<Control> {
-        Ok(Control {
+    pub fn control(&self) -> io::Result<ControlHandle> {
+        Ok(ControlHandle {
             term: self.term.raised.try_clone()?,
             hup: self.hup.raised.try_clone()?,
         })
--- a/crates/proxy/src/event_loop/upstreams.rs
+++ b/crates/proxy/src/event_loop/upstreams.rs
@@ -1,12 +1,12 @@
 //! Links to boxes: which connection an attempt takes, and what becomes of it.
 
-use super::{Connection, Daemon, Kind, Timer};
+use super::{Connection, EventLoop, Kind, Timer};
 use crate::net::{BufferedSocket, IoProgress, Readiness, SlabKey};
 use crate::request_table::AttemptId;
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Micros, Outcome, ServerId};
 
-impl Daemon {
+impl EventLoop {
     pub(super) fn tell(&mut self, now: Micros, server: ServerId, told: Vec<UpstreamEvent>) {
         for t in told {
             match t {
--- a/crates/proxy/src/frontend/interconnect/triggers.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers.rs
@@ -1,4 +1,4 @@
-//! Control Interface / Triggers (RFC 8007): commands, status resources and their collection.
+//! ControlHandle Interface / Triggers (RFC 8007): commands, status resources and their collection.
 
 use super::{content_path, looped, path_of, Effect, Identity, Notification, Response};
 use serde_json::{json, Map, Value};
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,12 +1,12 @@
 //! Starts the daemon: reads the configuration, runs the loop, turns errors into an exit code.
 
-use edge_proxy::{config::Config, event_loop::Daemon};
+use edge_proxy::{config::Config, event_loop::EventLoop};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let started = Config::from_env().and_then(|config| {
-        Daemon::start(config, Box::new(Config::from_env))
+        EventLoop::start(config, Box::new(Config::from_env))
             .map_err(|e| format!("could not start: {e}"))
     });
     match started.and_then(|mut daemon| {
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -1,15 +1,15 @@
 //! Configuration: what is read, what is taken where nothing is said, and messages that name the faulty key.
 
 use edge_proxy::config::Config;
-use edge_testkit::settings;
+use edge_testkit::sample_settings;
 use serde_json::{json, Value};
 
 fn good() -> Value {
-    json!({"listen": "127.0.0.1:0", "settings": settings()})
+    json!({"listen": "127.0.0.1:0", "settings": sample_settings()})
 }
 
 fn read(value: &Value) -> Result<Config, String> {
-    Config::read(value.as_object().unwrap())
+    Config::from_json(value)
 }
 
 #[test]
@@ -53,7 +53,7 @@
     let mut config = read(&good()).unwrap();
     let shipped: Value =
         serde_json::from_str(include_str!("../../../deploy/interconnect.json")).unwrap();
-    config.interconnect(shipped.as_object().unwrap()).unwrap();
+    config.apply_interconnect(&shipped).unwrap();
     assert!(config.cdni.is_none() && config.consul.is_none());
     for (file, key) in [
         (json!({"cdni": {"listen": "x"}}), "listen"),
@@ -67,7 +67,7 @@
         ),
         (json!({"consul": {"address": "x"}}), "address"),
     ] {
-        let message = config.interconnect(file.as_object().unwrap()).unwrap_err();
+        let message = config.apply_interconnect(&file).unwrap_err();
         assert!(message.contains(key), "{message}");
     }
 }
@@ -78,12 +78,7 @@
     let mut config = read(&serde_json::from_str(text).unwrap()).unwrap();
     let text = include_str!("../../../examples/interconnect.json");
     config
-        .interconnect(
-            serde_json::from_str::<Value>(text)
-                .unwrap()
-                .as_object()
-                .unwrap(),
-        )
+        .apply_interconnect(&serde_json::from_str(text).unwrap())
         .unwrap();
     assert!(config.cdni.is_some());
 }
--- a/crates/proxy/tests/connection_endings.rs
+++ b/crates/proxy/tests/connection_endings.rs
@@ -9,7 +9,7 @@
 use edge_testkit::fake_cache::{Manner, StandIn};
 use edge_testkit::fake_event_bus::entry;
 use edge_testkit::scripted_server::{Line, Puppet};
-use edge_testkit::{settings, unix_ms};
+use edge_testkit::{sample_settings, unix_ms};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
 use std::time::Instant;
@@ -519,12 +519,12 @@
         (3_000_000, 3_650_000),
         (9_000_000, 3_650_000),
     ] {
-        let mut settings = settings();
+        let mut settings = sample_settings();
         for class in settings["categories"].as_array_mut().unwrap() {
             class["deadline-us"] = deadline_us.into();
         }
         let config = json!({"listen": "127.0.0.1:0", "settings": settings});
-        let limits = Config::read(config.as_object().unwrap()).unwrap().limits;
+        let limits = Config::from_json(&config).unwrap().limits;
         assert_eq!(
             limits.shutdown_deadline_us, shutdown_deadline_us,
             "{deadline_us}"
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -7,7 +7,7 @@
     RequestTable, RequestTimer, ResponseTarget,
 };
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome};
-use edge_testkit::settings;
+use edge_testkit::sample_settings;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 const NOW: u64 = 1_000_000_000;
@@ -31,7 +31,7 @@
 }
 
 fn new_table(limits: &Limits) -> RequestTable {
-    let settings = edge_settings::settings(settings().as_object().unwrap()).unwrap();
+    let settings = edge_settings::from_json(&sample_settings()).unwrap();
     let mut request_table = RequestTable::new(settings, 1, limits).unwrap();
     let list = [
         ("a", "here", "box"),
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -2,13 +2,13 @@
 #![allow(dead_code)]
 
 use edge_proxy::config::Config;
-use edge_proxy::event_loop::{Control, Daemon};
+use edge_proxy::event_loop::{ControlHandle, EventLoop};
 use edge_proxy::limits::Limits;
 use edge_testkit::clients::{Answer, WebServer};
 use edge_testkit::fake_cache::StandIn;
 use edge_testkit::fake_event_bus::{entry, Bus};
+use edge_testkit::sample_settings;
 use edge_testkit::scripted_server::Puppet;
-use edge_testkit::settings;
 use serde_json::{json, Value};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 pub struct Rig {
     pub front: SocketAddr,
     pub cdni: SocketAddr,
-    pub control: Control,
+    pub control: ControlHandle,
     /// What the daemon reads on SIGHUP.
     pub file: Arc<Mutex<Value>>,
     pub run: JoinHandle<std::io::Result<()>>,
@@ -86,7 +86,7 @@
             {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
         ]});
         let mut config = json!({
-            "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known, "settings": settings(),
+            "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known, "settings": sample_settings(),
             "limits": {"memory_mb": 192, "sockets": 256},
         });
         change(&mut config);
@@ -100,17 +100,17 @@
                 held.send(()).unwrap();
                 assert!(go_on.recv().is_err(), "nothing is ever sent");
             }
-            Config::read(source.lock().unwrap().as_object().unwrap())
+            Config::from_json(&source.lock().unwrap())
         };
         let mut config = read().unwrap();
         bound(&mut config.limits);
         let cdni = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
             "footprint": ["127.0.0.0/8"], "neighbours": [], "purges": purges}, "consul": consul});
-        config.interconnect(cdni.as_object().unwrap()).unwrap();
+        config.apply_interconnect(&cdni).unwrap();
         // A daemon stays on the thread that started it.
         let (tell, told) = channel();
         let run = std::thread::spawn(move || {
-            let mut daemon = Daemon::start(config, Box::new(read)).unwrap();
+            let mut daemon = EventLoop::start(config, Box::new(read)).unwrap();
             let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
             tell.send((addresses, daemon.control().unwrap())).unwrap();
             daemon.run()
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -8,7 +8,7 @@
 };
 use edge_proxy::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome, ServerId};
-use edge_testkit::settings;
+use edge_testkit::sample_settings;
 use rustix::net::sockopt;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -35,7 +35,7 @@
     /// A connection to a box of this kind, up or begun.
     fn to(zone: &str, kind: &str, up: bool) -> Rig {
         let limits = Limits::for_machine(1024, 192);
-        let settings = edge_settings::settings(settings().as_object().unwrap()).unwrap();
+        let settings = edge_settings::from_json(&sample_settings()).unwrap();
         let mut request_table = RequestTable::new(settings, 1, &limits).unwrap();
         let server = Endpoint {
             id: server_id("a"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -103,7 +103,8 @@
 }
 
 /// The settings, from the object that an instance is started with.
-pub fn settings(m: &Fields) -> Result<w::Settings> {
+pub fn from_json(value: &Value) -> Result<w::Settings> {
+    let m = value.as_object().ok_or("the settings are not an object")?;
     let empty = Fields::new();
     let sub = |key: &str| match get(m, key) {
         None => Ok(&empty),
--- a/crates/sim-adapter/src/wire.rs
+++ b/crates/sim-adapter/src/wire.rs
@@ -2,7 +2,7 @@
 
 use edge_routing as w;
 use edge_settings::{
-    flag, get, int, int_or, list, name, num_or, object, settings, text, text_or, wrong, Fields,
+    flag, from_json, get, int, int_or, list, name, need, num_or, text, text_or, wrong, Fields,
     Result,
 };
 use serde_json::{json, Value};
@@ -218,7 +218,7 @@
         let i = int(m, "i")?;
         match kind {
             "Born" => {
-                let settings = settings(object(m, "setup")?)?;
+                let settings = from_json(need(m, "setup")?)?;
                 let router =
                     w::Router::new(settings, int(m, "nonce64")?).map_err(|e| e.to_string())?;
                 self.routers.insert(i, router);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,7 +8,7 @@
 mod scenario;
 pub mod scripted_server;
 
-pub use scenario::{rehearse, settings, Plant};
+pub use scenario::{rehearse, sample_settings, Plant};
 
 use std::fmt;
 use std::io;
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -31,7 +31,7 @@
 const REDIRECTED: usize = 12;
 
 /// Settings of a small deployment: one location with boxes, one hub with the origin.
-pub fn settings() -> Value {
+pub fn sample_settings() -> Value {
     json!({
         "categories": [
             {"name": "photo", "aim-us": 300_000, "deadline-us": 2_500_000, "repeat": "pure", "worth": 1.0},
@@ -80,7 +80,7 @@
     let (config, interconnect) = (folder.join("config.json"), folder.join("interconnect.json"));
     let text = json!({
         "name": "rehearsed", "listen": "127.0.0.1:0", "seed": "1f", "bus": bus.address.to_string(),
-        "limits": {"memory_mb": 192, "sockets": 1024}, "settings": settings(),
+        "limits": {"memory_mb": 192, "sockets": 1024}, "settings": sample_settings(),
     });
     std::fs::write(&config, text.to_string())?;
     let text = json!({"cdni": {
@@ -108,7 +108,7 @@
             let address = |mark: &str| line.split_once(mark)?.1.trim().parse::<SocketAddr>().ok();
             let found = [
                 (false, address(" listens on ")),
-                (true, address("neighbours connect to ")),
+                (true, address("peer CDNs connect to ")),
             ];
             for (cdni, address) in found.into_iter().filter_map(|(cdni, a)| Some((cdni, a?))) {
                 let _ = tell.send((cdni, address));
