Event loop: connection roles, timers and steps take their standard names

Names of our own (Kind, Standing, leaver, news, settle, ...) told a newcomer nothing. They become ConnectionRole, EvictionClass, eviction candidate, event bus message, execute_commands and so on. Behaviour is unchanged.

--- a/crates/proxy/src/event_loop/clients.rs
+++ b/crates/proxy/src/event_loop/clients.rs
@@ -1,6 +1,6 @@
 //! Clients' connections on the platform's front: who is taken in, who has to leave, what they ask and are answered.
 
-use super::{Connection, EventLoop, Kind, Timer, LISTENER};
+use super::{Connection, ConnectionRole, EventLoop, TimerEvent, LISTENER};
 use crate::frontend::fastcgi::SessionEvent;
 use crate::limits::Limits;
 use crate::net::{BufferedSocket, IoProgress, SlabKey};
@@ -11,13 +11,13 @@
 
 /// What a client's connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
+enum EvictionClass {
     /// It is ended from here, and may be closed.
     Lingering,
     /// It has asked for nothing yet.
-    Silent,
+    NoRequest,
     /// A request has come in part.
-    Half,
+    PartialRequest,
     /// All that it asked for is answered.
     Idle,
     /// It waits for an answer, or one is on its way out.
@@ -25,28 +25,37 @@
 }
 
 /// When a connection ends that stays what it has been since then; none while answers are owed.
-fn leaves_at(standing: Standing, owed: usize, since: Micros, limits: &Limits) -> Option<Micros> {
-    let after = match standing {
-        Standing::Lingering => limits.lingering_close_us,
-        Standing::Silent | Standing::Half => limits.client_request_timeout_us,
-        Standing::Idle => limits.client_idle_timeout_us,
-        Standing::Busy if owed > 0 => return None,
+fn idle_deadline(
+    eviction_class: EvictionClass,
+    owed: usize,
+    since: Micros,
+    limits: &Limits,
+) -> Option<Micros> {
+    let after = match eviction_class {
+        EvictionClass::Lingering => limits.lingering_close_us,
+        EvictionClass::NoRequest | EvictionClass::PartialRequest => {
+            limits.client_request_timeout_us
+        }
+        EvictionClass::Idle => limits.client_idle_timeout_us,
+        EvictionClass::Busy if owed > 0 => return None,
         // All is said, and the client takes none of it.
-        Standing::Busy => limits.client_write_timeout_us,
+        EvictionClass::Busy => limits.client_write_timeout_us,
     };
     Some(since + after)
 }
 
 impl EventLoop {
-    fn standing(c: &Connection) -> Option<Standing> {
-        let (busy, half, asked) = match &c.kind {
-            Kind::Client(s) => (s.is_busy(), s.has_partial_input(), s.has_received_request()),
-            Kind::Cdni(s) => (
+    fn eviction_class(c: &Connection) -> Option<EvictionClass> {
+        let (busy, half, asked) = match &c.role {
+            ConnectionRole::FastCgiClient(s) => {
+                (s.is_busy(), s.has_partial_input(), s.has_received_request())
+            }
+            ConnectionRole::InterconnectClient(s) => (
                 !s.is_idle(),
                 s.has_partial_input(),
                 s.has_received_request(),
             ),
-            Kind::Lingering(_) => return Some(Standing::Lingering),
+            ConnectionRole::Lingering(_) => return Some(EvictionClass::Lingering),
             _ => return None,
         };
         Some(
@@ -55,18 +64,18 @@
                 half || !c.conn.input.is_empty(),
                 asked,
             ) {
-                (true, ..) => Standing::Busy,
-                (_, true, _) => Standing::Half,
-                (.., true) => Standing::Idle,
-                _ => Standing::Silent,
+                (true, ..) => EvictionClass::Busy,
+                (_, true, _) => EvictionClass::PartialRequest,
+                (.., true) => EvictionClass::Idle,
+                _ => EvictionClass::NoRequest,
             },
         )
     }
 
     fn unanswered(c: &Connection) -> usize {
-        match &c.kind {
-            Kind::Client(s) => s.unanswered(),
-            Kind::Cdni(s) => usize::from(s.waiting.is_some()),
+        match &c.role {
+            ConnectionRole::FastCgiClient(s) => s.unanswered(),
+            ConnectionRole::InterconnectClient(s) => usize::from(s.waiting.is_some()),
             _ => 0,
         }
     }
@@ -76,27 +85,29 @@
     /// and keep their connection for good, must not shut all others out. One that came a moment ago is let be:
     /// its request is on its way.
     /// So is one whose request has come but was not read yet.
-    pub(super) fn room_for_client(&mut self, now: Micros) -> io::Result<Option<SlabKey>> {
+    pub(super) fn make_room_for_client(&mut self, now: Micros) -> io::Result<Option<SlabKey>> {
         loop {
             if self.clients < self.limits.client_connections && self.has_place() {
                 return Ok(None);
             }
-            let leaver = self.leaver(now).ok_or(io::ErrorKind::OutOfMemory)?;
-            self.look_for_input(now, leaver);
+            let eviction_candidate = self
+                .eviction_candidate(now)
+                .ok_or(io::ErrorKind::OutOfMemory)?;
+            self.look_for_input(now, eviction_candidate);
             // Unless it was read from and is another one's turn now.
-            if self.leaver(now) == Some(leaver) {
-                return Ok(Some(leaver));
+            if self.eviction_candidate(now) == Some(eviction_candidate) {
+                return Ok(Some(eviction_candidate));
             }
         }
     }
 
     /// The client's connection that is the first to make room.
-    fn leaver(&self, now: Micros) -> Option<SlabKey> {
+    fn eviction_candidate(&self, now: Micros) -> Option<SlabKey> {
         let settled = now.saturating_sub(self.limits.eviction_immunity_us);
         let leaves = |key: &SlabKey| {
             let c = self.connections.get(*key)?;
-            let standing = Self::standing(c).filter(|s| *s != Standing::Busy)?;
-            Some((standing, c.since)).filter(|(_, since)| *since <= settled)
+            let eviction_class = Self::eviction_class(c).filter(|s| *s != EvictionClass::Busy)?;
+            Some((eviction_class, c.since)).filter(|(_, since)| *since <= settled)
         };
         let keys = self.connections.keys();
         keys.iter()
@@ -106,21 +117,21 @@
     }
 
     /// Notes what a client's connection is at since when, after something was read or written there.
-    pub(super) fn note_client(&mut self, now: Micros, key: SlabKey) {
+    pub(super) fn update_client_activity(&mut self, now: Micros, key: SlabKey) {
         let Some(c) = self.connections.get_mut(key) else {
             return;
         };
-        let Some(standing) = Self::standing(c) else {
+        let Some(eviction_class) = Self::eviction_class(c) else {
             return;
         };
-        let half = standing == Standing::Half;
+        let half = eviction_class == EvictionClass::PartialRequest;
         // A request that comes in crumbs stays the one that began with the first.
-        if standing == Standing::Busy || half && !std::mem::replace(&mut c.half, half) {
+        if eviction_class == EvictionClass::Busy || half && !std::mem::replace(&mut c.half, half) {
             c.since = now;
         }
         c.half = half;
         // Hundreds of clients may ask once and keep their connections: what each has taken must not add up.
-        if standing == Standing::Idle {
+        if eviction_class == EvictionClass::Idle {
             c.conn.input.release_memory();
             c.conn.output.release_memory();
         }
@@ -130,7 +141,7 @@
     /// the one that holds the most is ended.
     pub(super) fn bound_half(&mut self, now: Micros, key: SlabKey) {
         let Some(Connection {
-            kind: Kind::Client(session),
+            role: ConnectionRole::FastCgiClient(session),
             half_bytes,
             ..
         }) = self.connections.get_mut(key)
@@ -151,10 +162,10 @@
 
     /// Ends a client's connection that holds its place for nothing. Usual clients end theirs sooner, so none of
     /// their requests can cross this.
-    pub(super) fn look_at_client(&mut self, now: Micros, key: SlabKey) {
+    pub(super) fn check_client(&mut self, now: Micros, key: SlabKey) {
         let due = |c: &Connection| {
-            leaves_at(
-                Self::standing(c)?,
+            idle_deadline(
+                Self::eviction_class(c)?,
                 Self::unanswered(c),
                 c.since,
                 &self.limits,
@@ -171,19 +182,27 @@
         let Some(c) = self.connections.get_mut(key) else {
             return;
         };
-        let Some(standing) = Self::standing(c) else {
+        let Some(eviction_class) = Self::eviction_class(c) else {
             return;
         };
-        match leaves_at(standing, Self::unanswered(c), c.since, &self.limits) {
+        match idle_deadline(eviction_class, Self::unanswered(c), c.since, &self.limits) {
             // One that takes nothing, of what is written or of the end, is not waited for any longer.
-            Some(due) if due <= now && matches!(standing, Standing::Busy | Standing::Lingering) => {
+            Some(due)
+                if due <= now
+                    && matches!(
+                        eviction_class,
+                        EvictionClass::Busy | EvictionClass::Lingering
+                    ) =>
+            {
                 self.close(now, key);
             }
             Some(due) if due <= now => self.end(now, key),
             due => {
                 let look = now + self.limits.client_sweep_us;
-                self.timers
-                    .set(due.map_or(look, |due| due.min(look)), Timer::Client(key));
+                self.timers.set(
+                    due.map_or(look, |due| due.min(look)),
+                    TimerEvent::CheckClient(key),
+                );
             }
         }
     }
@@ -191,12 +210,13 @@
     pub(super) fn accept(&mut self, now: Micros) {
         while self.listener.is_some() {
             // With no room left, connections wait in the kernel's queue: others end, and these are taken then.
-            let room = self.room_for_client(now);
+            let room = self.make_room_for_client(now);
             let Some(listener) = &self.listener else {
                 return;
             };
-            let taken = room.and_then(|leaver| Ok((listener.accept()?.0, leaver)));
-            let (socket, leaver) = match taken {
+            let taken =
+                room.and_then(|eviction_candidate| Ok((listener.accept()?.0, eviction_candidate)));
+            let (socket, eviction_candidate) = match taken {
                 Ok(taken) => taken,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e)
@@ -222,7 +242,12 @@
                 self.limits.output_buffer_bytes,
             );
             if let Ok(conn) = conn {
-                self.take_in(now, conn, Kind::Client(Default::default()), leaver);
+                self.take_in(
+                    now,
+                    conn,
+                    ConnectionRole::FastCgiClient(Default::default()),
+                    eviction_candidate,
+                );
             }
         }
         if let Some(listener) = self.listener.as_ref().filter(|_| !self.accepting) {
@@ -235,7 +260,7 @@
     pub(super) fn accept_later(&mut self, now: Micros) {
         if !std::mem::replace(&mut self.accepts_later, true) {
             self.timers
-                .set(now + self.limits.accept_retry_us, Timer::Accept);
+                .set(now + self.limits.accept_retry_us, TimerEvent::RetryAccept);
         }
     }
 
@@ -244,17 +269,17 @@
         &mut self,
         now: Micros,
         conn: BufferedSocket,
-        kind: Kind,
-        leaver: Option<SlabKey>,
+        role: ConnectionRole,
+        eviction_candidate: Option<SlabKey>,
     ) {
-        if let Some(leaver) = leaver {
-            self.close(now, leaver);
+        if let Some(eviction_candidate) = eviction_candidate {
+            self.close(now, eviction_candidate);
         }
-        if let Some(key) = self.open(now, conn, kind) {
+        if let Some(key) = self.open(now, conn, role) {
             self.clients += 1;
             self.timers.set(
                 now + self.limits.client_request_timeout_us,
-                Timer::Client(key),
+                TimerEvent::CheckClient(key),
             );
         }
     }
@@ -265,7 +290,7 @@
             let Some(c) = self.connections.get_mut(key) else {
                 return Ok(());
             };
-            let Kind::Client(session) = &mut c.kind else {
+            let ConnectionRole::FastCgiClient(session) = &mut c.role else {
                 return Ok(());
             };
             match session.read(&mut c.conn.input, &self.limits)? {
@@ -311,7 +336,7 @@
                 }
             }
             // Answers given at once belong to requests that are already known as taken.
-            self.settle(now);
+            self.execute_commands(now);
         }
     }
 
@@ -319,12 +344,14 @@
         let Some(c) = self.connections.get_mut(client.connection) else {
             return;
         };
-        match &mut c.kind {
-            Kind::Client(session) => {
+        match &mut c.role {
+            ConnectionRole::FastCgiClient(session) => {
                 session.respond(client.stream as u16, &answer);
                 self.write_client(client.connection);
             }
-            Kind::Cdni(_) => self.answer_cdni(now, client.connection, answer),
+            ConnectionRole::InterconnectClient(_) => {
+                self.answer_cdni(now, client.connection, answer)
+            }
             _ => {}
         }
     }
@@ -333,7 +360,7 @@
         let Some(c) = self.connections.get_mut(key) else {
             return;
         };
-        let Kind::Client(session) = &mut c.kind else {
+        let ConnectionRole::FastCgiClient(session) = &mut c.role else {
             return;
         };
         loop {
@@ -354,18 +381,21 @@
     #[test]
     fn who_holds_a_place_for_nothing_leaves_and_who_is_owed_an_answer_does_not() {
         let limits = Limits::for_machine(256, 32);
-        let at = |standing, owed| leaves_at(standing, owed, 7, &limits);
-        assert_eq!(at(Standing::Busy, 1), None);
+        let at = |eviction_class, owed| idle_deadline(eviction_class, owed, 7, &limits);
+        assert_eq!(at(EvictionClass::Busy, 1), None);
         assert_eq!(
-            at(Standing::Busy, 0),
+            at(EvictionClass::Busy, 0),
             Some(7 + limits.client_write_timeout_us),
             "it takes no answer"
         );
         // What is owed within three seconds of connecting, and what usual clients end by themselves after four.
-        assert!([Standing::Silent, Standing::Half]
+        assert!([EvictionClass::NoRequest, EvictionClass::PartialRequest]
             .iter()
             .all(|s| at(*s, 0) < Some(7 + 3_000_000)));
-        assert!(at(Standing::Idle, 0) > Some(7 + 4_000_000));
-        assert!(Standing::Silent < Standing::Half && Standing::Half < Standing::Idle);
+        assert!(at(EvictionClass::Idle, 0) > Some(7 + 4_000_000));
+        assert!(
+            EvictionClass::NoRequest < EvictionClass::PartialRequest
+                && EvictionClass::PartialRequest < EvictionClass::Idle
+        );
     }
 }
--- a/crates/proxy/src/event_loop/discovery.rs
+++ b/crates/proxy/src/event_loop/discovery.rs
@@ -1,6 +1,6 @@
 //! Where the list of boxes and purges come from: the event bus, Consul and the peers.
 
-use super::{EventLoop, Kind, Timer};
+use super::{ConnectionRole, EventLoop, TimerEvent};
 use crate::discovery::consul::ConsulQuery;
 use crate::discovery::event_bus::{DiscoveryEvent, EventBusMessage, EventStreamClient};
 use crate::discovery::purge_gossip as peers;
@@ -9,7 +9,7 @@
 use std::io;
 
 impl EventLoop {
-    pub(super) fn news(&mut self, now: Micros, event: EventBusMessage) {
+    pub(super) fn apply_event_bus_message(&mut self, now: Micros, event: EventBusMessage) {
         match event.event {
             // One source has the list: two would take each other's boxes for gone.
             Some(DiscoveryEvent::List(..)) if self.consul.is_some() => {}
@@ -19,86 +19,97 @@
             Some(DiscoveryEvent::Purge { object, group, at }) => {
                 self.request_table.purged(now, object, group, at)
             }
-            None => log::debug!("event {} of the bus is of an unknown kind", event.offset),
+            None => log::debug!("event {} of the bus is of an unknown role", event.offset),
         }
     }
 
     /// An event that has just happened: neighbours hear of purges too.
-    pub(super) fn heard(&mut self, now: Micros, event: EventBusMessage) {
+    pub(super) fn handle_event_bus_message(&mut self, now: Micros, event: EventBusMessage) {
         if let Some(DiscoveryEvent::Purge { object, group, .. }) = &event.event {
-            self.pass_on(now, object.as_deref(), *group);
+            self.forward_purge(now, object.as_deref(), *group);
         }
-        self.news(now, event);
+        self.apply_event_bus_message(now, event);
     }
 
-    pub(super) fn call_bus(&mut self, now: Micros) {
+    pub(super) fn connect_event_bus(&mut self, now: Micros) {
         let Some(bus) = self.config.bus else { return };
-        self.feed = self.call(
+        self.event_stream = self.call(
             now,
             bus,
-            Kind::Bus(EventStreamClient::new(&self.limits, now)),
+            ConnectionRole::EventBus(EventStreamClient::new(&self.limits, now)),
         );
-        let silent = if self.feed.is_some() {
+        let silent = if self.event_stream.is_some() {
             self.limits.event_bus_silence_us
         } else {
             self.limits.reconnect_delay_us
         };
-        self.wake_bus(now + silent);
+        self.schedule_event_bus_check(now + silent);
     }
 
     /// The bus is at another address: what it has to tell is asked for there at once, behind the last event.
-    pub(super) fn move_bus(&mut self, now: Micros) {
-        if let Some(old) = self.feed.take() {
+    pub(super) fn follow_moved_event_bus(&mut self, now: Micros) {
+        if let Some(old) = self.event_stream.take() {
             self.close(now, old);
         }
-        self.call_bus(now);
+        self.connect_event_bus(now);
     }
 
-    pub(super) fn wake_bus(&mut self, at: Micros) {
-        if let Some(due) = self.bus_timer.replace(self.timers.set(at, Timer::Bus)) {
+    pub(super) fn schedule_event_bus_check(&mut self, at: Micros) {
+        if let Some(due) = self
+            .bus_timer
+            .replace(self.timers.set(at, TimerEvent::CheckEventBus))
+        {
             self.timers.cancel(due);
         }
     }
 
     /// A bus that has gone silent may have gone without a word: what it has to tell counts as told all the same.
-    pub(super) fn check_bus(&mut self, now: Micros) {
+    pub(super) fn check_event_bus(&mut self, now: Micros) {
         let read = self
-            .feed
-            .and_then(|key| match &self.connections.get(key)?.kind {
-                Kind::Bus(feed) => Some((key, feed.last_read())),
+            .event_stream
+            .and_then(|key| match &self.connections.get(key)?.role {
+                ConnectionRole::EventBus(event_stream) => Some((key, event_stream.last_read())),
                 _ => None,
             });
         match read {
-            None => self.call_bus(now),
+            None => self.connect_event_bus(now),
             Some((key, at)) if at + self.limits.event_bus_silence_us <= now => {
                 log::warn!("the event bus is silent and called again");
-                self.feed = None;
+                self.event_stream = None;
                 self.close(now, key);
-                self.call_bus(now);
+                self.connect_event_bus(now);
             }
-            Some((_, at)) => self.wake_bus(at + self.limits.event_bus_silence_us),
+            Some((_, at)) => self.schedule_event_bus_check(at + self.limits.event_bus_silence_us),
         }
     }
 
     // ---- Consul ----
 
-    pub(super) fn call_consul(&mut self, now: Micros) {
+    pub(super) fn query_consul(&mut self, now: Micros) {
         let Some((to, _)) = &self.consul else { return };
         let to = *to;
-        match self.call(now, to, Kind::Consul(ConsulQuery::new(&self.limits))) {
+        match self.call(
+            now,
+            to,
+            ConnectionRole::Consul(ConsulQuery::new(&self.limits)),
+        ) {
             Some(key) => {
-                self.timers
-                    .set(now + self.limits.consul_timeout_us, Timer::Answered(key));
+                self.timers.set(
+                    now + self.limits.consul_timeout_us,
+                    TimerEvent::ResponseTimeout(key),
+                );
             }
             None => {
-                self.timers
-                    .set(now + self.limits.reconnect_delay_us, Timer::Consul);
+                self.timers.set(
+                    now + self.limits.reconnect_delay_us,
+                    TimerEvent::QueryConsul,
+                );
             }
         }
     }
 
     /// The response to the last query, or none: it failed.
-    pub(super) fn consul_told(
+    pub(super) fn handle_consul_response(
         &mut self,
         now: Micros,
         response: Option<(crate::protocol::http::Head, Vec<u8>)>,
@@ -123,12 +134,12 @@
                 now + self.limits.reconnect_delay_us
             }
         };
-        self.timers.set(again, Timer::Consul);
+        self.timers.set(again, TimerEvent::QueryConsul);
     }
 
     // ---- Peers ----
 
-    pub(super) fn hear_peers(&mut self, now: Micros) {
+    pub(super) fn receive_purge_gossip(&mut self, now: Micros) {
         let mut bytes = [0; peers::MOST + 1];
         while let Some((socket, known)) = &self.peers {
             let (length, from) = match socket.recv_from(&mut bytes) {
@@ -145,7 +156,7 @@
     }
 
     /// Sends a purge to the peers, and again: any datagram may be lost.
-    pub(super) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
+    pub(super) fn gossip_purge(&mut self, now: Micros, text: String, left: u8) {
         let Some((socket, known)) = &self.peers else {
             return;
         };
@@ -156,18 +167,19 @@
         if left > 0 {
             self.timers.set(
                 now + self.limits.gossip_repeat_us,
-                Timer::RepeatPurgeGossip(text, left - 1),
+                TimerEvent::RepeatPurgeGossip(text, left - 1),
             );
         }
     }
 
     /// Ends a connection whose answer has not come in time.
     pub(super) fn answer_timed_out(&mut self, now: Micros, key: SlabKey) {
-        if self
-            .connections
-            .get(key)
-            .is_some_and(|c| matches!(c.kind, Kind::Consul(_) | Kind::Notification(_)))
-        {
+        if self.connections.get(key).is_some_and(|c| {
+            matches!(
+                c.role,
+                ConnectionRole::Consul(_) | ConnectionRole::Notification(_)
+            )
+        }) {
             self.close(now, key);
         }
     }
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,6 +1,6 @@
 //! The second front's sockets: what neighbours and redirected clients ask, and what neighbours are sent.
 
-use super::{Connection, EventLoop, Kind, Timer, CDNI};
+use super::{Connection, ConnectionRole, EventLoop, TimerEvent, CDNI};
 use crate::discovery::purge_gossip as peers;
 use crate::frontend::interconnect::{
     self as cdni, Effect, InterconnectReply, Notification, Session, MEDIA,
@@ -63,12 +63,13 @@
 
     pub(super) fn accept_cdni(&mut self, now: Micros) {
         while self.interconnect.is_some() && !self.grace_over {
-            let room = self.room_for_client(now);
+            let room = self.make_room_for_client(now);
             let Some((listener, _)) = &self.interconnect else {
                 return;
             };
-            let taken = room.and_then(|leaver| Ok((listener.accept()?.0, leaver)));
-            let (socket, leaver) = match taken {
+            let taken =
+                room.and_then(|eviction_candidate| Ok((listener.accept()?.0, eviction_candidate)));
+            let (socket, eviction_candidate) = match taken {
                 Ok(taken) => taken,
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
                 Err(e) => {
@@ -85,7 +86,12 @@
                 self.limits.output_buffer_bytes,
             );
             if let Ok(conn) = conn {
-                self.take_in(now, conn, Kind::Cdni(Box::new(session)), leaver);
+                self.take_in(
+                    now,
+                    conn,
+                    ConnectionRole::InterconnectClient(Box::new(session)),
+                    eviction_candidate,
+                );
             }
         }
         if let Some((listener, _)) = &self.interconnect {
@@ -98,7 +104,7 @@
             let ready = self.request_table.is_ready() && !self.stopping;
             let Some(Connection {
                 conn,
-                kind: Kind::Cdni(session),
+                role: ConnectionRole::InterconnectClient(session),
                 ..
             }) = self.connections.get_mut(key)
             else {
@@ -152,7 +158,7 @@
             effects
                 .into_iter()
                 .for_each(|effect| self.carry_out(now, effect));
-            self.settle(now);
+            self.execute_commands(now);
             if !self.write_cdni(key) {
                 return Ok(());
             }
@@ -163,7 +169,7 @@
         match effect {
             Effect::Purge(object, group) => {
                 if let Some(text) = peers::write(object.as_deref(), group, now) {
-                    self.tell_peers(now, text, 2);
+                    self.gossip_purge(now, text, 2);
                 }
                 self.purge_for_good(now, object, group, now);
             }
@@ -196,7 +202,7 @@
 
     pub(super) fn answer_cdni(&mut self, now: Micros, key: SlabKey, answer: Answer) {
         let Some(Connection {
-            kind: Kind::Cdni(session),
+            role: ConnectionRole::InterconnectClient(session),
             ..
         }) = self.connections.get_mut(key)
         else {
@@ -206,14 +212,15 @@
         session.respond(&cdni::response(answer, late));
         // The next request may have come meanwhile; reading it is left to the loop, so that a neighbour that
         // sends many at once can't nest them here.
-        self.timers.set(now, Timer::Serve(key));
+        self.timers
+            .set(now, TimerEvent::ResumeInterconnectClient(key));
     }
 
     /// Writes what is waiting; false where the connection is over.
     pub(super) fn write_cdni(&mut self, key: SlabKey) -> bool {
         let Some(Connection {
             conn,
-            kind: Kind::Cdni(session),
+            role: ConnectionRole::InterconnectClient(session),
             ..
         }) = self.connections.get_mut(key)
         else {
@@ -246,7 +253,7 @@
     }
 
     /// Passes a purge that came by the event bus on to neighbours.
-    pub(super) fn pass_on(&mut self, now: Micros, object: Option<&str>, group: u64) {
+    pub(super) fn forward_purge(&mut self, now: Micros, object: Option<&str>, group: u64) {
         let posts = self
             .interconnect
             .as_ref()
@@ -278,11 +285,15 @@
 
     pub(super) fn post(&mut self, now: Micros, delivery: Box<NotificationDelivery>) {
         let again = delivery.clone();
-        match self.call(now, delivery.post.address, Kind::Notification(delivery)) {
+        match self.call(
+            now,
+            delivery.post.address,
+            ConnectionRole::Notification(delivery),
+        ) {
             Some(key) => {
                 self.timers.set(
                     now + self.limits.notification_timeout_us,
-                    Timer::Answered(key),
+                    TimerEvent::ResponseTimeout(key),
                 );
             }
             None => self.posted(now, again),
@@ -316,7 +327,7 @@
                 delivery.messages = Messages::responses(self.limits.line_bytes, usize::MAX);
                 let wait = self.limits.gossip_repeat_us << delivery.tries.min(6);
                 self.timers
-                    .set(now + wait, Timer::RetryNotification(delivery));
+                    .set(now + wait, TimerEvent::RetryNotification(delivery));
             }
         }
     }
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -35,27 +35,32 @@
 /// The longest wait of the loop where no deadline is near.
 const IDLE_US: Micros = 1_000_000;
 
-enum Kind {
-    Client(Session),
-    Box(UpstreamConnection),
-    Bus(EventStreamClient),
+enum ConnectionRole {
+    FastCgiClient(Session),
+    Upstream(UpstreamConnection),
+    EventBus(EventStreamClient),
     Consul(ConsulQuery),
-    Cdni(Box<cdni::Session>),
+    InterconnectClient(Box<cdni::Session>),
     /// A client's whose writing side is shut: it is read until its client ends it too, and so many bytes were
     /// passed over.
     Lingering(usize),
     Notification(Box<NotificationDelivery>),
 }
 
-impl Kind {
+impl ConnectionRole {
     fn is_client(&self) -> bool {
-        matches!(self, Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_))
+        matches!(
+            self,
+            ConnectionRole::FastCgiClient(_)
+                | ConnectionRole::InterconnectClient(_)
+                | ConnectionRole::Lingering(_)
+        )
     }
 }
 
 struct Connection {
     conn: BufferedSocket,
-    kind: Kind,
+    role: ConnectionRole,
     /// A client's: when it was last waited for here, or what it is now at began.
     since: Micros,
     /// A client's: a request had come in part when that was last looked at.
@@ -68,30 +73,30 @@
 
 /// What has a deadline.
 #[derive(Clone, Debug)]
-enum Timer {
+enum TimerEvent {
     Request(RequestTimer),
     /// A connection begun from here must be up.
-    Connect(SlabKey),
+    ConnectTimeout(SlabKey),
     /// A link is looked at again: barred ids, stalled writing.
-    UpstreamConnection(SlabKey),
+    CheckUpstream(SlabKey),
     /// The bus is called, or found silent.
-    Bus,
+    CheckEventBus,
     /// Consul is asked.
-    Consul,
+    QueryConsul,
     /// The answer on a connection must have come.
-    Answered(SlabKey),
+    ResponseTimeout(SlabKey),
     /// A payload is sent to a neighbour once more.
     RetryNotification(Box<NotificationDelivery>),
     /// A connection's next request, which waited for the answer to the one before.
-    Serve(SlabKey),
+    ResumeInterconnectClient(SlabKey),
     /// A purge is told to the peers once more, and so many times again.
     RepeatPurgeGossip(String, u8),
     /// A client's connection is looked at: it may hold its place for nothing.
-    Client(SlabKey),
+    CheckClient(SlabKey),
     /// Accepting goes on.
-    Accept,
+    RetryAccept,
     /// The grace after SIGTERM is over.
-    Term,
+    EndShutdownGrace,
     /// The process may be killed right after this.
     ShutdownDeadline,
 }
@@ -151,9 +156,9 @@
     source: Source,
     connections: Slab<Connection>,
     clients: usize,
-    links: BTreeMap<ServerId, Vec<SlabKey>>,
-    timers: TimerQueue<Timer>,
-    feed: Option<SlabKey>,
+    upstream_connections: BTreeMap<ServerId, Vec<SlabKey>>,
+    timers: TimerQueue<TimerEvent>,
+    event_stream: Option<SlabKey>,
     bus_timer: Option<TimerKey>,
     last_event: u64,
     consul: Option<(SocketAddr, Consul)>,
@@ -222,9 +227,9 @@
             hup,
             connections: Slab::new(limits.connections),
             clients: 0,
-            links: BTreeMap::new(),
+            upstream_connections: BTreeMap::new(),
             timers: TimerQueue::default(),
-            feed: None,
+            event_stream: None,
             bus_timer: None,
             last_event,
             consul: config
@@ -255,10 +260,12 @@
                 .request_table
                 .purge_permanently(now, object, group, at);
         }
-        known.into_iter().for_each(|event| daemon.news(now, event));
-        daemon.call_bus(now);
-        daemon.call_consul(now);
-        daemon.settle(now);
+        known
+            .into_iter()
+            .for_each(|event| daemon.apply_event_bus_message(now, event));
+        daemon.connect_event_bus(now);
+        daemon.query_consul(now);
+        daemon.execute_commands(now);
         if let Some(address) = daemon.address() {
             log::info!("{} listens on {address}", daemon.config.name);
         }
@@ -298,7 +305,7 @@
             let now = self.clock.now();
             while let Some(timer) = self.timers.pop_due(now) {
                 self.timer(now, timer);
-                self.settle(now);
+                self.execute_commands(now);
             }
         }
         let c = self.request_table.counters;
@@ -324,60 +331,62 @@
         let now = self.clock.now();
         match event.token {
             LISTENER => self.accept(now),
-            SIGNAL => self.term(now),
+            SIGNAL => self.begin_shutdown(now),
             RELOAD => self.reload(now),
-            PEERS => self.hear_peers(now),
+            PEERS => self.receive_purge_gossip(now),
             CDNI => self.accept_cdni(now),
-            token => self.serve(now, SlabKey::from_u64(token), event),
+            token => self.handle_readiness(now, SlabKey::from_u64(token), event),
         }
-        self.settle(now);
+        self.execute_commands(now);
         self.notify(now);
     }
 
-    fn timer(&mut self, now: Micros, timer: Timer) {
+    fn timer(&mut self, now: Micros, timer: TimerEvent) {
         match timer {
-            Timer::Request(wake) => self.request_table.timer_fired(now, wake),
-            Timer::Connect(key) => {
+            TimerEvent::Request(wake) => self.request_table.timer_fired(now, wake),
+            TimerEvent::ConnectTimeout(key) => {
                 if self.connections.get(key).is_some_and(|c| !c.conn.connected) {
                     self.close(now, key);
                 }
             }
-            Timer::UpstreamConnection(key) => self.look_at_link(now, key),
-            Timer::Client(key) => self.look_at_client(now, key),
-            Timer::Bus => self.check_bus(now),
-            Timer::Consul => self.call_consul(now),
-            Timer::Answered(key) => self.answer_timed_out(now, key),
-            Timer::Serve(key) => self.serve_cdni(now, key),
-            Timer::RetryNotification(delivery) => self.post(now, delivery),
-            Timer::RepeatPurgeGossip(text, left) => self.tell_peers(now, text, left),
-            Timer::Accept => {
+            TimerEvent::CheckUpstream(key) => self.check_upstream(now, key),
+            TimerEvent::CheckClient(key) => self.check_client(now, key),
+            TimerEvent::CheckEventBus => self.check_event_bus(now),
+            TimerEvent::QueryConsul => self.query_consul(now),
+            TimerEvent::ResponseTimeout(key) => self.answer_timed_out(now, key),
+            TimerEvent::ResumeInterconnectClient(key) => self.serve_cdni(now, key),
+            TimerEvent::RetryNotification(delivery) => self.post(now, delivery),
+            TimerEvent::RepeatPurgeGossip(text, left) => self.gossip_purge(now, text, left),
+            TimerEvent::RetryAccept => {
                 self.accepts_later = false;
                 self.accept(now);
                 self.accept_cdni(now);
             }
-            Timer::Term => self.end_grace(now),
-            Timer::ShutdownDeadline => self.request_table.fail_all_pending(now),
+            TimerEvent::EndShutdownGrace => self.end_shutdown_grace(now),
+            TimerEvent::ShutdownDeadline => self.request_table.fail_all_pending(now),
         }
     }
 
     // ---- Signals ----
 
-    fn term(&mut self, now: Micros) {
+    fn begin_shutdown(&mut self, now: Micros) {
         self.term.clear();
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
-            self.timers
-                .set(now + self.limits.shutdown_grace_us, Timer::Term);
+            self.timers.set(
+                now + self.limits.shutdown_grace_us,
+                TimerEvent::EndShutdownGrace,
+            );
             self.timers.set(
                 now + self.limits.shutdown_deadline_us,
-                Timer::ShutdownDeadline,
+                TimerEvent::ShutdownDeadline,
             );
         }
     }
 
     /// From here on no request is taken: what came now might still be open when the process is killed. What was
     /// asked before is answered, and each client's connection is ended once nothing is owed on it.
-    fn end_grace(&mut self, now: Micros) {
+    fn end_shutdown_grace(&mut self, now: Micros) {
         self.accept(now);
         self.accept_cdni(now);
         let clients: Vec<SlabKey> = self
@@ -405,13 +414,13 @@
     fn is_client(&self, key: SlabKey) -> bool {
         self.connections
             .get(key)
-            .is_some_and(|c| c.kind.is_client())
+            .is_some_and(|c| c.role.is_client())
     }
 
     /// Takes in what a client has sent by now, also where the loop has not been told of it yet.
     fn look_for_input(&mut self, now: Micros, key: SlabKey) {
-        self.serve(now, key, Readiness::readable(key.to_u64()));
-        self.settle(now);
+        self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
+        self.execute_commands(now);
     }
 
     /// Reads the configuration again. Nothing that is open is dropped for it, and a faulty file changes
@@ -440,19 +449,19 @@
             }
         );
         if moved {
-            self.move_bus(now);
+            self.follow_moved_event_bus(now);
         }
     }
 
     // ---- Connections ----
 
-    fn open(&mut self, now: Micros, conn: BufferedSocket, kind: Kind) -> Option<SlabKey> {
+    fn open(&mut self, now: Micros, conn: BufferedSocket, role: ConnectionRole) -> Option<SlabKey> {
         let up = conn.connected;
         let key = self
             .connections
             .insert(Connection {
                 conn,
-                kind,
+                role,
                 since: now,
                 half: false,
                 waiting: 0,
@@ -471,11 +480,11 @@
     /// Whether there is a place for one more connection besides that of the event bus, which may not be up just
     /// then: without it nobody would hear of drains and purges.
     fn has_place(&self) -> bool {
-        let kept = usize::from(self.config.bus.is_some() && self.feed.is_none());
+        let kept = usize::from(self.config.bus.is_some() && self.event_stream.is_none());
         self.connections.free_slots() > kept
     }
 
-    fn call(&mut self, now: Micros, to: SocketAddr, kind: Kind) -> Option<SlabKey> {
+    fn call(&mut self, now: Micros, to: SocketAddr, role: ConnectionRole) -> Option<SlabKey> {
         let socket = connect(to)
             .map_err(|e| log::warn!("no connection to {to}: {e}"))
             .ok()?;
@@ -486,13 +495,15 @@
             self.limits.output_buffer_bytes,
         )
         .ok()?;
-        let key = self.open(now, conn, kind)?;
-        self.timers
-            .set(now + self.limits.connect_timeout_us, Timer::Connect(key));
+        let key = self.open(now, conn, role)?;
+        self.timers.set(
+            now + self.limits.connect_timeout_us,
+            TimerEvent::ConnectTimeout(key),
+        );
         Some(key)
     }
 
-    fn serve(&mut self, now: Micros, key: SlabKey, ready: Readiness) {
+    fn handle_readiness(&mut self, now: Micros, key: SlabKey, ready: Readiness) {
         // A stale event, of a connection that ended earlier in the same round, misses by its generation.
         let Some(c) = self.connections.get_mut(key) else {
             return;
@@ -501,16 +512,16 @@
             if c.conn.finish_connect().is_err() {
                 return self.close(now, key);
             }
-            match (&c.kind, self.config.bus, &self.consul) {
-                (Kind::Bus(_), Some(bus), _) => {
+            match (&c.role, self.config.bus, &self.consul) {
+                (ConnectionRole::EventBus(_), Some(bus), _) => {
                     c.conn
                         .output
                         .push(&bus::request(&bus.to_string(), self.last_event));
                 }
-                (Kind::Consul(_), _, Some((to, consul))) => {
+                (ConnectionRole::Consul(_), _, Some((to, consul))) => {
                     c.conn.output.push(&consul.request(&to.to_string()));
                 }
-                (Kind::Notification(delivery), ..) => {
+                (ConnectionRole::Notification(delivery), ..) => {
                     c.conn.output.push(&delivery.request());
                 }
                 _ => {}
@@ -525,7 +536,7 @@
                 let client = self
                     .connections
                     .get(key)
-                    .is_some_and(|c| c.kind.is_client());
+                    .is_some_and(|c| c.role.is_client());
                 log::log!(
                     if client {
                         log::Level::Debug
@@ -543,7 +554,7 @@
         if over || !self.write(now, key) {
             return self.end(now, key);
         }
-        self.note_client(now, key);
+        self.update_client_activity(now, key);
         self.bound_half(now, key);
     }
 
@@ -551,10 +562,10 @@
         let Some(c) = self.connections.get_mut(key) else {
             return Ok(());
         };
-        match &mut c.kind {
-            Kind::Client(_) => self.read_client(now, key),
-            Kind::Cdni(_) => self.read_cdni(now, key),
-            Kind::Lingering(passed_over) => {
+        match &mut c.role {
+            ConnectionRole::FastCgiClient(_) => self.read_client(now, key),
+            ConnectionRole::InterconnectClient(_) => self.read_cdni(now, key),
+            ConnectionRole::Lingering(passed_over) => {
                 *passed_over += c.conn.input.len();
                 c.conn.input.clear();
                 if *passed_over > self.limits.lingering_close_bytes {
@@ -562,14 +573,14 @@
                 }
                 Ok(())
             }
-            Kind::Notification(delivery) => {
+            ConnectionRole::Notification(delivery) => {
                 let front = c.conn.input.readable();
                 let taken = front.len();
                 let result = delivery.read(front);
                 c.conn.input.consume(taken);
                 result
             }
-            Kind::Consul(call) => {
+            ConnectionRole::Consul(call) => {
                 let front = c.conn.input.readable();
                 let taken = front.len();
                 let response = call.read(front)?;
@@ -577,11 +588,11 @@
                 if response.is_some() {
                     // One query a connection: the next begins anew.
                     self.connections.remove(key);
-                    self.consul_told(now, response);
+                    self.handle_consul_response(now, response);
                 }
                 Ok(())
             }
-            Kind::Box(link) => {
+            ConnectionRole::Upstream(link) => {
                 let mut told = Vec::new();
                 let result = link.read(now, &mut c.conn, &self.request_table, &mut told);
                 let server = link.server;
@@ -589,24 +600,26 @@
                     // What is remembered of it goes then.
                     self.timers.set(
                         now + self.limits.stream_memory_us + 1,
-                        Timer::UpstreamConnection(key),
+                        TimerEvent::CheckUpstream(key),
                     );
                 }
                 self.tell(now, server, told);
                 result
             }
-            Kind::Bus(feed) => {
+            ConnectionRole::EventBus(event_stream) => {
                 let mut events = Vec::new();
                 let mut result = Ok(());
                 while !c.conn.input.is_empty() && result.is_ok() {
                     let front = c.conn.input.readable();
                     let taken = front.len();
-                    result = feed
+                    result = event_stream
                         .read(now, front, &mut self.last_event)
                         .map(|e| events.extend(e));
                     c.conn.input.consume(taken);
                 }
-                events.into_iter().for_each(|event| self.heard(now, event));
+                events
+                    .into_iter()
+                    .for_each(|event| self.handle_event_bus_message(now, event));
                 result
             }
         }
@@ -617,11 +630,11 @@
         let Some(c) = self.connections.get_mut(key) else {
             return true;
         };
-        let sound = match &mut c.kind {
-            Kind::Client(_) => {
+        let sound = match &mut c.role {
+            ConnectionRole::FastCgiClient(_) => {
                 self.write_client(key);
-                self.connections.get(key).is_none_or(|c| match &c.kind {
-                    Kind::Client(s) => {
+                self.connections.get(key).is_none_or(|c| match &c.role {
+                    ConnectionRole::FastCgiClient(s) => {
                         let last = s.is_finished()
                             || self.grace_over && s.is_idle() && !s.has_partial_input();
                         !(last && c.conn.output.is_empty())
@@ -629,22 +642,24 @@
                     _ => true,
                 })
             }
-            Kind::Lingering(_) => true,
-            Kind::Box(_) => self.pump(now, key),
-            Kind::Cdni(_) => {
+            ConnectionRole::Lingering(_) => true,
+            ConnectionRole::Upstream(_) => self.pump(now, key),
+            ConnectionRole::InterconnectClient(_) => {
                 self.write_cdni(key)
-                    && self.connections.get(key).is_none_or(|c| match &c.kind {
-                        Kind::Cdni(s) => {
+                    && self.connections.get(key).is_none_or(|c| match &c.role {
+                        ConnectionRole::InterconnectClient(s) => {
                             let last = self.grace_over && s.is_idle() && !s.has_partial_input();
                             !(last && c.conn.output.is_empty())
                         }
                         _ => true,
                     })
             }
-            Kind::Notification(delivery) => {
+            ConnectionRole::Notification(delivery) => {
                 !delivery.is_done() && c.conn.write() != IoProgress::Broken
             }
-            Kind::Bus(_) | Kind::Consul(_) => c.conn.write() != IoProgress::Broken,
+            ConnectionRole::EventBus(_) | ConnectionRole::Consul(_) => {
+                c.conn.write() != IoProgress::Broken
+            }
         };
         self.watch(key);
         sound
@@ -670,26 +685,31 @@
             return;
         };
         c.conn.write();
-        if !matches!(c.kind, Kind::Client(_) | Kind::Cdni(_)) || c.conn.shut_down_writes().is_err()
+        if !matches!(
+            c.role,
+            ConnectionRole::FastCgiClient(_) | ConnectionRole::InterconnectClient(_)
+        ) || c.conn.shut_down_writes().is_err()
         {
             return self.close(now, key);
         }
         c.conn.input.clear();
         c.since = now;
-        let kind = std::mem::replace(&mut c.kind, Kind::Lingering(0));
+        let role = std::mem::replace(&mut c.role, ConnectionRole::Lingering(0));
         self.waiting_answers -= std::mem::take(&mut c.waiting);
         self.half_bytes -= std::mem::take(&mut c.half_bytes);
-        self.left_by(now, kind);
-        self.timers
-            .set(now + self.limits.lingering_close_us, Timer::Client(key));
+        self.left_by(now, role);
+        self.timers.set(
+            now + self.limits.lingering_close_us,
+            TimerEvent::CheckClient(key),
+        );
         self.watch(key);
     }
 
     /// No answer is owed any more for what a client's connection has open.
-    fn left_by(&mut self, now: Micros, kind: Kind) {
-        let request_keys = match kind {
-            Kind::Client(session) => session.request_keys(),
-            Kind::Cdni(session) => session.waiting.into_iter().collect(),
+    fn left_by(&mut self, now: Micros, role: ConnectionRole) {
+        let request_keys = match role {
+            ConnectionRole::FastCgiClient(session) => session.request_keys(),
+            ConnectionRole::InterconnectClient(session) => session.waiting.into_iter().collect(),
             _ => return,
         };
         request_keys
@@ -702,37 +722,41 @@
         let Some(c) = self.connections.remove(key) else {
             return;
         };
-        match c.kind {
-            kind @ (Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering(_)) => {
+        match c.role {
+            role @ (ConnectionRole::FastCgiClient(_)
+            | ConnectionRole::InterconnectClient(_)
+            | ConnectionRole::Lingering(_)) => {
                 self.clients -= 1;
                 self.waiting_answers -= c.waiting;
                 self.half_bytes -= c.half_bytes;
-                self.left_by(now, kind);
+                self.left_by(now, role);
             }
-            Kind::Box(link) => {
+            ConnectionRole::Upstream(link) => {
                 let server = link.server;
-                if let Entry::Occupied(mut links) = self.links.entry(server) {
-                    links.get_mut().retain(|k| *k != key);
-                    if links.get().is_empty() {
-                        links.remove();
+                if let Entry::Occupied(mut upstream_connections) =
+                    self.upstream_connections.entry(server)
+                {
+                    upstream_connections.get_mut().retain(|k| *k != key);
+                    if upstream_connections.get().is_empty() {
+                        upstream_connections.remove();
                     }
                 }
                 let mut told = Vec::new();
                 link.broken(c.conn.connected, c.conn.bytes_written, &mut told);
                 self.tell(now, server, told);
             }
-            Kind::Notification(delivery) => self.posted(now, delivery),
-            Kind::Consul(_) => self.consul_told(now, None),
-            Kind::Bus(_) if self.feed == Some(key) => {
-                self.feed = None;
-                self.wake_bus(now + self.limits.reconnect_delay_us);
+            ConnectionRole::Notification(delivery) => self.posted(now, delivery),
+            ConnectionRole::Consul(_) => self.handle_consul_response(now, None),
+            ConnectionRole::EventBus(_) if self.event_stream == Some(key) => {
+                self.event_stream = None;
+                self.schedule_event_bus_check(now + self.limits.reconnect_delay_us);
             }
-            Kind::Bus(_) => {} // The one before the bus has moved.
+            ConnectionRole::EventBus(_) => {} // The one before the bus has moved.
         }
     }
 
     /// Carries out what the request_table wants done, and what follows from that.
-    fn settle(&mut self, now: Micros) {
+    fn execute_commands(&mut self, now: Micros) {
         loop {
             let commands = self.request_table.take_commands();
             if commands.is_empty() {
@@ -748,10 +772,10 @@
                         if !self.write(now, client.connection) {
                             self.end(now, client.connection);
                         }
-                        self.note_client(now, client.connection);
+                        self.update_client_activity(now, client.connection);
                     }
                     Command::SetTimer(at, wake) => {
-                        self.timers.set(at, Timer::Request(wake));
+                        self.timers.set(at, TimerEvent::Request(wake));
                     }
                     Command::Probe(server) => self.probe(now, server),
                     Command::DrainServer(server) => self.withdraw(now, server),
--- a/crates/proxy/src/event_loop/upstreams.rs
+++ b/crates/proxy/src/event_loop/upstreams.rs
@@ -1,6 +1,6 @@
 //! Links to boxes: which connection an attempt takes, and what becomes of it.
 
-use super::{Connection, EventLoop, Kind, Timer};
+use super::{Connection, ConnectionRole, EventLoop, TimerEvent};
 use crate::net::{BufferedSocket, IoProgress, Readiness, SlabKey};
 use crate::request_table::AttemptId;
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
@@ -27,7 +27,7 @@
         match self.connections.get_mut(key)? {
             Connection {
                 conn,
-                kind: Kind::Box(link),
+                role: ConnectionRole::Upstream(link),
                 ..
             } => Some((conn, link)),
             _ => None,
@@ -39,7 +39,7 @@
         // Where nothing is open the box may have ended the connection by now: what is written there is lost, and
         // nobody could tell whether it ran.
         while let Some((.., key)) = best.filter(|((_, late, live), _)| !late && *live == 0) {
-            self.serve(now, key, Readiness::readable(key.to_u64()));
+            self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
             if self.connections.get(key).is_some() {
                 break;
             }
@@ -49,7 +49,10 @@
             return;
         };
         let server = spec.server;
-        let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
+        let upstream_connections = self
+            .upstream_connections
+            .get(&server)
+            .map_or(&[][..], Vec::as_slice);
         // One answer that can't be read ends all that is open on its connection: the more of them, the less is
         // lost at once. The next one is begun ahead, so that no attempt waits for it.
         let up = |key: &SlabKey| self.connections.get(*key).is_some_and(|c| c.conn.connected);
@@ -58,25 +61,25 @@
         let spare = self.connections.free_slots() > self.limits.spare_connections;
         let ahead = shared
             && spare
-            && links.len() < self.limits.connections_per_server
-            && links.iter().all(up);
-        let full = links.len() >= self.limits.connections_per_server;
+            && upstream_connections.len() < self.limits.connections_per_server
+            && upstream_connections.iter().all(up);
+        let full = upstream_connections.len() >= self.limits.connections_per_server;
         // One that leads nowhere any more may stay so for good, and says no word of it.
         let silent = |key: &&SlabKey| match self.connections.get(**key) {
             Some(Connection {
-                kind: Kind::Box(link),
+                role: ConnectionRole::Upstream(link),
                 ..
             }) => link.is_silent(),
             _ => false,
         };
-        let leaver = links
+        let eviction_candidate = upstream_connections
             .iter()
             .find(silent)
             .copied()
             .filter(|_| best.is_none() && full);
-        let fresh = best.is_none() && (!full || leaver.is_some());
-        if let Some(leaver) = leaver {
-            self.close(now, leaver);
+        let fresh = best.is_none() && (!full || eviction_candidate.is_some());
+        if let Some(eviction_candidate) = eviction_candidate {
+            self.close(now, eviction_candidate);
         }
         let key = match best {
             Some((_, key)) => Some(key),
@@ -109,7 +112,7 @@
         let room = |key: &SlabKey| match self.connections.get(*key) {
             Some(Connection {
                 conn,
-                kind: Kind::Box(link),
+                role: ConnectionRole::Upstream(link),
                 ..
             }) => Some((
                 !link.gave_up(id),
@@ -118,7 +121,7 @@
             )),
             _ => None,
         };
-        self.links
+        self.upstream_connections
             .get(&spec.server)?
             .iter()
             .filter_map(|key| Some((room(key)?, *key)))
@@ -128,8 +131,10 @@
     /// Reads what a box had sent before its connection broke: those answers are answers.
     pub(super) fn read_rest(&mut self, now: Micros, key: SlabKey) {
         for _ in 0..self.limits.reads_after_close {
-            let readable = self.connections.get(key).is_some_and(|c| match &c.kind {
-                Kind::Box(link) => c.conn.connected && link.is_readable(now, &self.limits),
+            let readable = self.connections.get(key).is_some_and(|c| match &c.role {
+                ConnectionRole::Upstream(link) => {
+                    c.conn.connected && link.is_readable(now, &self.limits)
+                }
                 _ => false,
             });
             let Some((conn, _)) = self.link(key).filter(|_| readable) else {
@@ -150,16 +155,19 @@
         let key = self.call(
             now,
             endpoint,
-            Kind::Box(UpstreamConnection::new(server, &self.limits, now)),
+            ConnectionRole::Upstream(UpstreamConnection::new(server, &self.limits, now)),
         )?;
-        self.links.entry(server).or_default().push(key);
+        self.upstream_connections
+            .entry(server)
+            .or_default()
+            .push(key);
         Some(key)
     }
 
     pub(super) fn pump(&mut self, now: Micros, key: SlabKey) -> bool {
         let Some(Connection {
             conn,
-            kind: Kind::Box(link),
+            role: ConnectionRole::Upstream(link),
             ..
         }) = self.connections.get_mut(key)
         else {
@@ -172,12 +180,12 @@
             link.half_at(&self.limits).filter(|_| sound),
         ];
         for at in due.into_iter().flatten() {
-            self.timers.set(at, Timer::UpstreamConnection(key));
+            self.timers.set(at, TimerEvent::CheckUpstream(key));
         }
         if conn.connected && !conn.output.is_empty() {
             self.timers.set(
                 now + self.limits.server_write_timeout_us,
-                Timer::UpstreamConnection(key),
+                TimerEvent::CheckUpstream(key),
             );
         }
         // What drains or is gone gets nothing new: once all that it owed has come, its connections are of no use,
@@ -187,13 +195,13 @@
         sound && !done
     }
 
-    pub(super) fn look_at_link(&mut self, now: Micros, key: SlabKey) {
+    pub(super) fn check_upstream(&mut self, now: Micros, key: SlabKey) {
         if !self.pump(now, key) {
             self.close(now, key);
         }
         self.watch(key);
         if let Some(Connection {
-            kind: Kind::Box(link),
+            role: ConnectionRole::Upstream(link),
             ..
         }) = self.connections.get_mut(key)
         {
@@ -202,7 +210,12 @@
     }
 
     pub(super) fn give_up(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
-        for key in self.links.get(&server).cloned().unwrap_or_default() {
+        for key in self
+            .upstream_connections
+            .get(&server)
+            .cloned()
+            .unwrap_or_default()
+        {
             let Some((conn, link)) = self.link(key) else {
                 continue;
             };
@@ -211,7 +224,7 @@
             self.tell(now, server, told);
             self.timers.set(
                 now + self.limits.stream_memory_us,
-                Timer::UpstreamConnection(key),
+                TimerEvent::CheckUpstream(key),
             );
             if !sound || !self.pump(now, key) {
                 self.close(now, key);
@@ -221,7 +234,12 @@
     }
 
     pub(super) fn unqueue(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
-        for key in self.links.get(&server).cloned().unwrap_or_default() {
+        for key in self
+            .upstream_connections
+            .get(&server)
+            .cloned()
+            .unwrap_or_default()
+        {
             let Some((conn, link)) = self.link(key) else {
                 continue;
             };
@@ -233,10 +251,16 @@
     }
 
     pub(super) fn withdraw(&mut self, now: Micros, server: ServerId) {
-        for key in self.links.values().flatten().copied().collect::<Vec<_>>() {
+        for key in self
+            .upstream_connections
+            .values()
+            .flatten()
+            .copied()
+            .collect::<Vec<_>>()
+        {
             let Some(Connection {
                 conn,
-                kind: Kind::Box(link),
+                role: ConnectionRole::Upstream(link),
                 ..
             }) = self.connections.get_mut(key)
             else {
@@ -255,9 +279,9 @@
 
     pub(super) fn probe(&mut self, now: Micros, server: ServerId) {
         let key = self
-            .links
+            .upstream_connections
             .get(&server)
-            .and_then(|links| links.first())
+            .and_then(|upstream_connections| upstream_connections.first())
             .copied();
         let asked = key
             .and_then(|key| self.link(key))
