--- a/crates/proxy/src/net/clock.rs
+++ b/crates/proxy/src/net/clock.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// The system's Unix clock at the start, carried on by its monotonic clock: timers and the ages of purges
-/// are counted on one scale, and a step of the system's clock can't move either.
+/// The system's Unix clock at the start, advanced by its monotonic clock. Deadlines and the ages of purges share
+/// this scale, and a step of the system's clock moves neither.
 #[derive(Clone, Copy)]
 pub struct Clock {
     unix_us: u64,
@@ -11,7 +11,7 @@
 }
 
 impl Clock {
-    /// A clock set by the system's.
+    /// A clock that starts at the system's Unix time.
     pub fn start() -> Self {
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -1,40 +1,41 @@
-//! A TCP connection with its two rings.
+//! A non-blocking TCP socket with a buffer for each direction.
 
 use super::ring_buffer::RingBuffer;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 
-/// A connection: a non-blocking socket, what came in and what is to go out.
+/// A non-blocking socket with what was received and what is still to be sent.
 pub struct BufferedSocket {
     socket: TcpStream,
-    /// What came in and is not consumed yet.
+    /// Received and not consumed yet.
     pub input: RingBuffer,
-    /// What is to go out.
+    /// To be sent.
     pub output: RingBuffer,
     /// Bytes written to the socket so far.
     pub bytes_written: u64,
-    /// False until a connection begun from here is up.
+    /// False while a connection that was opened from here is still being established.
     pub connected: bool,
     watched: (bool, bool),
 }
 
-/// What a read or write came to.
+/// What a read or write achieved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IoProgress {
-    /// Some bytes moved.
+    /// Some bytes were moved.
     Advanced,
-    /// Nothing for now.
+    /// Nothing can be moved for now.
     WouldBlock,
-    /// The other side has ended its half.
+    /// The peer has ended its half of the connection.
     PeerClosed,
     /// The connection is broken.
     Broken,
 }
 
-fn progress(result: io::Result<usize>, none: IoProgress) -> IoProgress {
+/// Classifies the result of a system call; `on_zero` is what 0 bytes mean for it.
+fn classify(result: io::Result<usize>, on_zero: IoProgress) -> IoProgress {
     match result {
-        Ok(0) => none,
+        Ok(0) => on_zero,
         Ok(_) => IoProgress::Advanced,
         Err(e)
             if matches!(
@@ -48,7 +49,11 @@
     }
 }
 
-/// Begins a connection without waiting for it.
+/// Opens a connection without waiting until it is established.
+///
+/// # Errors
+///
+/// Any error of the system calls; [`BufferedSocket::finish_connect`] tells how the connection came out.
 pub fn connect(to: SocketAddr) -> io::Result<TcpStream> {
     let family = if to.is_ipv4() {
         AddressFamily::INET
@@ -64,7 +69,8 @@
 }
 
 impl BufferedSocket {
-    /// Takes over a socket. One that `connect` began is not connected yet.
+    /// Takes over a socket. One that [`connect`] opened is not `connected` yet. `input` and `output` bound
+    /// the buffers, in bytes.
     pub fn new(
         socket: TcpStream,
         connected: bool,
@@ -85,30 +91,31 @@
         })
     }
 
-    /// The socket, to watch it.
+    /// The socket, to register it with a [`Poller`](super::Poller).
     pub fn socket(&self) -> &TcpStream {
         &self.socket
     }
 
-    /// How a connection begun from here came out, once it can be written.
+    /// How opening a connection came out, once the socket is writable.
     pub fn finish_connect(&mut self) -> io::Result<()> {
         sockopt::socket_error(&self.socket)??;
         self.connected = true;
         Ok(())
     }
 
-    /// Reads once. A full ring reads nothing, so the other side has to wait.
+    /// Reads once. A full buffer reads nothing, so that the peer has to wait. `broken`: epoll has reported
+    /// the connection as broken.
     pub fn read(&mut self, broken: bool) -> IoProgress {
         if self.input.free_space() == 0 {
-            // epoll goes on telling of a broken connection whatever is watched: the loop would spin on it for
-            // as long as the ring stays full, and nobody is left to answer.
+            // epoll goes on reporting a broken connection whatever the interest: the loop would spin for as
+            // long as the buffer stays full, and there is no peer left to answer.
             return if broken {
                 IoProgress::Broken
             } else {
                 IoProgress::WouldBlock
             };
         }
-        progress(
+        classify(
             self.input.read_from(&mut self.socket),
             IoProgress::PeerClosed,
         )
@@ -116,26 +123,26 @@
 
     /// Writes until nothing is left or the socket takes no more.
     pub fn write(&mut self) -> IoProgress {
-        let mut moved = IoProgress::WouldBlock;
+        let mut progress = IoProgress::WouldBlock;
         while self.connected && !self.output.is_empty() {
             let result = self.output.write_to(&mut self.socket);
             self.bytes_written += *result.as_ref().unwrap_or(&0) as u64;
-            match progress(result, IoProgress::WouldBlock) {
-                IoProgress::Advanced => moved = IoProgress::Advanced,
+            match classify(result, IoProgress::WouldBlock) {
+                IoProgress::Advanced => progress = IoProgress::Advanced,
                 IoProgress::Broken => return IoProgress::Broken,
                 _ => break,
             }
         }
-        moved
+        progress
     }
 
-    /// Ends the writing half: the other side sees the end behind all that was written.
+    /// Closes the writing half: the peer sees the end after all that was written. Unsent bytes are dropped.
     pub fn shut_down_writes(&mut self) -> io::Result<()> {
         self.output.clear();
         self.socket.shutdown(Shutdown::Write)
     }
 
-    /// What to watch for from now on, if that has changed.
+    /// The interest in readability and writability from now on, if it has changed since the last call.
     pub fn take_interest_change(&mut self) -> Option<(bool, bool)> {
         let wanted = (
             self.input.free_space() > 0,
@@ -144,36 +151,3 @@
         (std::mem::replace(&mut self.watched, wanted) != wanted).then_some(wanted)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::super::Poller;
-    use super::*;
-    use std::io::Write;
-    use std::net::TcpListener;
-
-    #[test]
-    fn a_full_ring_makes_the_other_side_wait_but_not_where_that_is_gone() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let mut conn = BufferedSocket::new(listener.accept().unwrap().0, true, 4, 4).unwrap();
-        far.write_all(b"123456").unwrap();
-        while conn.read(false) != IoProgress::WouldBlock || conn.input.free_space() > 0 {}
-        let mut poll = Poller::new(4).unwrap();
-        poll.add(conn.socket(), 7, false, false).unwrap();
-        sockopt::set_socket_linger(&far, Some(std::time::Duration::ZERO)).unwrap();
-        drop(far);
-        let mut ready = Vec::new();
-        while ready.is_empty() {
-            poll.wait(1_000_000, &mut ready).unwrap();
-        }
-        assert!(
-            ready[0].broken && ready[0].read,
-            "told of although nothing is watched"
-        );
-        assert_eq!(
-            (conn.read(false), conn.read(ready[0].broken)),
-            (IoProgress::WouldBlock, IoProgress::Broken)
-        );
-    }
-}
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -1,24 +1,24 @@
-//! epoll.
+//! Readiness of sockets, by epoll.
 
 use rustix::event::{epoll, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
 use std::io;
 
-/// What epoll tells of one socket.
+/// What epoll reports about one socket.
 #[derive(Clone, Copy, Debug)]
 pub struct Readiness {
-    /// The number given with it.
+    /// The token it was registered with.
     pub token: u64,
-    /// It can be read, has ended or is broken.
+    /// It is readable, its peer has closed, or it is broken.
     pub read: bool,
-    /// It can be written, is connected or is broken.
+    /// It is writable, a connection attempt has ended, or it is broken.
     pub write: bool,
-    /// It is broken, or both sides have ended it.
+    /// It is broken, or both sides have closed it.
     pub broken: bool,
 }
 
 impl Readiness {
-    /// What one looks for that was not told of yet.
+    /// A read that is attempted before epoll has reported anything.
     pub fn readable(token: u64) -> Self {
         Readiness {
             token,
@@ -29,7 +29,7 @@
     }
 }
 
-/// An epoll set, level-triggered.
+/// A level-triggered epoll instance.
 pub struct Poller {
     fd: OwnedFd,
     events: Vec<epoll::Event>,
@@ -43,7 +43,7 @@
 }
 
 impl Poller {
-    /// A set that gives so many events at a time.
+    /// An instance that reports at most `events` events per wait.
     pub fn new(events: usize) -> io::Result<Self> {
         Ok(Poller {
             fd: epoll::create(epoll::CreateFlags::CLOEXEC)?,
@@ -51,7 +51,7 @@
         })
     }
 
-    /// Watches a socket until it is closed.
+    /// Registers a socket. It stays registered until it is closed.
     pub fn add(&self, socket: impl AsFd, token: u64, read: bool, write: bool) -> io::Result<()> {
         Ok(epoll::add(
             &self.fd,
@@ -61,7 +61,7 @@
         )?)
     }
 
-    /// Changes what is watched for.
+    /// Changes the interest in a registered socket.
     pub fn change(&self, socket: impl AsFd, token: u64, read: bool, write: bool) -> io::Result<()> {
         Ok(epoll::modify(
             &self.fd,
@@ -71,27 +71,27 @@
         )?)
     }
 
-    /// Waits for events, or for so many microseconds.
-    pub fn wait(&mut self, most_us: u64, out: &mut Vec<Readiness>) -> io::Result<()> {
+    /// Waits for events, at most `timeout_us` microseconds, and appends them to `ready`.
+    pub fn wait(&mut self, timeout_us: u64, ready: &mut Vec<Readiness>) -> io::Result<()> {
         self.events.clear();
-        let most = Timespec {
-            tv_sec: (most_us / 1_000_000) as i64,
-            tv_nsec: (most_us % 1_000_000 * 1_000) as i64,
+        let timeout = Timespec {
+            tv_sec: (timeout_us / 1_000_000) as i64,
+            tv_nsec: (timeout_us % 1_000_000 * 1_000) as i64,
         };
         match epoll::wait(
             &self.fd,
             rustix::buffer::spare_capacity(&mut self.events),
-            Some(&most),
+            Some(&timeout),
         ) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(e) => return Err(e.into()),
         }
         let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
-        out.extend(self.events.iter().map(|e| {
-            let flags = e.flags;
+        ready.extend(self.events.iter().map(|event| {
+            let flags = event.flags;
             let has = |bits| flags.intersects(bits);
             Readiness {
-                token: e.data.u64(),
+                token: event.data.u64(),
                 read: has(epoll::EventFlags::IN | epoll::EventFlags::RDHUP | broken),
                 write: has(epoll::EventFlags::OUT | broken),
                 broken: has(broken),
--- a/crates/proxy/src/net/ring_buffer.rs
+++ b/crates/proxy/src/net/ring_buffer.rs
@@ -2,20 +2,23 @@
 
 use std::io::{self, Read, Write};
 
-/// The least memory that a ring takes, if it may.
-const MIN_ALLOCATION: usize = 1 << 10;
-
-/// A bounded ring of bytes. Memory is taken with the first byte, and for what is written as much as it needs: of
-/// hundreds of connections that ask for little each may have room for much.
+/// A bounded ring of bytes.
+///
+/// Memory is allocated with the first byte and grows with what is stored: hundreds of connections that send
+/// little may each be allowed much.
 pub struct RingBuffer {
     bytes: Vec<u8>,
     capacity: usize,
+    /// Index of the first stored byte.
     head: usize,
     len: usize,
 }
 
 impl RingBuffer {
-    /// A ring for so many bytes at most.
+    /// Smallest allocation, in bytes, unless the capacity is below it.
+    pub const MIN_ALLOCATION: usize = 1 << 10;
+
+    /// A buffer that stores at most `capacity` bytes.
     pub fn new(capacity: usize) -> Self {
         RingBuffer {
             bytes: Vec::new(),
@@ -25,17 +28,17 @@
         }
     }
 
-    /// Bytes held.
+    /// Number of stored bytes.
     pub fn len(&self) -> usize {
         self.len
     }
 
-    /// Whether it holds none.
+    /// Whether no byte is stored.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
-    /// Gives back the memory of an empty ring: connections that have gone quiet must not add up.
+    /// Frees the memory of an empty buffer, so that many idle connections do not add up.
     pub fn release_memory(&mut self) {
         if self.len == 0 {
             self.bytes = Vec::new();
@@ -43,55 +46,56 @@
         }
     }
 
-    /// Drops all that is held.
+    /// Drops all stored bytes.
     pub fn clear(&mut self) {
         self.consume(self.len);
     }
 
-    /// Bytes of memory that it has taken.
+    /// Bytes of memory that are allocated.
     pub fn allocated(&self) -> usize {
         self.bytes.len()
     }
 
-    /// Bytes that still fit.
+    /// How many more bytes can be stored.
     pub fn free_space(&self) -> usize {
         self.capacity - self.len
     }
 
-    /// The longest run of held bytes from the front.
+    /// The longest contiguous run of stored bytes from the front.
     pub fn readable(&self) -> &[u8] {
         &self.bytes[self.head..(self.head + self.len).min(self.bytes.len())]
     }
 
-    /// Drops bytes from the front.
-    pub fn consume(&mut self, n: usize) {
-        let n = n.min(self.len);
-        self.len -= n;
+    /// Drops up to `count` bytes from the front.
+    pub fn consume(&mut self, count: usize) {
+        let count = count.min(self.len);
+        self.len -= count;
         self.head = if self.len == 0 {
             0
         } else {
-            (self.head + n) % self.bytes.len()
+            (self.head + count) % self.bytes.len()
         };
     }
 
-    /// Makes room for so many bytes in all, as far as it may.
+    /// Allocates memory for `wanted` bytes in all, within the capacity.
     fn grow(&mut self, wanted: usize) {
         if wanted <= self.bytes.len() {
             return;
         }
-        let mut bytes = vec![
-            0;
-            wanted
-                .next_power_of_two()
-                .max(MIN_ALLOCATION)
-                .min(self.capacity)
-        ];
-        let front = self.readable().len();
-        bytes[..front].copy_from_slice(self.readable());
-        bytes[front..self.len].copy_from_slice(&self.bytes[..self.len - front]);
-        (self.bytes, self.head) = (bytes, 0);
-    }
-
+        let size = wanted
+            .next_power_of_two()
+            .max(Self::MIN_ALLOCATION)
+            .min(self.capacity);
+        let mut bytes = vec![0; size];
+        let front = self.readable();
+        let wrapped = self.len - front.len();
+        bytes[..front.len()].copy_from_slice(front);
+        bytes[front.len()..self.len].copy_from_slice(&self.bytes[..wrapped]);
+        self.bytes = bytes;
+        self.head = 0;
+    }
+
+    /// The longest contiguous run of allocated bytes that is free.
     fn writable(&mut self) -> &mut [u8] {
         let size = self.bytes.len();
         let tail = (self.head + self.len) % size;
@@ -103,84 +107,36 @@
         &mut self.bytes[tail..end]
     }
 
-    /// Takes in as many bytes as fit; tells how many.
+    /// Stores as many of `bytes` as fit. Returns how many.
     pub fn push(&mut self, mut bytes: &[u8]) -> usize {
         let before = self.len;
         self.grow((self.len + bytes.len()).min(self.capacity));
         while !bytes.is_empty() && self.free_space() > 0 {
-            let gap = self.writable();
-            let n = gap.len().min(bytes.len());
-            gap[..n].copy_from_slice(&bytes[..n]);
-            self.len += n;
-            bytes = &bytes[n..];
+            let free = self.writable();
+            let count = free.len().min(bytes.len());
+            free[..count].copy_from_slice(&bytes[..count]);
+            self.len += count;
+            bytes = &bytes[count..];
         }
         self.len - before
     }
 
-    /// Reads once into the free part; 0 where the other side has ended or nothing fits.
+    /// Reads once into the free part. Returns 0 at the end of the stream, or if nothing fits.
     pub fn read_from(&mut self, from: &mut impl Read) -> io::Result<usize> {
         if self.free_space() == 0 {
             return Ok(0);
         }
-        // How much comes is not known before: a small ring would only be read more often.
+        // How much will come is unknown: a small allocation would only mean more reads.
         self.grow(self.capacity);
-        let n = from.read(self.writable())?;
-        self.len += n;
-        Ok(n)
+        let count = from.read(self.writable())?;
+        self.len += count;
+        Ok(count)
     }
 
-    /// Writes once from the front.
+    /// Writes once from the front. Returns how many bytes were written.
     pub fn write_to(&mut self, to: &mut impl Write) -> io::Result<usize> {
-        let n = to.write(self.readable())?;
-        self.consume(n);
-        Ok(n)
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn bytes_come_out_as_they_went_in_around_the_end() {
-        let mut ring = RingBuffer::new(5);
-        let (mut sent, mut got) = (0u8, Vec::new());
-        for step in [3, 1, 4, 2, 5, 1, 3, 5] {
-            let bytes: Vec<u8> = (sent..sent + step).collect();
-            sent += ring.push(&bytes) as u8;
-            assert_eq!(ring.push(&[0; 9][..0]), 0);
-            ring.write_to(&mut got).unwrap();
-        }
-        while !ring.is_empty() {
-            ring.write_to(&mut got).unwrap();
-        }
-        assert_eq!(got, (0..sent).collect::<Vec<_>>());
-        assert_eq!((ring.push(&[7; 9]), ring.free_space()), (5, 0));
-    }
-
-    #[test]
-    fn memory_is_taken_as_it_is_needed_and_given_back() {
-        let (mut ring, mut sent, mut got) = (RingBuffer::new(64 << 10), Vec::new(), Vec::new());
-        assert_eq!(ring.allocated(), 0);
-        for step in [100, 900, 3_000, 20_000, 60_000, 1] {
-            let bytes: Vec<u8> = (0..step).map(|n| (n * 7 + step) as u8).collect();
-            let taken = ring.push(&bytes);
-            sent.extend_from_slice(&bytes[..taken]);
-            assert!(
-                ring.allocated() <= (2 * ring.len()).max(MIN_ALLOCATION),
-                "{} for {}",
-                ring.allocated(),
-                ring.len()
-            );
-            // It is moved as it grows while bytes are in it, also around its end.
-            got.extend_from_slice(&ring.readable()[..ring.readable().len() / 2]);
-            ring.consume(ring.readable().len() / 2);
-        }
-        while !ring.is_empty() {
-            ring.write_to(&mut got).unwrap();
-        }
-        assert!(got == sent, "in the order in which they came");
-        ring.release_memory();
-        assert_eq!(ring.allocated(), 0);
+        let count = to.write(self.readable())?;
+        self.consume(count);
+        Ok(count)
     }
 }
--- /dev/null
+++ b/crates/proxy/tests/net.rs
@@ -0,0 +1,107 @@
+//! Sockets, buffers, timers and the keyed table.
+
+use edge_proxy::net::{BufferedSocket, IoProgress, Poller, RingBuffer, Slab, SlabKey, TimerQueue};
+use rustix::net::sockopt;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+#[test]
+fn the_key_of_a_removed_entry_does_not_find_the_next_one_in_its_slot() {
+    let mut slab = Slab::new(1);
+    let old = slab.insert("old").unwrap();
+    assert_eq!(slab.insert("no room"), Err("no room"));
+    assert_eq!(slab.remove(old), Some("old"));
+    let new = slab.insert("new").unwrap();
+    assert_eq!((slab.get(old), slab.get(new)), (None, Some(&"new")));
+    assert_eq!(slab.remove(old), None);
+    assert_eq!(SlabKey::from_u64(new.to_u64()), new);
+}
+
+#[test]
+fn a_ring_buffer_returns_bytes_in_order_across_its_end() {
+    let mut ring = RingBuffer::new(5);
+    let mut sent = 0u8;
+    let mut received = Vec::new();
+    for step in [3, 1, 4, 2, 5, 1, 3, 5] {
+        let bytes: Vec<u8> = (sent..sent + step).collect();
+        sent += ring.push(&bytes) as u8;
+        assert_eq!(ring.push(&[]), 0);
+        ring.write_to(&mut received).unwrap();
+    }
+    while !ring.is_empty() {
+        ring.write_to(&mut received).unwrap();
+    }
+    assert_eq!(received, (0..sent).collect::<Vec<_>>());
+    assert_eq!((ring.push(&[7; 9]), ring.free_space()), (5, 0));
+}
+
+#[test]
+fn a_ring_buffer_allocates_as_needed_and_frees_when_empty() {
+    let mut ring = RingBuffer::new(64 << 10);
+    let mut sent = Vec::new();
+    let mut received = Vec::new();
+    assert_eq!(ring.allocated(), 0);
+    for step in [100, 900, 3_000, 20_000, 60_000, 1] {
+        let bytes: Vec<u8> = (0..step).map(|n| (n * 7 + step) as u8).collect();
+        let stored = ring.push(&bytes);
+        sent.extend_from_slice(&bytes[..stored]);
+        assert!(
+            ring.allocated() <= (2 * ring.len()).max(RingBuffer::MIN_ALLOCATION),
+            "{} for {}",
+            ring.allocated(),
+            ring.len()
+        );
+        // The contents are moved as the buffer grows, also while they wrap around its end.
+        let half = ring.readable().len() / 2;
+        received.extend_from_slice(&ring.readable()[..half]);
+        ring.consume(half);
+    }
+    while !ring.is_empty() {
+        ring.write_to(&mut received).unwrap();
+    }
+    assert!(
+        received == sent,
+        "bytes come out in the order in which they went in"
+    );
+    ring.release_memory();
+    assert_eq!(ring.allocated(), 0);
+}
+
+#[test]
+fn a_full_input_buffer_stops_reading_but_still_reports_a_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let mut socket = BufferedSocket::new(listener.accept().unwrap().0, true, 4, 4).unwrap();
+    peer.write_all(b"123456").unwrap();
+    while socket.read(false) != IoProgress::WouldBlock || socket.input.free_space() > 0 {}
+    let mut poller = Poller::new(4).unwrap();
+    poller.add(socket.socket(), 7, false, false).unwrap();
+    sockopt::set_socket_linger(&peer, Some(Duration::ZERO)).unwrap();
+    drop(peer);
+    let mut ready = Vec::new();
+    while ready.is_empty() {
+        poller.wait(1_000_000, &mut ready).unwrap();
+    }
+    assert!(
+        ready[0].broken && ready[0].read,
+        "a reset is reported without any interest"
+    );
+    assert_eq!(socket.read(false), IoProgress::WouldBlock);
+    assert_eq!(socket.read(ready[0].broken), IoProgress::Broken);
+}
+
+#[test]
+fn timers_come_due_in_order_once_and_can_be_cancelled() {
+    let mut timers = TimerQueue::default();
+    timers.set(20, 'a');
+    let cancelled = timers.set(30, 'b');
+    timers.set(10, 'c');
+    timers.set(20, 'd');
+    timers.cancel(cancelled);
+    assert_eq!((timers.next_due(), timers.pop_due(9)), (Some(10), None));
+    assert_eq!(timers.pop_due(20), Some('c'));
+    assert_eq!(timers.pop_due(20), Some('a'));
+    assert_eq!(timers.pop_due(20), Some('d'));
+    assert_eq!(timers.pop_due(99), None);
+}
