--- /dev/null
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -0,0 +1,210 @@
+//! Where client connections are accepted, of FastCGI clients and of peer CDNs, and when accepting pauses.
+
+use super::connections::ConnectionRole;
+use super::timer::TimerEvent;
+use super::{tokens, EventLoop};
+use crate::frontend::interconnect;
+use crate::net::{BufferedSocket, Poller, SlabKey};
+use edge_routing::Micros;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// The two listeners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ListenerKind {
+    /// For the platform's web servers.
+    FastCgi,
+    /// For peer CDNs and the clients that they redirect.
+    Interconnect,
+}
+
+impl ListenerKind {
+    fn token(self) -> u64 {
+        match self {
+            ListenerKind::FastCgi => tokens::FASTCGI_LISTENER,
+            ListenerKind::Interconnect => tokens::INTERCONNECT_LISTENER,
+        }
+    }
+}
+
+/// A listening socket.
+pub(super) struct Acceptor {
+    listener: TcpListener,
+    token: u64,
+    /// False while accepting pauses.
+    watched: bool,
+}
+
+impl Acceptor {
+    /// Listens on an address and has the poller watch it.
+    pub(super) fn bind(
+        kind: ListenerKind,
+        address: SocketAddr,
+        poller: &Poller,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        poller.add(&listener, kind.token(), true, false)?;
+        Ok(Acceptor {
+            listener,
+            token: kind.token(),
+            watched: true,
+        })
+    }
+
+    pub(super) fn address(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+
+    /// Stops watching the listener: unaccepted connections would keep it readable and the loop spinning.
+    fn pause(&mut self, poller: &Poller) {
+        let _ = poller.change(&self.listener, self.token, false, false);
+        self.watched = false;
+    }
+
+    /// Watches the listener again. Where that fails it is tried again with the next call.
+    fn resume(&mut self, poller: &Poller) {
+        if !self.watched {
+            self.watched = poller
+                .change(&self.listener, self.token, true, false)
+                .is_ok();
+        }
+    }
+}
+
+/// Both listeners, and whether a retry of accepting is due.
+pub(super) struct Acceptors {
+    /// None once the grace period of a shutdown is over.
+    pub(super) fastcgi: Option<Acceptor>,
+    /// None where no interconnect is configured.
+    pub(super) interconnect: Option<Acceptor>,
+    /// Both listeners may pause; were each to set a timer of its own, each of those timers would set two more
+    /// while the connection table stays full.
+    retry_scheduled: bool,
+}
+
+impl Acceptors {
+    pub(super) fn new(fastcgi: Acceptor, interconnect: Option<Acceptor>) -> Self {
+        Acceptors {
+            fastcgi: Some(fastcgi),
+            interconnect,
+            retry_scheduled: false,
+        }
+    }
+
+    fn get(&self, kind: ListenerKind) -> Option<&Acceptor> {
+        match kind {
+            ListenerKind::FastCgi => self.fastcgi.as_ref(),
+            ListenerKind::Interconnect => self.interconnect.as_ref(),
+        }
+    }
+
+    fn get_mut(&mut self, kind: ListenerKind) -> Option<&mut Acceptor> {
+        match kind {
+            ListenerKind::FastCgi => self.fastcgi.as_mut(),
+            ListenerKind::Interconnect => self.interconnect.as_mut(),
+        }
+    }
+
+    /// Ends accepting for a shutdown. The interconnect's listener stays bound but unwatched.
+    pub(super) fn close(&mut self, poller: &Poller) {
+        self.fastcgi = None;
+        if let Some(interconnect) = &mut self.interconnect {
+            interconnect.pause(poller);
+        }
+    }
+}
+
+/// Whether the next connection in the kernel's queue may be accepted at once, although this one failed.
+fn concerns_one_connection(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted
+    )
+}
+
+impl EventLoop {
+    /// Accepts all connections that wait at a listener, as far as there is room for them.
+    pub(super) fn accept_clients(&mut self, now: Micros, kind: ListenerKind) {
+        while self.is_accepting(kind) {
+            // With no room left, connections wait in the kernel's queue and are accepted once others have ended.
+            let room = self.make_room_for_client(now);
+            let Some(acceptor) = self.acceptors.get(kind) else {
+                return;
+            };
+            let accepted = room.and_then(|evicted| Ok((acceptor.listener.accept()?.0, evicted)));
+            match accepted {
+                Ok((socket, evicted)) => self.add_client(now, kind, socket, evicted),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if concerns_one_connection(&e) => {}
+                Err(e) => return self.pause_accepting(now, kind, &e),
+            }
+        }
+        if let Some(acceptor) = self.acceptors.get_mut(kind) {
+            acceptor.resume(&self.poller);
+        }
+    }
+
+    fn is_accepting(&self, kind: ListenerKind) -> bool {
+        self.acceptors.get(kind).is_some() && !self.shutdown.is_grace_over()
+    }
+
+    /// No room or no file descriptor is left: accepting goes on in a moment.
+    fn pause_accepting(&mut self, now: Micros, kind: ListenerKind, reason: &io::Error) {
+        log::debug!("accepting on the {kind:?} listener pauses: {reason}");
+        if let Some(acceptor) = self.acceptors.get_mut(kind) {
+            acceptor.pause(&self.poller);
+        }
+        if !std::mem::replace(&mut self.acceptors.retry_scheduled, true) {
+            self.timers
+                .set(now + self.limits.accept_retry_us, TimerEvent::RetryAccept);
+        }
+    }
+
+    /// Accepts again after a pause.
+    pub(super) fn retry_accept(&mut self, now: Micros) {
+        self.acceptors.retry_scheduled = false;
+        self.accept_clients(now, ListenerKind::FastCgi);
+        self.accept_clients(now, ListenerKind::Interconnect);
+    }
+
+    /// Adds an accepted connection to the table, in place of the one that is evicted for it.
+    fn add_client(
+        &mut self,
+        now: Micros,
+        kind: ListenerKind,
+        socket: TcpStream,
+        evicted: Option<SlabKey>,
+    ) {
+        let Ok(conn) = BufferedSocket::new(
+            socket,
+            true,
+            self.limits.input_buffer_bytes,
+            self.limits.output_buffer_bytes,
+        ) else {
+            return;
+        };
+        if let Some(evicted) = evicted {
+            self.close(now, evicted);
+        }
+        let role = self.client_role(kind);
+        if let Some(key) = self.open_connection(now, conn, role) {
+            self.clients.connections += 1;
+            self.timers.set(
+                now + self.limits.client_request_timeout_us,
+                TimerEvent::CheckClient(key),
+            );
+        }
+    }
+
+    fn client_role(&self, kind: ListenerKind) -> ConnectionRole {
+        match kind {
+            ListenerKind::FastCgi => ConnectionRole::FastCgiClient(Default::default()),
+            ListenerKind::Interconnect => {
+                let session =
+                    interconnect::Session::new(self.limits.line_bytes, self.limits.body_bytes);
+                ConnectionRole::InterconnectClient(Box::new(session))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -0,0 +1,138 @@
+//! FastCGI clients: their requests go to the request table, its answers back to them.
+
+use crate::event_loop::connections::{Connection, ConnectionRole};
+use crate::event_loop::EventLoop;
+use crate::frontend::fastcgi::SessionEvent;
+use crate::net::{IoProgress, SlabKey};
+use crate::protocol::ProtocolError;
+use crate::request_table::{Answer, ClientRequest, ResponseTarget};
+use edge_routing::Micros;
+
+/// The status by which a load balancer is told whether to send requests here.
+fn health_status(is_ready: bool) -> &'static str {
+    if is_ready {
+        "200 OK"
+    } else {
+        "503 Service Unavailable"
+    }
+}
+
+impl EventLoop {
+    /// Handles everything that a FastCGI connection has received.
+    pub(in crate::event_loop) fn read_fastcgi_client(
+        &mut self,
+        now: Micros,
+        key: SlabKey,
+    ) -> Result<(), ProtocolError> {
+        loop {
+            let Some(Connection {
+                conn,
+                role: ConnectionRole::FastCgiClient(session),
+                ..
+            }) = self.connections.get_mut(key)
+            else {
+                return Ok(());
+            };
+            let Some(event) = session.read(&mut conn.input, &self.limits)? else {
+                return Ok(());
+            };
+            match event {
+                SessionEvent::Abort(request_key) => {
+                    self.request_table.client_disconnected(now, request_key);
+                }
+                SessionEvent::HealthCheck(stream) => {
+                    let is_ready = self.request_table.is_ready() && !self.shutdown.is_requested();
+                    session.respond_with_status(stream, health_status(is_ready));
+                }
+                SessionEvent::Request(stream, request) => {
+                    self.admit_fastcgi_request(now, key, stream, request);
+                }
+            }
+            // After the session knows its request as admitted: an answer may be given at once.
+            self.execute_commands(now);
+        }
+    }
+
+    /// Hands a request to the request table, or rejects it.
+    fn admit_fastcgi_request(
+        &mut self,
+        now: Micros,
+        key: SlabKey,
+        stream: u16,
+        request: ClientRequest,
+    ) {
+        let Some(Connection {
+            role: ConnectionRole::FastCgiClient(session),
+            ..
+        }) = self.connections.get_mut(key)
+        else {
+            return;
+        };
+        let clients_are_slow = self.clients.unsent_answer_bytes > self.limits.unsent_answer_bytes;
+        // One client's flood must leave room for the requests of the others.
+        let exceeds_share = !self
+            .limits
+            .admits(session.unanswered(), self.request_table.is_half_full());
+        let rejected = clients_are_slow || exceeds_share || self.shutdown.is_grace_over();
+        let target = ResponseTarget {
+            connection: key,
+            stream: u32::from(stream),
+        };
+        let request_key = if rejected {
+            None
+        } else {
+            self.request_table.admit(now, target, request)
+        };
+        match request_key {
+            Some(request_key) => session.request_admitted(stream, request_key),
+            None => session.respond(
+                stream,
+                &Answer::Rejected {
+                    retry_after_us: Some(self.limits.retry_after_us),
+                },
+            ),
+        }
+    }
+
+    /// Gives a client its final answer, on whichever front end it asked.
+    pub(in crate::event_loop) fn respond(
+        &mut self,
+        now: Micros,
+        target: ResponseTarget,
+        answer: Answer,
+    ) {
+        let Some(c) = self.connections.get_mut(target.connection) else {
+            return;
+        };
+        match &mut c.role {
+            ConnectionRole::FastCgiClient(session) => {
+                session.respond(target.stream as u16, &answer);
+                self.write_fastcgi_client(target.connection);
+            }
+            ConnectionRole::InterconnectClient(_) => {
+                self.respond_to_interconnect_client(now, target.connection, answer);
+            }
+            _ => {}
+        }
+    }
+
+    /// Writes as much of a FastCGI connection's answers as its client takes.
+    pub(in crate::event_loop) fn write_fastcgi_client(&mut self, key: SlabKey) {
+        let Some(Connection {
+            conn,
+            role: ConnectionRole::FastCgiClient(session),
+            activity,
+        }) = self.connections.get_mut(key)
+        else {
+            return;
+        };
+        loop {
+            session.write(&mut conn.output);
+            if conn.write() != IoProgress::Advanced {
+                break;
+            }
+        }
+        self.clients
+            .set_unsent_answer_bytes(activity, session.unsent_bytes());
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -0,0 +1,230 @@
+//! The connection table: what each connection is for, and how connections are opened and closed.
+
+use super::clients::ClientActivity;
+use super::notifications::NotificationDelivery;
+use super::timer::TimerEvent;
+use super::EventLoop;
+use crate::discovery::consul::ConsulQuery;
+use crate::discovery::event_bus::EventStreamClient;
+use crate::frontend::{fastcgi, interconnect};
+use crate::net::{connect, BufferedSocket, SlabKey};
+use crate::upstream::UpstreamConnection;
+use edge_routing::Micros;
+use std::net::SocketAddr;
+
+/// What a connection is for, with the state of its protocol.
+pub(super) enum ConnectionRole {
+    /// A web server that sends requests by FastCGI.
+    FastCgiClient(fastcgi::Session),
+    /// A peer CDN, or a client that one redirected here.
+    InterconnectClient(Box<interconnect::Session>),
+    /// A client connection whose writing side is shut down. It is read until the client ends it too.
+    Lingering {
+        /// Bytes read and thrown away so far.
+        discarded_bytes: usize,
+    },
+    /// To a cache server.
+    Upstream(UpstreamConnection),
+    /// To the event bus.
+    EventBus(EventStreamClient),
+    /// To Consul, for one query.
+    Consul(ConsulQuery),
+    /// To a peer CDN, for one notification.
+    Notification(Box<NotificationDelivery>),
+}
+
+impl ConnectionRole {
+    /// Whether the connection was accepted from a client.
+    pub(super) fn is_client(&self) -> bool {
+        matches!(
+            self,
+            ConnectionRole::FastCgiClient(_)
+                | ConnectionRole::InterconnectClient(_)
+                | ConnectionRole::Lingering { .. }
+        )
+    }
+
+    /// Whether a client may still be sent something.
+    fn is_open_client(&self) -> bool {
+        matches!(
+            self,
+            ConnectionRole::FastCgiClient(_) | ConnectionRole::InterconnectClient(_)
+        )
+    }
+}
+
+/// An entry of the connection table.
+pub(super) struct Connection {
+    pub(super) conn: BufferedSocket,
+    pub(super) role: ConnectionRole,
+    /// Of a client connection: since when it does what it does, and what it holds.
+    pub(super) activity: ClientActivity,
+}
+
+impl EventLoop {
+    /// Adds a connection to the table and has the poller watch it. None where the table is full.
+    pub(super) fn open_connection(
+        &mut self,
+        now: Micros,
+        conn: BufferedSocket,
+        role: ConnectionRole,
+    ) -> Option<SlabKey> {
+        let connected = conn.connected;
+        let key = self
+            .connections
+            .insert(Connection {
+                conn,
+                role,
+                activity: ClientActivity::since(now),
+            })
+            .ok()?;
+        let socket = self.connections.get(key)?.conn.socket();
+        // An outgoing connection becomes writable when it is established.
+        if let Err(e) = self.poller.add(socket, key.to_u64(), true, !connected) {
+            log::warn!("a connection can't be watched: {e}");
+            self.connections.remove(key);
+            return None;
+        }
+        Some(key)
+    }
+
+    /// Whether the table has a free slot besides the one kept for the event bus, whose connection may be down just
+    /// then: without it the proxy would hear of no drain and no purge.
+    pub(super) fn has_free_connection_slot(&self) -> bool {
+        let event_bus_is_down =
+            self.reload.config.bus.is_some() && self.event_bus.connection.is_none();
+        let reserved = usize::from(event_bus_is_down);
+        self.connections.free_slots() > reserved
+    }
+
+    /// Begins an outgoing connection. It must be established before its timer comes due.
+    pub(super) fn connect_to(
+        &mut self,
+        now: Micros,
+        address: SocketAddr,
+        role: ConnectionRole,
+    ) -> Option<SlabKey> {
+        let socket = connect(address)
+            .map_err(|e| log::warn!("no connection to {address}: {e}"))
+            .ok()?;
+        let conn = BufferedSocket::new(
+            socket,
+            false,
+            self.limits.input_buffer_bytes,
+            self.limits.output_buffer_bytes,
+        )
+        .ok()?;
+        let key = self.open_connection(now, conn, role)?;
+        self.timers.set(
+            now + self.limits.connect_timeout_us,
+            TimerEvent::ConnectTimeout(key),
+        );
+        Some(key)
+    }
+
+    /// Closes an outgoing connection that was not established in time.
+    pub(super) fn close_unless_connected(&mut self, now: Micros, key: SlabKey) {
+        if self.connections.get(key).is_some_and(|c| !c.conn.connected) {
+            self.close(now, key);
+        }
+    }
+
+    /// Closes a connection to Consul or to a peer CDN whose response has not come in time.
+    pub(super) fn close_unanswered(&mut self, now: Micros, key: SlabKey) {
+        let awaits_response = self.connections.get(key).is_some_and(|c| {
+            matches!(
+                c.role,
+                ConnectionRole::Consul(_) | ConnectionRole::Notification(_)
+            )
+        });
+        if awaits_response {
+            self.close(now, key);
+        }
+    }
+
+    pub(super) fn is_client(&self, key: SlabKey) -> bool {
+        self.connections
+            .get(key)
+            .is_some_and(|c| c.role.is_client())
+    }
+
+    /// Updates what the poller watches a connection for: reading while there is room for input, writing while there
+    /// is output.
+    pub(super) fn update_poll_interest(&mut self, key: SlabKey) {
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        let Some((read, write)) = c.conn.take_interest_change() else {
+            return;
+        };
+        let changed = self
+            .poller
+            .change(c.conn.socket(), key.to_u64(), read, write);
+        if let Err(e) = changed {
+            log::warn!("a connection can't be watched: {e}");
+        }
+    }
+
+    /// Ends a connection from this side. A client connection lingers: closing it over bytes that are unread, or that
+    /// cross the close, would reset it, and output that was written before would be lost on its way.
+    pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey) {
+        // Answers that are ready are still owed; a client that does not take them is not waited for.
+        self.write_fastcgi_client(key);
+        let Some(c) = self.connections.get_mut(key) else {
+            return;
+        };
+        c.conn.write();
+        if !c.role.is_open_client() || c.conn.shut_down_writes().is_err() {
+            return self.close(now, key);
+        }
+        c.conn.input.clear();
+        self.clients.release(&mut c.activity);
+        c.activity.since = now;
+        let lingering = ConnectionRole::Lingering { discarded_bytes: 0 };
+        let role = std::mem::replace(&mut c.role, lingering);
+        self.abandon_requests(now, role);
+        self.timers.set(
+            now + self.limits.lingering_close_us,
+            TimerEvent::CheckClient(key),
+        );
+        self.update_poll_interest(key);
+    }
+
+    /// Closes a connection at once.
+    pub(super) fn close(&mut self, now: Micros, key: SlabKey) {
+        self.read_remaining_answers(now, key);
+        let Some(Connection {
+            conn,
+            role,
+            mut activity,
+        }) = self.connections.remove(key)
+        else {
+            return;
+        };
+        match role {
+            ConnectionRole::FastCgiClient(_)
+            | ConnectionRole::InterconnectClient(_)
+            | ConnectionRole::Lingering { .. } => {
+                self.clients.connections -= 1;
+                self.clients.release(&mut activity);
+                self.abandon_requests(now, role);
+            }
+            ConnectionRole::Upstream(upstream) => self.upstream_closed(now, key, &conn, upstream),
+            ConnectionRole::Notification(delivery) => self.notification_attempted(now, delivery),
+            ConnectionRole::Consul(_) => self.handle_consul_response(now, None),
+            ConnectionRole::EventBus(_) => self.event_bus_closed(now, key),
+        }
+    }
+
+    /// Tells the request table that the client of a connection waits for no answer any more.
+    fn abandon_requests(&mut self, now: Micros, role: ConnectionRole) {
+        let request_keys = match role {
+            ConnectionRole::FastCgiClient(session) => session.request_keys(),
+            ConnectionRole::InterconnectClient(session) => session.waiting.into_iter().collect(),
+            _ => return,
+        };
+        for request_key in request_keys {
+            self.request_table.client_disconnected(now, request_key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -0,0 +1,101 @@
+//! Consul as the source of the endpoint list: one query after the other, each on a connection of its own.
+
+use super::connections::{Connection, ConnectionRole};
+use super::timer::TimerEvent;
+use super::EventLoop;
+use crate::discovery::consul::{Consul, ConsulQuery};
+use crate::net::SlabKey;
+use crate::protocol::{http, ProtocolError};
+use edge_routing::{EndpointListMode, Micros};
+use std::net::SocketAddr;
+
+/// How long Consul may hold a blocking query back until something changes.
+const BLOCKING_QUERY_WAIT_S: u64 = 10;
+
+/// Polls Consul by blocking queries.
+pub(super) struct ConsulPoller {
+    pub(super) address: SocketAddr,
+    pub(super) consul: Consul,
+}
+
+impl ConsulPoller {
+    pub(super) fn new(address: SocketAddr, service: String) -> Self {
+        ConsulPoller {
+            address,
+            consul: Consul::new(service, BLOCKING_QUERY_WAIT_S),
+        }
+    }
+}
+
+impl EventLoop {
+    /// Begins the next query, if Consul is configured.
+    pub(super) fn query_consul(&mut self, now: Micros) {
+        let Some(poller) = &self.consul else {
+            return;
+        };
+        let address = poller.address;
+        let query = ConsulQuery::new(&self.limits);
+        match self.connect_to(now, address, ConnectionRole::Consul(query)) {
+            Some(key) => self.timers.set(
+                now + self.limits.consul_timeout_us,
+                TimerEvent::ResponseTimeout(key),
+            ),
+            None => self.timers.set(
+                now + self.limits.reconnect_delay_us,
+                TimerEvent::QueryConsul,
+            ),
+        };
+    }
+
+    /// Handles what Consul has sent.
+    pub(super) fn read_consul(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
+        let Some(Connection {
+            conn,
+            role: ConnectionRole::Consul(query),
+            ..
+        }) = self.connections.get_mut(key)
+        else {
+            return Ok(());
+        };
+        let input = conn.input.readable();
+        let input_bytes = input.len();
+        let response = query.read(input)?;
+        conn.input.consume(input_bytes);
+        if response.is_some() {
+            // One query a connection. It is removed rather than closed, since closing counts as a failed query.
+            self.connections.remove(key);
+            self.handle_consul_response(now, response);
+        }
+        Ok(())
+    }
+
+    /// Takes in the response to the last query; none where it failed. The next query follows at once, or after a
+    /// pause where this one failed.
+    pub(super) fn handle_consul_response(
+        &mut self,
+        now: Micros,
+        response: Option<(http::Head, Vec<u8>)>,
+    ) {
+        let Some(ConsulPoller { consul, .. }) = &mut self.consul else {
+            return;
+        };
+        let update = response
+            .ok_or("no answer".to_owned())
+            .and_then(|(head, body)| consul.response(&head, &body));
+        let next_query = match update {
+            Ok(servers) => {
+                if let Some(servers) = servers {
+                    self.request_table
+                        .update_endpoints(now, EndpointListMode::Snapshot, servers);
+                }
+                now
+            }
+            Err(e) => {
+                log::warn!("Consul: {e}");
+                consul.failed();
+                now + self.limits.reconnect_delay_us
+            }
+        };
+        self.timers.set(next_query, TimerEvent::QueryConsul);
+    }
+}
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -1,786 +1,203 @@
-//! The loop: sockets and timers on one side, the request_table on the other.
-
-use crate::config::{Config, Source};
-use crate::discovery::consul::{Consul, ConsulQuery};
-use crate::discovery::event_bus::{self as bus, EventStreamClient};
-use crate::discovery::purge_log::PurgeLog;
-use crate::frontend::fastcgi::Session;
-use crate::frontend::interconnect::{self as cdni, InterconnectFrontend};
-use crate::limits::Limits;
-use crate::net::{
-    connect, BufferedSocket, Clock, IoProgress, Poller, Readiness, Slab, SlabKey, TimerKey,
-    TimerQueue,
-};
-use crate::protocol::ProtocolError;
-use crate::request_table::{Command, RequestTable, RequestTimer};
-use crate::upstream::{UpstreamConnection, UpstreamEvent};
-use edge_routing::{Micros, ServerId};
-use std::collections::{btree_map::Entry, BTreeMap};
-use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::os::unix::net::UnixStream;
-
+//! The event loop: sockets, timers and signals on one side, the request table on the other.
+//!
+//! One thread waits for readiness, handles what is ready, then the timers that are due. After each of these it
+//! executes the commands that the request table has issued meanwhile, so that decisions take effect in the order in
+//! which they were made.
+//!
+//! | What | Where |
+//! | --- | --- |
+//! | Sockets bound, purges and known events replayed | `startup` |
+//! | Clients accepted, and accepting paused | `acceptor` |
+//! | The connection table: opening, closing | `connections` |
+//! | Readiness of a connection: reading, writing | `readiness` |
+//! | Everything that happens at a set time | `timer` |
+//! | Client connections: FastCGI, accounting, eviction | `clients` |
+//! | Interconnect clients, notifications to peer CDNs | `interconnect`, `notifications` |
+//! | Connections to cache servers | `upstreams` |
+//! | Sources of the endpoint list and of purges | `event_bus`, `consul`, `purge_gossip` |
+//! | SIGTERM | `signals`, `shutdown` |
+//! | SIGHUP | `signals`, `reload` |
+
+mod acceptor;
 mod clients;
-mod discovery;
+mod connections;
+mod consul;
+mod event_bus;
 mod interconnect;
+mod notifications;
+mod purge_gossip;
+mod readiness;
+mod reload;
+mod shutdown;
+mod signals;
+mod startup;
+mod timer;
+mod tokens;
 mod upstreams;
 
-use interconnect::NotificationDelivery;
-
-const LISTENER: u64 = u64::MAX;
-const SIGNAL: u64 = u64::MAX - 1;
-const PEERS: u64 = u64::MAX - 2;
-const CDNI: u64 = u64::MAX - 3;
-const RELOAD: u64 = u64::MAX - 4;
-/// The longest wait of the loop where no deadline is near.
-const IDLE_US: Micros = 1_000_000;
-
-enum ConnectionRole {
-    FastCgiClient(Session),
-    Upstream(UpstreamConnection),
-    EventBus(EventStreamClient),
-    Consul(ConsulQuery),
-    InterconnectClient(Box<cdni::Session>),
-    /// A client's whose writing side is shut: it is read until its client ends it too, and so many bytes were
-    /// passed over.
-    Lingering(usize),
-    Notification(Box<NotificationDelivery>),
-}
-
-impl ConnectionRole {
-    fn is_client(&self) -> bool {
-        matches!(
-            self,
-            ConnectionRole::FastCgiClient(_)
-                | ConnectionRole::InterconnectClient(_)
-                | ConnectionRole::Lingering(_)
-        )
-    }
-}
-
-struct Connection {
-    conn: BufferedSocket,
-    role: ConnectionRole,
-    /// A client's: when it was last waited for here, or what it is now at began.
-    since: Micros,
-    /// A client's: a request had come in part when that was last looked at.
-    half: bool,
-    /// Bytes of waiting answers that the daemon's sum holds for it.
-    waiting: usize,
-    /// The same of requests that have come in part.
-    half_bytes: usize,
-}
-
-/// What has a deadline.
-#[derive(Clone, Debug)]
-enum TimerEvent {
-    Request(RequestTimer),
-    /// A connection begun from here must be up.
-    ConnectTimeout(SlabKey),
-    /// A link is looked at again: barred ids, stalled writing.
-    CheckUpstream(SlabKey),
-    /// The bus is called, or found silent.
-    CheckEventBus,
-    /// Consul is asked.
-    QueryConsul,
-    /// The answer on a connection must have come.
-    ResponseTimeout(SlabKey),
-    /// A payload is sent to a neighbour once more.
-    RetryNotification(Box<NotificationDelivery>),
-    /// A connection's next request, which waited for the answer to the one before.
-    ResumeInterconnectClient(SlabKey),
-    /// A purge is told to the peers once more, and so many times again.
-    RepeatPurgeGossip(String, u8),
-    /// A client's connection is looked at: it may hold its place for nothing.
-    CheckClient(SlabKey),
-    /// Accepting goes on.
-    RetryAccept,
-    /// The grace after SIGTERM is over.
-    EndShutdownGrace,
-    /// The process may be killed right after this.
-    ShutdownDeadline,
-}
-
-/// Does to a daemon what the signals do.
-pub struct ControlHandle {
-    term: UnixStream,
-    hup: UnixStream,
-}
-
-impl ControlHandle {
-    /// Ends it as SIGTERM does, once all that it has taken is answered.
-    pub fn stop(&mut self) -> io::Result<()> {
-        io::Write::write_all(&mut self.term, b"t")
-    }
-
-    /// Has it read its configuration again, as SIGHUP does.
-    pub fn reload(&mut self) -> io::Result<()> {
-        io::Write::write_all(&mut self.hup, b"h")
-    }
-}
-
-/// The two ends of what a signal is heard by: the one that is read, and the one that the signal writes to.
-struct Signal {
-    heard: UnixStream,
-    raised: UnixStream,
-}
+pub use signals::ControlHandle;
+pub use startup::StartError;
 
-impl Signal {
-    fn register(signal: i32) -> io::Result<Self> {
-        let (heard, raised) = UnixStream::pair()?;
-        heard.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(signal, raised.try_clone()?)?;
-        Ok(Signal { heard, raised })
-    }
+use crate::limits::Limits;
+use crate::net::{Clock, Poller, Readiness, Slab, SlabKey, TimerQueue};
+use crate::request_table::{Answer, Command, RequestTable, ResponseTarget};
+use acceptor::{Acceptor, Acceptors, ListenerKind};
+use clients::ClientAccounting;
+use connections::Connection;
+use consul::ConsulPoller;
+use edge_routing::Micros;
+use event_bus::EventBusSubscription;
+use interconnect::Interconnect;
+use purge_gossip::PurgeGossip;
+use reload::Reload;
+use shutdown::Shutdown;
+use signals::Signals;
+use std::io;
+use std::net::SocketAddr;
+use timer::TimerEvent;
+use upstreams::UpstreamConnections;
 
-    /// Takes in what was raised: signals that come close together count as one.
-    fn clear(&mut self) {
-        let mut bytes = [0; 16];
-        while io::Read::read(&mut self.heard, &mut bytes).is_ok_and(|n| n > 0) {}
-    }
-}
+/// The longest wait for readiness where no timer is near.
+const MAX_WAIT_US: Micros = 1_000_000;
 
-/// The daemon.
+/// The proxy as a running program. It owns every socket and timer.
 pub struct EventLoop {
     clock: Clock,
     limits: Limits,
     request_table: RequestTable,
-    poll: Poller,
-    listener: Option<TcpListener>,
-    accepting: bool,
-    accepts_later: bool,
-    term: Signal,
-    hup: Signal,
-    /// The configuration that is in force, and where a new one is read from.
-    config: Config,
-    source: Source,
-    connections: Slab<Connection>,
-    clients: usize,
-    upstream_connections: BTreeMap<ServerId, Vec<SlabKey>>,
+    poller: Poller,
     timers: TimerQueue<TimerEvent>,
-    event_stream: Option<SlabKey>,
-    bus_timer: Option<TimerKey>,
-    last_event: u64,
-    consul: Option<(SocketAddr, Consul)>,
-    peers: Option<(UdpSocket, Vec<SocketAddr>)>,
-    interconnect: Option<(TcpListener, InterconnectFrontend)>,
-    purge_log: Option<PurgeLog>,
-    /// Payloads to neighbours that are on their way or wait to be tried again.
-    posts: usize,
-    /// What neighbours were last told of our being able to serve.
-    told_ready: bool,
-    waiting_answers: usize,
-    half_bytes: usize,
-    stopping: bool,
-    grace_over: bool,
+    connections: Slab<Connection>,
+    signals: Signals,
+    shutdown: Shutdown,
+    reload: Reload,
+    acceptors: Acceptors,
+    clients: ClientAccounting,
+    upstream_connections: UpstreamConnections,
+    event_bus: EventBusSubscription,
+    consul: Option<ConsulPoller>,
+    purge_gossip: Option<PurgeGossip>,
+    interconnect: Option<Interconnect>,
 }
 
 impl EventLoop {
-    /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from `source`.
-    pub fn start(mut config: Config, source: Source) -> Result<Self, String> {
-        let text = |e: io::Error| e.to_string();
-        let limits = config.limits.clone();
-        let listener = TcpListener::bind(config.listen)
-            .map_err(|e| format!("listen: {}: {e}", config.listen))?;
-        listener.set_nonblocking(true).map_err(text)?;
-        let term = Signal::register(signal_hook::consts::SIGTERM).map_err(text)?;
-        let hup = Signal::register(signal_hook::consts::SIGHUP).map_err(text)?;
-        let poll = Poller::new(256).map_err(text)?;
-        poll.add(&listener, LISTENER, true, false).map_err(text)?;
-        poll.add(&term.heard, SIGNAL, true, false).map_err(text)?;
-        poll.add(&hup.heard, RELOAD, true, false).map_err(text)?;
-        let (mut interconnect, mut peers, mut purge_log) = (None, None, None);
-        if let Some(cdni) = config.cdni.clone() {
-            let listener = TcpListener::bind(cdni.listen)
-                .map_err(|e| format!("cdni.listen: {}: {e}", cdni.listen))?;
-            listener.set_nonblocking(true).map_err(text)?;
-            poll.add(&listener, CDNI, true, false).map_err(text)?;
-            interconnect = Some((
-                listener,
-                InterconnectFrontend::new(cdni.identity, config.seed, limits.triggers),
-            ));
-            if let Some(path) = cdni.purges {
-                let open = PurgeLog::open(&path);
-                purge_log =
-                    Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
-            }
-            // Peers are only told what the second front is told.
-            if let Some((own, known)) = config.peers.clone() {
-                let socket =
-                    UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
-                socket.set_nonblocking(true).map_err(text)?;
-                poll.add(&socket, PEERS, true, false).map_err(text)?;
-                peers = Some((socket, known));
-            }
-        }
-        let request_table = RequestTable::new(config.settings.clone(), config.seed, &limits)
-            .map_err(|e| e.to_string())?;
-        let (last_event, known) = std::mem::take(&mut config.known);
-        let mut daemon = EventLoop {
-            clock: Clock::start(),
-            request_table,
-            poll,
-            listener: Some(listener),
-            accepting: true,
-            accepts_later: false,
-            term,
-            hup,
-            connections: Slab::new(limits.connections),
-            clients: 0,
-            upstream_connections: BTreeMap::new(),
-            timers: TimerQueue::default(),
-            event_stream: None,
-            bus_timer: None,
-            last_event,
-            consul: config
-                .consul
-                .clone()
-                .map(|(to, service)| (to, Consul::new(service, 10))),
-            peers,
-            interconnect,
-            purge_log,
-            posts: 0,
-            told_ready: false,
-            waiting_answers: 0,
-            half_bytes: 0,
-            stopping: false,
-            grace_over: false,
-            limits,
-            config,
-            source,
-        };
-        let now = daemon.clock.now();
-        let kept = daemon
-            .purge_log
-            .as_ref()
-            .map(PurgeLog::purges)
-            .unwrap_or_default();
-        for (object, group, at) in kept {
-            daemon
-                .request_table
-                .purge_permanently(now, object, group, at);
-        }
-        known
-            .into_iter()
-            .for_each(|event| daemon.apply_event_bus_message(now, event));
-        daemon.connect_event_bus(now);
-        daemon.query_consul(now);
-        daemon.execute_commands(now);
-        if let Some(address) = daemon.address() {
-            log::info!("{} listens on {address}", daemon.config.name);
-        }
-        if let Some(address) = daemon.cdni_address() {
-            log::info!("peer CDNs connect to {address}");
-        }
-        Ok(daemon)
+    /// Where FastCGI clients connect; none once a shutdown's grace period is over.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.acceptors.fastcgi.as_ref().and_then(Acceptor::address)
     }
 
-    /// Where clients connect.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+    /// Where peer CDNs connect; none without an interconnect.
+    pub fn cdni_address(&self) -> Option<SocketAddr> {
+        self.acceptors
+            .interconnect
+            .as_ref()
+            .and_then(Acceptor::address)
     }
 
-    /// What does to it from another thread what signals do.
+    /// A handle that does from another thread what the signals do.
     pub fn control(&self) -> io::Result<ControlHandle> {
-        Ok(ControlHandle {
-            term: self.term.raised.try_clone()?,
-            hup: self.hup.raised.try_clone()?,
-        })
+        self.signals.control_handle()
     }
 
-    /// Serves until SIGTERM, and then until all is answered.
+    /// Serves until SIGTERM, and then until everything that was admitted is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut ready = Vec::new();
-        while !self.is_done() {
-            let now = self.clock.now();
-            let wait = self
-                .timers
-                .next_due()
-                .map_or(IDLE_US, |at| at.saturating_sub(now))
-                .min(IDLE_US);
-            self.poll.wait(wait, &mut ready)?;
+        while !self.is_shut_down() {
+            self.poller.wait(self.wait_us(), &mut ready)?;
             for event in ready.drain(..) {
-                self.event(event);
-            }
-            let now = self.clock.now();
-            while let Some(timer) = self.timers.pop_due(now) {
-                self.timer(now, timer);
-                self.execute_commands(now);
+                self.handle_poll_event(event);
             }
+            self.handle_due_timers();
         }
-        let c = self.request_table.counters;
-        log::info!(
-            "ended: {} taken, {} served, {} refused, {} failed, {} left, {} attempts",
-            c.taken,
-            c.served,
-            c.refused,
-            c.failed,
-            c.left,
-            c.attempts
-        );
+        self.log_summary();
         Ok(())
     }
 
-    fn is_done(&self) -> bool {
-        // A client's connection that is left has something owed to it, or lingers. What is out for nobody is
-        // given up with its connection.
-        self.grace_over && self.clients == 0
+    /// How long the poller may wait: until the next timer, within bounds.
+    fn wait_us(&self) -> Micros {
+        let now = self.clock.now();
+        let until_next_timer = self
+            .timers
+            .next_due()
+            .map_or(MAX_WAIT_US, |at| at.saturating_sub(now));
+        until_next_timer.min(MAX_WAIT_US)
     }
 
-    fn event(&mut self, event: Readiness) {
+    /// Dispatches what the poller reports, by its token.
+    fn handle_poll_event(&mut self, event: Readiness) {
         let now = self.clock.now();
         match event.token {
-            LISTENER => self.accept(now),
-            SIGNAL => self.begin_shutdown(now),
-            RELOAD => self.reload(now),
-            PEERS => self.receive_purge_gossip(now),
-            CDNI => self.accept_cdni(now),
+            tokens::FASTCGI_LISTENER => self.accept_clients(now, ListenerKind::FastCgi),
+            tokens::INTERCONNECT_LISTENER => self.accept_clients(now, ListenerKind::Interconnect),
+            tokens::SIGTERM => self.begin_shutdown(now),
+            tokens::SIGHUP => self.reload(now),
+            tokens::PURGE_GOSSIP => self.receive_purge_gossip(now),
             token => self.handle_readiness(now, SlabKey::from_u64(token), event),
         }
         self.execute_commands(now);
-        self.notify(now);
+        self.announce_readiness(now);
     }
 
-    fn timer(&mut self, now: Micros, timer: TimerEvent) {
-        match timer {
-            TimerEvent::Request(wake) => self.request_table.timer_fired(now, wake),
-            TimerEvent::ConnectTimeout(key) => {
-                if self.connections.get(key).is_some_and(|c| !c.conn.connected) {
-                    self.close(now, key);
-                }
-            }
-            TimerEvent::CheckUpstream(key) => self.check_upstream(now, key),
-            TimerEvent::CheckClient(key) => self.check_client(now, key),
-            TimerEvent::CheckEventBus => self.check_event_bus(now),
-            TimerEvent::QueryConsul => self.query_consul(now),
-            TimerEvent::ResponseTimeout(key) => self.answer_timed_out(now, key),
-            TimerEvent::ResumeInterconnectClient(key) => self.serve_cdni(now, key),
-            TimerEvent::RetryNotification(delivery) => self.post(now, delivery),
-            TimerEvent::RepeatPurgeGossip(text, left) => self.gossip_purge(now, text, left),
-            TimerEvent::RetryAccept => {
-                self.accepts_later = false;
-                self.accept(now);
-                self.accept_cdni(now);
-            }
-            TimerEvent::EndShutdownGrace => self.end_shutdown_grace(now),
-            TimerEvent::ShutdownDeadline => self.request_table.fail_all_pending(now),
-        }
-    }
-
-    // ---- Signals ----
-
-    fn begin_shutdown(&mut self, now: Micros) {
-        self.term.clear();
-        if !std::mem::replace(&mut self.stopping, true) {
-            log::info!("SIGTERM: answering what is open");
-            self.timers.set(
-                now + self.limits.shutdown_grace_us,
-                TimerEvent::EndShutdownGrace,
-            );
-            self.timers.set(
-                now + self.limits.shutdown_deadline_us,
-                TimerEvent::ShutdownDeadline,
-            );
+    fn handle_due_timers(&mut self) {
+        let now = self.clock.now();
+        while let Some(timer) = self.timers.pop_due(now) {
+            self.handle_timer(now, timer);
+            self.execute_commands(now);
         }
     }
 
-    /// From here on no request is taken: what came now might still be open when the process is killed. What was
-    /// asked before is answered, and each client's connection is ended once nothing is owed on it.
-    fn end_shutdown_grace(&mut self, now: Micros) {
-        self.accept(now);
-        self.accept_cdni(now);
-        let clients: Vec<SlabKey> = self
-            .connections
-            .keys()
-            .into_iter()
-            .filter(|key| self.is_client(*key))
-            .collect();
-        // What has come by now was taken within the grace.
-        clients
-            .iter()
-            .for_each(|key| self.look_for_input(now, *key));
-        self.grace_over = true;
-        self.listener = None;
-        if let Some((listener, _)) = &self.interconnect {
-            let _ = self.poll.change(listener, CDNI, false, false);
-        }
-        for key in clients {
-            if !self.write(now, key) {
-                self.end(now, key);
+    /// Executes the commands of the request table, and those that follow from them.
+    fn execute_commands(&mut self, now: Micros) {
+        loop {
+            let commands = self.request_table.take_commands();
+            if commands.is_empty() {
+                return;
             }
-        }
-    }
-
-    fn is_client(&self, key: SlabKey) -> bool {
-        self.connections
-            .get(key)
-            .is_some_and(|c| c.role.is_client())
-    }
-
-    /// Takes in what a client has sent by now, also where the loop has not been told of it yet.
-    fn look_for_input(&mut self, now: Micros, key: SlabKey) {
-        self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
-        self.execute_commands(now);
-    }
-
-    /// Reads the configuration again. Nothing that is open is dropped for it, and a faulty file changes
-    /// nothing: a daemon that ended over it would take all its clients with it.
-    fn reload(&mut self, now: Micros) {
-        self.hup.clear();
-        let mut new = match (self.source)() {
-            Ok(new) => new,
-            Err(e) => return log::error!("SIGHUP: the configuration stays as it was: {e}"),
-        };
-        for key in self.config.fixed_changes(&new) {
-            log::warn!("SIGHUP: '{key}' has changed, which takes effect with the next start only");
-        }
-        if let (Some((_, known)), Some((_, peers))) = (&mut self.peers, &new.peers) {
-            known.clone_from(peers);
-        }
-        let moved = self.config.bus != new.bus;
-        self.config.bus = new.bus;
-        self.config.peers = new.peers.take().or(self.config.peers.take());
-        log::info!(
-            "SIGHUP: the configuration is read again{}",
-            if moved {
-                "; the event bus has moved"
-            } else {
-                ""
+            for command in commands {
+                self.execute_command(now, command);
             }
-        );
-        if moved {
-            self.follow_moved_event_bus(now);
-        }
-    }
-
-    // ---- Connections ----
-
-    fn open(&mut self, now: Micros, conn: BufferedSocket, role: ConnectionRole) -> Option<SlabKey> {
-        let up = conn.connected;
-        let key = self
-            .connections
-            .insert(Connection {
-                conn,
-                role,
-                since: now,
-                half: false,
-                waiting: 0,
-                half_bytes: 0,
-            })
-            .ok()?;
-        let c = self.connections.get(key)?;
-        if let Err(e) = self.poll.add(c.conn.socket(), key.to_u64(), true, !up) {
-            log::warn!("a connection can't be watched: {e}");
-            self.connections.remove(key);
-            return None;
         }
-        Some(key)
     }
 
-    /// Whether there is a place for one more connection besides that of the event bus, which may not be up just
-    /// then: without it nobody would hear of drains and purges.
-    fn has_place(&self) -> bool {
-        let kept = usize::from(self.config.bus.is_some() && self.event_stream.is_none());
-        self.connections.free_slots() > kept
-    }
-
-    fn call(&mut self, now: Micros, to: SocketAddr, role: ConnectionRole) -> Option<SlabKey> {
-        let socket = connect(to)
-            .map_err(|e| log::warn!("no connection to {to}: {e}"))
-            .ok()?;
-        let conn = BufferedSocket::new(
-            socket,
-            false,
-            self.limits.input_buffer_bytes,
-            self.limits.output_buffer_bytes,
-        )
-        .ok()?;
-        let key = self.open(now, conn, role)?;
-        self.timers.set(
-            now + self.limits.connect_timeout_us,
-            TimerEvent::ConnectTimeout(key),
-        );
-        Some(key)
-    }
-
-    fn handle_readiness(&mut self, now: Micros, key: SlabKey, ready: Readiness) {
-        // A stale event, of a connection that ended earlier in the same round, misses by its generation.
-        let Some(c) = self.connections.get_mut(key) else {
-            return;
-        };
-        if ready.write && !c.conn.connected {
-            if c.conn.finish_connect().is_err() {
-                return self.close(now, key);
-            }
-            match (&c.role, self.config.bus, &self.consul) {
-                (ConnectionRole::EventBus(_), Some(bus), _) => {
-                    c.conn
-                        .output
-                        .push(&bus::request(&bus.to_string(), self.last_event));
-                }
-                (ConnectionRole::Consul(_), _, Some((to, consul))) => {
-                    c.conn.output.push(&consul.request(&to.to_string()));
-                }
-                (ConnectionRole::Notification(delivery), ..) => {
-                    c.conn.output.push(&delivery.request());
-                }
-                _ => {}
+    fn execute_command(&mut self, now: Micros, command: Command) {
+        match command {
+            Command::SendAttempt(attempt) => self.send_attempt(now, attempt),
+            Command::CancelAttempt(attempt, server) => self.cancel_attempt(now, attempt, server),
+            Command::DequeueAttempt(attempt, server) => self.dequeue_attempt(now, attempt, server),
+            Command::Respond(target, answer) => self.deliver_answer(now, target, answer),
+            Command::SetTimer(at, timer) => {
+                self.timers.set(at, TimerEvent::Request(timer));
             }
+            Command::Probe(server) => self.probe(now, server),
+            Command::DrainServer(server) => self.drain_server(now, server),
         }
-        let mut over = false;
-        if ready.read && c.conn.connected {
-            let got = c.conn.read(ready.broken);
-            let ended = matches!(got, IoProgress::PeerClosed | IoProgress::Broken);
-            if let Err(e) = self.read(now, key) {
-                // Whoever sends garbage must not fill the log with it.
-                let client = self
-                    .connections
-                    .get(key)
-                    .is_some_and(|c| c.role.is_client());
-                log::log!(
-                    if client {
-                        log::Level::Debug
-                    } else {
-                        log::Level::Warn
-                    },
-                    "a connection is ended: {e}"
-                );
-                over = true;
-            }
-            if ended {
-                return self.close(now, key);
-            }
-        }
-        if over || !self.write(now, key) {
-            return self.end(now, key);
-        }
-        self.update_client_activity(now, key);
-        self.bound_half(now, key);
     }
 
-    fn read(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
-        let Some(c) = self.connections.get_mut(key) else {
-            return Ok(());
-        };
-        match &mut c.role {
-            ConnectionRole::FastCgiClient(_) => self.read_client(now, key),
-            ConnectionRole::InterconnectClient(_) => self.read_cdni(now, key),
-            ConnectionRole::Lingering(passed_over) => {
-                *passed_over += c.conn.input.len();
-                c.conn.input.clear();
-                if *passed_over > self.limits.lingering_close_bytes {
-                    return Err(ProtocolError::TooLong("what comes behind the end"));
-                }
-                Ok(())
-            }
-            ConnectionRole::Notification(delivery) => {
-                let front = c.conn.input.readable();
-                let taken = front.len();
-                let result = delivery.read(front);
-                c.conn.input.consume(taken);
-                result
-            }
-            ConnectionRole::Consul(call) => {
-                let front = c.conn.input.readable();
-                let taken = front.len();
-                let response = call.read(front)?;
-                c.conn.input.consume(taken);
-                if response.is_some() {
-                    // One query a connection: the next begins anew.
-                    self.connections.remove(key);
-                    self.handle_consul_response(now, response);
-                }
-                Ok(())
-            }
-            ConnectionRole::Upstream(link) => {
-                let mut told = Vec::new();
-                let result = link.read(now, &mut c.conn, &self.request_table, &mut told);
-                let server = link.server;
-                if told.iter().any(UpstreamEvent::is_not_final) {
-                    // What is remembered of it goes then.
-                    self.timers.set(
-                        now + self.limits.stream_memory_us + 1,
-                        TimerEvent::CheckUpstream(key),
-                    );
-                }
-                self.tell(now, server, told);
-                result
-            }
-            ConnectionRole::EventBus(event_stream) => {
-                let mut events = Vec::new();
-                let mut result = Ok(());
-                while !c.conn.input.is_empty() && result.is_ok() {
-                    let front = c.conn.input.readable();
-                    let taken = front.len();
-                    result = event_stream
-                        .read(now, front, &mut self.last_event)
-                        .map(|e| events.extend(e));
-                    c.conn.input.consume(taken);
-                }
-                events
-                    .into_iter()
-                    .for_each(|event| self.handle_event_bus_message(now, event));
-                result
-            }
+    /// Gives a client its final answer, and ends its connection where that was the last one.
+    fn deliver_answer(&mut self, now: Micros, target: ResponseTarget, answer: Answer) {
+        self.respond(now, target, answer);
+        if !self.write(now, target.connection) {
+            self.close_gracefully(now, target.connection);
         }
+        self.update_client_activity(now, target.connection);
     }
 
-    /// Writes what is waiting; false where the connection is over.
-    fn write(&mut self, now: Micros, key: SlabKey) -> bool {
-        let Some(c) = self.connections.get_mut(key) else {
-            return true;
-        };
-        let sound = match &mut c.role {
-            ConnectionRole::FastCgiClient(_) => {
-                self.write_client(key);
-                self.connections.get(key).is_none_or(|c| match &c.role {
-                    ConnectionRole::FastCgiClient(s) => {
-                        let last = s.is_finished()
-                            || self.grace_over && s.is_idle() && !s.has_partial_input();
-                        !(last && c.conn.output.is_empty())
-                    }
-                    _ => true,
-                })
-            }
-            ConnectionRole::Lingering(_) => true,
-            ConnectionRole::Upstream(_) => self.pump(now, key),
-            ConnectionRole::InterconnectClient(_) => {
-                self.write_cdni(key)
-                    && self.connections.get(key).is_none_or(|c| match &c.role {
-                        ConnectionRole::InterconnectClient(s) => {
-                            let last = self.grace_over && s.is_idle() && !s.has_partial_input();
-                            !(last && c.conn.output.is_empty())
-                        }
-                        _ => true,
-                    })
-            }
-            ConnectionRole::Notification(delivery) => {
-                !delivery.is_done() && c.conn.write() != IoProgress::Broken
-            }
-            ConnectionRole::EventBus(_) | ConnectionRole::Consul(_) => {
-                c.conn.write() != IoProgress::Broken
-            }
-        };
-        self.watch(key);
-        sound
-    }
-
-    fn watch(&mut self, key: SlabKey) {
-        let Some(c) = self.connections.get_mut(key) else {
-            return;
-        };
-        if let Some((read, write)) = c.conn.take_interest_change() {
-            if let Err(e) = self.poll.change(c.conn.socket(), key.to_u64(), read, write) {
-                log::warn!("a connection can't be watched: {e}");
-            }
-        }
+    /// Whether the proxy reports itself as ready for requests.
+    fn is_ready(&self) -> bool {
+        self.request_table.is_ready() && !self.shutdown.is_requested()
     }
 
-    /// Ends a connection from here. A client's lingers: a close over bytes that are not read, or that cross it,
-    /// would reset it, and what was written before would be lost on its way.
-    fn end(&mut self, now: Micros, key: SlabKey) {
-        // What is answered is still owed; a client that takes none of it is not waited for.
-        self.write_client(key);
-        let Some(c) = self.connections.get_mut(key) else {
-            return;
-        };
-        c.conn.write();
-        if !matches!(
-            c.role,
-            ConnectionRole::FastCgiClient(_) | ConnectionRole::InterconnectClient(_)
-        ) || c.conn.shut_down_writes().is_err()
-        {
-            return self.close(now, key);
-        }
-        c.conn.input.clear();
-        c.since = now;
-        let role = std::mem::replace(&mut c.role, ConnectionRole::Lingering(0));
-        self.waiting_answers -= std::mem::take(&mut c.waiting);
-        self.half_bytes -= std::mem::take(&mut c.half_bytes);
-        self.left_by(now, role);
-        self.timers.set(
-            now + self.limits.lingering_close_us,
-            TimerEvent::CheckClient(key),
+    fn log_summary(&self) {
+        let counters = self.request_table.counters;
+        log::info!(
+            "ended: {} requests admitted, {} served, {} rejected, {} failed, {} abandoned by their clients, \
+             {} attempts",
+            counters.taken,
+            counters.served,
+            counters.refused,
+            counters.failed,
+            counters.left,
+            counters.attempts
         );
-        self.watch(key);
-    }
-
-    /// No answer is owed any more for what a client's connection has open.
-    fn left_by(&mut self, now: Micros, role: ConnectionRole) {
-        let request_keys = match role {
-            ConnectionRole::FastCgiClient(session) => session.request_keys(),
-            ConnectionRole::InterconnectClient(session) => session.waiting.into_iter().collect(),
-            _ => return,
-        };
-        request_keys
-            .into_iter()
-            .for_each(|request_key| self.request_table.client_disconnected(now, request_key));
-    }
-
-    fn close(&mut self, now: Micros, key: SlabKey) {
-        self.read_rest(now, key);
-        let Some(c) = self.connections.remove(key) else {
-            return;
-        };
-        match c.role {
-            role @ (ConnectionRole::FastCgiClient(_)
-            | ConnectionRole::InterconnectClient(_)
-            | ConnectionRole::Lingering(_)) => {
-                self.clients -= 1;
-                self.waiting_answers -= c.waiting;
-                self.half_bytes -= c.half_bytes;
-                self.left_by(now, role);
-            }
-            ConnectionRole::Upstream(link) => {
-                let server = link.server;
-                if let Entry::Occupied(mut upstream_connections) =
-                    self.upstream_connections.entry(server)
-                {
-                    upstream_connections.get_mut().retain(|k| *k != key);
-                    if upstream_connections.get().is_empty() {
-                        upstream_connections.remove();
-                    }
-                }
-                let mut told = Vec::new();
-                link.broken(c.conn.connected, c.conn.bytes_written, &mut told);
-                self.tell(now, server, told);
-            }
-            ConnectionRole::Notification(delivery) => self.posted(now, delivery),
-            ConnectionRole::Consul(_) => self.handle_consul_response(now, None),
-            ConnectionRole::EventBus(_) if self.event_stream == Some(key) => {
-                self.event_stream = None;
-                self.schedule_event_bus_check(now + self.limits.reconnect_delay_us);
-            }
-            ConnectionRole::EventBus(_) => {} // The one before the bus has moved.
-        }
-    }
-
-    /// Carries out what the request_table wants done, and what follows from that.
-    fn execute_commands(&mut self, now: Micros) {
-        loop {
-            let commands = self.request_table.take_commands();
-            if commands.is_empty() {
-                return;
-            }
-            for command in commands {
-                match command {
-                    Command::SendAttempt(attempt) => self.send(now, attempt),
-                    Command::CancelAttempt(attempt, server) => self.give_up(now, attempt, server),
-                    Command::DequeueAttempt(attempt, server) => self.unqueue(now, attempt, server),
-                    Command::Respond(client, answer) => {
-                        self.answer(now, client, answer);
-                        if !self.write(now, client.connection) {
-                            self.end(now, client.connection);
-                        }
-                        self.update_client_activity(now, client.connection);
-                    }
-                    Command::SetTimer(at, wake) => {
-                        self.timers.set(at, TimerEvent::Request(wake));
-                    }
-                    Command::Probe(server) => self.probe(now, server),
-                    Command::DrainServer(server) => self.withdraw(now, server),
-                }
-            }
-        }
     }
 }
--- /dev/null
+++ b/crates/proxy/src/event_loop/notifications/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+#[test]
+fn a_notification_without_a_response_is_not_delivered() {
+    let notification = Notification {
+        address: ([127, 0, 0, 1], 9).into(),
+        path: "/t".into(),
+        ptype: "x",
+        body: "{}".into(),
+    };
+    let mut delivery = NotificationDelivery::new(notification, Messages::responses(512, 512));
+    let text = String::from_utf8(delivery.request()).unwrap();
+    assert!(
+        text.starts_with("POST /t HTTP/1.1\r\n") && text.ends_with("Content-Length: 2\r\n\r\n{}")
+    );
+    delivery.read(b"HTTP/1.1 201 Cre").unwrap();
+    assert!(!delivery.has_response());
+    delivery.read(b"ated\r\nContent-Length: 0\r\n\r\n").unwrap();
+    assert_eq!(delivery.status, Some(201));
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -0,0 +1,113 @@
+//! Purges between the proxies of one installation, over UDP, and purges that are kept for the next start.
+
+use super::timer::TimerEvent;
+use super::{tokens, EventLoop};
+use crate::discovery::purge_gossip::{self as gossip, Purge};
+use crate::net::Poller;
+use edge_routing::Micros;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+
+/// How often a purge is repeated: any datagram may be lost.
+pub(super) const REPEATS: u8 = 2;
+/// One byte more than the longest datagram, so that a longer one is recognized rather than cut.
+const RECEIVE_BUFFER_BYTES: usize = gossip::MOST + 1;
+
+/// The socket for purge gossip, and the proxies it is exchanged with.
+pub(super) struct PurgeGossip {
+    socket: UdpSocket,
+    /// All proxies of the installation; may contain this one.
+    pub(super) peers: Vec<SocketAddr>,
+}
+
+impl PurgeGossip {
+    /// Binds the socket and has the poller watch it.
+    pub(super) fn bind(
+        address: SocketAddr,
+        peers: Vec<SocketAddr>,
+        poller: &Poller,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        poller.add(&socket, tokens::PURGE_GOSSIP, true, false)?;
+        Ok(PurgeGossip { socket, peers })
+    }
+
+    /// The next purge received; none once nothing more has arrived. Datagrams from anyone but a peer are ignored.
+    fn receive(&self) -> Option<Purge> {
+        let mut buffer = [0; RECEIVE_BUFFER_BYTES];
+        loop {
+            let (length, sender) = match self.socket.recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                // The error of an earlier datagram, which a peer's host refused.
+                Err(_) => continue,
+            };
+            if !self.peers.contains(&sender) {
+                continue;
+            }
+            if let Some(purge) = gossip::read(&buffer[..length]) {
+                return Some(purge);
+            }
+        }
+    }
+
+    fn send(&self, datagram: &str) {
+        let own = self.socket.local_addr().ok();
+        for peer in self.peers.iter().filter(|peer| Some(**peer) != own) {
+            let _ = self.socket.send_to(datagram.as_bytes(), peer);
+        }
+    }
+}
+
+impl EventLoop {
+    /// Takes in all purges that peer proxies have sent.
+    pub(super) fn receive_purge_gossip(&mut self, now: Micros) {
+        while let Some((object, group, at)) =
+            self.purge_gossip.as_ref().and_then(PurgeGossip::receive)
+        {
+            self.purge_permanently(now, object, group, at);
+        }
+    }
+
+    /// Sends a purge to the peer proxies, now and a few times later.
+    pub(super) fn gossip_purge(&mut self, now: Micros, datagram: String, repeats_left: u8) {
+        let Some(gossip) = &self.purge_gossip else {
+            return;
+        };
+        gossip.send(&datagram);
+        if repeats_left > 0 {
+            self.timers.set(
+                now + self.limits.gossip_repeat_us,
+                TimerEvent::RepeatPurgeGossip {
+                    datagram,
+                    repeats_left: repeats_left - 1,
+                },
+            );
+        }
+    }
+
+    /// A purge that cache servers learn nothing of: it holds from here on, also for a proxy that starts again.
+    pub(super) fn purge_permanently(
+        &mut self,
+        now: Micros,
+        object: Option<String>,
+        group: u64,
+        at: Micros,
+    ) {
+        let is_new = self
+            .request_table
+            .purge_permanently(now, object.clone(), group, at);
+        if !is_new {
+            return;
+        }
+        let purge_log = self
+            .interconnect
+            .as_mut()
+            .and_then(|i| i.purge_log.as_mut());
+        let logged = purge_log.map(|log| log.add(object.as_deref(), group, at));
+        if let Some(Err(e)) = logged {
+            log::error!("a purge is in force but not kept for the next start: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -0,0 +1,172 @@
+//! Readiness of a connection: finishing connects, reading, writing, by the role of the connection.
+
+use super::connections::ConnectionRole;
+use super::EventLoop;
+use crate::discovery::event_bus;
+use crate::net::{IoProgress, Readiness, SlabKey};
+use crate::protocol::ProtocolError;
+use edge_routing::Micros;
+
+impl EventLoop {
+    /// Handles what the poller reports of a connection.
+    pub(super) fn handle_readiness(&mut self, now: Micros, key: SlabKey, readiness: Readiness) {
+        // A stale event, of a connection that was closed earlier in the same round, misses by its generation.
+        let Some(c) = self.connections.get(key) else {
+            return;
+        };
+        if readiness.write && !c.conn.connected && !self.finish_connect(key) {
+            return self.close(now, key);
+        }
+        let mut is_over = false;
+        if readiness.read {
+            let (progress, result) = self.receive(now, key, readiness.broken);
+            if let Err(e) = result {
+                self.log_protocol_error(key, &e);
+                is_over = true;
+            }
+            if matches!(progress, IoProgress::PeerClosed | IoProgress::Broken) {
+                return self.close(now, key);
+            }
+        }
+        if is_over || !self.write(now, key) {
+            return self.close_gracefully(now, key);
+        }
+        self.update_client_activity(now, key);
+        self.enforce_partial_request_limit(now, key);
+    }
+
+    /// Takes in what a connection has received by now, also where the poller has not reported it yet.
+    pub(super) fn read_pending_input(&mut self, now: Micros, key: SlabKey) {
+        self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
+        self.execute_commands(now);
+    }
+
+    /// Completes an outgoing connection and queues the request it was opened for, if that is fixed by its role.
+    /// False where the connection could not be established.
+    fn finish_connect(&mut self, key: SlabKey) -> bool {
+        let Some(c) = self.connections.get_mut(key) else {
+            return false;
+        };
+        if c.conn.finish_connect().is_err() {
+            return false;
+        }
+        let request = match &c.role {
+            ConnectionRole::EventBus(_) => self.reload.config.bus.map(|address| {
+                event_bus::request(&address.to_string(), self.event_bus.last_event_id)
+            }),
+            ConnectionRole::Consul(_) => self
+                .consul
+                .as_ref()
+                .map(|poller| poller.consul.request(&poller.address.to_string())),
+            ConnectionRole::Notification(delivery) => Some(delivery.request()),
+            _ => None,
+        };
+        if let Some(request) = request {
+            c.conn.output.push(&request);
+        }
+        true
+    }
+
+    /// Reads from the socket once and handles what came. Both results count: the last bytes before the end of a
+    /// connection are handled too.
+    fn receive(
+        &mut self,
+        now: Micros,
+        key: SlabKey,
+        broken: bool,
+    ) -> (IoProgress, Result<(), ProtocolError>) {
+        match self.connections.get_mut(key) {
+            Some(c) if c.conn.connected => {
+                let progress = c.conn.read(broken);
+                (progress, self.read(now, key))
+            }
+            _ => (IoProgress::WouldBlock, Ok(())),
+        }
+    }
+
+    fn log_protocol_error(&self, key: SlabKey, error: &ProtocolError) {
+        // A client that sends garbage must not fill the log with it.
+        let level = if self.is_client(key) {
+            log::Level::Debug
+        } else {
+            log::Level::Warn
+        };
+        log::log!(level, "a connection is ended: {error}");
+    }
+
+    /// Handles the input that a connection has buffered.
+    pub(super) fn read(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
+        let Some(c) = self.connections.get_mut(key) else {
+            return Ok(());
+        };
+        match &mut c.role {
+            ConnectionRole::FastCgiClient(_) => self.read_fastcgi_client(now, key),
+            ConnectionRole::InterconnectClient(_) => self.read_interconnect_client(now, key),
+            ConnectionRole::Lingering { discarded_bytes } => {
+                *discarded_bytes += c.conn.input.len();
+                c.conn.input.clear();
+                if *discarded_bytes > self.limits.lingering_close_bytes {
+                    return Err(ProtocolError::TooLong("what comes behind the end"));
+                }
+                Ok(())
+            }
+            ConnectionRole::Upstream(_) => self.read_upstream(now, key),
+            ConnectionRole::EventBus(_) => self.read_event_bus(now, key),
+            ConnectionRole::Consul(_) => self.read_consul(now, key),
+            ConnectionRole::Notification(delivery) => {
+                let input = c.conn.input.readable();
+                let input_bytes = input.len();
+                let result = delivery.read(input);
+                c.conn.input.consume(input_bytes);
+                result
+            }
+        }
+    }
+
+    /// Writes what a connection has to send. False where the connection is over, and is to be closed.
+    pub(super) fn write(&mut self, now: Micros, key: SlabKey) -> bool {
+        let Some(c) = self.connections.get_mut(key) else {
+            return true;
+        };
+        let stays_open = match &c.role {
+            ConnectionRole::FastCgiClient(_) => {
+                self.write_fastcgi_client(key);
+                !self.is_client_finished(key)
+            }
+            ConnectionRole::InterconnectClient(_) => {
+                self.write_interconnect_client(key) && !self.is_client_finished(key)
+            }
+            ConnectionRole::Lingering { .. } => true,
+            ConnectionRole::Upstream(_) => self.pump_upstream(now, key),
+            ConnectionRole::EventBus(_) | ConnectionRole::Consul(_) => {
+                c.conn.write() != IoProgress::Broken
+            }
+            ConnectionRole::Notification(delivery) => {
+                !delivery.has_response() && c.conn.write() != IoProgress::Broken
+            }
+        };
+        self.update_poll_interest(key);
+        stays_open
+    }
+
+    /// Whether nothing more will be sent on a client connection: its client asked for it to end, or the grace period
+    /// of a shutdown is over and no request is open or partially received.
+    fn is_client_finished(&self, key: SlabKey) -> bool {
+        let Some(c) = self.connections.get(key) else {
+            return false;
+        };
+        let grace_over = self.shutdown.is_grace_over();
+        let ends_now = match &c.role {
+            ConnectionRole::FastCgiClient(session) => {
+                session.is_finished()
+                    || grace_over && session.is_idle() && !session.has_partial_input()
+            }
+            ConnectionRole::InterconnectClient(session) => {
+                session.is_finished()
+                    || grace_over && session.is_idle() && !session.has_partial_input()
+            }
+            _ => false,
+        };
+        ends_now && c.conn.output.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -0,0 +1,171 @@
+//! Startup: sockets are bound, kept purges and known events replayed, and the sources of the endpoint list contacted.
+
+use super::acceptor::{Acceptor, Acceptors, ListenerKind};
+use super::clients::ClientAccounting;
+use super::consul::ConsulPoller;
+use super::event_bus::EventBusSubscription;
+use super::interconnect::Interconnect;
+use super::purge_gossip::PurgeGossip;
+use super::reload::Reload;
+use super::shutdown::Shutdown;
+use super::signals::Signals;
+use super::upstreams::UpstreamConnections;
+use super::EventLoop;
+use crate::config::{Cdni, Config, Source};
+use crate::discovery::event_bus::EventBusMessage;
+use crate::discovery::purge_log::PurgeLog;
+use crate::frontend::interconnect::InterconnectFrontend;
+use crate::net::{Clock, Poller, Slab, TimerQueue};
+use crate::request_table::RequestTable;
+use edge_routing::{Micros, SettingsError};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Readiness events taken from the kernel at a time.
+const POLL_BATCH: usize = 256;
+
+/// Why the event loop could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A configured address can't be listened on.
+    #[error("{key}: {address}: {source}")]
+    Listen {
+        /// The key of the configuration that names the address.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The file of kept purges can't be used.
+    #[error("cdni.purges: {}: {source}", path.display())]
+    PurgeLog {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The decision module can't work with its settings.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The poller or a signal handler could not be set up.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+impl StartError {
+    fn listen(key: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> Self {
+        move |source| StartError::Listen {
+            key,
+            address,
+            source,
+        }
+    }
+}
+
+impl EventLoop {
+    /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from `source`.
+    pub fn start(mut config: Config, source: Source) -> Result<Self, StartError> {
+        let poller = Poller::new(POLL_BATCH)?;
+        let fastcgi = Acceptor::bind(ListenerKind::FastCgi, config.listen, &poller)
+            .map_err(StartError::listen("listen", config.listen))?;
+        let signals = Signals::register()?;
+        signals.watch(&poller)?;
+        let (acceptor, interconnect) = match &config.cdni {
+            Some(cdni) => {
+                let (acceptor, interconnect) = start_interconnect(cdni, &config, &poller)?;
+                (Some(acceptor), Some(interconnect))
+            }
+            None => (None, None),
+        };
+        let purge_gossip = start_purge_gossip(&config, &poller)?;
+        let limits = config.limits.clone();
+        let request_table = RequestTable::new(config.settings.clone(), config.seed, &limits)?;
+        let (last_event_id, known_events) = std::mem::take(&mut config.known);
+        let mut event_loop = EventLoop {
+            clock: Clock::start(),
+            request_table,
+            poller,
+            timers: TimerQueue::default(),
+            connections: Slab::new(limits.connections),
+            signals,
+            shutdown: Shutdown::default(),
+            acceptors: Acceptors::new(fastcgi, acceptor),
+            clients: ClientAccounting::default(),
+            upstream_connections: UpstreamConnections::default(),
+            event_bus: EventBusSubscription::new(last_event_id),
+            consul: start_consul(&config),
+            purge_gossip,
+            interconnect,
+            limits,
+            reload: Reload { config, source },
+        };
+        let now = event_loop.clock.now();
+        event_loop.replay(now, known_events);
+        event_loop.connect_event_bus(now);
+        event_loop.query_consul(now);
+        event_loop.execute_commands(now);
+        event_loop.log_addresses();
+        Ok(event_loop)
+    }
+
+    /// Applies the purges that an earlier process kept, then the events up to the start.
+    fn replay(&mut self, now: Micros, known_events: Vec<EventBusMessage>) {
+        let purge_log = self
+            .interconnect
+            .as_ref()
+            .and_then(|i| i.purge_log.as_ref());
+        let kept_purges = purge_log.map(PurgeLog::purges).unwrap_or_default();
+        for (object, group, at) in kept_purges {
+            self.request_table.purge_permanently(now, object, group, at);
+        }
+        for event in known_events {
+            self.apply_event_bus_message(now, event);
+        }
+    }
+
+    fn log_addresses(&self) {
+        if let Some(address) = self.address() {
+            log::info!("{} listens on {address}", self.reload.config.name);
+        }
+        if let Some(address) = self.cdni_address() {
+            log::info!("peer CDNs connect to {address}");
+        }
+    }
+}
+
+fn start_interconnect(
+    cdni: &Cdni,
+    config: &Config,
+    poller: &Poller,
+) -> Result<(Acceptor, Interconnect), StartError> {
+    let acceptor = Acceptor::bind(ListenerKind::Interconnect, cdni.listen, poller)
+        .map_err(StartError::listen("cdni.listen", cdni.listen))?;
+    let frontend =
+        InterconnectFrontend::new(cdni.identity.clone(), config.seed, config.limits.triggers);
+    let purge_log = cdni.purges.as_deref().map(open_purge_log).transpose()?;
+    Ok((acceptor, Interconnect::new(frontend, purge_log)))
+}
+
+fn open_purge_log(path: &Path) -> Result<PurgeLog, StartError> {
+    PurgeLog::open(path).map_err(|source| StartError::PurgeLog {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Peer proxies are sent only the purges that come by the interconnect, so that there is no gossip without one.
+fn start_purge_gossip(config: &Config, poller: &Poller) -> Result<Option<PurgeGossip>, StartError> {
+    let (Some(_), Some((own, peers))) = (&config.cdni, &config.peers) else {
+        return Ok(None);
+    };
+    let gossip = PurgeGossip::bind(*own, peers.clone(), poller)
+        .map_err(StartError::listen("peer_listen", *own))?;
+    Ok(Some(gossip))
+}
+
+fn start_consul(config: &Config) -> Option<ConsulPoller> {
+    let (address, service) = config.consul.clone()?;
+    Some(ConsulPoller::new(address, service))
+}
--- /dev/null
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -0,0 +1,227 @@
+//! Attempts: which connection one takes, when a connection is opened for it, and how it is taken back.
+
+use crate::event_loop::connections::{Connection, ConnectionRole};
+use crate::event_loop::timer::TimerEvent;
+use crate::event_loop::EventLoop;
+use crate::net::{Readiness, SlabKey};
+use crate::request_table::AttemptId;
+use crate::upstream::UpstreamConnection;
+use edge_routing::{Micros, Outcome, ServerId};
+
+/// A connection that can take an attempt. The least one, in the order of the fields, is taken.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    /// False where an earlier attempt of the same request was cancelled on it.
+    is_new_to_request: bool,
+    is_connecting: bool,
+    attempts_in_flight: usize,
+    key: SlabKey,
+}
+
+impl Candidate {
+    /// Whether the server may have closed the connection without its having been noticed yet.
+    fn may_be_closed(&self) -> bool {
+        !self.is_connecting && self.attempts_in_flight == 0
+    }
+}
+
+impl EventLoop {
+    /// Sends an attempt on the best connection to its server, or on a new one.
+    pub(in crate::event_loop) fn send_attempt(&mut self, now: Micros, attempt: AttemptId) {
+        let candidate = self.choose_connection(now, attempt);
+        let Some((_, spec)) = self.request_table.attempt_spec(attempt) else {
+            return;
+        };
+        let server = spec.server;
+        let key = match candidate {
+            Some(candidate) => {
+                if self.should_connect_ahead(server, candidate) {
+                    self.connect_upstream(now, server);
+                }
+                Some(candidate.key)
+            }
+            None => self.connect_for_attempt(now, server),
+        };
+        match key.and_then(|key| Some((key, self.upstream_mut(key)?.1))) {
+            Some((key, upstream)) => {
+                upstream.send(attempt);
+                if !self.pump_upstream(now, key) {
+                    self.close(now, key);
+                }
+                self.update_poll_interest(key);
+            }
+            // Nothing was written, so the attempt has not run.
+            None => {
+                self.request_table
+                    .attempt_ended(now, attempt, Outcome::ConnectFailed.into());
+            }
+        }
+    }
+
+    /// The best connection for an attempt. Where nothing is in flight on it, the server may have closed it by now:
+    /// what is written to such a connection is lost, and nobody could tell whether it ran. So it is read first.
+    fn choose_connection(&mut self, now: Micros, attempt: AttemptId) -> Option<Candidate> {
+        loop {
+            let candidate = self.best_connection(attempt)?;
+            if !candidate.may_be_closed() {
+                return Some(candidate);
+            }
+            self.handle_readiness(
+                now,
+                candidate.key,
+                Readiness::readable(candidate.key.to_u64()),
+            );
+            if self.connections.get(candidate.key).is_some() {
+                return Some(candidate);
+            }
+        }
+    }
+
+    fn best_connection(&self, attempt: AttemptId) -> Option<Candidate> {
+        let (request, spec) = self.request_table.attempt_spec(attempt)?;
+        let request_id = request.id.as_str();
+        let candidate = |key: &SlabKey| {
+            let (conn, upstream) = self.upstream(*key)?;
+            let attempts_in_flight =
+                upstream.room_for(request_id, &self.request_table, &self.limits)?;
+            Some(Candidate {
+                is_new_to_request: !upstream.gave_up(request_id),
+                is_connecting: !conn.connected,
+                attempts_in_flight,
+                key: *key,
+            })
+        };
+        let keys = self.upstream_connections.of(spec.server);
+        keys.iter().filter_map(candidate).min()
+    }
+
+    /// Whether a further connection is opened although an attempt has one.
+    ///
+    /// One answer that can't be read ends everything in flight on its connection: the more connections, the less is
+    /// lost at once. The next one is opened ahead of its use, so that no attempt waits for it.
+    fn should_connect_ahead(&self, server: ServerId, candidate: Candidate) -> bool {
+        let keys = self.upstream_connections.of(server);
+        let is_shared = candidate.attempts_in_flight >= self.limits.attempts_before_new_connection;
+        let has_spare_slots = self.connections.free_slots() > self.limits.spare_connections;
+        let is_connected = |key: &SlabKey| {
+            let connection = self.connections.get(*key);
+            connection.is_some_and(|c| c.conn.connected)
+        };
+        is_shared
+            && has_spare_slots
+            && keys.len() < self.limits.connections_per_server
+            && keys.iter().all(is_connected)
+    }
+
+    /// Opens a connection for an attempt that found none with room. Where the server has as many as it may, one that
+    /// went unresponsive makes room: it may stay so for good without ever being reported as broken.
+    fn connect_for_attempt(&mut self, now: Micros, server: ServerId) -> Option<SlabKey> {
+        let keys = self.upstream_connections.of(server);
+        if keys.len() >= self.limits.connections_per_server {
+            let is_unresponsive = |key: &SlabKey| {
+                let upstream = self.upstream(*key);
+                upstream.is_some_and(|(_, upstream)| upstream.is_silent())
+            };
+            let unresponsive = keys.iter().copied().find(is_unresponsive)?;
+            self.close(now, unresponsive);
+        }
+        self.connect_upstream(now, server)
+    }
+
+    /// Begins a connection to a cache server.
+    fn connect_upstream(&mut self, now: Micros, server: ServerId) -> Option<SlabKey> {
+        if !self.has_free_connection_slot() {
+            return None;
+        }
+        let (_, address) = self.request_table.address_of(server)?;
+        let upstream = UpstreamConnection::new(server, &self.limits, now);
+        let key = self.connect_to(now, address, ConnectionRole::Upstream(upstream))?;
+        self.upstream_connections.add(server, key);
+        Some(key)
+    }
+
+    /// Cancels an attempt, wherever it is queued or in flight.
+    pub(in crate::event_loop) fn cancel_attempt(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        server: ServerId,
+    ) {
+        for key in self.upstream_connections.of(server).to_vec() {
+            let Some((conn, upstream)) = self.upstream_mut(key) else {
+                continue;
+            };
+            let mut events = Vec::new();
+            let is_usable = upstream.give_up(now, attempt, conn, &mut events);
+            self.report_upstream_events(now, server, events);
+            self.timers.set(
+                now + self.limits.stream_memory_us,
+                TimerEvent::CheckUpstream(key),
+            );
+            if !is_usable || !self.pump_upstream(now, key) {
+                self.close(now, key);
+            }
+            self.update_poll_interest(key);
+        }
+    }
+
+    /// Takes back an attempt of which nothing is written yet.
+    pub(in crate::event_loop) fn dequeue_attempt(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        server: ServerId,
+    ) {
+        for key in self.upstream_connections.of(server).to_vec() {
+            let Some((conn, upstream)) = self.upstream_mut(key) else {
+                continue;
+            };
+            let mut events = Vec::new();
+            if upstream.unqueue(attempt, conn, &mut events) {
+                return self.report_upstream_events(now, server, events);
+            }
+        }
+    }
+
+    /// Takes back everything not written yet that would go to a server that drains or is gone, or that another server
+    /// would fill from it.
+    pub(in crate::event_loop) fn drain_server(&mut self, now: Micros, server: ServerId) {
+        for key in self.upstream_connections.all() {
+            let Some(Connection {
+                conn,
+                role: ConnectionRole::Upstream(upstream),
+                ..
+            }) = self.connections.get_mut(key)
+            else {
+                continue;
+            };
+            let connected_to = upstream.server;
+            let mut events = Vec::new();
+            let is_usable = upstream.withdraw(server, conn, &self.request_table, &mut events);
+            let is_drained = connected_to == server && upstream.is_idle();
+            self.report_upstream_events(now, connected_to, events);
+            if !is_usable || is_drained {
+                // The server's address may be given to another one.
+                self.close(now, key);
+            }
+        }
+    }
+
+    /// Asks a server for its load, on the oldest connection to it.
+    pub(in crate::event_loop) fn probe(&mut self, now: Micros, server: ServerId) {
+        let key = self.upstream_connections.of(server).first().copied();
+        let probed = key.filter(|key| {
+            self.upstream_mut(*key)
+                .is_some_and(|(conn, upstream)| upstream.probe(now, conn))
+        });
+        match probed {
+            Some(key) => {
+                self.write(now, key);
+            }
+            None => {
+                self.request_table
+                    .probe_ended(now, server, Outcome::ConnectFailed, 0, None);
+            }
+        }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,7 +1,11 @@
-//! The edge proxy: the decision module on real sockets. One thread, one epoll loop.
+//! The edge proxy: the routing decisions of `edge-routing` on real sockets, in one thread with one epoll loop.
 //!
-//! `request_table` deals in requests, attempts and outcomes and drives the module; fronts and upstreams translate between
-//! it and their wires; `net` owns sockets, buffers and timers; `daemon` ties them together.
+//! - `event_loop` owns the sockets and timers and connects all other modules.
+//! - `request_table` holds the open requests and their attempts, and drives the routing decisions.
+//! - `frontend` and `upstream` translate between the request table and the protocols of clients and cache servers.
+//! - `discovery` reads the endpoint list and the purges.
+//! - `protocol` holds the codecs, `net` sockets, buffers and timers.
+//! - `config` reads the configuration, `limits` derives every bound from it.
 
 pub mod config;
 pub mod discovery;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,19 +1,13 @@
-//! Starts the daemon: reads the configuration, runs the loop, turns errors into an exit code.
+//! The edge proxy's program: reads the configuration, runs the event loop, turns errors into a log line and an exit
+//! code.
 
 use edge_proxy::{config::Config, event_loop::EventLoop};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let started = Config::from_env().and_then(|config| {
-        EventLoop::start(config, Box::new(Config::from_env))
-            .map_err(|e| format!("could not start: {e}"))
-    });
-    match started.and_then(|mut daemon| {
-        daemon
-            .run()
-            .map_err(|e| format!("the event loop failed: {e}"))
-    }) {
+    let log_level = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(log_level).init();
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             log::error!("{message}");
@@ -21,3 +15,13 @@
         }
     }
 }
+
+/// Runs the proxy until it is shut down. The error is the line to be logged.
+fn run() -> Result<(), String> {
+    let config = Config::from_env().map_err(|e| e.to_string())?;
+    let mut event_loop = EventLoop::start(config, Box::new(Config::from_env))
+        .map_err(|e| format!("could not start: {e}"))?;
+    event_loop
+        .run()
+        .map_err(|e| format!("the event loop failed: {e}"))
+}
