--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -176,7 +176,7 @@
         socket: TcpStream,
         evicted: Option<SlabKey>,
     ) {
-        let Ok(conn) = BufferedSocket::new(
+        let Ok(transport) = BufferedSocket::new(
             socket,
             true,
             self.limits.input_buffer_bytes,
@@ -188,7 +188,7 @@
             self.close(now, evicted);
         }
         let role = self.client_role(kind);
-        if let Some(key) = self.open_connection(now, conn, role) {
+        if let Some(key) = self.open_connection(now, transport, role) {
             self.clients.connections += 1;
             self.timers.set(
                 now + self.limits.client_request_timeout_us,
--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -59,9 +59,9 @@
             ConnectionRole::Lingering { .. } => return Some(EvictionClass::Lingering),
             _ => return None,
         };
-        Some(if awaits_answer || !self.conn.output.is_empty() {
+        Some(if awaits_answer || !self.transport.output.is_empty() {
             EvictionClass::Busy
-        } else if has_partial_request || !self.conn.input.is_empty() {
+        } else if has_partial_request || !self.transport.input.is_empty() {
             EvictionClass::PartialRequest
         } else if has_received_request {
             EvictionClass::Idle
@@ -121,9 +121,9 @@
     fn eviction_candidate(&self, now: Micros) -> Option<SlabKey> {
         let immune_after = now.saturating_sub(self.limits.eviction_immunity_us);
         let rank = |key: SlabKey| {
-            let c = self.connections.get(key)?;
-            let class = c.eviction_class()?;
-            let since = c.activity.since;
+            let connection = self.connections.get(key)?;
+            let class = connection.eviction_class()?;
+            let since = connection.activity.since;
             let may_leave = class != EvictionClass::Busy && since <= immune_after;
             may_leave.then_some((class, since, key))
         };
--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -26,14 +26,14 @@
     ) -> Result<(), ProtocolError> {
         loop {
             let Some(Connection {
-                conn,
+                transport,
                 role: ConnectionRole::FastCgiClient(session),
                 ..
             }) = self.connections.get_mut(key)
             else {
                 return Ok(());
             };
-            let Some(event) = session.read(&mut conn.input, &self.limits)? else {
+            let Some(event) = session.read(&mut transport.input, &self.limits)? else {
                 return Ok(());
             };
             match event {
@@ -101,10 +101,10 @@
         target: ResponseTarget,
         answer: Answer,
     ) {
-        let Some(c) = self.connections.get_mut(target.connection) else {
+        let Some(connection) = self.connections.get_mut(target.connection) else {
             return;
         };
-        match &mut c.role {
+        match &mut connection.role {
             ConnectionRole::FastCgiClient(session) => {
                 session.respond(target.stream as u16, &answer);
                 self.write_fastcgi_client(target.connection);
@@ -119,7 +119,7 @@
     /// Writes as much of a FastCGI connection's answers as its client takes.
     pub(in crate::event_loop) fn write_fastcgi_client(&mut self, key: SlabKey) {
         let Some(Connection {
-            conn,
+            transport,
             role: ConnectionRole::FastCgiClient(session),
             activity,
         }) = self.connections.get_mut(key)
@@ -127,8 +127,8 @@
             return;
         };
         loop {
-            session.write(&mut conn.output);
-            if conn.write() != IoProgress::Advanced {
+            session.write(&mut transport.output);
+            if transport.write() != IoProgress::Advanced {
                 break;
             }
         }
--- a/crates/proxy/src/event_loop/clients/mod.rs
+++ b/crates/proxy/src/event_loop/clients/mod.rs
@@ -67,25 +67,27 @@
 impl EventLoop {
     /// Records what a client connection does, after something was read or written on it.
     pub(super) fn update_client_activity(&mut self, now: Micros, key: SlabKey) {
-        let Some(c) = self.connections.get_mut(key) else {
+        let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        let Some(class) = c.eviction_class() else {
+        let Some(class) = connection.eviction_class() else {
             return;
         };
         let has_partial_request = class == EvictionClass::PartialRequest;
-        let had_partial_request =
-            std::mem::replace(&mut c.activity.has_partial_request, has_partial_request);
+        let had_partial_request = std::mem::replace(
+            &mut connection.activity.has_partial_request,
+            has_partial_request,
+        );
         // A request that arrives a few bytes at a time still began with its first byte.
         let partial_request_begins = has_partial_request && !had_partial_request;
         if class == EvictionClass::Busy || partial_request_begins {
-            c.activity.since = now;
+            connection.activity.since = now;
         }
         // Hundreds of clients may send one request and keep their connections: the buffers that each has grown must
         // not add up.
         if class == EvictionClass::Idle {
-            c.conn.input.release_memory();
-            c.conn.output.release_memory();
+            connection.transport.input.release_memory();
+            connection.transport.output.release_memory();
         }
     }
 
@@ -104,8 +106,8 @@
             .set_partial_request_bytes(activity, session.partial_request_bytes());
         while self.clients.partial_request_bytes > self.limits.partial_request_bytes {
             let held = |key: &SlabKey| {
-                let c = self.connections.get(*key)?;
-                Some(c.activity.partial_request_bytes)
+                let connection = self.connections.get(*key)?;
+                Some(connection.activity.partial_request_bytes)
             };
             let Some(largest) = self.connections.keys().into_iter().max_by_key(held) else {
                 return;
@@ -124,18 +126,18 @@
         let deadline = self
             .connections
             .get(key)
-            .and_then(|c| c.idle_deadline(&self.limits));
+            .and_then(|connection| connection.idle_deadline(&self.limits));
         if has_expired(deadline) {
             // What it has sent by now still counts.
             self.read_pending_input(now, key);
         }
-        let Some(c) = self.connections.get(key) else {
+        let Some(connection) = self.connections.get(key) else {
             return;
         };
-        let Some(class) = c.eviction_class() else {
+        let Some(class) = connection.eviction_class() else {
             return;
         };
-        let deadline = c.idle_deadline(&self.limits);
+        let deadline = connection.idle_deadline(&self.limits);
         if !has_expired(deadline) {
             let next_sweep = now + self.limits.client_sweep_us;
             let next_check = deadline.map_or(next_sweep, |at| at.min(next_sweep));
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -55,30 +55,60 @@
 
 /// An entry of the connection table.
 pub(super) struct Connection {
-    pub(super) conn: BufferedSocket,
+    pub(super) transport: BufferedSocket,
     pub(super) role: ConnectionRole,
     /// Of a client connection: since when it does what it does, and what it holds.
     pub(super) activity: ClientActivity,
 }
 
+impl Connection {
+    /// The transport and the protocol state of a connection to a cache server.
+    pub(super) fn as_upstream(&self) -> Option<(&BufferedSocket, &UpstreamConnection)> {
+        match &self.role {
+            ConnectionRole::Upstream(upstream) => Some((&self.transport, upstream)),
+            _ => None,
+        }
+    }
+
+    /// As `as_upstream`, to change them.
+    pub(super) fn as_upstream_mut(
+        &mut self,
+    ) -> Option<(&mut BufferedSocket, &mut UpstreamConnection)> {
+        match &mut self.role {
+            ConnectionRole::Upstream(upstream) => Some((&mut self.transport, upstream)),
+            _ => None,
+        }
+    }
+
+    /// The transport and the session of an interconnect client.
+    pub(super) fn as_interconnect_client_mut(
+        &mut self,
+    ) -> Option<(&mut BufferedSocket, &mut interconnect::Session)> {
+        match &mut self.role {
+            ConnectionRole::InterconnectClient(session) => Some((&mut self.transport, session)),
+            _ => None,
+        }
+    }
+}
+
 impl EventLoop {
     /// Adds a connection to the table and has the poller watch it. None where the table is full.
     pub(super) fn open_connection(
         &mut self,
         now: Micros,
-        conn: BufferedSocket,
+        transport: BufferedSocket,
         role: ConnectionRole,
     ) -> Option<SlabKey> {
-        let connected = conn.connected;
+        let connected = transport.connected;
         let key = self
             .connections
             .insert(Connection {
-                conn,
+                transport,
                 role,
                 activity: ClientActivity::since(now),
             })
             .ok()?;
-        let socket = self.connections.get(key)?.conn.socket();
+        let socket = self.connections.get(key)?.transport.socket();
         // An outgoing connection becomes writable when it is established.
         if let Err(e) = self.poller.add(socket, key.to_u64(), true, !connected) {
             log::warn!("a connection can't be watched: {e}");
@@ -107,14 +137,14 @@
         let socket = connect(address)
             .map_err(|e| log::warn!("no connection to {address}: {e}"))
             .ok()?;
-        let conn = BufferedSocket::new(
+        let transport = BufferedSocket::new(
             socket,
             false,
             self.limits.input_buffer_bytes,
             self.limits.output_buffer_bytes,
         )
         .ok()?;
-        let key = self.open_connection(now, conn, role)?;
+        let key = self.open_connection(now, transport, role)?;
         self.timers.set(
             now + self.limits.connect_timeout_us,
             TimerEvent::ConnectTimeout(key),
@@ -124,16 +154,20 @@
 
     /// Closes an outgoing connection that was not established in time.
     pub(super) fn close_unless_connected(&mut self, now: Micros, key: SlabKey) {
-        if self.connections.get(key).is_some_and(|c| !c.conn.connected) {
+        if self
+            .connections
+            .get(key)
+            .is_some_and(|connection| !connection.transport.connected)
+        {
             self.close(now, key);
         }
     }
 
     /// Closes a connection to Consul or to a peer CDN whose response has not come in time.
     pub(super) fn close_unanswered(&mut self, now: Micros, key: SlabKey) {
-        let awaits_response = self.connections.get(key).is_some_and(|c| {
+        let awaits_response = self.connections.get(key).is_some_and(|connection| {
             matches!(
-                c.role,
+                connection.role,
                 ConnectionRole::Consul(_) | ConnectionRole::Notification(_)
             )
         });
@@ -145,21 +179,21 @@
     pub(super) fn is_client(&self, key: SlabKey) -> bool {
         self.connections
             .get(key)
-            .is_some_and(|c| c.role.is_client())
+            .is_some_and(|connection| connection.role.is_client())
     }
 
     /// Updates what the poller watches a connection for: reading while there is room for input, writing while there
     /// is output.
     pub(super) fn update_poll_interest(&mut self, key: SlabKey) {
-        let Some(c) = self.connections.get_mut(key) else {
+        let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        let Some((read, write)) = c.conn.take_interest_change() else {
+        let Some((read, write)) = connection.transport.take_interest_change() else {
             return;
         };
         let changed = self
             .poller
-            .change(c.conn.socket(), key.to_u64(), read, write);
+            .change(connection.transport.socket(), key.to_u64(), read, write);
         if let Err(e) = changed {
             log::warn!("a connection can't be watched: {e}");
         }
@@ -170,18 +204,18 @@
     pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey) {
         // Answers that are ready are still owed; a client that does not take them is not waited for.
         self.write_fastcgi_client(key);
-        let Some(c) = self.connections.get_mut(key) else {
+        let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        c.conn.write();
-        if !c.role.is_open_client() || c.conn.shut_down_writes().is_err() {
+        connection.transport.write();
+        if !connection.role.is_open_client() || connection.transport.shut_down_writes().is_err() {
             return self.close(now, key);
         }
-        c.conn.input.clear();
-        self.clients.release(&mut c.activity);
-        c.activity.since = now;
+        connection.transport.input.clear();
+        self.clients.release(&mut connection.activity);
+        connection.activity.since = now;
         let lingering = ConnectionRole::Lingering { discarded_bytes: 0 };
-        let role = std::mem::replace(&mut c.role, lingering);
+        let role = std::mem::replace(&mut connection.role, lingering);
         self.abandon_requests(now, role);
         self.timers.set(
             now + self.limits.lingering_close_us,
@@ -194,7 +228,7 @@
     pub(super) fn close(&mut self, now: Micros, key: SlabKey) {
         self.read_remaining_answers(now, key);
         let Some(Connection {
-            conn,
+            transport,
             role,
             mut activity,
         }) = self.connections.remove(key)
@@ -209,7 +243,9 @@
                 self.clients.release(&mut activity);
                 self.abandon_requests(now, role);
             }
-            ConnectionRole::Upstream(upstream) => self.upstream_closed(now, key, &conn, upstream),
+            ConnectionRole::Upstream(upstream) => {
+                self.upstream_closed(now, key, &transport, upstream)
+            }
             ConnectionRole::Notification(delivery) => self.notification_attempted(now, delivery),
             ConnectionRole::Consul(_) => self.handle_consul_response(now, None),
             ConnectionRole::EventBus(_) => self.event_bus_closed(now, key),
--- a/crates/proxy/src/event_loop/consul.rs
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -50,17 +50,17 @@
     /// Handles what Consul has sent.
     pub(super) fn read_consul(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
         let Some(Connection {
-            conn,
+            transport,
             role: ConnectionRole::Consul(query),
             ..
         }) = self.connections.get_mut(key)
         else {
             return Ok(());
         };
-        let input = conn.input.readable();
+        let input = transport.input.readable();
         let input_bytes = input.len();
         let response = query.read(input)?;
-        conn.input.consume(input_bytes);
+        transport.input.consume(input_bytes);
         if response.is_some() {
             // One query a connection. It is removed rather than closed, since closing counts as a failed query.
             self.connections.remove(key);
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -100,7 +100,7 @@
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
         let Some(Connection {
-            conn,
+            transport,
             role: ConnectionRole::EventBus(stream),
             ..
         }) = self.connections.get_mut(key)
@@ -109,13 +109,13 @@
         };
         let mut messages = Vec::new();
         let mut result = Ok(());
-        while !conn.input.is_empty() && result.is_ok() {
-            let input = conn.input.readable();
+        while !transport.input.is_empty() && result.is_ok() {
+            let input = transport.input.readable();
             let input_bytes = input.len();
             result = stream
                 .read(now, input, &mut self.event_bus.last_event_id)
                 .map(|more| messages.extend(more));
-            conn.input.consume(input_bytes);
+            transport.input.consume(input_bytes);
         }
         for message in messages {
             self.handle_event_bus_message(now, message);
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,6 +1,6 @@
 //! Interconnect clients: requests of peer CDNs and of the clients that they redirect, and what follows from them.
 
-use super::connections::{Connection, ConnectionRole};
+use super::connections::Connection;
 use super::timer::TimerEvent;
 use super::{purge_gossip, EventLoop};
 use crate::discovery::purge_gossip as gossip;
@@ -47,15 +47,14 @@
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
         loop {
-            let Some(Connection {
-                conn,
-                role: ConnectionRole::InterconnectClient(session),
-                ..
-            }) = self.connections.get_mut(key)
+            let Some((transport, session)) = self
+                .connections
+                .get_mut(key)
+                .and_then(Connection::as_interconnect_client_mut)
             else {
                 return Ok(());
             };
-            let (head, body) = match session.read(&mut conn.input) {
+            let (head, body) = match session.read(&mut transport.input) {
                 Ok(Some(request)) => request,
                 Ok(None) => return Ok(()),
                 Err(e) => {
@@ -76,10 +75,10 @@
     /// Answers a request, or hands it to the request table.
     fn handle_interconnect_request(&mut self, now: Micros, key: SlabKey, head: &Head, body: &[u8]) {
         let is_ready = self.is_ready();
-        let Some(Connection {
-            role: ConnectionRole::InterconnectClient(session),
-            ..
-        }) = self.connections.get_mut(key)
+        let Some((_, session)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_interconnect_client_mut)
         else {
             return;
         };
@@ -101,10 +100,10 @@
     }
 
     fn admit_interconnect_request(&mut self, now: Micros, key: SlabKey, request: ClientRequest) {
-        let Some(Connection {
-            role: ConnectionRole::InterconnectClient(session),
-            ..
-        }) = self.connections.get_mut(key)
+        let Some((_, session)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_interconnect_client_mut)
         else {
             return;
         };
@@ -148,10 +147,10 @@
         key: SlabKey,
         answer: Answer,
     ) {
-        let Some(Connection {
-            role: ConnectionRole::InterconnectClient(session),
-            ..
-        }) = self.connections.get_mut(key)
+        let Some((_, session)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_interconnect_client_mut)
         else {
             return;
         };
@@ -174,17 +173,16 @@
     /// Writes as much of an interconnect connection's answer as its client takes. False where the connection is
     /// broken.
     pub(super) fn write_interconnect_client(&mut self, key: SlabKey) -> bool {
-        let Some(Connection {
-            conn,
-            role: ConnectionRole::InterconnectClient(session),
-            ..
-        }) = self.connections.get_mut(key)
+        let Some((transport, session)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_interconnect_client_mut)
         else {
             return true;
         };
         loop {
-            session.write(&mut conn.output);
-            match conn.write() {
+            session.write(&mut transport.output);
+            match transport.write() {
                 IoProgress::Advanced => {}
                 progress => return progress != IoProgress::Broken,
             }
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -104,7 +104,7 @@
         let purge_log = self
             .interconnect
             .as_mut()
-            .and_then(|i| i.purge_log.as_mut());
+            .and_then(|interconnect| interconnect.purge_log.as_mut());
         let logged = purge_log.map(|log| log.add(object.as_deref(), group, at));
         if let Some(Err(e)) = logged {
             log::error!("a purge is in force but not kept for the next start: {e}");
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -11,10 +11,10 @@
     /// Handles what the poller reports of a connection.
     pub(super) fn handle_readiness(&mut self, now: Micros, key: SlabKey, readiness: Readiness) {
         // A stale event, of a connection that was closed earlier in the same round, misses by its generation.
-        let Some(c) = self.connections.get(key) else {
+        let Some(connection) = self.connections.get(key) else {
             return;
         };
-        if readiness.write && !c.conn.connected && !self.finish_connect(key) {
+        if readiness.write && !connection.transport.connected && !self.finish_connect(key) {
             return self.close(now, key);
         }
         let mut is_over = false;
@@ -44,13 +44,13 @@
     /// Completes an outgoing connection and queues the request it was opened for, if that is fixed by its role.
     /// False where the connection could not be established.
     fn finish_connect(&mut self, key: SlabKey) -> bool {
-        let Some(c) = self.connections.get_mut(key) else {
+        let Some(connection) = self.connections.get_mut(key) else {
             return false;
         };
-        if c.conn.finish_connect().is_err() {
+        if connection.transport.finish_connect().is_err() {
             return false;
         }
-        let request = match &c.role {
+        let request = match &connection.role {
             ConnectionRole::EventBus(_) => self.reload.config.bus.map(|address| {
                 event_bus::request(&address.to_string(), self.event_bus.last_event_id)
             }),
@@ -62,7 +62,7 @@
             _ => None,
         };
         if let Some(request) = request {
-            c.conn.output.push(&request);
+            connection.transport.output.push(&request);
         }
         true
     }
@@ -76,8 +76,8 @@
         broken: bool,
     ) -> (IoProgress, Result<(), ProtocolError>) {
         match self.connections.get_mut(key) {
-            Some(c) if c.conn.connected => {
-                let progress = c.conn.read(broken);
+            Some(connection) if connection.transport.connected => {
+                let progress = connection.transport.read(broken);
                 (progress, self.read(now, key))
             }
             _ => (IoProgress::WouldBlock, Ok(())),
@@ -96,15 +96,15 @@
 
     /// Handles the input that a connection has buffered.
     pub(super) fn read(&mut self, now: Micros, key: SlabKey) -> Result<(), ProtocolError> {
-        let Some(c) = self.connections.get_mut(key) else {
+        let Some(connection) = self.connections.get_mut(key) else {
             return Ok(());
         };
-        match &mut c.role {
+        match &mut connection.role {
             ConnectionRole::FastCgiClient(_) => self.read_fastcgi_client(now, key),
             ConnectionRole::InterconnectClient(_) => self.read_interconnect_client(now, key),
             ConnectionRole::Lingering { discarded_bytes } => {
-                *discarded_bytes += c.conn.input.len();
-                c.conn.input.clear();
+                *discarded_bytes += connection.transport.input.len();
+                connection.transport.input.clear();
                 if *discarded_bytes > self.limits.lingering_close_bytes {
                     return Err(ProtocolError::TooLong("what comes behind the end"));
                 }
@@ -114,10 +114,10 @@
             ConnectionRole::EventBus(_) => self.read_event_bus(now, key),
             ConnectionRole::Consul(_) => self.read_consul(now, key),
             ConnectionRole::Notification(delivery) => {
-                let input = c.conn.input.readable();
+                let input = connection.transport.input.readable();
                 let input_bytes = input.len();
                 let result = delivery.read(input);
-                c.conn.input.consume(input_bytes);
+                connection.transport.input.consume(input_bytes);
                 result
             }
         }
@@ -125,10 +125,10 @@
 
     /// Writes what a connection has to send. False where the connection is over, and is to be closed.
     pub(super) fn write(&mut self, now: Micros, key: SlabKey) -> bool {
-        let Some(c) = self.connections.get_mut(key) else {
+        let Some(connection) = self.connections.get_mut(key) else {
             return true;
         };
-        let stays_open = match &c.role {
+        let stays_open = match &connection.role {
             ConnectionRole::FastCgiClient(_) => {
                 self.write_fastcgi_client(key);
                 !self.is_client_finished(key)
@@ -139,10 +139,10 @@
             ConnectionRole::Lingering { .. } => true,
             ConnectionRole::Upstream(_) => self.pump_upstream(now, key),
             ConnectionRole::EventBus(_) | ConnectionRole::Consul(_) => {
-                c.conn.write() != IoProgress::Broken
+                connection.transport.write() != IoProgress::Broken
             }
             ConnectionRole::Notification(delivery) => {
-                !delivery.has_response() && c.conn.write() != IoProgress::Broken
+                !delivery.has_response() && connection.transport.write() != IoProgress::Broken
             }
         };
         self.update_poll_interest(key);
@@ -152,11 +152,11 @@
     /// Whether nothing more will be sent on a client connection: its client asked for it to end, or the grace period
     /// of a shutdown is over and no request is open or partially received.
     fn is_client_finished(&self, key: SlabKey) -> bool {
-        let Some(c) = self.connections.get(key) else {
+        let Some(connection) = self.connections.get(key) else {
             return false;
         };
         let grace_over = self.shutdown.is_grace_over();
-        let ends_now = match &c.role {
+        let ends_now = match &connection.role {
             ConnectionRole::FastCgiClient(session) => {
                 session.is_finished()
                     || grace_over && session.is_idle() && !session.has_partial_input()
@@ -167,6 +167,6 @@
             }
             _ => false,
         };
-        ends_now && c.conn.output.is_empty()
+        ends_now && connection.transport.output.is_empty()
     }
 }
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -115,7 +115,7 @@
         let purge_log = self
             .interconnect
             .as_ref()
-            .and_then(|i| i.purge_log.as_ref());
+            .and_then(|interconnect| interconnect.purge_log.as_ref());
         let kept_purges = purge_log.map(PurgeLog::purges).unwrap_or_default();
         for (object, group, at) in kept_purges {
             self.request_table.purge_permanently(now, object, group, at);
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -81,12 +81,12 @@
         let (request, spec) = self.request_table.attempt_spec(attempt)?;
         let request_id = request.id.as_str();
         let candidate = |key: &SlabKey| {
-            let (conn, upstream) = self.upstream(*key)?;
+            let (transport, upstream) = self.upstream(*key)?;
             let attempts_in_flight =
                 upstream.room_for(request_id, &self.request_table, &self.limits)?;
             Some(Candidate {
                 is_new_to_request: !upstream.gave_up(request_id),
-                is_connecting: !conn.connected,
+                is_connecting: !transport.connected,
                 attempts_in_flight,
                 key: *key,
             })
@@ -105,7 +105,7 @@
         let has_spare_slots = self.connections.free_slots() > self.limits.spare_connections;
         let is_connected = |key: &SlabKey| {
             let connection = self.connections.get(*key);
-            connection.is_some_and(|c| c.conn.connected)
+            connection.is_some_and(|connection| connection.transport.connected)
         };
         is_shared
             && has_spare_slots
@@ -148,11 +148,11 @@
         server: ServerId,
     ) {
         for key in self.upstream_connections.of(server).to_vec() {
-            let Some((conn, upstream)) = self.upstream_mut(key) else {
+            let Some((transport, upstream)) = self.upstream_mut(key) else {
                 continue;
             };
             let mut events = Vec::new();
-            let is_usable = upstream.give_up(now, attempt, conn, &mut events);
+            let is_usable = upstream.give_up(now, attempt, transport, &mut events);
             self.report_upstream_events(now, server, events);
             self.timers.set(
                 now + self.limits.stream_memory_us,
@@ -173,11 +173,11 @@
         server: ServerId,
     ) {
         for key in self.upstream_connections.of(server).to_vec() {
-            let Some((conn, upstream)) = self.upstream_mut(key) else {
+            let Some((transport, upstream)) = self.upstream_mut(key) else {
                 continue;
             };
             let mut events = Vec::new();
-            if upstream.unqueue(attempt, conn, &mut events) {
+            if upstream.unqueue(attempt, transport, &mut events) {
                 return self.report_upstream_events(now, server, events);
             }
         }
@@ -187,17 +187,16 @@
     /// would fill from it.
     pub(in crate::event_loop) fn drain_server(&mut self, now: Micros, server: ServerId) {
         for key in self.upstream_connections.all() {
-            let Some(Connection {
-                conn,
-                role: ConnectionRole::Upstream(upstream),
-                ..
-            }) = self.connections.get_mut(key)
+            let Some((transport, upstream)) = self
+                .connections
+                .get_mut(key)
+                .and_then(Connection::as_upstream_mut)
             else {
                 continue;
             };
             let connected_to = upstream.server;
             let mut events = Vec::new();
-            let is_usable = upstream.withdraw(server, conn, &self.request_table, &mut events);
+            let is_usable = upstream.withdraw(server, transport, &self.request_table, &mut events);
             let is_drained = connected_to == server && upstream.is_idle();
             self.report_upstream_events(now, connected_to, events);
             if !is_usable || is_drained {
@@ -212,7 +211,7 @@
         let key = self.upstream_connections.of(server).first().copied();
         let probed = key.filter(|key| {
             self.upstream_mut(*key)
-                .is_some_and(|(conn, upstream)| upstream.probe(now, conn))
+                .is_some_and(|(transport, upstream)| upstream.probe(now, transport))
         });
         match probed {
             Some(key) => {
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -2,7 +2,7 @@
 
 mod attempts;
 
-use super::connections::{Connection, ConnectionRole};
+use super::connections::Connection;
 use super::timer::TimerEvent;
 use super::EventLoop;
 use crate::net::{BufferedSocket, IoProgress, SlabKey};
@@ -34,7 +34,7 @@
         let Some(keys) = self.by_server.get_mut(&server) else {
             return;
         };
-        keys.retain(|k| *k != key);
+        keys.retain(|other| *other != key);
         if keys.is_empty() {
             self.by_server.remove(&server);
         }
@@ -43,28 +43,14 @@
 
 impl EventLoop {
     fn upstream(&self, key: SlabKey) -> Option<(&BufferedSocket, &UpstreamConnection)> {
-        match self.connections.get(key)? {
-            Connection {
-                conn,
-                role: ConnectionRole::Upstream(upstream),
-                ..
-            } => Some((conn, upstream)),
-            _ => None,
-        }
+        self.connections.get(key)?.as_upstream()
     }
 
     fn upstream_mut(
         &mut self,
         key: SlabKey,
     ) -> Option<(&mut BufferedSocket, &mut UpstreamConnection)> {
-        match self.connections.get_mut(key)? {
-            Connection {
-                conn,
-                role: ConnectionRole::Upstream(upstream),
-                ..
-            } => Some((conn, upstream)),
-            _ => None,
-        }
+        self.connections.get_mut(key)?.as_upstream_mut()
     }
 
     /// Handles what a cache server has sent.
@@ -73,17 +59,16 @@
         now: Micros,
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
-        let Some(Connection {
-            conn,
-            role: ConnectionRole::Upstream(upstream),
-            ..
-        }) = self.connections.get_mut(key)
+        let Some((transport, upstream)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_upstream_mut)
         else {
             return Ok(());
         };
         let server = upstream.server;
         let mut events = Vec::new();
-        let result = upstream.read(now, conn, &self.request_table, &mut events);
+        let result = upstream.read(now, transport, &self.request_table, &mut events);
         if events.iter().any(UpstreamEvent::is_not_final) {
             // The connection remembers such an attempt for a while; the check forgets it.
             self.timers.set(
@@ -98,13 +83,13 @@
     /// Reads what a server had sent before its connection broke: those answers still count.
     pub(in crate::event_loop) fn read_remaining_answers(&mut self, now: Micros, key: SlabKey) {
         for _ in 0..self.limits.reads_after_close {
-            let is_readable = self.upstream(key).is_some_and(|(conn, upstream)| {
-                conn.connected && upstream.is_readable(now, &self.limits)
+            let is_readable = self.upstream(key).is_some_and(|(transport, upstream)| {
+                transport.connected && upstream.is_readable(now, &self.limits)
             });
-            let Some((conn, _)) = self.upstream_mut(key).filter(|_| is_readable) else {
+            let Some((transport, _)) = self.upstream_mut(key).filter(|_| is_readable) else {
                 return;
             };
-            if conn.read(false) != IoProgress::Advanced || self.read(now, key).is_err() {
+            if transport.read(false) != IoProgress::Advanced || self.read(now, key).is_err() {
                 return;
             }
         }
@@ -112,20 +97,25 @@
 
     /// Writes queued attempts and sets the timers that follow. False where the connection is to be closed.
     pub(in crate::event_loop) fn pump_upstream(&mut self, now: Micros, key: SlabKey) -> bool {
-        let Some(Connection {
-            conn,
-            role: ConnectionRole::Upstream(upstream),
-            ..
-        }) = self.connections.get_mut(key)
+        let Some((transport, upstream)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_upstream_mut)
         else {
             return true;
         };
         let server = upstream.server;
         let mut events = Vec::new();
-        let is_usable = upstream.pump(now, conn, &self.request_table, &self.limits, &mut events);
+        let is_usable = upstream.pump(
+            now,
+            transport,
+            &self.request_table,
+            &self.limits,
+            &mut events,
+        );
         let cancelled_over_at = upstream.report_at(&self.limits);
         let answer_stalls_at = upstream.half_at(&self.limits).filter(|_| is_usable);
-        let has_output = conn.connected && !conn.output.is_empty();
+        let has_output = transport.connected && !transport.output.is_empty();
         let write_stalls_at = has_output.then_some(now + self.limits.server_write_timeout_us);
         for at in [cancelled_over_at, answer_stalls_at, write_stalls_at]
             .into_iter()
@@ -146,10 +136,10 @@
             self.close(now, key);
         }
         self.update_poll_interest(key);
-        if let Some(Connection {
-            role: ConnectionRole::Upstream(upstream),
-            ..
-        }) = self.connections.get_mut(key)
+        if let Some((_, upstream)) = self
+            .connections
+            .get_mut(key)
+            .and_then(Connection::as_upstream_mut)
         {
             upstream.prune(now, &self.limits);
         }
@@ -160,13 +150,13 @@
         &mut self,
         now: Micros,
         key: SlabKey,
-        conn: &BufferedSocket,
+        transport: &BufferedSocket,
         upstream: UpstreamConnection,
     ) {
         let server = upstream.server;
         self.upstream_connections.remove(server, key);
         let mut events = Vec::new();
-        upstream.broken(conn.connected, conn.bytes_written, &mut events);
+        upstream.broken(transport.connected, transport.bytes_written, &mut events);
         self.report_upstream_events(now, server, events);
     }
 
