--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -119,12 +119,12 @@
 
     /// The client connection that is the first to make room: by class, then the one that has been in it longest.
     fn eviction_candidate(&self, now: Micros) -> Option<SlabKey> {
-        let immune_after = now.saturating_sub(self.limits.eviction_immunity_us);
+        let latest_evictable = now.saturating_sub(self.limits.eviction_immunity_us);
         let rank = |key: SlabKey| {
             let connection = self.connections.get(key)?;
             let class = connection.eviction_class()?;
             let since = connection.activity.since;
-            let may_leave = class != EvictionClass::Busy && since <= immune_after;
+            let may_leave = class != EvictionClass::Busy && since <= latest_evictable;
             may_leave.then_some((class, since, key))
         };
         let keys = self.connections.keys();
