--- a/crates/routing/tests/defences.rs
+++ b/crates/routing/tests/outlier_ejection.rs
@@ -1,7 +1,7 @@
 //! One test for each failure found.
 
-mod common;
-use common::*;
+mod support;
+use support::*;
 use edge_routing::*;
 
 /// Servers that get requests for `n` objects, each answered as a hit.
--- a/crates/routing/tests/ordinary.rs
+++ b/crates/routing/tests/replication.rs
@@ -1,7 +1,7 @@
 //! The design's ordinary path, and that equal events give equal actions.
 
-mod common;
-use common::*;
+mod support;
+use support::*;
 use edge_routing::*;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/retries.rs
@@ -1,7 +1,7 @@
 //! The five rules at their edges.
 
-mod common;
-use common::*;
+mod support;
+use support::*;
 use edge_routing::*;
 
 fn alone(id: ServerId) -> Vec<Endpoint> {
--- a/crates/routing/tests/scale.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -1,7 +1,7 @@
 //! One router against hundreds: what a router may do alone, summed over all of them.
 
-mod common;
-use common::*;
+mod support;
+use support::*;
 use edge_routing::*;
 use std::collections::BTreeSet;
 
