--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -38,13 +38,31 @@
     Settings {
         classes: vec![
             class("video"),
-            Class { freshness_lifetime_us: 10 * S, ..class("page") },
-            Class { idempotency: Idempotency::IdempotencyKey, is_write: true, ..class("order") },
-            Class { idempotency: Idempotency::NonIdempotent, is_write: true, ..class("charge") },
-            Class { streaming: true, ..class("stream") },
+            Class {
+                freshness_lifetime_us: 10 * S,
+                ..class("page")
+            },
+            Class {
+                idempotency: Idempotency::IdempotencyKey,
+                is_write: true,
+                ..class("order")
+            },
+            Class {
+                idempotency: Idempotency::NonIdempotent,
+                is_write: true,
+                ..class("charge")
+            },
+            Class {
+                streaming: true,
+                ..class("stream")
+            },
         ],
         tenants: vec![],
-        zones: vec![zone("hub", 0, 0.0), zone("town", 1, 100_000.0), zone("shore", 1, 100_000.0)],
+        zones: vec![
+            zone("hub", 0, 0.0),
+            zone("town", 1, 100_000.0),
+            zone("shore", 1, 100_000.0),
+        ],
         zone: 1,
         parent_kind: Some("parent".into()),
         origin_kind: "origin".into(),
@@ -117,8 +135,15 @@
 
 impl Rig {
     pub fn new(settings: Settings, fleet: Vec<Endpoint>) -> Rig {
-        let mut rig = Rig { router: Router::new(settings, 7).expect("usable settings"), now: T0, next: 1 };
-        rig.handle(Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: fleet });
+        let mut rig = Rig {
+            router: Router::new(settings, 7).expect("usable settings"),
+            now: T0,
+            next: 1,
+        };
+        rig.handle(Event::EndpointList {
+            mode: EndpointListMode::Snapshot,
+            endpoints: fleet,
+        });
         rig
     }
 
@@ -128,7 +153,12 @@
         actions
     }
 
-    pub fn ask(&mut self, class: &str, object: &str, remaining_us: Micros) -> (RequestId, Vec<Action>) {
+    pub fn ask(
+        &mut self,
+        class: &str,
+        object: &str,
+        remaining_us: Micros,
+    ) -> (RequestId, Vec<Action>) {
         self.ask_for(class, object, remaining_us, 500.0)
     }
 
@@ -148,7 +178,17 @@
         self.next += 1;
         let (class, object) = (class.into(), object.into());
         let (tenant, part, group, is_retry) = (None, 0, 3, false);
-        let request = Request { id, class, tenant, object, part, group, size_kb, remaining_us, is_retry };
+        let request = Request {
+            id,
+            class,
+            tenant,
+            object,
+            part,
+            group,
+            size_kb,
+            remaining_us,
+            is_retry,
+        };
         let actions = self.handle(Event::Request(request));
         (id, actions)
     }
@@ -197,13 +237,45 @@
 
 pub fn sent(actions: &[Action]) -> Option<Sent> {
     actions.iter().find_map(|a| match a {
-        Action::StartAttempt { request, server, timeout_us, fill: Some(fill), .. } => {
-            Some(Sent { request: *request, server: *server, fill: *fill, timeout_us: *timeout_us })
-        }
+        Action::StartAttempt {
+            request,
+            server,
+            timeout_us,
+            fill: Some(fill),
+            ..
+        } => Some(Sent {
+            request: *request,
+            server: *server,
+            fill: *fill,
+            timeout_us: *timeout_us,
+        }),
         _ => None,
     })
 }
 
 pub fn finals(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })).count()
+    actions
+        .iter()
+        .filter(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. }))
+        .count()
+}
+
+/// Servers that get requests for `n` objects, each answered as a hit.
+pub fn used(rig: &mut Rig, n: usize) -> Vec<ServerId> {
+    (0..n)
+        .filter_map(|n| {
+            let (id, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
+            let s = sent(&actions)?;
+            rig.end_with(id, 0, s.server, Outcome::Ok, FillResult::Hit);
+            Some(s.server)
+        })
+        .collect()
+}
+
+pub fn alone(id: ServerId) -> Vec<Endpoint> {
+    vec![
+        server(id, "town", "cache"),
+        server(11, "hub", "parent"),
+        server(21, "hub", "origin"),
+    ]
 }
