--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -1,169 +1,183 @@
-//! Rejections: no time left, a saturated link, a saturated cache server; and the Retry-After they carry.
+//! Admission: requests are rejected, or served from copies alone, where the time left, the link of
+//! the location or the capacity of a cache server does not allow more.
 
 mod support;
 use edge_routing::*;
-use std::collections::BTreeSet;
 use support::*;
 
 #[test]
-fn a_request_without_time_left_is_refused_at_once() {
-    let mut rig = Rig::new(settings(), fleet());
-    let (id, actions) = rig.ask("video", "/o/a", 0);
+fn a_request_without_time_left_is_rejected_at_once() {
+    let mut harness = Harness::with_defaults();
+    let request = Request {
+        remaining_us: 0,
+        ..harness.next_request(VIDEO, "/o/a")
+    };
+    let submission = harness.submit_request(request);
     assert_eq!(
-        actions,
-        vec![Action::Reject {
-            request: id,
-            retry_after_us: Some(200 * MS)
+        submission.actions,
+        [Action::Reject {
+            request: submission.request,
+            retry_after_us: Some(RETRY_AFTER),
         }]
     );
 }
 
 #[test]
-fn a_refused_client_is_told_when_to_come_back_also_where_none_is_said_to_listen() {
-    let mut rig = Rig::new(
-        Settings {
-            retry_after: false,
-            max_retry_after_us: 150 * MS,
-            ..settings()
-        },
-        vec![],
-    );
-    let (request, actions) = rig.ask("video", "/o/a", S);
+fn a_rejection_carries_retry_after_even_where_clients_are_not_known_to_follow_it() {
+    const LONGEST_RETRY_AFTER: Micros = 150 * MILLISECOND;
+    let settings = Settings {
+        retry_after: false,
+        max_retry_after_us: LONGEST_RETRY_AFTER,
+        ..settings()
+    };
+    let mut harness = Harness::new(settings, vec![]);
+    let request = Request {
+        remaining_us: SECOND,
+        ..harness.next_request(VIDEO, "/o/a")
+    };
+    let submission = harness.submit_request(request);
     assert_eq!(
-        actions,
-        vec![Action::Reject {
-            request,
-            retry_after_us: Some(150 * MS)
+        submission.actions,
+        [Action::Reject {
+            request: submission.request,
+            retry_after_us: Some(LONGEST_RETRY_AFTER),
         }]
     );
 }
 
 #[test]
-fn no_fill_is_started_that_the_link_cannot_have_in_time() {
-    let mut s = settings();
-    s.zones[1].link_kb_per_s = 10_000.0;
-    let mut fleet = fleet();
-    fleet.iter_mut().for_each(|s| s.weight = 1000.0);
-    let mut rig = Rig::new(s, fleet);
-    let first = rig.send("video", "/o/0");
-    assert!(first.fill.source == 11 || first.fill.source == 12);
+fn no_fill_starts_that_the_link_cannot_finish_in_time() {
+    const SLOW_LINK_KB_PER_S: f64 = 10_000.0;
+    let mut settings = settings();
+    settings.zones[LOCAL_ZONE].link_kb_per_s = SLOW_LINK_KB_PER_S;
+    let mut harness = Harness::new(settings, fleet_with_unlimited_capacity());
+    let first = harness.forward(VIDEO, "/o/0");
+    assert!(PARENTS.contains(&first.fill.source));
+
     let last = (1..400)
-        .map(|n| rig.send("video", &format!("/o/{n}")))
+        .map(|index| harness.forward(VIDEO, &format!("/o/{index}")))
         .last()
-        .expect("one");
-    assert_eq!(last.fill.source, last.server, "only looked into");
-    assert!(last.fill.coalesce, "a fill under way is waited for");
-    let answer = rig.end(last.request, 0, last.server, Outcome::Miss);
+        .expect("an attempt");
+    assert!(!last.fills_a_miss(), "only cached copies are served");
+    assert!(last.fill.coalesce, "a fill in progress is waited for");
     assert_eq!(
-        answer,
-        vec![Action::Reject {
+        harness.finish(&last, Outcome::Miss),
+        [Action::Reject {
             request: last.request,
-            retry_after_us: Some(200 * MS)
+            retry_after_us: Some(RETRY_AFTER),
         }]
     );
 }
 
+/// Whether a request may start a fill over a link of unknown capacity.
+#[derive(Debug, PartialEq)]
+struct FillsAllowed {
+    /// Just after 40 fills have ended together.
+    under_load: bool,
+    /// Four seconds later.
+    once_idle: bool,
+}
+
+/// Whether fills are allowed once 40 that were in flight together have each ended like this.
+fn fills_allowed_after(outcome: Outcome, fill_result: FillResult, took_us: Micros) -> FillsAllowed {
+    let settings = settings_with_unknown_link();
+    let mut harness = Harness::new(settings, fleet_with_unlimited_capacity());
+    let fills: Vec<Attempt> = (0..40)
+        .map(|index| harness.forward(VIDEO, &format!("/o/{index}")))
+        .collect();
+
+    harness.advance(200 * MILLISECOND);
+    harness.servers_of_objects(8); // The cache servers answer others meanwhile.
+    harness.sweep();
+    harness.advance(600 * MILLISECOND);
+    for fill in &fills {
+        harness.report(AttemptReport {
+            took_us,
+            fill_ttfb_us: 20 * MILLISECOND,
+            ..fill.report(outcome, fill_result)
+        });
+    }
+
+    let under_load = harness.forward(VIDEO, "/o/next");
+    for _ in 0..2 {
+        harness.advance(2 * SECOND);
+        harness.sweep();
+    }
+    let once_idle = harness.forward(VIDEO, "/o/last");
+    FillsAllowed {
+        under_load: under_load.fills_a_miss(),
+        once_idle: once_idle.fills_a_miss(),
+    }
+}
+
 #[test]
-fn what_a_link_of_untold_size_fits_is_learned_from_its_fills() {
-    let run = |took_ms: u64, outcome: Outcome| {
-        let mut s = settings();
-        s.zones[1].link_kb_per_s = 0.0;
-        let mut fleet = fleet();
-        fleet.iter_mut().for_each(|s| s.weight = 1000.0);
-        let mut rig = Rig::new(s, fleet);
-        let fills: Vec<Sent> = (0..40)
-            .map(|n| rig.send("video", &format!("/o/{n}")))
-            .collect();
-        rig.now += 200 * MS;
-        used(&mut rig, 8); // The caches answer others meanwhile.
-        rig.tick();
-        rig.now += 600 * MS;
-        for s in &fills {
-            rig.handle(Event::AttemptEnded(AttemptReport {
-                request: s.request,
-                attempt: 0,
-                server: s.server,
-                outcome,
-                took_us: took_ms * MS,
-                settled: outcome == Outcome::Ok,
-                fill_result: if outcome == Outcome::Ok {
-                    FillResult::Filled
-                } else {
-                    FillResult::Unknown
-                },
-                fill_ttfb_us: 20 * MS,
-                load: None,
-            }));
-        }
-        let under_load = rig.send("video", "/o/next");
-        for _ in 0..2 {
-            rig.now += 2 * S;
-            rig.tick();
-        }
-        let calm = rig.send("video", "/o/last");
-        [under_load, calm].map(|s| s.fill.source != s.server)
-    };
+fn the_capacity_of_a_link_is_learned_from_its_fills_where_it_is_unknown() {
     assert_eq!(
-        run(800, Outcome::Ok),
-        [false, true],
-        "only looked into, and filled once the link is free"
+        fills_allowed_after(Outcome::Ok, FillResult::Filled, 800 * MILLISECOND),
+        FillsAllowed {
+            under_load: false,
+            once_idle: true,
+        },
+        "slow fills show a saturated link, until it is idle"
     );
     assert_eq!(
-        run(800, Outcome::Timeout),
-        [true, true],
-        "what timed out may have waited for the origin"
+        fills_allowed_after(Outcome::Timeout, FillResult::Unknown, 800 * MILLISECOND),
+        FillsAllowed {
+            under_load: true,
+            once_idle: true,
+        },
+        "a time-out says nothing of the link: it may have waited for the origin"
     );
     assert_eq!(
-        run(130, Outcome::Ok),
-        [true, true],
-        "quick ones set no bound"
+        fills_allowed_after(Outcome::Ok, FillResult::Filled, 130 * MILLISECOND),
+        FillsAllowed {
+            under_load: true,
+            once_idle: true,
+        },
+        "quick fills set no limit"
     );
 }
 
 #[test]
-fn a_link_on_which_no_fill_has_ended_of_late_is_not_full() {
-    let mut s = settings();
-    s.zones[1].link_kb_per_s = 0.0;
-    let mut rig = Rig::new(s, fleet());
-    let fills: Vec<Sent> = (0..6)
-        .map(|n| rig.send("video", &format!("/x/{n}")))
+fn a_link_on_which_no_fill_has_ended_recently_is_not_saturated() {
+    let mut harness = Harness::new(settings_with_unknown_link(), fleet());
+    let fills: Vec<Attempt> = (0..6)
+        .map(|index| harness.forward(VIDEO, &format!("/x/{index}")))
         .collect();
-    for s in fills {
-        rig.handle(Event::AttemptEnded(AttemptReport {
-            request: s.request,
-            attempt: 0,
-            server: s.server,
-            outcome: Outcome::Ok,
-            took_us: 4 * S,
-            settled: true,
-            fill_result: FillResult::Filled,
-            fill_ttfb_us: 20 * MS,
-            load: None,
-        }));
+    for fill in &fills {
+        harness.report(AttemptReport {
+            took_us: 4 * SECOND,
+            fill_ttfb_us: 20 * MILLISECOND,
+            ..fill.report(Outcome::Ok, FillResult::Filled)
+        });
     }
-    let filled = |s: Sent| s.fill.source != s.server;
-    let full = filled(rig.send("video", "/o/1"));
-    rig.tick();
-    rig.now += 2 * S;
-    rig.tick();
-    assert_eq!(
-        [full, filled(rig.send("video", "/o/2"))],
-        [false, true],
-        "a fill has to show what fits now"
+    let just_after = harness.forward(VIDEO, "/o/1");
+    assert!(
+        !just_after.fills_a_miss(),
+        "slow fills show a saturated link"
+    );
+
+    harness.sweep();
+    harness.advance(2 * SECOND);
+    harness.sweep();
+    let later = harness.forward(VIDEO, "/o/2");
+    assert!(
+        later.fills_a_miss(),
+        "a fill has to show what the link carries now"
     );
 }
 
 #[test]
-fn one_own_transfer_among_hundreds_of_routers_does_not_make_a_cache_full() {
+fn a_few_transfers_of_one_router_among_hundreds_do_not_saturate_a_cache_server() {
     let mut settings = settings();
-    settings.zones[1].edge_proxies = 200;
-    let mut rig = Rig::new(settings, fleet());
-    let servers: BTreeSet<ServerId> = (0..3)
-        .map(|_| rig.send("video", "/o/same").server)
-        .collect();
-    assert_eq!(
-        servers.len(),
-        1,
-        "the object's cache is not full by this router's few transfers"
-    );
+    settings.zones[LOCAL_ZONE].edge_proxies = 200;
+    let mut harness = Harness::new(settings, fleet());
+    let first = harness.forward(VIDEO, "/o/same");
+    for _ in 0..2 {
+        let next = harness.forward(VIDEO, "/o/same");
+        assert_eq!(
+            next.server, first.server,
+            "the object's cache server has capacity left"
+        );
+    }
 }
--- a/crates/routing/tests/cancellation.rs
+++ b/crates/routing/tests/cancellation.rs
@@ -1,241 +1,219 @@
-//! Which attempts in flight are cancelled: at unresponsive servers, stalled ones, those of disconnected clients.
+//! Which attempts in flight are cancelled: those at an unresponsive server, stalled ones, and those
+//! of clients that have disconnected.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
-/// Which attempts are called off once all that was sent has been out for so long.
-fn called_off(rig: &mut Rig, after: Micros) -> Vec<RequestId> {
-    rig.now += after;
-    let cancel = |a: &Action| {
-        if let Action::CancelAttempt { request, .. } = a {
-            Some(*request)
-        } else {
-            None
-        }
-    };
-    rig.tick().iter().filter_map(cancel).collect()
+/// Longer than an attempt may take that is neither a fill for certain nor slow for its class.
+const PAST_THE_EXPECTED_LATENCY: Micros = SECOND;
+
+/// The cancellations once six requests for one object have waited too long after this purge.
+fn cancellations_after_purge(purge: Event) -> Vec<Action> {
+    let mut harness = Harness::with_defaults();
+    harness.handle(purge);
+    for _ in 0..6 {
+        harness.forward(VIDEO, "/o/1");
+    }
+    harness.cancellations_after(PAST_THE_EXPECTED_LATENCY)
 }
 
 #[test]
-fn fills_that_are_slow_after_a_purge_are_no_sign_of_silence() {
-    let purged = |object: Option<&str>, group| {
-        let mut rig = Rig::new(settings(), fleet());
-        let object = object.map(str::to_owned);
-        rig.handle(Event::Purged {
-            object,
-            group,
-            age_us: 100 * MS,
-            permanent: false,
-        });
-        for _ in 0..6 {
-            rig.send("video", "/o/1");
-        }
-        called_off(&mut rig, S)
-    };
+fn slow_fills_after_a_group_purge_are_no_sign_of_an_unresponsive_server() {
+    const PURGE_AGE: Micros = 100 * MILLISECOND;
     assert_eq!(
-        purged(None, 3),
+        cancellations_after_purge(group_purge(GROUP, PURGE_AGE)),
         [],
-        "the copies asked for are void: what is out waits for the origin"
+        "every copy was purged: the attempts wait for the origin"
     );
     assert!(
-        !purged(None, 4).is_empty(),
-        "copies of another group should have been found"
+        !cancellations_after_purge(group_purge(OTHER_GROUP, PURGE_AGE)).is_empty(),
+        "copies of this group should have been found"
     );
     assert!(
-        !purged(Some("/o/1"), 3).is_empty(),
-        "one object is filled again at once, by whoever asks first"
+        !cancellations_after_purge(object_purge("/o/1", PURGE_AGE)).is_empty(),
+        "one object is filled again at once, by the first request for it"
     );
 }
 
-#[test]
-fn fills_that_are_slow_in_a_cache_that_started_empty_are_no_sign_of_silence() {
-    let start = |at: Option<Micros>| {
-        let mut servers = fleet();
-        servers
-            .iter_mut()
-            .filter(|s| s.kind == "cache")
-            .for_each(|s| s.started = at);
-        let mut rig = Rig::new(settings(), servers);
-        for n in 0..6 {
-            rig.ask("video", &format!("/o/{n}"), 5 * S);
+/// The cancellations once requests for six objects have waited too long, where all cache servers
+/// have started at this time.
+fn cancellations_with_cache_servers_started(started: Micros) -> Vec<Action> {
+    let mut endpoints = fleet();
+    for endpoint in &mut endpoints {
+        if endpoint.kind == "cache" {
+            endpoint.started = Some(started);
         }
-        called_off(&mut rig, S)
-    };
-    assert_eq!(start(Some(T0 - 3 * S)), [], "they hold nothing yet");
-    assert!(!start(Some(T0 - 30 * S)).is_empty());
+    }
+    let mut harness = Harness::new(settings(), endpoints);
+    for index in 0..6 {
+        harness.submit(VIDEO, &format!("/o/{index}"));
+    }
+    harness.cancellations_after(PAST_THE_EXPECTED_LATENCY)
+}
+
+#[test]
+fn slow_fills_of_cache_servers_that_started_empty_are_no_sign_of_unresponsive_servers() {
+    let warming_up = START_TIME - 3 * SECOND;
+    let warm = START_TIME - 30 * SECOND;
+    assert_eq!(
+        cancellations_with_cache_servers_started(warming_up),
+        [],
+        "they have no copies yet"
+    );
+    assert!(!cancellations_with_cache_servers_started(warm).is_empty());
 }
 
 #[test]
-fn a_cache_that_answers_nothing_is_left_and_its_requests_go_elsewhere() {
-    let mut rig = Rig::new(settings(), fleet());
-    let mut stuck = Vec::new();
-    for n in 0..40 {
-        let s = rig.send("video", &format!("/o/{n}"));
-        if s.server == 2 {
-            stuck.push(s);
+fn attempts_at_an_unresponsive_server_are_cancelled_and_retried_elsewhere() {
+    let unresponsive = CACHE_SERVERS[1];
+    let mut harness = Harness::with_defaults();
+    let mut unanswered = Vec::new();
+    for index in 0..40 {
+        let attempt = harness.forward(VIDEO, &format!("/o/{index}"));
+        if attempt.server == unresponsive {
+            unanswered.push(attempt);
         } else {
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
+            harness.finish_as_hit(&attempt);
         }
     }
-    assert!(stuck.len() >= 2);
-    rig.now += S;
-    let cancelled: Vec<RequestId> = rig
-        .tick()
-        .iter()
-        .filter_map(|a| match a {
-            Action::CancelAttempt {
-                request,
-                attempt: 0,
-            } => Some(*request),
-            _ => None,
-        })
-        .collect();
-    assert_eq!(
-        cancelled,
-        stuck.iter().map(|s| s.request).collect::<Vec<_>>()
-    );
-    for s in &stuck {
-        let again = rig.end(s.request, 0, 2, Outcome::Cancelled);
-        assert_ne!(sent(&again).expect("another attempt").server, 2);
+    assert!(unanswered.len() >= 2);
+
+    let cancelled = harness.cancellations_after(PAST_THE_EXPECTED_LATENCY);
+    let expected: Vec<Action> = unanswered.iter().map(Attempt::cancellation).collect();
+    assert_eq!(cancelled, expected);
+
+    for attempt in &unanswered {
+        let retry = harness.retry(attempt, Outcome::Cancelled).expect("a retry");
+        assert_ne!(retry.server, unresponsive);
     }
-    assert!(!used(&mut rig, 40).contains(&2));
+    assert!(!harness.servers_of_objects(40).contains(&unresponsive));
 }
 
 #[test]
-fn an_answer_that_is_lost_is_asked_for_again_where_its_server_answers_others() {
-    let mut rig = Rig::new(settings(), fleet());
-    let stuck = rig.send("video", "/o/a");
+fn a_stalled_attempt_is_retried_at_the_same_server_while_it_answers_others() {
+    const STEP: Micros = 100 * MILLISECOND;
+    let mut harness = Harness::with_defaults();
+    let stalled = harness.forward(VIDEO, "/o/a");
     let mut cancelled = Vec::new();
-    for n in 0..40 {
-        rig.now += 100 * MS;
-        // The same cache goes on answering others.
-        let (id, actions) = rig.ask("page", &format!("/o/{n}"), 5 * S);
-        let s = sent(&actions).expect("an attempt");
-        rig.end_with(id, 0, s.server, Outcome::Ok, FillResult::Hit);
-        cancelled.extend(
-            rig.tick()
-                .into_iter()
-                .filter(|a| matches!(a, Action::CancelAttempt { .. })),
-        );
+    for index in 0..40 {
+        harness.advance(STEP);
+        // The same cache server goes on answering others.
+        harness.serve_hit(PAGE, &format!("/o/{index}"));
+        cancelled.extend(cancellations(harness.sweep()));
     }
+    assert_eq!(cancelled, [stalled.cancellation()]);
+    let retry = harness
+        .retry(&stalled, Outcome::Cancelled)
+        .expect("a retry");
     assert_eq!(
-        cancelled,
-        vec![Action::CancelAttempt {
-            request: stuck.request,
-            attempt: 0
-        }]
-    );
-    let again = sent(&rig.end(stuck.request, 0, stuck.server, Outcome::Cancelled))
-        .expect("another attempt");
-    assert_eq!(
-        again.server, stuck.server,
-        "the work ran: the copy is there"
+        retry.server, stalled.server,
+        "the request ran there, so the copy is there"
     );
-    // Lost a second time, it is given more time, then asked for elsewhere.
-    let mut actions = Vec::new();
-    let mut waited = 0;
-    while actions.is_empty() && waited < 200 {
-        rig.now += 100 * MS;
-        waited += 1;
-        actions.extend(
-            rig.tick()
-                .into_iter()
-                .filter(|a| matches!(a, Action::CancelAttempt { .. })),
-        );
+
+    // Stalled a second time, it is given more time.
+    const MOST_STEPS: usize = 200;
+    const STEPS_OF_FIRST_ATTEMPT: usize = 20;
+    let mut cancelled = Vec::new();
+    let mut steps = 0;
+    while cancelled.is_empty() && steps < MOST_STEPS {
+        cancelled = harness.cancellations_after(STEP);
+        steps += 1;
     }
-    assert_eq!(
-        actions,
-        vec![Action::CancelAttempt {
-            request: stuck.request,
-            attempt: 1
-        }]
+    assert_eq!(cancelled, [retry.cancellation()]);
+    assert!(
+        steps > STEPS_OF_FIRST_ATTEMPT,
+        "longer than the first attempt: {steps} steps"
     );
-    assert!(waited > 20, "longer than the first: {waited}");
 }
 
 #[test]
-fn what_is_called_off_as_slow_raises_the_bound_on_what_comes_after_it() {
-    let mut rig = Rig::new(settings(), fleet());
-    let mut waits = Vec::new();
-    for round in 0..4 {
+fn a_cancelled_slow_attempt_raises_the_expected_latency_of_later_ones() {
+    const LONG_DEADLINE: Micros = 60 * SECOND;
+    const ROUNDS: usize = 4;
+    let mut harness = Harness::with_defaults();
+    let mut times_to_cancellation = Vec::new();
+    for round in 0..ROUNDS {
         let object = format!("/o/{round}");
-        let slow = sent(&rig.ask("video", &object, 60 * S).1).expect("an attempt");
-        let start = rig.now;
-        // Its server answers others meanwhile, so it is the work that is slow.
-        rig.now += 100 * MS;
-        let other = rig.send("video", &object);
+        let request = Request {
+            remaining_us: LONG_DEADLINE,
+            ..harness.next_request(VIDEO, &object)
+        };
+        let submission = harness.submit_request(request);
+        let slow = submission.attempt().expect("an attempt");
+        let start = harness.now;
+
+        // Its server answers others meanwhile, so the server is not unresponsive.
+        harness.advance(100 * MILLISECOND);
+        let other = harness.serve_hit(VIDEO, &object);
         assert_eq!(other.server, slow.server);
-        rig.end_with(other.request, 0, other.server, Outcome::Ok, FillResult::Hit);
-        while !rig.tick().contains(&Action::CancelAttempt {
-            request: slow.request,
-            attempt: 0,
-        }) {
-            rig.now += 50 * MS;
+
+        while !harness.sweep().contains(&slow.cancellation()) {
+            harness.advance(50 * MILLISECOND);
         }
-        waits.push(rig.now - start);
-        let again = sent(&rig.end(slow.request, 0, slow.server, Outcome::Cancelled))
-            .expect("another attempt");
-        rig.end_with(again.request, 1, again.server, Outcome::Ok, FillResult::Hit);
+        times_to_cancellation.push(harness.now - start);
+        let retry = harness.retry(&slow, Outcome::Cancelled).expect("a retry");
+        harness.finish_as_hit(&retry);
     }
     assert!(
-        waits.is_sorted() && waits[3] > waits[0] * 4 / 3,
-        "{waits:?}"
+        times_to_cancellation.is_sorted(),
+        "{times_to_cancellation:?}"
+    );
+    assert!(
+        times_to_cancellation[ROUNDS - 1] > times_to_cancellation[0] * 4 / 3,
+        "{times_to_cancellation:?}"
     );
 }
 
+/// A router that was notified ten seconds ago that another group was purged.
+fn harness_after_group_purge() -> Harness {
+    let mut harness = Harness::with_defaults();
+    harness.handle(group_purge(OTHER_GROUP, 100 * MILLISECOND));
+    harness.advance(10 * SECOND);
+    harness
+}
+
+/// The cancellations once requests for six objects have waited for a time within the usual latency.
+///
+/// Nothing has been answered yet, and until something has, the usual latency is taken to be 0.9 s.
+fn cancellations_within_usual_latency(mut harness: Harness) -> Vec<Action> {
+    for index in 0..6 {
+        harness.forward(VIDEO, &format!("/o/{index}"));
+    }
+    harness.cancellations_after(700 * MILLISECOND)
+}
+
 #[test]
-fn after_a_purge_of_groups_what_takes_no_longer_than_others_is_not_overdue() {
-    let run = |purge: bool| {
-        let mut rig = Rig::new(settings(), fleet());
-        if purge {
-            rig.handle(Event::Purged {
-                object: None,
-                group: 4,
-                age_us: 100 * MS,
-                permanent: false,
-            });
-            rig.now += 10 * S;
-        }
-        // Nothing has answered yet, and until some have, answers are taken to need 0.9 seconds.
-        for n in 0..6 {
-            rig.send("video", &format!("/o/{n}"));
-        }
-        called_off(&mut rig, 700 * MS)
-    };
-    assert_eq!(run(true), []);
-    assert!(!run(false).is_empty());
+fn after_a_group_purge_attempts_within_the_usual_latency_are_not_cancelled() {
+    assert_eq!(
+        cancellations_within_usual_latency(harness_after_group_purge()),
+        []
+    );
+    assert!(!cancellations_within_usual_latency(Harness::with_defaults()).is_empty());
 }
 
 #[test]
-fn what_is_out_for_a_client_that_left_is_called_off() {
-    let mut rig = Rig::new(settings(), fleet());
-    let s = rig.send("video", "/o/a");
+fn the_attempt_of_a_client_that_disconnects_is_cancelled() {
+    let mut harness = Harness::with_defaults();
+    let attempt = harness.forward(VIDEO, "/o/a");
     assert_eq!(
-        rig.handle(Event::ClientDisconnected { request: s.request }),
-        vec![Action::CancelAttempt {
-            request: s.request,
-            attempt: 0
-        }]
+        harness.disconnect(attempt.request),
+        [attempt.cancellation()]
     );
-    assert!(
-        rig.end(s.request, 0, s.server, Outcome::Cancelled)
-            .is_empty(),
-        "no answer is owed any more"
+    assert_eq!(
+        harness.finish(&attempt, Outcome::Cancelled),
+        [],
+        "no final answer is owed any more"
     );
 }
 
 #[test]
-fn a_begun_stream_is_left_alone() {
-    let mut rig = Rig::new(settings(), fleet());
-    let s = rig.send("stream", "/o/a");
-    rig.handle(Event::StreamStarted {
-        request: s.request,
-        attempt: 0,
+fn a_started_stream_is_not_cancelled() {
+    let mut harness = Harness::with_defaults();
+    let attempt = harness.forward(STREAM, "/o/a");
+    harness.handle(Event::StreamStarted {
+        request: attempt.request,
+        attempt: attempt.number,
     });
-    rig.now += 20 * S;
-    assert!(!rig
-        .tick()
-        .iter()
-        .any(|a| matches!(a, Action::CancelAttempt { .. })));
+    assert_eq!(harness.cancellations_after(20 * SECOND), []);
 }
--- a/crates/routing/tests/endpoint_list.rs
+++ b/crates/routing/tests/endpoint_list.rs
@@ -1,49 +1,49 @@
-//! Changes of the endpoint list take effect at once.
+//! What the endpoint list says holds at once for new attempts and fills.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
 #[test]
-fn drained_and_gone_servers_get_nothing_new() {
+fn draining_and_gone_servers_get_no_new_attempts_or_fills() {
+    let cache_server_leaving = CACHE_SERVERS[0];
+    let parent_leaving = PARENTS[0];
     for state in [EndpointState::Draining, EndpointState::Gone] {
-        let mut rig = Rig::new(settings(), fleet());
-        let change = |id, zone, kind| Endpoint {
-            state,
-            ..server(id, zone, kind)
-        };
-        let servers = vec![change(1, "town", "cache"), change(11, "hub", "parent")];
-        rig.handle(Event::EndpointList {
-            mode: EndpointListMode::Delta,
-            endpoints: servers,
-        });
-        for n in 0..60 {
-            let s = rig.send("video", &format!("/o/{n}"));
-            assert_ne!(s.server, 1);
-            assert_ne!(s.fill.source, 11, "nor as the source of a fill");
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
+        let mut harness = Harness::with_defaults();
+        harness.handle(endpoint_delta(vec![
+            Endpoint {
+                state,
+                ..cache_server(cache_server_leaving)
+            },
+            Endpoint {
+                state,
+                ..parent(parent_leaving)
+            },
+        ]));
+        for index in 0..60 {
+            let attempt = harness.serve_hit(VIDEO, &format!("/o/{index}"));
+            assert_ne!(attempt.server, cache_server_leaving, "{state:?}");
+            assert_ne!(attempt.fill.source, parent_leaving, "{state:?}");
         }
     }
 }
 
 #[test]
-fn a_server_missing_from_a_full_list_gets_nothing_new() {
-    let mut rig = Rig::new(settings(), fleet());
-    rig.handle(Event::EndpointList {
-        mode: EndpointListMode::Snapshot,
-        endpoints: alone(3),
-    });
-    for n in 0..30 {
-        let s = rig.send("video", &format!("/o/{n}"));
-        assert_eq!(s.server, 3);
-        rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
+fn a_server_missing_from_a_snapshot_gets_no_new_attempts() {
+    let remaining = CACHE_SERVERS[2];
+    let mut harness = Harness::with_defaults();
+    harness.handle(endpoint_snapshot(fleet_with_one_cache_server(remaining)));
+    for index in 0..30 {
+        let attempt = harness.serve_hit(VIDEO, &format!("/o/{index}"));
+        assert_eq!(attempt.server, remaining);
     }
 }
 
 #[test]
-fn without_servers_requests_are_refused_at_once() {
-    let mut rig = Rig::new(settings(), vec![]);
-    for class in ["video", "page", "order", "charge"] {
-        assert_eq!(finals(&rig.ask(class, "/o/a", 5 * S).1), 1);
+fn without_servers_every_request_gets_its_final_answer_at_once() {
+    let mut harness = Harness::new(settings(), vec![]);
+    for class in [VIDEO, PAGE, ORDER, CHARGE] {
+        let submission = harness.submit(class, "/o/a");
+        assert_eq!(count_final_answers(&submission.actions), 1, "{class}");
     }
 }
--- a/crates/routing/tests/fill_source.rs
+++ b/crates/routing/tests/fill_source.rs
@@ -1,98 +1,107 @@
-//! Where a cache miss is filled from: the parents, the origin or a peer.
+//! Where a cache miss is filled from: a parent, the origin, or a peer of the same location.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
 #[test]
-fn fills_come_from_one_parent_for_an_object_and_the_origin_without_parents() {
-    let mut rig = Rig::new(settings(), fleet());
-    let (a, b) = (rig.send("video", "/o/a"), rig.send("video", "/o/a"));
-    assert_eq!(a.fill.source, b.fill.source);
-    assert!(a.fill.source == 11 || a.fill.source == 12);
-    let few = fleet().into_iter().filter(|s| s.kind != "parent").collect();
-    let mut rig = Rig::new(
-        Settings {
-            parent_kind: None,
-            ..settings()
-        },
-        few,
-    );
-    assert_eq!(rig.send("video", "/o/a").fill.source, 21);
+fn fills_come_from_one_parent_per_object_and_from_the_origin_without_parents() {
+    let mut harness = Harness::with_defaults();
+    let first = harness.forward(VIDEO, "/o/a");
+    let second = harness.forward(VIDEO, "/o/a");
+    assert_eq!(first.fill.source, second.fill.source);
+    assert!(PARENTS.contains(&first.fill.source));
+
+    let mut without_parents = fleet();
+    without_parents.retain(|endpoint| endpoint.kind != "parent");
+    let settings = Settings {
+        parent_kind: None,
+        ..settings()
+    };
+    let mut harness = Harness::new(settings, without_parents);
+    assert_eq!(harness.forward(VIDEO, "/o/a").fill.source, ORIGIN);
 }
 
-#[test]
-fn the_second_parent_fills_while_the_first_is_clearly_slower_for_the_size() {
-    let parent_of = |rig: &mut Rig, n: usize| rig.send("video", &format!("/o/{n}"));
-    let run = |slow_ms: u64, size_told: bool| {
-        let flow = if size_told { 5_000.0 } else { 0.0 };
-        let mut rig = Rig::new(
-            Settings {
-                transfer_kb_per_s: flow,
-                ..settings()
-            },
-            fleet(),
-        );
-        let first = parent_of(&mut rig, 0).fill.source;
-        let mut later = 0;
-        for n in 0..60 {
-            let s = parent_of(&mut rig, n % 6);
-            let took_us = if s.fill.source == first {
-                slow_ms * MS
+/// How many of the later fills still come from the parent that is first in the rendezvous order,
+/// while its fills take `first_parent_took` and those of the other parent 150 ms.
+fn later_fills_from_first_parent(settings: Settings, first_parent_took: Micros) -> usize {
+    const SECOND_PARENT_TOOK: Micros = 150 * MILLISECOND;
+    const REQUESTS: usize = 60;
+    const REQUESTS_TO_LEARN: usize = 40;
+    const OBJECTS: usize = 6;
+    let mut harness = Harness::new(settings, fleet());
+    let first_parent = harness.forward(VIDEO, "/o/0").fill.source;
+    let mut later_fills = 0;
+    for index in 0..REQUESTS {
+        let attempt = harness.forward(VIDEO, &format!("/o/{}", index % OBJECTS));
+        let from_first_parent = attempt.fill.source == first_parent;
+        harness.advance(20 * MILLISECOND);
+        harness.report(AttemptReport {
+            took_us: if from_first_parent {
+                first_parent_took
             } else {
-                150 * MS
-            };
-            rig.now += 20 * MS;
-            rig.handle(Event::AttemptEnded(AttemptReport {
-                request: s.request,
-                attempt: 0,
-                server: s.server,
-                outcome: Outcome::Ok,
-                took_us,
-                settled: true,
-                fill_result: FillResult::Filled,
-                fill_ttfb_us: 0,
-                load: None,
-            }));
-            later += usize::from(n >= 40 && s.fill.source == first);
+                SECOND_PARENT_TOOK
+            },
+            ..attempt.report(Outcome::Ok, FillResult::Filled)
+        });
+        if index >= REQUESTS_TO_LEARN && from_first_parent {
+            later_fills += 1;
         }
-        later
-    };
-    assert_eq!(run(900, true), 0, "six times as slow: the second");
-    assert!(run(200, true) > 0, "a little slower: the first");
-    assert!(run(900, false) > 0, "sizes not told: the first");
+    }
+    later_fills
 }
 
 #[test]
-fn a_source_that_refuses_is_not_asked_again_for_the_same_request() {
-    let mut rig = Rig::new(settings(), fleet());
-    let s = rig.send("video", "/o/a");
-    let again = sent(&rig.end_with(
-        s.request,
+fn the_second_parent_fills_while_the_first_is_clearly_slower_for_the_size() {
+    let much_slower = 900 * MILLISECOND;
+    let slightly_slower = 200 * MILLISECOND;
+    let without_transfer_rate = Settings {
+        transfer_kb_per_s: 0.0,
+        ..settings()
+    };
+    assert_eq!(
+        later_fills_from_first_parent(settings(), much_slower),
         0,
-        s.server,
-        Outcome::Rejected,
-        FillResult::SourceRejected,
-    ))
-    .expect("again");
-    assert_eq!(again.server, s.server, "the cache is not to blame");
-    assert_ne!(again.fill.source, s.fill.source);
+        "six times as slow: the second parent"
+    );
+    assert!(
+        later_fills_from_first_parent(settings(), slightly_slower) > 0,
+        "slightly slower: the first parent"
+    );
+    assert!(
+        later_fills_from_first_parent(without_transfer_rate, much_slower) > 0,
+        "transfer times are unknown: the first parent"
+    );
 }
 
 #[test]
-fn a_sibling_fills_a_cache_that_has_just_started() {
-    let mut servers = fleet();
-    servers[0].started = Some(T0 - 5 * S);
-    let mut rig = Rig::new(
-        Settings {
-            peer_fill: PeerFill::SameLocation,
-            ..settings()
-        },
-        servers,
+fn a_fill_source_that_rejects_is_not_used_again_for_the_same_request() {
+    let mut harness = Harness::with_defaults();
+    let first = harness.forward(VIDEO, "/o/a");
+    let retry = harness
+        .retry_with(&first, Outcome::Rejected, FillResult::SourceRejected)
+        .expect("a retry");
+    assert_eq!(
+        retry.server, first.server,
+        "the cache server is not at fault"
     );
-    let filled = (0..40)
-        .map(|n| rig.send("video", &format!("/o/{n}")))
-        .find(|s| s.server == 1);
-    let source = filled.expect("its part of the objects").fill.source;
-    assert!((2..=4).contains(&source), "{source}");
+    assert_ne!(retry.fill.source, first.fill.source);
+}
+
+#[test]
+fn a_peer_fills_a_cache_server_that_is_warming_up() {
+    let warming_up = CACHE_SERVERS[0];
+    let peers = &CACHE_SERVERS[1..];
+    let settings = Settings {
+        peer_fill: PeerFill::SameLocation,
+        ..settings()
+    };
+    let endpoints = fleet_with_started(warming_up, START_TIME - 5 * SECOND);
+    let mut harness = Harness::new(settings, endpoints);
+    let attempt = (0..40)
+        .map(|index| harness.forward(VIDEO, &format!("/o/{index}")))
+        .find(|attempt| attempt.server == warming_up)
+        .expect("a request for one of its objects");
+    let source = attempt.fill.source;
+    assert!(peers.contains(&source), "{source}");
 }
--- a/crates/routing/tests/origin_load_shedding.rs
+++ b/crates/routing/tests/origin_load_shedding.rs
@@ -1,170 +1,179 @@
-//! While the origin is late or fails, few requests may reach it.
+//! Load shedding before the origin: while it is late or fails, few requests may reach it, and the
+//! others get only what the parents have cached.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
-#[test]
-fn while_the_origin_is_late_few_requests_may_have_it_asked() {
-    let mut rig = Rig::new(settings(), fleet());
-    let mut next = 0;
-    let mut asking = |rig: &mut Rig, fill_ttfb_us: Micros, fill_result: FillResult| {
-        let count = (0..100).filter(|_| {
-            next += 1;
-            let s = rig.send("video", &format!("/o/{next}"));
-            rig.now += 10 * MS;
-            rig.handle(Event::AttemptEnded(AttemptReport {
-                request: s.request,
-                attempt: 0,
-                server: s.server,
-                outcome: Outcome::Ok,
-                took_us: fill_ttfb_us + 100 * MS,
-                settled: true,
-                fill_result,
-                fill_ttfb_us,
-                load: None,
-            }));
-            if rig.now.is_multiple_of(50 * MS) {
-                rig.tick();
-            }
-            assert_ne!(s.fill.source, s.server);
-            !s.fill.only_if_cached
+/// Requests of a batch, each for an object of its own.
+const BATCH: usize = 100;
+/// A time to first byte within the latency objective.
+const IN_TIME: Micros = 100 * MILLISECOND;
+/// A time to first byte past the latency objective.
+const LATE: Micros = 900 * MILLISECOND;
+
+/// Forwards the batch of this number and serves it by fills of this kind; returns how many of its
+/// requests might reach the origin.
+fn requests_that_may_reach_origin(
+    harness: &mut Harness,
+    batch_number: usize,
+    fill_ttfb_us: Micros,
+    fill_result: FillResult,
+) -> usize {
+    let mut may_reach_origin = 0;
+    for index in 1..=BATCH {
+        let object = format!("/o/{}", batch_number * BATCH + index);
+        let attempt = harness.forward(VIDEO, &object);
+        harness.advance(10 * MILLISECOND);
+        harness.report(AttemptReport {
+            took_us: fill_ttfb_us + 100 * MILLISECOND,
+            fill_ttfb_us,
+            ..attempt.report(Outcome::Ok, fill_result)
         });
-        count.count()
-    };
+        if harness.now % SWEEP_INTERVAL == 0 {
+            harness.sweep();
+        }
+        assert!(attempt.fills_a_miss());
+        if !attempt.fill.only_if_cached {
+            may_reach_origin += 1;
+        }
+    }
+    may_reach_origin
+}
+
+#[test]
+fn few_requests_may_reach_the_origin_while_it_is_late() {
+    use FillResult::{Filled, FilledFromOrigin};
+    const FEW: usize = BATCH / 5;
+    let mut harness = Harness::with_defaults();
     assert_eq!(
-        asking(&mut rig, 100 * MS, FillResult::FilledFromOrigin),
-        100
+        requests_that_may_reach_origin(&mut harness, 0, IN_TIME, FilledFromOrigin),
+        BATCH
     );
-    asking(&mut rig, 900 * MS, FillResult::FilledFromOrigin);
-    let late = asking(&mut rig, 900 * MS, FillResult::FilledFromOrigin);
+
+    requests_that_may_reach_origin(&mut harness, 1, LATE, FilledFromOrigin);
+    let while_late = requests_that_may_reach_origin(&mut harness, 2, LATE, FilledFromOrigin);
     assert!(
-        (1..20).contains(&late),
-        "{late}: a few find out whether it is well again"
+        (1..FEW).contains(&while_late),
+        "a few find out whether it has recovered: {while_late}"
     );
+    let served_by_parents =
+        requests_that_may_reach_origin(&mut harness, 3, 10 * MILLISECOND, Filled);
     assert!(
-        asking(&mut rig, 10 * MS, FillResult::Filled) < 20,
-        "a parent's own copies tell nothing of the origin"
+        served_by_parents < FEW,
+        "the parents' own copies say nothing of the origin: {served_by_parents}"
     );
-    asking(&mut rig, 100 * MS, FillResult::FilledFromOrigin);
+
+    requests_that_may_reach_origin(&mut harness, 4, IN_TIME, FilledFromOrigin);
     assert_eq!(
-        asking(&mut rig, 100 * MS, FillResult::FilledFromOrigin),
-        100
+        requests_that_may_reach_origin(&mut harness, 5, IN_TIME, FilledFromOrigin),
+        BATCH,
+        "it has recovered"
+    );
+
+    let slightly_late = requests_that_may_reach_origin(
+        &mut Harness::with_defaults(),
+        6,
+        600 * MILLISECOND,
+        FilledFromOrigin,
+    );
+    let very_late = requests_that_may_reach_origin(
+        &mut Harness::with_defaults(),
+        7,
+        2 * SECOND,
+        FilledFromOrigin,
     );
-    let [little, much] = [600 * MS, 2 * S].map(|fill_ttfb_us| {
-        let mut rig = Rig::new(settings(), fleet());
-        asking(&mut rig, fill_ttfb_us, FillResult::FilledFromOrigin)
-    });
     assert!(
-        much < little,
-        "{much}, {little}: the later, the further it falls"
+        very_late < slightly_late,
+        "the later, the fewer: {very_late}, {slightly_late}"
     );
 }
 
 #[test]
-fn a_router_with_few_fills_asks_the_origin_again_once_its_trouble_is_past() {
-    let mut rig = Rig::new(settings(), fleet());
-    let held_back = |rig: &mut Rig| {
-        let mut held_back = 0;
-        for n in 0..40 {
-            let s = rig.send("video", &format!("/o/{n}"));
-            held_back += u32::from(s.fill.only_if_cached);
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
+fn an_unreachable_parent_is_not_taken_for_a_late_origin() {
+    const RETRIES: usize = 5;
+    let unreachable = PARENTS[0];
+    let mut harness = Harness::with_defaults();
+    for index in 0..60 {
+        harness.advance(2 * MILLISECOND);
+        let first = harness.forward(VIDEO, &format!("/o/{index}"));
+        let mut retry = if first.fill.source == unreachable {
+            harness.retry_with(&first, Outcome::Rejected, FillResult::SourceUnreachable)
+        } else {
+            harness.retry_with(&first, Outcome::Ok, FillResult::Filled)
+        };
+        for _ in 0..RETRIES {
+            let Some(attempt) = retry else { break };
+            retry = harness.retry_with(&attempt, Outcome::Ok, FillResult::Filled);
         }
-        held_back
-    };
-    for n in 0..30 {
-        let s = rig.send("video", &format!("/x/{n}"));
-        rig.end_with(
-            s.request,
-            0,
-            s.server,
-            Outcome::Rejected,
-            FillResult::OriginFailed,
-        );
-        rig.handle(Event::ClientDisconnected { request: s.request });
+    }
+    let only_if_cached = (0..40)
+        .map(|index| harness.forward(VIDEO, &format!("/p/{index}")))
+        .filter(|attempt| attempt.fill.only_if_cached)
+        .count();
+    assert_eq!(
+        only_if_cached, 0,
+        "the other parent requests what it lacks from the origin"
+    );
+}
+
+/// How many of 40 requests that are served as cache hits must not reach the origin.
+fn hits_that_must_not_reach_origin(harness: &mut Harness) -> usize {
+    (0..40)
+        .map(|index| harness.serve_hit(VIDEO, &format!("/o/{index}")))
+        .filter(|attempt| attempt.fill.only_if_cached)
+        .count()
+}
+
+#[test]
+fn a_router_with_few_fills_ends_load_shedding_once_failures_have_stopped() {
+    const SWEEPS_IN_TEN_SECONDS: usize = 200;
+    let mut harness = Harness::with_defaults();
+    for index in 0..30 {
+        let attempt = harness.forward(VIDEO, &format!("/x/{index}"));
+        harness.finish_with(&attempt, Outcome::Rejected, FillResult::OriginFailed);
+        harness.disconnect(attempt.request);
     }
     assert!(
-        held_back(&mut rig) > 30,
+        hits_that_must_not_reach_origin(&mut harness) > 30,
         "all of its fills have failed at the origin"
     );
-    for _ in 0..10 * 20 {
-        rig.now += 50 * MS;
-        rig.tick();
+    for _ in 0..SWEEPS_IN_TEN_SECONDS {
+        harness.advance(SWEEP_INTERVAL);
+        harness.sweep();
     }
     assert_eq!(
-        held_back(&mut rig),
+        hits_that_must_not_reach_origin(&mut harness),
         0,
         "nothing has failed for ten seconds, though nothing was filled either"
     );
 }
 
-#[test]
-fn a_renewal_that_never_came_shuts_the_gate_before_the_origin() {
-    let held_back = |group| {
-        let mut rig = Rig::new(settings(), fleet());
-        rig.handle(Event::Purged {
-            object: None,
-            group,
-            age_us: 100 * MS,
-            permanent: false,
-        });
-        for n in 0..20 {
-            let s = rig.send("video", &format!("/x/{n}"));
-            rig.end_with(
-                s.request,
-                0,
-                s.server,
-                Outcome::Timeout,
-                FillResult::Unknown,
-            );
-            rig.handle(Event::ClientDisconnected { request: s.request });
-        }
-        (0..40)
-            .filter(|n| rig.send("video", &format!("/o/{n}")).fill.only_if_cached)
-            .count()
-    };
-    assert!(held_back(3) > 20, "the origin alone could have given these");
-    assert_eq!(
-        held_back(4),
-        0,
-        "a time-out of what may be held anywhere says nothing of the origin"
-    );
+/// How many of 40 requests must not reach the origin, after a group was purged and 20 requests for
+/// objects of [`GROUP`] have timed out.
+fn requests_kept_from_origin_after_timeouts(purged_group: u64) -> usize {
+    let mut harness = Harness::with_defaults();
+    harness.handle(group_purge(purged_group, 100 * MILLISECOND));
+    for index in 0..20 {
+        let attempt = harness.forward(VIDEO, &format!("/x/{index}"));
+        harness.finish(&attempt, Outcome::Timeout);
+        harness.disconnect(attempt.request);
+    }
+    (0..40)
+        .map(|index| harness.forward(VIDEO, &format!("/o/{index}")))
+        .filter(|attempt| attempt.fill.only_if_cached)
+        .count()
 }
 
 #[test]
-fn a_parent_that_is_lost_is_not_taken_for_an_origin_that_is_late() {
-    let mut rig = Rig::new(settings(), fleet());
-    for n in 0..60 {
-        rig.now += 2 * MS;
-        let s = rig.send("video", &format!("/o/{n}"));
-        let fill_result = if s.fill.source == 11 {
-            FillResult::SourceUnreachable
-        } else {
-            FillResult::Filled
-        };
-        let outcome = if s.fill.source == 11 {
-            Outcome::Rejected
-        } else {
-            Outcome::Ok
-        };
-        let mut again = sent(&rig.end_with(s.request, 0, s.server, outcome, fill_result));
-        for attempt in 1..6 {
-            let Some(s) = again else { break };
-            again = sent(&rig.end_with(
-                s.request,
-                attempt,
-                s.server,
-                Outcome::Ok,
-                FillResult::Filled,
-            ));
-        }
-    }
-    let held = (0..40)
-        .filter(|n| rig.send("video", &format!("/p/{n}")).fill.only_if_cached)
-        .count();
+fn time_outs_of_purged_objects_start_load_shedding() {
+    assert!(
+        requests_kept_from_origin_after_timeouts(GROUP) > 20,
+        "only the origin could have given these"
+    );
     assert_eq!(
-        held, 0,
-        "the parent that is left asks the origin for what it lacks"
+        requests_kept_from_origin_after_timeouts(OTHER_GROUP),
+        0,
+        "a time-out of what may be cached anywhere says nothing of the origin"
     );
 }
--- a/crates/routing/tests/outlier_ejection.rs
+++ b/crates/routing/tests/outlier_ejection.rs
@@ -1,205 +1,203 @@
-//! Ejection of servers that fail, the half-open probe after it, and whom a failure is attributed to.
+//! Outlier ejection: which failures eject a server, which server they are attributed to, and how an
+//! ejected server comes back.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
+/// Submits requests until one goes to this server, whose connection then fails; serves the others.
+fn fail_connection_to(harness: &mut Harness, server: ServerId) {
+    for index in 0..100 {
+        let attempt = harness.forward(VIDEO, &format!("/o/{index}"));
+        if attempt.server == server {
+            harness.finish(&attempt, Outcome::ConnectFailed);
+            return;
+        }
+        harness.finish(&attempt, Outcome::Ok);
+    }
+    panic!("cache server {server} was never chosen");
+}
+
 #[test]
-fn a_cache_that_cannot_be_reached_comes_back_as_just_started() {
-    let mut rig = Rig::new(
-        Settings {
-            direct_requests: false,
-            ..settings()
-        },
-        fleet(),
-    );
-    let first = rig.send("video", "/o/a");
-    rig.end(first.request, 0, first.server, Outcome::ConnectFailed);
+fn an_unreachable_cache_server_returns_in_slow_start() {
+    const OBJECTS: usize = 40;
+    const LONGEST_FIRST_EJECTION: Micros = 2 * SECOND;
+    // 3 x (0.2 + 0.16) x 8 transfers of 0.1 s for a second is what the rule allows.
+    const SLOW_START_BUDGET: usize = 86;
+    let mut harness = Harness::new(settings_without_direct_requests(), fleet());
+    let first = harness.forward(VIDEO, "/o/a");
+    let unreachable = first.server;
+    harness.finish(&first, Outcome::ConnectFailed);
     assert!(
-        !used(&mut rig, 40).contains(&first.server),
-        "marked at once"
+        !harness.servers_of_objects(OBJECTS).contains(&unreachable),
+        "ejected at once"
     );
-    rig.now += 2 * S;
+
+    harness.advance(LONGEST_FIRST_EJECTION);
     assert!(
-        used(&mut rig, 40).contains(&first.server),
-        "tried again once the mark has run out"
+        harness.servers_of_objects(OBJECTS).contains(&unreachable),
+        "tried again once its ejection has ended"
     );
-    rig.now += 2 * S;
-    // All at once, unanswered: 3 x (0.2 + 0.16) x 8 transfers of 0.1 s for a second is what the rule allows.
-    let mut got = 0;
-    for n in 0..400 {
-        let (_, actions) = rig.ask("video", &format!("/o/x{n}"), 5 * S);
-        got += usize::from(sent(&actions).is_some_and(|s| s.server == first.server));
-    }
+
+    harness.advance(2 * SECOND);
+    // All at once and unanswered.
+    let attempts = (0..400)
+        .filter_map(|index| harness.submit(VIDEO, &format!("/o/x{index}")).attempt())
+        .filter(|attempt| attempt.server == unreachable)
+        .count();
     assert!(
-        (1..=86).contains(&got),
-        "{got} requests to a cache that may be cold"
+        (1..=SLOW_START_BUDGET).contains(&attempts),
+        "{attempts} attempts at a cache server that may have started empty"
     );
 }
 
 #[test]
-fn marks_that_would_leave_no_cache_are_passed_over() {
-    let mut rig = Rig::new(
-        Settings {
-            direct_requests: false,
-            ..settings()
-        },
-        fleet(),
-    );
-    for n in 0..60 {
-        let (id, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
-        let Some(s) = sent(&actions) else { break };
-        rig.now += 2 * MS;
-        let mut again = Some(s);
-        for attempt in 0..4 {
-            let Some(s) = again else { break };
-            again = sent(&rig.end(id, attempt, s.server, Outcome::Error));
+fn ejections_that_would_leave_no_cache_server_are_ignored() {
+    const ATTEMPTS_PER_REQUEST: usize = 4;
+    let mut harness = Harness::new(settings_without_direct_requests(), fleet());
+    for index in 0..60 {
+        let submission = harness.submit(VIDEO, &format!("/o/{index}"));
+        let Some(first) = submission.attempt() else {
+            break;
+        };
+        harness.advance(2 * MILLISECOND);
+        let mut in_flight = Some(first);
+        for _ in 0..ATTEMPTS_PER_REQUEST {
+            let Some(attempt) = in_flight else { break };
+            in_flight = harness.retry(&attempt, Outcome::Error);
         }
     }
-    assert!(sent(&rig.ask("video", "/o/last", 5 * S).1).is_some());
+    assert!(harness.submit(VIDEO, "/o/last").attempt().is_some());
 }
 
 #[test]
-fn straight_to_a_parent_only_while_no_cache_is_well() {
-    let mut rig = Rig::new(settings(), fleet());
-    for id in 1..=4 {
-        let n = (0..100).find(|n| {
-            let (r, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
-            let s = sent(&actions).expect("an attempt");
-            let hit = s.server == id;
-            rig.end_with(
-                r,
-                0,
-                s.server,
-                if hit {
-                    Outcome::ConnectFailed
-                } else {
-                    Outcome::Ok
-                },
-                FillResult::Unknown,
-            );
-            hit
-        });
-        assert!(n.is_some(), "cache {id} was never picked");
+fn requests_go_directly_to_a_parent_only_while_every_cache_server_is_ejected() {
+    let mut harness = Harness::with_defaults();
+    for server in CACHE_SERVERS {
+        // While this one is not ejected, requests go to cache servers.
+        fail_connection_to(&mut harness, server);
     }
-    let s = rig.send("video", "/o/z");
-    assert!(s.server == 11 || s.server == 12, "{s:?}");
+    let direct = harness.forward(VIDEO, "/o/z");
+    assert!(PARENTS.contains(&direct.server), "{direct:?}");
     assert_eq!(
-        (s.fill.source, s.fill.retention_rank, s.fill.coalesce),
-        (21, 0, false),
+        direct.fill.source, ORIGIN,
         "the parent fetches what it lacks"
     );
+    assert_eq!(
+        direct.fill.retention_rank, 0,
+        "no cache server retains a copy"
+    );
+    assert!(!direct.fill.coalesce);
 }
 
 #[test]
-fn a_failing_parent_is_not_put_on_its_caches_where_reasons_are_not_told() {
-    let mut rig = Rig::new(
-        Settings {
-            provenance: Provenance::HitOnly,
-            ..settings()
-        },
-        fleet(),
-    );
-    let mut failing = None;
-    for n in 0..30 {
-        let s = rig.send("video", &format!("/o/{n}"));
-        let bad = *failing.get_or_insert(s.fill.source);
-        if s.fill.source != bad {
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Filled);
+fn without_reasons_a_failing_parent_is_ejected_and_its_cache_servers_are_not() {
+    let settings = Settings {
+        provenance: Provenance::HitOnly,
+        ..settings()
+    };
+    let mut harness = Harness::new(settings, fleet());
+    let mut failing_parent = None;
+    for index in 0..30 {
+        let attempt = harness.forward(VIDEO, &format!("/o/{index}"));
+        let failing_parent = *failing_parent.get_or_insert(attempt.fill.source);
+        if attempt.fill.source != failing_parent {
+            harness.finish_with(&attempt, Outcome::Ok, FillResult::Filled);
             continue;
         }
-        let again = sent(&rig.end(s.request, 0, s.server, Outcome::Error)).expect("another try");
+        let retry = harness.retry(&attempt, Outcome::Error).expect("a retry");
         assert_ne!(
-            again.fill.source, bad,
-            "the parent is left out of the next try"
+            retry.fill.source, failing_parent,
+            "the retry avoids the parent"
         );
-        rig.end_with(s.request, 1, again.server, Outcome::Ok, FillResult::Filled);
+        harness.finish_with(&retry, Outcome::Ok, FillResult::Filled);
     }
-    let later: Vec<Sent> = (0..40)
-        .map(|n| rig.send("page", &format!("/p/{n}")))
+    let later: Vec<Attempt> = (0..40)
+        .map(|index| harness.forward(PAGE, &format!("/p/{index}")))
         .collect();
+    for server in CACHE_SERVERS {
+        assert!(
+            later.iter().any(|attempt| attempt.server == server),
+            "cache server {server} is not ejected"
+        );
+    }
+    let fills_from_failing_parent = later
+        .iter()
+        .filter(|attempt| Some(attempt.fill.source) == failing_parent)
+        .count();
     assert!(
-        (1..=4).all(|id| later.iter().any(|s| s.server == id)),
-        "no cache is marked"
-    );
-    assert!(
-        later
-            .iter()
-            .filter(|s| Some(s.fill.source) == failing)
-            .count()
-            <= 1,
-        "the parent is"
+        fills_from_failing_parent <= 1,
+        "the parent is ejected but for one probe"
     );
 }
 
 #[test]
-fn a_trial_that_ends_without_a_verdict_is_followed_by_another() {
-    for (outcome, fill_result) in [
+fn a_half_open_probe_without_a_verdict_is_followed_by_another() {
+    const LONGEST_EJECTION: Micros = 10 * SECOND;
+    for (probe_outcome, probe_fill_result) in [
         (Outcome::Miss, FillResult::SourceMiss),
         (Outcome::Rejected, FillResult::NoFillSlot),
     ] {
-        let mut rig = Rig::new(
-            Settings {
-                direct_requests: false,
-                ..settings()
-            },
-            fleet(),
-        );
-        let first = rig.send("video", "/o/a");
-        rig.end(first.request, 0, first.server, Outcome::Reset);
+        let mut harness = Harness::new(settings_without_direct_requests(), fleet());
+        let first = harness.forward(VIDEO, "/o/a");
+        harness.finish(&first, Outcome::Reset);
         for _ in 0..3 {
-            rig.now += 10 * S;
-            let mut tried = false;
-            for n in 0..40 {
-                let s = rig.send("video", &format!("/o/{n}"));
-                let trial = s.server == first.server;
-                tried |= trial;
-                let (outcome, fill_result) = if trial {
-                    (outcome, fill_result)
+            harness.advance(LONGEST_EJECTION);
+            let mut was_probed = false;
+            for index in 0..40 {
+                let attempt = harness.forward(VIDEO, &format!("/o/{index}"));
+                let is_probe = attempt.server == first.server;
+                was_probed |= is_probe;
+                let (outcome, fill_result) = if is_probe {
+                    (probe_outcome, probe_fill_result)
                 } else {
                     (Outcome::Ok, FillResult::Hit)
                 };
-                let (mut attempt, mut out) = (0, Some(s));
-                while let Some(s) = out {
-                    out = sent(&rig.end_with(s.request, attempt, s.server, outcome, fill_result));
-                    attempt += 1;
+                let mut in_flight = Some(attempt);
+                while let Some(attempt) = in_flight {
+                    in_flight = harness.retry_with(&attempt, outcome, fill_result);
                 }
             }
-            assert!(tried, "tried once its mark has run out");
+            assert!(was_probed, "{probe_outcome:?}: tried again later");
         }
     }
 }
 
 #[test]
-fn a_request_that_every_server_fails_is_given_up_and_held_against_none() {
-    let mut rig = Rig::new(settings(), fleet());
-    for n in 0..20 {
-        let s = rig.send("video", &format!("/o/unknown-{n}"));
-        let again =
-            sent(&rig.end(s.request, 0, s.server, Outcome::Error)).expect("another attempt");
-        let actions = rig.end(s.request, 1, again.server, Outcome::Error);
+fn a_request_that_every_server_fails_is_rejected_and_ejects_none() {
+    let mut harness = Harness::with_defaults();
+    for index in 0..20 {
+        let first = harness.forward(VIDEO, &format!("/o/unknown-{index}"));
+        let retry = harness.retry(&first, Outcome::Error).expect("a retry");
+        let actions = harness.finish(&retry, Outcome::Error);
         assert!(
             matches!(actions[..], [Action::Reject { .. }]),
             "{actions:?}"
         );
     }
-    let all = used(&mut rig, 60);
-    assert!((1..=4).all(|id| all.contains(&id)), "{all:?}");
+    let servers = harness.servers_of_objects(60);
+    for server in CACHE_SERVERS {
+        assert!(
+            servers.contains(&server),
+            "{server} is not among {servers:?}"
+        );
+    }
 }
 
 #[test]
-fn one_broken_connection_counts_once_however_much_was_out_on_it() {
-    let mut rig = Rig::new(settings(), fleet());
-    let sent: Vec<_> = (0..40)
-        .map(|n| rig.send("video", &format!("/o/{n}")))
-        .filter(|s| s.server == 2)
+fn a_broken_connection_counts_as_one_failure_however_many_attempts_it_carried() {
+    let server = CACHE_SERVERS[1];
+    let mut harness = Harness::with_defaults();
+    let attempts: Vec<Attempt> = (0..40)
+        .map(|index| harness.forward(VIDEO, &format!("/o/{index}")))
+        .filter(|attempt| attempt.server == server)
         .collect();
-    assert!(sent.len() >= 4);
-    for s in &sent {
-        rig.end(s.request, 0, 2, Outcome::Reset);
+    assert!(attempts.len() >= 4);
+    for attempt in &attempts {
+        harness.finish(attempt, Outcome::Reset);
     }
     assert!(
-        used(&mut rig, 60).contains(&2),
-        "an answer that could not be read is not the end of a process"
+        harness.servers_of_objects(60).contains(&server),
+        "one broken connection does not show that the process has ended"
     );
 }
--- a/crates/routing/tests/purges.rs
+++ b/crates/routing/tests/purges.rs
@@ -1,89 +1,102 @@
-//! No copy from before a purge is served.
+//! Purges: no copy from before a purge is served, whatever the servers have dropped by themselves.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
+/// The event that the whole of [`GROUP`] was purged just now, without notice to the servers.
+fn permanent_group_purge() -> Event {
+    Event::Purged {
+        object: None,
+        group: GROUP,
+        age_us: 0,
+        permanent: true,
+    }
+}
+
 #[test]
-fn no_copy_from_before_a_purge_will_do_however_long_ago_it_was() {
-    let mut rig = Rig::new(settings(), fleet());
-    let purge = |object: Option<&str>| Event::Purged {
-        object: object.map(Into::into),
-        group: 3,
-        age_us: 200 * MS,
-        permanent: false,
-    };
-    for (event, object) in [(purge(Some("/o/a")), "/o/a"), (purge(None), "/o/b")] {
-        rig.handle(event);
-        let start = rig.now;
-        // Servers say that they have dropped it after 6 s; what a fill brought meanwhile may still be there.
-        for wait in [0, 500 * MS, 5_800 * MS, 5_801 * MS, 600 * S] {
-            rig.now = start + wait;
-            rig.tick();
-            let s = rig.send("video", object);
+fn no_copy_from_before_a_purge_is_served_however_long_ago_the_purge_was() {
+    const PURGE_AGE: Micros = 200 * MILLISECOND;
+    // Servers have dropped purged copies by then, but a fill may have brought one back meanwhile.
+    const COMPLETED: Micros = PURGE_COMPLETION - PURGE_AGE;
+    let mut harness = Harness::with_defaults();
+    for (purge, object) in [
+        (object_purge("/o/a", PURGE_AGE), "/o/a"),
+        (group_purge(GROUP, PURGE_AGE), "/o/b"),
+    ] {
+        harness.handle(purge);
+        let start = harness.now;
+        for elapsed in [
+            0,
+            500 * MILLISECOND,
+            COMPLETED,
+            COMPLETED + MILLISECOND,
+            600 * SECOND,
+        ] {
+            harness.now = start + elapsed;
+            harness.sweep();
+            let attempt = harness.serve_hit(VIDEO, object);
             assert_eq!(
-                s.fill.max_age_us,
-                Some(200 * MS + wait),
-                "to the purge and no further"
+                attempt.fill.max_age_us,
+                Some(PURGE_AGE + elapsed),
+                "back to the purge of {object} and no further"
             );
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
         }
     }
 }
 
 #[test]
-fn an_age_bound_is_never_zero_and_never_past_the_fresh_time() {
-    let mut rig = Rig::new(settings(), fleet());
-    rig.handle(Event::Purged {
-        object: Some("/o/a".into()),
-        group: 3,
-        age_us: 0,
-        permanent: false,
-    });
+fn the_age_limit_is_never_zero_and_never_past_the_freshness_lifetime() {
+    let mut harness = Harness::with_defaults();
+    harness.handle(object_purge("/o/a", 0));
     assert_eq!(
-        rig.send("page", "/o/a").fill.max_age_us,
+        harness.forward(PAGE, "/o/a").fill.max_age_us,
         Some(1),
         "0 would mean the default"
     );
-    let mut s = settings();
-    s.rules.purge_completion_us = 60 * S;
-    let mut rig = Rig::new(s, fleet());
-    rig.handle(Event::Purged {
-        object: Some("/o/a".into()),
-        group: 3,
-        age_us: 30 * S,
-        permanent: false,
-    });
-    assert_eq!(rig.send("page", "/o/a").fill.max_age_us, Some(10 * S));
+
+    let mut settings = settings();
+    settings.rules.purge_completion_us = 60 * SECOND;
+    let mut harness = Harness::new(settings, fleet());
+    harness.handle(object_purge("/o/a", 30 * SECOND));
+    assert_eq!(
+        harness.forward(PAGE, "/o/a").fill.max_age_us,
+        Some(PAGE_FRESHNESS_LIFETIME)
+    );
 }
 
 #[test]
-fn a_purge_that_servers_are_not_told_of_holds_for_good() {
-    let mut rig = Rig::new(settings(), fleet());
-    let purge = |object: Option<&str>, permanent| Event::Purged {
-        object: object.map(Into::into),
-        group: 3,
-        age_us: 0,
-        permanent,
-    };
-    rig.handle(purge(None, true));
-    rig.now += 60 * S;
-    rig.tick();
-    assert_eq!(rig.send("video", "/o/a").fill.max_age_us, Some(60 * S));
-    // A later one that servers carry out by themselves is stricter, and goes when too many come after it.
-    rig.handle(purge(Some("/o/a"), false));
-    rig.now += S;
-    assert_eq!(rig.send("video", "/o/a").fill.max_age_us, Some(S));
-    rig.now += 9 * S;
-    assert_eq!(rig.send("video", "/o/a").fill.max_age_us, Some(10 * S));
-    (0..39_998).for_each(|n| {
-        rig.handle(purge(Some(&format!("/o/other/{n}")), false));
-    });
+fn a_permanent_purge_is_never_forgotten() {
+    /// Purges that a router remembers.
+    const TABLE_CAPACITY: usize = 40_000;
+    /// The permanent purge and the one of the requested object.
+    const EARLIER_PURGES: usize = 2;
+    let age_limit = |harness: &mut Harness| harness.forward(VIDEO, "/o/a").fill.max_age_us;
+    let mut harness = Harness::with_defaults();
+    harness.handle(permanent_group_purge());
+    harness.advance(60 * SECOND);
+    harness.sweep();
+    assert_eq!(age_limit(&mut harness), Some(60 * SECOND));
+
+    // A later purge that the servers carry out by themselves is stricter while it is remembered.
+    harness.handle(object_purge("/o/a", 0));
+    harness.advance(SECOND);
+    assert_eq!(age_limit(&mut harness), Some(SECOND));
+    harness.advance(9 * SECOND);
+    assert_eq!(age_limit(&mut harness), Some(10 * SECOND));
+
+    for index in 0..TABLE_CAPACITY - EARLIER_PURGES {
+        harness.handle(object_purge(&format!("/o/other/{index}"), 0));
+    }
     assert_eq!(
-        rig.send("video", "/o/a").fill.max_age_us,
-        Some(10 * S),
+        age_limit(&mut harness),
+        Some(10 * SECOND),
         "the table is full"
     );
-    rig.handle(purge(Some("/o/one more"), false));
-    assert_eq!(rig.send("video", "/o/a").fill.max_age_us, Some(70 * S));
+    harness.handle(object_purge("/o/one more", 0));
+    assert_eq!(
+        age_limit(&mut harness),
+        Some(70 * SECOND),
+        "the oldest purge that is not permanent is forgotten"
+    );
 }
--- a/crates/routing/tests/replication.rs
+++ b/crates/routing/tests/replication.rs
@@ -1,87 +1,101 @@
-//! Which cache servers hold an object: rendezvous order, and as many copies as its share of requests calls for.
+//! Which cache servers hold an object: rendezvous order, with as many copies as the object's share
+//! of the requests calls for.
 
 mod support;
 use edge_routing::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use support::*;
 
-fn homes(rig: &mut Rig, n: usize) -> BTreeMap<usize, ServerId> {
-    (0..n)
-        .map(|n| {
-            let s = rig.send("video", &format!("/o/{n}"));
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
-            (n, s.server)
-        })
-        .collect()
-}
+const OBJECTS: usize = 300;
+const HOT_OBJECT: &str = "/o/hot";
 
 #[test]
-fn every_object_has_its_cache_and_all_caches_of_the_location_have_some() {
-    let mut a = Rig::new(settings(), fleet());
-    let mut b = Rig::new(settings(), fleet());
-    b.now += 60 * S;
-    let (one, two) = (homes(&mut a, 300), homes(&mut b, 300));
-    assert_eq!(one, two, "the order is shared");
+fn objects_spread_over_all_cache_servers_in_an_order_that_every_router_shares() {
+    let mut early = Harness::with_defaults();
+    let mut late = Harness::with_defaults();
+    late.advance(60 * SECOND);
+    let servers = early.servers_of_objects(OBJECTS);
+    assert_eq!(servers.len(), OBJECTS, "every request is forwarded");
     assert_eq!(
-        one.values().collect::<BTreeSet<_>>(),
-        BTreeSet::from([&1, &2, &3, &4])
+        servers,
+        late.servers_of_objects(OBJECTS),
+        "the order is shared"
     );
+    assert_eq!(BTreeSet::from_iter(servers), BTreeSet::from(CACHE_SERVERS));
 }
 
 #[test]
-fn a_cache_that_goes_moves_only_its_own_objects() {
-    let before = homes(&mut Rig::new(settings(), fleet()), 300);
-    let fewer: Vec<Endpoint> = fleet().into_iter().filter(|s| s.id != 3).collect();
-    let after = homes(&mut Rig::new(settings(), fewer), 300);
-    for (n, home) in &before {
-        if *home != 3 {
-            assert_eq!(after[n], *home);
+fn removing_a_cache_server_moves_only_its_own_objects() {
+    const REMOVED: ServerId = 3;
+    let before = Harness::with_defaults().servers_of_objects(OBJECTS);
+    let mut remaining = fleet();
+    remaining.retain(|endpoint| endpoint.id != REMOVED);
+    let after = Harness::new(settings(), remaining).servers_of_objects(OBJECTS);
+    assert_eq!(
+        [before.len(), after.len()],
+        [OBJECTS; 2],
+        "every request is forwarded"
+    );
+    for (server_before, server_after) in before.iter().zip(&after) {
+        if *server_before != REMOVED {
+            assert_eq!(server_after, server_before);
         }
     }
 }
 
-#[test]
-fn copies_follow_the_share() {
-    // A third of all requests, four caches: two copies; the whole of them: all four.
-    for (others, copies) in [(2, 2), (0, 4)] {
-        let mut rig = Rig::new(settings(), fleet());
-        let mut used = BTreeSet::new();
-        for n in 0..600 {
-            let s = rig.send("video", "/o/hot");
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
-            if n > 300 {
-                used.insert(s.server);
-            }
-            for k in 0..others {
-                let s = rig.send("video", &format!("/o/{n}-{k}"));
-                rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
-            }
+/// How many cache servers get the requests for one object, once its share of all requests is known,
+/// while `other_objects` requests for other objects follow each of its own.
+fn copies_of_hot_object(other_objects: usize) -> usize {
+    const ROUNDS: usize = 600;
+    const ROUNDS_TO_LEARN: usize = 300;
+    let mut harness = Harness::with_defaults();
+    let mut servers = BTreeSet::new();
+    for round in 0..ROUNDS {
+        let attempt = harness.serve_hit(VIDEO, HOT_OBJECT);
+        if round > ROUNDS_TO_LEARN {
+            servers.insert(attempt.server);
+        }
+        for other in 0..other_objects {
+            harness.serve_hit(VIDEO, &format!("/o/{round}-{other}"));
         }
-        assert_eq!(used.len(), copies);
     }
+    servers.len()
+}
+
+#[test]
+fn copies_grow_with_the_share_of_requests() {
+    assert_eq!(
+        copies_of_hot_object(2),
+        2,
+        "a third of the requests, four cache servers"
+    );
+    assert_eq!(
+        copies_of_hot_object(0),
+        CACHE_SERVERS.len(),
+        "all of the requests"
+    );
 }
 
 #[test]
-fn counts_age() {
-    let mut rig = Rig::new(settings(), fleet());
-    for _ in 0..200 {
-        let s = rig.send("video", "/o/hot");
-        rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
+fn request_counts_decay() {
+    const ROUNDS: usize = 200;
+    const ROUNDS_PER_HOT_REQUEST: usize = 20;
+    let mut harness = Harness::with_defaults();
+    for _ in 0..ROUNDS {
+        harness.serve_hit(VIDEO, HOT_OBJECT);
     }
-    rig.now += 300 * S;
-    let mut used = BTreeSet::new();
-    for n in 0..200 {
-        for object in [format!("/o/{n}"), format!("/o/b{n}"), "/o/hot".to_string()] {
-            let hot = object == "/o/hot";
-            if hot && n % 20 != 0 {
-                continue;
-            }
-            let s = rig.send("video", &object);
-            rig.end_with(s.request, 0, s.server, Outcome::Ok, FillResult::Hit);
-            if hot {
-                used.insert(s.server);
-            }
+    harness.advance(300 * SECOND);
+    let mut servers = BTreeSet::new();
+    for round in 0..ROUNDS {
+        harness.serve_hit(VIDEO, &format!("/o/{round}"));
+        harness.serve_hit(VIDEO, &format!("/o/b{round}"));
+        if round % ROUNDS_PER_HOT_REQUEST == 0 {
+            servers.insert(harness.serve_hit(VIDEO, HOT_OBJECT).server);
         }
     }
-    assert_eq!(used.len(), 1, "what was hot long ago has one copy");
+    assert_eq!(
+        servers.len(),
+        1,
+        "an object that was hot long ago has one copy"
+    );
 }
--- a/crates/routing/tests/retention.rs
+++ b/crates/routing/tests/retention.rs
@@ -1,35 +1,48 @@
-//! At which rank a copy is kept.
+//! The rank at which a copy is retained, by how often its object was requested.
 
 mod support;
-use edge_routing::*;
 use support::*;
 
+/// Rank of the copy of an object that was not requested before.
+const FIRST_REQUEST_RANK: u8 = 1;
+/// Rank of the copy of an object that is requested again while the earlier request is still
+/// counted.
+const REPEATED_REQUEST_RANK: u8 = 2;
+
 #[test]
-fn what_is_asked_for_again_is_kept_at_a_higher_rank() {
-    let mut rig = Rig::new(settings(), fleet());
-    let (a, b) = (rig.send("video", "/o/a"), rig.send("video", "/o/a"));
-    assert_eq!((a.fill.retention_rank, b.fill.retention_rank), (1, 2));
+fn a_repeated_request_raises_the_retention_rank() {
+    let mut harness = Harness::with_defaults();
+    let first = harness.forward(VIDEO, "/o/a");
+    let second = harness.forward(VIDEO, "/o/a");
+    assert_eq!(first.fill.retention_rank, FIRST_REQUEST_RANK);
+    assert_eq!(second.fill.retention_rank, REPEATED_REQUEST_RANK);
 }
 
 #[test]
-fn what_is_asked_for_often_stays_counted_when_the_table_is_full() {
-    let mut rig = Rig::new(settings(), fleet());
-    let mut last = None;
-    for n in 0..30_000u64 {
-        let often = n % 3 == 0;
-        let object = if often {
+fn a_frequent_object_stays_counted_when_the_table_of_counts_is_full() {
+    const REQUESTS: usize = 30_000;
+    const REQUESTS_PER_FREQUENT_REQUEST: usize = 3;
+    let mut harness = Harness::with_defaults();
+    let mut last_rank = None;
+    for index in 0..REQUESTS {
+        let is_frequent = index % REQUESTS_PER_FREQUENT_REQUEST == 0;
+        let object = if is_frequent {
             "/o/often".to_string()
         } else {
-            format!("/o/{n}")
+            format!("/o/{index}")
         };
-        let (id, actions) = rig.ask("page", &object, 5 * S);
-        if let Some(s) = sent(&actions) {
-            rig.end_with(id, 0, s.server, Outcome::Ok, FillResult::Hit);
-            last = last
-                .filter(|_| !often)
-                .or(often.then_some(s.fill.retention_rank));
+        let submission = harness.submit(PAGE, &object);
+        if let Some(attempt) = submission.attempt() {
+            harness.finish_as_hit(&attempt);
+            if is_frequent {
+                last_rank = Some(attempt.fill.retention_rank);
+            }
         }
-        rig.now += MS / 10;
+        harness.advance(MILLISECOND / 10);
     }
-    assert_eq!(last, Some(2), "asked for again while counted");
+    assert_eq!(
+        last_rank,
+        Some(REPEATED_REQUEST_RANK),
+        "requested again while counted"
+    );
 }
--- a/crates/routing/tests/retries.rs
+++ b/crates/routing/tests/retries.rs
@@ -1,128 +1,132 @@
-//! Which requests are retried, how often and where.
+//! Which requests are retried, how often and where; a request that is not retried gets exactly one
+//! final answer.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
 #[test]
-fn a_timeout_at_the_deadline_still_gets_one_final_answer() {
-    let mut rig = Rig::new(settings(), fleet());
-    let s = rig.send("video", "/o/a");
-    rig.now += 5 * S;
-    let actions = rig.end(s.request, 0, s.server, Outcome::Timeout);
-    assert_eq!(finals(&actions), 1);
-    assert!(sent(&actions).is_none());
-    assert!(
-        rig.end(s.request, 0, s.server, Outcome::Timeout).is_empty(),
-        "nothing after the final answer"
+fn a_time_out_at_the_deadline_gets_exactly_one_final_answer() {
+    let mut harness = Harness::with_defaults();
+    let attempt = harness.forward(VIDEO, "/o/a");
+    harness.advance(CLIENT_DEADLINE);
+    let actions = harness.finish(&attempt, Outcome::Timeout);
+    assert_eq!(count_final_answers(&actions), 1);
+    assert_eq!(attempt.retry_in(&actions), None);
+    assert_eq!(
+        harness.finish(&attempt, Outcome::Timeout),
+        [],
+        "nothing follows the final answer"
     );
 }
 
 #[test]
-fn no_more_attempts_than_allowed() {
-    let mut rig = Rig::new(
-        Settings {
-            max_attempts: 2,
-            ..settings()
-        },
-        fleet(),
-    );
-    let s = rig.send("video", "/o/a");
-    let again = sent(&rig.end(s.request, 0, s.server, Outcome::Error)).expect("a second attempt");
-    let actions = rig.end(s.request, 1, again.server, Outcome::Error);
-    assert_eq!(finals(&actions), 1);
+fn retries_stop_at_the_maximum_number_of_attempts() {
+    let settings = Settings {
+        max_attempts: 2,
+        ..settings()
+    };
+    let mut harness = Harness::new(settings, fleet());
+    let first = harness.forward(VIDEO, "/o/a");
+    let retry = harness.retry(&first, Outcome::Error).expect("a retry");
+    let actions = harness.finish(&retry, Outcome::Error);
+    assert_eq!(count_final_answers(&actions), 1);
 }
 
 #[test]
-fn an_unsafe_request_that_may_have_run_fails_and_is_not_resent() {
-    let mut rig = Rig::new(settings(), fleet());
-    let s = rig.send("charge", "/o/a");
-    let actions = rig.end(s.request, 0, s.server, Outcome::Reset);
-    assert_eq!(actions, vec![Action::Fail { request: s.request }]);
+fn a_non_idempotent_request_that_may_have_run_fails_and_is_not_retried() {
+    let mut harness = Harness::with_defaults();
+    let attempt = harness.forward(CHARGE, "/o/a");
+    assert_eq!(
+        harness.finish(&attempt, Outcome::Reset),
+        [Action::Fail {
+            request: attempt.request
+        }]
+    );
 }
 
 #[test]
-fn an_unsafe_request_that_never_ran_may_be_resent() {
-    let mut rig = Rig::new(
-        Settings {
-            direct_requests: false,
-            ..settings()
-        },
-        fleet(),
+fn a_non_idempotent_request_that_never_ran_is_retried() {
+    let mut harness = Harness::new(settings_without_direct_requests(), fleet());
+    let first = harness.forward(CHARGE, "/o/a");
+    let retry = harness.retry(&first, Outcome::Rejected).expect("a retry");
+    assert_eq!(
+        harness.finish(&retry, Outcome::Error),
+        [Action::Fail {
+            request: first.request
+        }],
+        "the retry may have run"
+    );
+}
+
+/// Whether a write with an idempotency key is retried when it fails after this long.
+fn order_is_retried_after(duration: Micros) -> bool {
+    let mut harness = Harness::with_defaults();
+    let attempt = harness.forward(ORDER, "/o/a");
+    assert_eq!(
+        attempt.server, ORIGIN,
+        "a write goes directly to the origin"
     );
-    let s = rig.send("charge", "/o/a");
-    let again =
-        sent(&rig.end(s.request, 0, s.server, Outcome::Rejected)).expect("a second attempt");
-    let failed = rig.end(s.request, 1, again.server, Outcome::Error);
-    assert_eq!(failed, vec![Action::Fail { request: s.request }]);
+    harness.advance(duration);
+    harness.retry(&attempt, Outcome::Error).is_some()
 }
 
 #[test]
-fn a_keyed_request_is_resent_only_within_its_window() {
-    for (wait, resent) in [(1_900 * MS, true), (2_000 * MS, false)] {
-        let mut rig = Rig::new(settings(), fleet());
-        let s = rig.send("order", "/o/a");
-        assert_eq!(s.server, 21, "a write goes straight to the origin");
-        rig.now += wait;
-        let actions = rig.end(s.request, 0, s.server, Outcome::Error);
-        assert_eq!(sent(&actions).is_some(), resent, "after {wait}");
-    }
+fn a_request_with_an_idempotency_key_is_retried_only_within_its_deduplication_window() {
+    assert!(order_is_retried_after(DEDUP_WINDOW - 100 * MILLISECOND));
+    assert!(!order_is_retried_after(DEDUP_WINDOW));
 }
 
 #[test]
-fn a_keyed_request_stays_in_the_group_that_drops_its_repeats() {
-    let mut s = Settings {
-        direct_requests: false,
-        ..settings()
-    };
-    s.classes[2].dedup_scope = DedupScope::Cell;
-    let mut rig = Rig::new(s, fleet());
-    let first = rig.send("order", "/o/a");
-    let again = sent(&rig.end(first.request, 0, first.server, Outcome::Error));
+fn a_request_with_an_idempotency_key_is_retried_only_in_its_deduplication_scope() {
+    let mut settings = settings_without_direct_requests();
+    for class in &mut settings.classes {
+        if class.name == ORDER {
+            class.dedup_scope = DedupScope::Cell;
+        }
+    }
+    let mut harness = Harness::new(settings, fleet());
+    let first = harness.forward(ORDER, "/o/a");
+    let retry = harness.retry(&first, Outcome::Error).expect("a retry");
     assert_eq!(
-        again.map(|a| a.server),
-        Some(first.server),
-        "each cache is a cell of its own"
+        retry.server, first.server,
+        "each cache server is a cell of its own"
     );
-    let mut gone = server(first.server, "town", "cache");
-    gone.state = EndpointState::Gone;
-    rig.handle(Event::EndpointList {
-        mode: EndpointListMode::Delta,
-        endpoints: vec![gone],
-    });
-    let last = rig.end(first.request, 1, first.server, Outcome::Error);
+
+    harness.handle(endpoint_delta(vec![Endpoint {
+        state: EndpointState::Gone,
+        ..cache_server(first.server)
+    }]));
     assert_eq!(
-        last,
-        vec![Action::Fail {
+        harness.finish(&retry, Outcome::Error),
+        [Action::Fail {
             request: first.request
         }],
-        "nor may it be refused"
+        "it must not be rejected either: the client's retry may reach another cell"
     );
 }
 
 #[test]
-fn a_parent_that_lacks_what_it_was_asked_for_straight_is_not_asked_the_same_again() {
-    let mut rig = Rig::new(settings(), fleet());
-    for n in 0..40 {
-        let s = rig.send("video", &format!("/x/{n}"));
-        if s.server > 10 {
+fn a_parent_that_lacks_the_object_of_a_direct_request_does_not_get_it_again() {
+    let mut harness = Harness::with_defaults();
+    for index in 0..40 {
+        let attempt = harness.forward(VIDEO, &format!("/x/{index}"));
+        if !CACHE_SERVERS.contains(&attempt.server) {
             break;
         }
-        rig.end(s.request, 0, s.server, Outcome::ConnectFailed);
-        rig.handle(Event::ClientDisconnected { request: s.request });
+        harness.finish(&attempt, Outcome::ConnectFailed);
+        harness.disconnect(attempt.request);
     }
-    let s = rig.send("video", "/o/1");
-    assert_eq!(
-        (s.server > 10, s.fill.source),
-        (true, 21),
-        "no cache is well: straight to a parent"
+    let direct = harness.forward(VIDEO, "/o/1");
+    assert!(
+        PARENTS.contains(&direct.server),
+        "every cache server is ejected: directly to a parent"
     );
-    let actions = rig.end_with(
-        s.request,
-        0,
-        s.server,
-        Outcome::Miss,
-        FillResult::SourceMiss,
+    assert_eq!(direct.fill.source, ORIGIN);
+
+    let retry = harness.retry_with(&direct, Outcome::Miss, FillResult::SourceMiss);
+    assert!(
+        retry.is_none_or(|retry| CACHE_SERVERS.contains(&retry.server)),
+        "{retry:?}"
     );
-    assert!(sent(&actions).is_none_or(|s| s.server <= 10), "{actions:?}");
 }
--- a/crates/routing/tests/settings.rs
+++ b/crates/routing/tests/settings.rs
@@ -1,40 +1,50 @@
-//! Settings that a router can't work with.
+//! Settings that a router can't work with are an error that says what is wrong.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
+/// The error of a router whose settings a test has changed.
+fn error_after(change: impl FnOnce(&mut Settings)) -> Option<SettingsError> {
+    let mut settings = settings();
+    change(&mut settings);
+    Router::new(settings, 1).err()
+}
+
 #[test]
-fn unusable_settings_give_an_error() {
-    let error = |change: &dyn Fn(&mut Settings)| {
-        let mut s = settings();
-        change(&mut s);
-        Router::new(s, 1).err()
-    };
-    assert_eq!(
-        error(&|s| s.classes.clear()),
+fn invalid_settings_are_an_error_that_says_what_is_wrong() {
+    let invalid_value = |name| Some(SettingsError::InvalidValue(name));
+    assert_eq!(
+        error_after(|settings| settings.classes.clear()),
         Some(SettingsError::NoClasses)
     );
-    assert_eq!(error(&|s| s.zone = 3), Some(SettingsError::UnknownZone));
     assert_eq!(
-        error(&|s| s.zones[1].hub = 9),
+        error_after(|settings| settings.zone = 3),
+        Some(SettingsError::UnknownZone)
+    );
+    assert_eq!(
+        error_after(|settings| settings.zones[LOCAL_ZONE].hub = 9),
         Some(SettingsError::UnknownZone)
     );
     assert_eq!(
-        error(&|s| s.rules.overload_window_us = 0),
-        Some(SettingsError::InvalidValue("overload window"))
+        error_after(|settings| settings.rules.overload_window_us = 0),
+        invalid_value("overload window")
+    );
+    assert_eq!(
+        error_after(|settings| settings.max_attempts = 0),
+        invalid_value("attempts")
     );
     assert_eq!(
-        error(&|s| s.max_attempts = 0),
-        Some(SettingsError::InvalidValue("attempts"))
+        error_after(|settings| settings.transfer_kb_per_s = f64::NAN),
+        invalid_value("transfer rate")
     );
     assert_eq!(
-        error(&|s| s.transfer_kb_per_s = f64::NAN),
-        Some(SettingsError::InvalidValue("transfer rate"))
+        error_after(|settings| settings.rules.warm_up_initial_share = -1.0),
+        invalid_value("warm-up share")
     );
     assert_eq!(
-        error(&|s| s.rules.warm_up_initial_share = -1.0),
-        Some(SettingsError::InvalidValue("warm-up share"))
+        error_after(|_| ()),
+        None,
+        "the settings of the other tests are valid"
     );
-    assert_eq!(error(&|_| ()), None);
 }
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -1,267 +1,307 @@
-//! Just-started servers get no more than their slow-start budget.
+//! Slow start: however many routers there are and however many requests they see, a server that is
+//! warming up gets no more work than its slow-start budget.
 
 mod support;
 use edge_routing::*;
 use support::*;
 
-fn accepted(settings: Settings, fleet: Vec<Endpoint>, id: ServerId) -> usize {
-    let mut rig = Rig::new(settings, fleet);
+/// How long one transfer of a part takes at full rate, in seconds.
+const TRANSFER_S: f64 = PART_SIZE_KB / TRANSFER_KB_PER_S;
+/// The share of its capacity that a cache server has when it has just started.
+const INITIAL_SHARE: f64 = 0.2;
+/// How long the share of a cache server takes to grow to one, in microseconds.
+const WARM_UP_US: f64 = 10e6;
+/// A cache server collapses when it is sent this multiple of its present capacity for a second.
+const OVERLOAD_MULTIPLE: f64 = 3.0;
+/// The share of its capacity that a parent has when it has just started.
+const PARENT_INITIAL_SHARE: f64 = 0.1;
+/// As [`OVERLOAD_MULTIPLE`], for parents.
+const PARENT_OVERLOAD_MULTIPLE: f64 = 2.0;
+/// The group of the requests that the tests with many routers make.
+const REQUEST_GROUP: u64 = 1;
+
+/// How many of 200 requests one of `edge_proxies` routers forwards at once to a cache server that
+/// has just started and has no peers.
+fn attempts_at_just_started_cache_server(edge_proxies: u32) -> usize {
+    let mut settings = settings_without_direct_requests();
+    settings.zones[LOCAL_ZONE].edge_proxies = edge_proxies;
+    let mut endpoints = fleet_with_one_cache_server(CACHE_SERVERS[0]);
+    endpoints[0].started = Some(START_TIME);
+    let mut harness = Harness::new(settings, endpoints);
     (0..200)
-        .filter(|n| {
-            let (_, actions) = rig.ask("video", &format!("/o/{n}"), 5 * S);
-            sent(&actions).is_some_and(|s| s.server == id || s.fill.source == id)
-        })
+        .filter_map(|index| harness.submit(VIDEO, &format!("/o/{index}")).attempt())
+        .filter(|attempt| [attempt.server, attempt.fill.source].contains(&CACHE_SERVERS[0]))
         .count()
 }
 
 #[test]
-fn a_cold_cache_gets_no_more_than_its_budget_in_a_window() {
-    let cold = |routers| {
-        let mut s = Settings {
-            direct_requests: false,
-            ..settings()
-        };
-        s.zones[1].edge_proxies = routers;
-        let mut servers = alone(1);
-        servers[0].started = Some(T0);
-        accepted(s, servers, 1)
-    };
-    // 0.1 s of work each; the rule allows 3 x 0.2 x 8 transfers for one second: 48 requests.
-    assert!((1..=48).contains(&cold(1)), "{}", cold(1));
+fn a_just_started_cache_server_gets_no_more_attempts_than_its_budget() {
+    // 0.1 s of work each; the rule allows 3 x 0.2 x 8 transfers for one second.
+    const BUDGET: usize = 48;
+    let alone = attempts_at_just_started_cache_server(1);
+    assert!((1..=BUDGET).contains(&alone), "{alone}");
+    let one_of_two = attempts_at_just_started_cache_server(2);
     assert!(
-        (1..=24).contains(&cold(2)),
-        "two routers share the budget: {}",
-        cold(2)
+        (1..=BUDGET / 2).contains(&one_of_two),
+        "two routers share the budget: {one_of_two}"
     );
 }
 
 #[test]
-fn a_cold_parent_gets_no_more_fills_than_its_budget() {
-    let mut servers = alone(1);
-    servers[1].started = Some(T0);
-    servers[0].weight = 1000.0;
-    let s = Settings {
-        direct_requests: false,
-        ..settings()
-    };
-    let mut rig = Rig::new(s, servers);
+fn a_just_started_parent_gets_no_more_fills_than_its_budget() {
+    // 2 x 0.1 x 30 transfers for one second, of which half is for the other location's router.
+    const BUDGET: usize = 30;
+    let mut endpoints = fleet_with_one_cache_server(CACHE_SERVERS[0]);
+    endpoints[0].weight = UNLIMITED_CAPACITY;
+    endpoints[1].started = Some(START_TIME);
+    let mut harness = Harness::new(settings_without_direct_requests(), endpoints);
     let fills = (0..300)
-        .filter(|n| {
-            let (_, actions) = rig.ask("page", &format!("/o/{n}"), 5 * S);
-            sent(&actions).is_some_and(|s| s.fill.source == 11)
-        })
+        .filter_map(|index| harness.submit(PAGE, &format!("/o/{index}")).attempt())
+        .filter(|attempt| attempt.fill.source == PARENTS[0])
         .count();
-    // 2 x 0.1 x 30 transfers for one second, of which half is for the other location's router: 30 requests.
-    assert!((1..=30).contains(&fills), "{fills}");
+    assert!((1..=BUDGET).contains(&fills), "{fills}");
 }
 
-/// Fills that `edge_proxies` edge_proxies of a location point at one cold server while each has `each` requests at once.
-fn sum_of_work(edge_proxies: u32, each: usize, cold: ServerId) -> f64 {
-    let mut settings = Settings {
-        direct_requests: false,
-        ..settings()
-    };
-    settings.zones[1].edge_proxies = edge_proxies;
-    settings.zones[2].edge_proxies = 0;
-    settings.zones[1].link_kb_per_s = 1e9;
-    let mut servers = fleet();
-    let place = servers
-        .iter()
-        .position(|s| s.id == cold)
-        .expect("in the fleet");
-    servers[place].started = Some(T0 - S);
-    let mut sum = 0.0;
-    for seed in 0..u64::from(edge_proxies) {
+/// Settings where all `edge_proxies` routers are in one location whose link never limits anything.
+fn settings_with_edge_proxies(edge_proxies: u32) -> Settings {
+    let mut settings = settings_without_direct_requests();
+    settings.zones[LOCAL_ZONE].edge_proxies = edge_proxies;
+    settings.zones[REMOTE_ZONE].edge_proxies = 0;
+    settings.zones[LOCAL_ZONE].link_kb_per_s = UNLIMITED_LINK_KB_PER_S;
+    settings
+}
+
+/// A seed of its own for each of many routers.
+fn router_seed(index: u32) -> u64 {
+    u64::from(index).wrapping_mul(0x9e37_79b9)
+}
+
+/// Whether the action gives this server work: an attempt, or the fill of one.
+fn gives_work_to(action: &Action, id: ServerId) -> bool {
+    match action {
+        Action::StartAttempt {
+            server,
+            fill: Some(fill),
+            ..
+        } => *server == id || fill.source == id,
+        _ => false,
+    }
+}
+
+/// Work, in seconds, that `edge_proxies` routers together give at once to a server that started a
+/// second ago, while each has 60 requests.
+fn work_given_at_once(edge_proxies: u32, warming_up: ServerId) -> f64 {
+    const REQUESTS_PER_ROUTER: u64 = 60;
+    let settings = settings_with_edge_proxies(edge_proxies);
+    let endpoints = fleet_with_started(warming_up, START_TIME - SECOND);
+    let mut work_s = 0.0;
+    for index in 0..edge_proxies {
+        let seed = router_seed(index);
         let mut router =
-            Router::new(settings.clone(), seed.wrapping_mul(0x9e37_79b9)).expect("usable");
+            router_with_endpoints(settings.clone(), seed, START_TIME, endpoints.clone());
         let mut actions = Vec::new();
-        router.handle(
-            T0,
-            Event::EndpointList {
-                mode: EndpointListMode::Snapshot,
-                endpoints: servers.clone(),
-            },
-            &mut actions,
-        );
-        for n in 0..each {
+        for number in 0..REQUESTS_PER_ROUTER {
             let request = Request {
-                id: n as u64 + 1,
-                class: "video".into(),
-                tenant: None,
-                object: format!("/o/{n}"),
-                part: 0,
-                group: 1,
-                size_kb: 500.0,
-                remaining_us: 5 * S,
-                is_retry: false,
+                group: REQUEST_GROUP,
+                ..request(number + 1, VIDEO, &format!("/o/{number}"))
             };
-            router.handle(T0, Event::Request(request), &mut actions);
+            router.handle(START_TIME, Event::Request(request), &mut actions);
         }
-        let to_it = |a: &&Action| match a {
-            Action::StartAttempt {
-                server,
-                fill: Some(fill),
-                ..
-            } => *server == cold || fill.source == cold,
-            _ => false,
-        };
-        sum += 0.1 * actions.iter().filter(to_it).count() as f64;
+        let transfers = actions
+            .iter()
+            .filter(|action| gives_work_to(action, warming_up))
+            .count();
+        work_s += TRANSFER_S * transfers as f64;
     }
-    sum
+    work_s
 }
 
-#[test]
-fn a_cold_cache_is_used_within_its_budget_by_one_router_and_by_hundreds() {
-    // Share 0.2 to 1 in 10 s, 8 transfers, 3 times that in 1 s: 0.2 x 8 x 3 x 1 s at its start.
-    let limit = 0.2 * 8.0 * 3.0;
+/// Asserts that one, eight and 200 routers use a server that is warming up, within its budget.
+fn assert_used_within_budget(warming_up: ServerId, budget_s: f64) {
     for edge_proxies in [1, 8, 200] {
-        let sum = sum_of_work(edge_proxies, 60, 1);
-        assert!(sum > 0.0, "{edge_proxies} edge_proxies leave it idle");
+        let work_s = work_given_at_once(edge_proxies, warming_up);
+        assert!(work_s > 0.0, "{edge_proxies} edge proxies leave it idle");
         assert!(
-            sum < limit,
-            "{edge_proxies} edge_proxies send {sum} of {limit}"
+            work_s < budget_s,
+            "{edge_proxies} edge proxies give it {work_s} s of work of {budget_s} s"
         );
     }
 }
 
 #[test]
-fn a_cold_parent_is_used_within_its_budget_by_one_router_and_by_hundreds() {
-    let limit = 0.1 * 30.0 * 2.0;
-    for edge_proxies in [1, 8, 200] {
-        let sum = sum_of_work(edge_proxies, 60, 11);
-        assert!(sum > 0.0, "{edge_proxies} edge_proxies leave it idle");
-        assert!(
-            sum < limit,
-            "{edge_proxies} edge_proxies send {sum} of {limit}"
-        );
+fn one_router_and_hundreds_use_a_warming_cache_server_within_its_budget() {
+    let budget_s = INITIAL_SHARE * CACHE_CAPACITY * OVERLOAD_MULTIPLE;
+    assert_used_within_budget(CACHE_SERVERS[0], budget_s);
+}
+
+#[test]
+fn one_router_and_hundreds_use_a_warming_parent_within_its_budget() {
+    let budget_s = PARENT_INITIAL_SHARE * PARENT_CAPACITY * PARENT_OVERLOAD_MULTIPLE;
+    assert_used_within_budget(PARENTS[0], budget_s);
+}
+
+/// Routers that see requests at a steady rate while a cache server warms up.
+struct WarmUpScenario {
+    /// How many routers there are.
+    edge_proxies: u32,
+    /// Each router gets a request this often.
+    request_interval: Micros,
+    /// How many of the routers lose their state half-way through.
+    restarted: u32,
+}
+
+/// A window of one second while a cache server warms up.
+struct Window {
+    /// Attempts that the cache server got from all routers.
+    attempts: f64,
+    /// Attempts that the rule allows.
+    allowed: f64,
+}
+
+impl Window {
+    /// Attempts over those allowed, with slack for chance: two standard deviations and two more.
+    fn utilization(&self) -> f64 {
+        self.attempts / (self.allowed + 2.0 * self.allowed.sqrt() + 2.0)
     }
 }
 
-/// What reaches one cold cache in its first windows, in requests of mean work, of what the settings allow, where
-/// `edge_proxies` edge_proxies see a request each every `every` and some of them start anew half-way through.
-fn cold_calls(edge_proxies: u32, every: Micros, restarted: u32, windows: u64) -> Vec<(f64, f64)> {
-    let mut settings = Settings {
-        direct_requests: false,
-        ..settings()
-    };
-    settings.zones[1].edge_proxies = edge_proxies;
-    settings.zones[2].edge_proxies = 0;
-    settings.zones[1].link_kb_per_s = 1e9;
-    let mut servers = fleet();
-    servers[0].started = Some(T0);
-    let new = |seed: u32, now: Micros| {
-        let mut router = Router::new(settings.clone(), u64::from(seed).wrapping_mul(0x9e37_79b9))
-            .expect("usable");
-        let mut actions = Vec::new();
-        router.handle(
+impl WarmUpScenario {
+    /// How long the scenario runs, in windows of one second.
+    const WINDOWS: u64 = 6;
+    /// The cache server that has just started.
+    const JUST_STARTED: ServerId = CACHE_SERVERS[0];
+
+    /// A router that has just been given the endpoint list.
+    fn new_router(&self, seed_index: u32, now: Micros) -> Router {
+        router_with_endpoints(
+            settings_with_edge_proxies(self.edge_proxies),
+            router_seed(seed_index),
             now,
-            Event::EndpointList {
-                mode: EndpointListMode::Snapshot,
-                endpoints: servers.clone(),
-            },
-            &mut actions,
-        );
-        router
-    };
-    let mut fleet: Vec<Router> = (0..edge_proxies).map(|seed| new(seed, T0)).collect();
-    let (mut id, mut calls) = (0, Vec::new());
-    let end = T0 + windows * S;
-    let mut now = T0;
-    while now < end {
-        if now == T0 + windows * S / 2 {
-            (0..restarted).for_each(|seed| fleet[seed as usize] = new(edge_proxies + seed, now));
-        }
-        for router in &mut fleet {
-            id += 1;
-            let object = format!("/o/{}", id % 997);
-            let request = Request {
-                id,
-                class: "video".into(),
-                tenant: None,
-                object,
-                part: 0,
-                group: 1,
-                size_kb: 500.0,
-                remaining_us: 5 * S,
-                is_retry: false,
-            };
-            let mut actions = Vec::new();
-            router.handle(now, Event::Request(request), &mut actions);
-            for a in &actions {
-                let Action::StartAttempt { server, .. } = a else {
-                    continue;
-                };
-                calls.extend((*server == 1).then_some(now));
-                let outcome = Event::AttemptEnded(AttemptReport {
-                    request: id,
-                    attempt: 0,
-                    server: *server,
-                    outcome: Outcome::Ok,
-                    took_us: 100 * MS,
-                    settled: true,
-                    fill_result: FillResult::Hit,
-                    fill_ttfb_us: 0,
-                    load: None,
-                });
-                router.handle(now, outcome, &mut Vec::new());
+            fleet_with_started(WarmUpScenario::JUST_STARTED, START_TIME),
+        )
+    }
+
+    /// Runs the scenario; returns the times of the attempts at the cache server that warms up.
+    fn attempt_times(&self) -> Vec<Micros> {
+        let end = START_TIME + WarmUpScenario::WINDOWS * SECOND;
+        let restart_at = START_TIME + WarmUpScenario::WINDOWS * SECOND / 2;
+        let mut routers: Vec<Router> = (0..self.edge_proxies)
+            .map(|index| self.new_router(index, START_TIME))
+            .collect();
+        let mut times = Vec::new();
+        let mut last_request_id = 0;
+        let mut now = START_TIME;
+        while now < end {
+            if now == restart_at {
+                for index in 0..self.restarted {
+                    routers[index as usize] = self.new_router(self.edge_proxies + index, now);
+                }
+            }
+            for router in &mut routers {
+                last_request_id += 1;
+                for server in forward_and_serve(router, now, last_request_id) {
+                    if server == WarmUpScenario::JUST_STARTED {
+                        times.push(now);
+                    }
+                }
             }
+            now += self.request_interval;
         }
-        now += every;
+        times
     }
-    // Any window of 1 s: share 0.2 to 1 in 10 s, of 8 transfers of 0.1 s, three times that.
-    let allowed = |from: Micros| (0.2 + 0.8 * (from - T0) as f64 / 10e6).min(1.0) * 8.0 * 3.0 / 0.1;
-    let counted = |from: Micros| {
-        calls
-            .iter()
-            .filter(|at| (from..from + S).contains(*at))
-            .count() as f64
+
+    /// Runs the scenario; returns the windows that begin every tenth of a second.
+    fn run(&self) -> Vec<Window> {
+        let times = self.attempt_times();
+        let starts = (0..(WarmUpScenario::WINDOWS - 1) * 10).map(|n| START_TIME + n * SECOND / 10);
+        starts
+            .map(|start| Window {
+                attempts: times
+                    .iter()
+                    .filter(|time| (start..start + SECOND).contains(*time))
+                    .count() as f64,
+                allowed: allowed_attempts(start),
+            })
+            .collect()
+    }
+}
+
+/// Attempts that a cache server may get in the window of one second from this time on, if it
+/// started at [`START_TIME`]: its share grows in a line from the initial one to one.
+fn allowed_attempts(window_start: Micros) -> f64 {
+    let age_us = (window_start - START_TIME) as f64;
+    let share = (INITIAL_SHARE + (1.0 - INITIAL_SHARE) * age_us / WARM_UP_US).min(1.0);
+    share * CACHE_CAPACITY * OVERLOAD_MULTIPLE / TRANSFER_S
+}
+
+/// Hands the router a request and serves it as a cache hit at once; returns the servers that were
+/// given an attempt.
+fn forward_and_serve(router: &mut Router, now: Micros, id: RequestId) -> Vec<ServerId> {
+    const OBJECTS: u64 = 997;
+    let request = Request {
+        group: REQUEST_GROUP,
+        ..request(id, VIDEO, &format!("/o/{}", id % OBJECTS))
     };
-    (0..(windows - 1) * 10)
-        .map(|n| T0 + n * S / 10)
-        .map(|from| (counted(from), allowed(from)))
-        .collect()
+    let mut actions = Vec::new();
+    router.handle(now, Event::Request(request), &mut actions);
+    let mut servers = Vec::new();
+    for action in &actions {
+        let Action::StartAttempt { server, .. } = action else {
+            continue;
+        };
+        servers.push(*server);
+        let report = attempt_report(id, 0, *server, Outcome::Ok, FillResult::Hit);
+        router.handle(now, Event::AttemptEnded(report), &mut Vec::new());
+    }
+    servers
 }
 
 #[test]
-fn what_all_routers_send_to_a_cold_cache_stays_within_its_ramp_however_many_ask() {
-    for (edge_proxies, every, restarted) in [
-        (30, 20 * MS, 0),
-        (30, 20 * MS, 10),
-        (100, 20 * MS, 30),
-        (300, 50 * MS, 0),
+fn the_attempts_of_all_routers_follow_the_ramp_of_a_warming_cache_server() {
+    let scenario = |edge_proxies, request_interval, restarted| WarmUpScenario {
+        edge_proxies,
+        request_interval,
+        restarted,
+    };
+    for scenario in [
+        scenario(30, 20 * MILLISECOND, 0),
+        scenario(30, 20 * MILLISECOND, 10),
+        scenario(100, 20 * MILLISECOND, 30),
+        scenario(300, 50 * MILLISECOND, 0),
     ] {
-        let windows = cold_calls(edge_proxies, every, restarted, 6);
-        let most = windows
-            .iter()
-            .map(|(calls, n)| calls / (n + 2.0 * n.sqrt() + 2.0))
-            .fold(0.0, f64::max);
+        let windows = scenario.run();
+        let highest = windows.iter().map(Window::utilization).fold(0.0, f64::max);
         assert!(
-            most <= 1.0,
-            "{edge_proxies} edge_proxies, one request each {every} us: {most} of what a cold cache bears"
+            highest <= 1.0,
+            "{} edge proxies, one request each {} us: {highest} of what it can take",
+            scenario.edge_proxies,
+            scenario.request_interval
         );
         assert!(
-            windows.iter().any(|(calls, _)| *calls > 0.0),
+            windows.iter().any(|window| window.attempts > 0.0),
             "it is used at all"
         );
     }
 }
 
 #[test]
-fn sizes_that_could_never_be_sent_teach_nothing() {
-    let mut rig = Rig::new(settings(), fleet());
-    for n in 0..200 {
-        rig.now += MS;
-        rig.ask_sized(&format!("/o/huge-{n}"), 1e9);
+fn sizes_too_large_to_transfer_do_not_change_the_typical_transfer_time() {
+    const HUGE_SIZE_KB: f64 = 1e9;
+    let warming_up = CACHE_SERVERS[1];
+    let mut harness = Harness::with_defaults();
+    for index in 0..200 {
+        harness.advance(MILLISECOND);
+        let request = Request {
+            size_kb: HUGE_SIZE_KB,
+            ..harness.next_request(VIDEO, &format!("/o/huge-{index}"))
+        };
+        harness.submit_request(request);
     }
-    // A cache that has just started takes what its budget fits, judged by what is usual.
-    let started = Endpoint {
-        started: Some(rig.now - 2 * S),
-        ..server(2, "town", "cache")
-    };
-    rig.handle(Event::EndpointList {
-        mode: EndpointListMode::Delta,
-        endpoints: vec![started],
-    });
-    let all = used(&mut rig, 60);
-    assert!(all.contains(&2), "{all:?}");
+    // A server that is warming up gets what fits its budget, by the typical transfer time.
+    harness.handle(endpoint_delta(vec![Endpoint {
+        started: Some(harness.now - 2 * SECOND),
+        ..cache_server(warming_up)
+    }]));
+    let servers = harness.servers_of_objects(60);
+    assert!(servers.contains(&warming_up), "{servers:?}");
 }
--- a/crates/routing/tests/unexpected_input.rs
+++ b/crates/routing/tests/unexpected_input.rs
@@ -1,125 +1,141 @@
-//! Unknown ids, unknown classes and absurd figures do no harm.
+//! Unknown ids, unknown names and absurd figures in events do no harm.
 
 mod support;
 use edge_routing::*;
 use std::collections::BTreeSet;
 use support::*;
 
+const UNKNOWN_REQUEST: RequestId = 999;
+const UNKNOWN_SERVER: ServerId = 777;
+
+/// The rejection of a request whose class the settings do not name: nothing is known of its
+/// retries.
+fn rejection_without_retry_after(request: RequestId) -> Action {
+    Action::Reject {
+        request,
+        retry_after_us: None,
+    }
+}
+
 #[test]
-fn what_is_not_known_is_ignored() {
-    let mut rig = Rig::new(settings(), fleet());
-    assert!(rig.end(999, 0, 1, Outcome::Error).is_empty());
-    assert!(rig.end(999, 3, 777, Outcome::Ok).is_empty());
-    assert!(rig.handle(Event::Timer { tag: 12_345 }).is_empty());
-    assert!(rig
-        .handle(Event::ClientDisconnected { request: 999 })
-        .is_empty());
-    assert!(rig
-        .handle(Event::StreamStarted {
-            request: 999,
-            attempt: 0
-        })
-        .is_empty());
-    let outcome = Outcome::Ok;
-    assert!(rig
-        .handle(Event::ProbeEnded {
-            server: 777,
-            outcome,
+fn events_about_unknown_requests_servers_and_timers_are_ignored() {
+    let mut harness = Harness::with_defaults();
+    let unknown_attempts = [
+        attempt_report(
+            UNKNOWN_REQUEST,
+            0,
+            CACHE_SERVERS[0],
+            Outcome::Error,
+            FillResult::Unknown,
+        ),
+        attempt_report(
+            UNKNOWN_REQUEST,
+            3,
+            UNKNOWN_SERVER,
+            Outcome::Ok,
+            FillResult::Unknown,
+        ),
+    ];
+    for report in unknown_attempts {
+        assert_eq!(harness.report(report), []);
+    }
+    assert_eq!(harness.handle(Event::Timer { tag: 12_345 }), []);
+    assert_eq!(harness.disconnect(UNKNOWN_REQUEST), []);
+    assert_eq!(
+        harness.handle(Event::StreamStarted {
+            request: UNKNOWN_REQUEST,
+            attempt: 0,
+        }),
+        []
+    );
+    assert_eq!(
+        harness.handle(Event::ProbeEnded {
+            server: UNKNOWN_SERVER,
+            outcome: Outcome::Ok,
             took_us: 1,
-            load: None
-        })
-        .is_empty());
-    let gone = Endpoint {
-        state: EndpointState::Gone,
-        ..server(777, "nowhere", "thing")
-    };
-    assert!(rig
-        .handle(Event::EndpointList {
-            mode: EndpointListMode::Delta,
-            endpoints: vec![gone]
-        })
-        .is_empty());
-    let s = rig.send("video", "/o/a");
-    assert!(
-        rig.end(s.request, 5, s.server, Outcome::Error).is_empty(),
-        "no such attempt"
+            load: None,
+        }),
+        []
+    );
+    assert_eq!(
+        harness.handle(endpoint_delta(vec![Endpoint {
+            state: EndpointState::Gone,
+            ..endpoint(UNKNOWN_SERVER, "nowhere", "thing")
+        }])),
+        []
     );
-    let (id, actions) = rig.ask("no such class", "/o/a", 5 * S);
+
+    let attempt = harness.forward(VIDEO, "/o/a");
+    let unknown_attempt = Attempt {
+        number: 5,
+        ..attempt
+    };
+    assert_eq!(harness.finish(&unknown_attempt, Outcome::Error), []);
+
+    let submission = harness.submit("no such class", "/o/a");
     assert_eq!(
-        actions,
-        vec![Action::Reject {
-            request: id,
-            retry_after_us: None
-        }]
+        submission.actions,
+        [rejection_without_retry_after(submission.request)]
     );
 }
 
 #[test]
-fn unknown_classes_and_changes_for_unknown_servers_are_taken_in() {
-    let mut rig = Rig::new(settings(), fleet());
-    let (id, actions) = rig.ask("no-such-class", "/o/a", 5 * S);
+fn unknown_classes_are_rejected_and_changes_of_unknown_servers_are_accepted() {
+    const GONE: ServerId = 77;
+    const NEW: ServerId = 78;
+    let mut harness = Harness::with_defaults();
+    let submission = harness.submit("no-such-class", "/o/a");
     assert_eq!(
-        actions,
-        vec![Action::Reject {
-            request: id,
-            retry_after_us: None
-        }]
+        submission.actions,
+        [rejection_without_retry_after(submission.request)]
     );
-    let gone = Endpoint {
+
+    harness.handle(endpoint_delta(vec![Endpoint {
         state: EndpointState::Gone,
-        ..server(77, "town", "cache")
-    };
-    rig.handle(Event::EndpointList {
-        mode: EndpointListMode::Delta,
-        endpoints: vec![gone],
-    });
-    let new = server(78, "town", "cache");
-    rig.handle(Event::EndpointList {
-        mode: EndpointListMode::Delta,
-        endpoints: vec![new],
-    });
+        ..cache_server(GONE)
+    }]));
+    harness.handle(endpoint_delta(vec![cache_server(NEW)]));
     let servers: BTreeSet<ServerId> = (0..60)
-        .map(|n| rig.send("page", &format!("/o/{n}")).server)
+        .map(|index| harness.forward(PAGE, &format!("/o/{index}")).server)
         .collect();
-    assert!(!servers.contains(&77), "it is gone");
-    assert!(servers.contains(&78), "it is ready");
-    assert!(!servers.contains(&5), "a cache of another location");
+    assert!(!servers.contains(&GONE), "it is gone");
+    assert!(servers.contains(&NEW), "it is ready");
+    assert!(
+        !servers.contains(&REMOTE_CACHE_SERVER),
+        "a cache server of another location"
+    );
+}
+
+/// The attempts of 50 requests, each served as a cache hit with this load report.
+fn attempts_with_load_report(load: Option<LoadReport>) -> Vec<Attempt> {
+    let mut harness = Harness::with_defaults();
+    let mut attempts = Vec::new();
+    for index in 0..50 {
+        let attempt = harness.forward(VIDEO, &format!("/o/{index}"));
+        harness.advance(10 * MILLISECOND);
+        harness.report(AttemptReport {
+            load,
+            ..attempt.report(Outcome::Ok, FillResult::Hit)
+        });
+        attempts.push(attempt);
+    }
+    attempts
 }
 
 #[test]
-fn absurd_load_reports_do_no_harm() {
-    let run = |load: Option<LoadReport>| {
-        let mut rig = Rig::new(settings(), fleet());
-        (0..50)
-            .map(|n| {
-                let s = rig.send("video", &format!("/o/{n}"));
-                rig.now += 10 * MS;
-                rig.handle(Event::AttemptEnded(AttemptReport {
-                    request: s.request,
-                    attempt: 0,
-                    server: s.server,
-                    outcome: Outcome::Ok,
-                    took_us: 100 * MS,
-                    settled: true,
-                    fill_result: FillResult::Hit,
-                    fill_ttfb_us: 0,
-                    load,
-                }));
-                s
-            })
-            .collect::<Vec<_>>()
-    };
-    let calm = run(None);
+fn absurd_load_reports_change_nothing() {
+    let without_reports = attempts_with_load_report(None);
     for value in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
-        let all = Some(value);
+        let report = LoadReport {
+            cpu_utilization: Some(value),
+            in_flight: Some(value),
+            hit_ratio: Some(value),
+            link_utilization: Some(value),
+        };
         assert_eq!(
-            run(Some(LoadReport {
-                cpu_utilization: all,
-                in_flight: all,
-                hit_ratio: all,
-                link_utilization: all
-            })),
-            calm
+            attempts_with_load_report(Some(report)),
+            without_reports,
+            "{value}"
         );
     }
 }
