--- /dev/null
+++ b/crates/routing/tests/settings.rs
@@ -0,0 +1,50 @@
+//! Settings that a router can't work with are an error that says what is wrong.
+
+mod support;
+use edge_routing::*;
+use support::*;
+
+/// The error of a router whose settings a test has changed.
+fn error_after(change: impl FnOnce(&mut Settings)) -> Option<SettingsError> {
+    let mut settings = settings();
+    change(&mut settings);
+    Router::new(settings, 1).err()
+}
+
+#[test]
+fn invalid_settings_are_an_error_that_says_what_is_wrong() {
+    let invalid_value = |name| Some(SettingsError::InvalidValue(name));
+    assert_eq!(
+        error_after(|settings| settings.classes.clear()),
+        Some(SettingsError::NoClasses)
+    );
+    assert_eq!(
+        error_after(|settings| settings.zone = 3),
+        Some(SettingsError::UnknownZone)
+    );
+    assert_eq!(
+        error_after(|settings| settings.zones[LOCAL_ZONE].hub = 9),
+        Some(SettingsError::UnknownZone)
+    );
+    assert_eq!(
+        error_after(|settings| settings.rules.overload_window_us = 0),
+        invalid_value("overload window")
+    );
+    assert_eq!(
+        error_after(|settings| settings.max_attempts = 0),
+        invalid_value("attempts")
+    );
+    assert_eq!(
+        error_after(|settings| settings.transfer_kb_per_s = f64::NAN),
+        invalid_value("transfer rate")
+    );
+    assert_eq!(
+        error_after(|settings| settings.rules.warm_up_initial_share = -1.0),
+        invalid_value("warm-up share")
+    );
+    assert_eq!(
+        error_after(|_| ()),
+        None,
+        "the settings of the other tests are valid"
+    );
+}
