Routing test: start the probe case from an ejection

The case of a half-open probe without a verdict began with one reset, which ejects nobody, so no probe was made and no fault could fail it.

--- a/crates/routing/tests/outlier_ejection.rs
+++ b/crates/routing/tests/outlier_ejection.rs
@@ -140,7 +140,7 @@
     ] {
         let mut harness = Harness::new(settings_without_direct_requests(), fleet());
         let first = harness.forward(VIDEO, "/o/a");
-        harness.finish(&first, Outcome::Reset);
+        harness.finish(&first, Outcome::ConnectFailed);
         for _ in 0..3 {
             harness.advance(LONGEST_EJECTION);
             let mut was_probed = false;
