Request table: one module a job, typed admission errors, log lines in the field's terms

The trace line says rejected, client disconnected and ttfb where it said refused, left and waited; the tests of the trace and the log's rate moved to a test file, one behaviour each.

--- a/crates/proxy/src/event_loop/clients.rs
+++ b/crates/proxy/src/event_loop/clients.rs
@@ -297,7 +297,7 @@
                     let request_key = if slow || flood || self.grace_over {
                         None
                     } else {
-                        self.request_table.admit(now, client, asked)
+                        self.request_table.admit(now, client, asked).ok()
                     };
                     match request_key {
                         Some(request_key) => session.request_admitted(stream, request_key),
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -135,7 +135,7 @@
                     let request_key = if self.grace_over {
                         None
                     } else {
-                        self.request_table.admit(now, client, asked)
+                        self.request_table.admit(now, client, asked).ok()
                     };
                     match request_key {
                         Some(request_key) => session.waiting = Some(request_key),
--- /dev/null
+++ b/crates/proxy/src/request_table/counters.rs
@@ -0,0 +1,30 @@
+//! What the table counts for the operators.
+
+use super::request::Answer;
+
+/// Totals since the start. Each admitted request ends up in exactly one of `served`, `refused`, `failed` and `left`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestCounters {
+    /// Requests admitted.
+    pub taken: u64,
+    /// Attempts started.
+    pub attempts: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests rejected after their admission.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Requests whose client disconnected before the answer.
+    pub left: u64,
+}
+
+impl RequestCounters {
+    pub(super) fn count_answer(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Served(_) => self.served += 1,
+            Answer::Rejected { .. } => self.refused += 1,
+            Answer::Failed => self.failed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -0,0 +1,85 @@
+//! The pending requests, bounded in number and in the bytes of their bodies.
+
+use super::admission::AdmissionError;
+use super::request::{PendingRequest, RequestKey};
+use crate::net::Slab;
+use std::collections::HashSet;
+
+/// The pending requests by their keys.
+///
+/// Invariants: `ids` holds the id of every request in the slab, no two of which are the same; `body_bytes` is the sum
+/// of the lengths of their bodies.
+pub(super) struct PendingRequests {
+    slab: Slab<PendingRequest>,
+    ids: HashSet<String>,
+    body_bytes: usize,
+    body_bytes_limit: usize,
+}
+
+impl PendingRequests {
+    pub(super) fn new(capacity: usize, body_bytes_limit: usize) -> Self {
+        PendingRequests {
+            slab: Slab::new(capacity),
+            ids: HashSet::new(),
+            body_bytes: 0,
+            body_bytes_limit,
+        }
+    }
+
+    /// Adds a request, unless a limit or the id of another one forbids it.
+    pub(super) fn insert(&mut self, pending: PendingRequest) -> Result<RequestKey, AdmissionError> {
+        let id = pending.request.id.clone();
+        let body_bytes = self.body_bytes + pending.request.body.len();
+        if body_bytes > self.body_bytes_limit {
+            return Err(AdmissionError::BodyBytesExhausted);
+        }
+        if self.ids.contains(&id) {
+            return Err(AdmissionError::DuplicateId);
+        }
+        let request_key = self
+            .slab
+            .insert(pending)
+            .map_err(|_| AdmissionError::TableFull)?;
+        self.ids.insert(id);
+        self.body_bytes = body_bytes;
+        Ok(request_key)
+    }
+
+    /// Takes out a request that is settled and has no attempt in flight. None: it is not there, or not complete.
+    pub(super) fn remove_if_complete(&mut self, request_key: RequestKey) -> Option<PendingRequest> {
+        if !self.get(request_key)?.is_complete() {
+            return None;
+        }
+        let pending = self.slab.remove(request_key)?;
+        self.ids.remove(&pending.request.id);
+        self.body_bytes -= pending.request.body.len();
+        Some(pending)
+    }
+
+    pub(super) fn get(&self, request_key: RequestKey) -> Option<&PendingRequest> {
+        self.slab.get(request_key)
+    }
+
+    pub(super) fn get_mut(&mut self, request_key: RequestKey) -> Option<&mut PendingRequest> {
+        self.slab.get_mut(request_key)
+    }
+
+    /// Whether a request is still owed its final answer.
+    pub(super) fn is_unsettled(&self, request_key: RequestKey) -> bool {
+        self.get(request_key)
+            .is_some_and(|pending| !pending.is_settled())
+    }
+
+    /// The keys of all requests, in the order of their slots.
+    pub(super) fn keys(&self) -> Vec<RequestKey> {
+        self.slab.keys()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.slab.is_empty()
+    }
+
+    pub(super) fn is_half_full(&self) -> bool {
+        self.slab.is_half_full()
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request_table/tests.rs
@@ -0,0 +1,86 @@
+//! The request trace and the log's rate limit, each alone.
+
+use super::{LogRateLimiter, RequestEnding, RequestTrace, SuppressedLines, TraceEvent};
+use edge_routing::{FillResult, Outcome};
+
+fn rejected_attempt() -> TraceEvent {
+    TraceEvent {
+        server: 1,
+        source: Some(2),
+        started_at: 1_000_500,
+        ended_at: 1_020_000,
+        outcome: Outcome::Rejected,
+        fill_result: FillResult::SourceUnreachable,
+        fill_ttfb_us: 7_500,
+    }
+}
+
+fn rejected_after_a_retry() -> RequestTrace {
+    let mut trace = RequestTrace::new(1_000_000);
+    trace.attempt_ended(rejected_attempt());
+    trace.attempt_ended(TraceEvent {
+        server: 3,
+        source: Some(3),
+        fill_result: FillResult::Unknown,
+        fill_ttfb_us: 0,
+        ..rejected_attempt()
+    });
+    trace.end(1_030_000, RequestEnding::Rejected);
+    trace
+}
+
+#[test]
+fn the_trace_line_shows_every_attempt() {
+    let line = rejected_after_a_retry().line(|id| (id < 3).then_some("s-1"));
+    let first = "0.5 to 20.0: s-1 from s-1 Rejected SourceUnreachable ttfb 7.5";
+    let second = "0.5 to 20.0: #0000000000000003 Rejected";
+    assert_eq!(line, format!("rejected after 30.0 ms; {first}; {second}"));
+}
+
+#[test]
+fn a_rejected_request_is_not_smooth() {
+    assert!(!rejected_after_a_retry().is_smooth(2_000_000));
+    let mut without_retry = RequestTrace::new(0);
+    without_retry.attempt_ended(rejected_attempt());
+    without_retry.end(50, RequestEnding::Rejected);
+    assert!(!without_retry.is_smooth(100));
+}
+
+#[test]
+fn a_request_served_by_a_retry_is_not_smooth() {
+    let mut trace = RequestTrace::new(0);
+    trace.attempt_ended(rejected_attempt());
+    trace.attempt_ended(rejected_attempt());
+    trace.end(50, RequestEnding::Served);
+    assert!(!trace.is_smooth(100));
+}
+
+#[test]
+fn a_request_served_by_its_first_attempt_is_smooth_in_the_first_half_of_its_time() {
+    let mut trace = RequestTrace::new(0);
+    trace.attempt_ended(rejected_attempt());
+    trace.end(50, RequestEnding::Served);
+    assert!(trace.is_smooth(100));
+    assert!(!trace.is_smooth(99));
+}
+
+#[test]
+fn lines_beyond_the_rate_are_suppressed_and_counted_on_the_next_line() {
+    let mut limiter = LogRateLimiter::new(2);
+    let mut take = |at| limiter.take(at);
+    let none_suppressed = Some(SuppressedLines(0));
+    assert_eq!(
+        [take(0), take(1), take(2), take(999_999)],
+        [none_suppressed, none_suppressed, None, None]
+    );
+    assert_eq!(
+        [take(1_000_000), take(1_000_001)],
+        [Some(SuppressedLines(2)), none_suppressed]
+    );
+}
+
+#[test]
+fn the_remark_on_suppressed_lines_is_empty_for_none() {
+    assert_eq!(SuppressedLines(0).to_string(), "");
+    assert_eq!(SuppressedLines(2).to_string(), " (2 lines suppressed)");
+}
--- a/crates/proxy/src/request_table/trace.rs
+++ b/crates/proxy/src/request_table/trace.rs
@@ -1,185 +1,190 @@
-//! What became of a request, for the log: its attempts from first to last, in one line.
+//! The trace of a request: its attempts from first to last and its ending, for one line in the log.
 
+use super::log_rate::LogRateLimiter;
+use super::request::{Answer, PendingRequest};
+use super::servers::ServerDirectory;
 use edge_routing::{FillResult, Micros, Outcome, ServerId};
-use std::fmt::Write;
+use std::fmt::{self, Write};
 
-/// An attempt that has ended.
+/// An attempt that has ended. Times in microseconds of the loop's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct TraceEvent {
-    /// The box.
+    /// The cache server.
     pub server: ServerId,
-    /// The source of its fill; the box itself: none.
+    /// The source of its fill; the server itself: no fill.
     pub source: Option<ServerId>,
-    /// When the module sent it.
-    pub sent: Micros,
+    /// When the attempt was started.
+    pub started_at: Micros,
     /// When it ended.
-    pub ended: Micros,
+    pub ended_at: Micros,
     /// How it ended.
     pub outcome: Outcome,
     /// How the answer was made.
     pub fill_result: FillResult,
-    /// The fill's wait for its first byte.
+    /// Time to the first byte of the fill, in microseconds; 0: no fill, or unknown.
     pub fill_ttfb_us: Micros,
 }
 
-/// The attempts of a request, as many as the module may make, and how it ended.
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnding {
+    /// A cache server served it.
+    Served,
+    /// It was rejected.
+    Rejected,
+    /// It failed.
+    Failed,
+    /// The client disconnected before the answer.
+    ClientDisconnected,
+}
+
+impl From<&Answer> for RequestEnding {
+    fn from(answer: &Answer) -> Self {
+        match answer {
+            Answer::Served(_) => RequestEnding::Served,
+            Answer::Rejected { .. } => RequestEnding::Rejected,
+            Answer::Failed => RequestEnding::Failed,
+        }
+    }
+}
+
+impl fmt::Display for RequestEnding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            RequestEnding::Served => "served",
+            RequestEnding::Rejected => "rejected",
+            RequestEnding::Failed => "failed",
+            RequestEnding::ClientDisconnected => "client disconnected",
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TraceEnd {
+    at: Micros,
+    ending: RequestEnding,
+}
+
+/// The ended attempts of a request and how the request ended. The router's limit on attempts bounds its length.
 #[derive(Clone, Debug)]
 pub struct RequestTrace {
-    asked: Micros,
-    steps: Vec<TraceEvent>,
-    end: Option<(Micros, &'static str)>,
+    admitted_at: Micros,
+    attempts: Vec<TraceEvent>,
+    end: Option<TraceEnd>,
 }
 
 impl RequestTrace {
-    /// The trace of a request that came at this time.
-    pub fn new(asked: Micros) -> Self {
+    /// The trace of a request that was admitted at this time.
+    pub fn new(admitted_at: Micros) -> Self {
         RequestTrace {
-            asked,
-            steps: Vec::new(),
+            admitted_at,
+            attempts: Vec::new(),
             end: None,
         }
     }
 
-    /// An attempt has ended.
-    pub fn step(&mut self, step: TraceEvent) {
-        self.steps.push(step);
+    /// Records an attempt that has ended.
+    pub fn attempt_ended(&mut self, attempt: TraceEvent) {
+        self.attempts.push(attempt);
     }
 
-    /// The request has ended, though an attempt may still be out.
-    pub fn end(&mut self, now: Micros, how: &'static str) {
-        self.end = Some((now, how));
+    /// Records how the request ended, though an attempt may still be in flight.
+    pub fn end(&mut self, now: Micros, ending: RequestEnding) {
+        self.end = Some(TraceEnd { at: now, ending });
     }
 
-    /// Served by its first attempt, in the first half of its time: nothing to tell.
+    /// Whether the request was served by its first attempt, in the first half of its time: nothing worth a log line.
     pub fn is_smooth(&self, deadline: Micros) -> bool {
-        let half = self.asked + deadline.saturating_sub(self.asked) / 2;
-        self.steps.len() == 1
-            && self
-                .end
-                .is_some_and(|(at, how)| how == "served" && at <= half)
+        let half_time = self.admitted_at + deadline.saturating_sub(self.admitted_at) / 2;
+        let served_in_half_time = self
+            .end
+            .is_some_and(|end| end.ending == RequestEnding::Served && end.at <= half_time);
+        self.attempts.len() == 1 && served_in_half_time
     }
 
-    /// All of it in one line; `uid` gives the name of a box that is still listed.
-    pub fn line<'a>(&self, uid: impl Fn(ServerId) -> Option<&'a str>) -> String {
-        let mut out = String::new();
-        let ms = |at: Micros| at.saturating_sub(self.asked) as f64 / 1e3;
-        let name = |id: ServerId| uid(id).map_or_else(|| format!("#{id:016x}"), str::to_owned);
-        // Writing into a string can't fail.
-        if let Some((at, how)) = self.end {
-            let _ = write!(out, "{how} after {:.1} ms", ms(at));
+    /// The whole trace in one line, times in milliseconds since the admission. `wire_id_of` gives the id of a server
+    /// that is still listed; any other is shown by its number.
+    pub fn line<'a>(&self, wire_id_of: impl Fn(ServerId) -> Option<&'a str>) -> String {
+        let mut line = String::new();
+        if let Some(end) = self.end {
+            let after_ms = self.ms_since_admission(end.at);
+            // Writing into a string can't fail, here and below.
+            let _ = write!(line, "{} after {after_ms:.1} ms", end.ending);
         }
-        for s in &self.steps {
-            let _ = write!(
-                out,
-                "; {:.1} to {:.1}: {}",
-                ms(s.sent),
-                ms(s.ended),
-                name(s.server)
-            );
-            if let Some(source) = s.source.filter(|source| *source != s.server) {
-                let _ = write!(out, " from {}", name(source));
-            }
-            let _ = write!(out, " {:?}", s.outcome);
-            if s.fill_result != FillResult::Unknown {
-                let _ = write!(out, " {:?}", s.fill_result);
-            }
-            if s.fill_ttfb_us > 0 {
-                let _ = write!(out, " waited {:.1}", s.fill_ttfb_us as f64 / 1e3);
-            }
+        for attempt in &self.attempts {
+            self.write_attempt(&mut line, attempt, &wire_id_of);
         }
-        out
+        line
     }
-}
-
-/// Lines that may be written in a second.
-#[derive(Clone, Copy, Debug)]
-pub struct LogRateLimiter {
-    most: u32,
-    second: u64,
-    used: u32,
-    passed_over: u32,
-}
 
-impl LogRateLimiter {
-    /// So many lines a second.
-    pub fn new(most: u32) -> Self {
-        LogRateLimiter {
-            most,
-            second: 0,
-            used: 0,
-            passed_over: 0,
+    fn write_attempt<'a>(
+        &self,
+        line: &mut String,
+        attempt: &TraceEvent,
+        wire_id_of: &impl Fn(ServerId) -> Option<&'a str>,
+    ) {
+        let name =
+            |id: ServerId| wire_id_of(id).map_or_else(|| format!("#{id:016x}"), str::to_owned);
+        let started_ms = self.ms_since_admission(attempt.started_at);
+        let ended_ms = self.ms_since_admission(attempt.ended_at);
+        let server = name(attempt.server);
+        let _ = write!(line, "; {started_ms:.1} to {ended_ms:.1}: {server}");
+        if let Some(source) = attempt.source.filter(|source| *source != attempt.server) {
+            let _ = write!(line, " from {}", name(source));
         }
-    }
-
-    /// Whether one more line may be written; what to add to it where some were not.
-    pub fn take(&mut self, now: Micros) -> Option<String> {
-        if self.second != now / 1_000_000 {
-            (self.second, self.used) = (now / 1_000_000, 0);
+        let _ = write!(line, " {:?}", attempt.outcome);
+        if attempt.fill_result != FillResult::Unknown {
+            let _ = write!(line, " {:?}", attempt.fill_result);
         }
-        if self.used >= self.most {
-            self.passed_over = self.passed_over.saturating_add(1);
-            return None;
+        if attempt.fill_ttfb_us > 0 {
+            let _ = write!(line, " ttfb {:.1}", as_ms(attempt.fill_ttfb_us));
         }
-        self.used += 1;
-        let passed_over = std::mem::take(&mut self.passed_over);
-        Some(if passed_over > 0 {
-            format!(" ({passed_over} lines passed over)")
-        } else {
-            String::new()
-        })
+    }
+
+    fn ms_since_admission(&self, at: Micros) -> f64 {
+        as_ms(at.saturating_sub(self.admitted_at))
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_line_tells_every_attempt_and_smooth_requests_have_none() {
-        let mut trace = RequestTrace::new(1_000_000);
-        let step = TraceEvent {
-            server: 1,
-            source: Some(2),
-            sent: 1_000_500,
-            ended: 1_020_000,
-            outcome: Outcome::Rejected,
-            fill_result: FillResult::SourceUnreachable,
-            fill_ttfb_us: 7_500,
-        };
-        trace.step(step);
-        trace.step(TraceEvent {
-            server: 3,
-            source: Some(3),
-            fill_result: FillResult::Unknown,
-            fill_ttfb_us: 0,
-            ..step
-        });
-        trace.end(1_030_000, "refused");
-        let line = trace.line(|id| (id < 3).then_some("s-1"));
-        let first = "0.5 to 20.0: s-1 from s-1 Rejected SourceUnreachable waited 7.5";
-        assert_eq!(
-            line,
-            format!("refused after 30.0 ms; {first}; 0.5 to 20.0: #0000000000000003 Rejected")
-        );
-        assert!(!trace.is_smooth(2_000_000));
-        let mut served = RequestTrace::new(0);
-        served.step(step);
-        served.end(50, "served");
-        assert!(served.is_smooth(100) && !served.is_smooth(99));
+fn as_ms(duration_us: Micros) -> f64 {
+    duration_us as f64 / 1e3
+}
+
+/// Writes the traces of requests that did not go smoothly: on-call follows a request by its id.
+pub(super) struct TraceLog {
+    limiter: LogRateLimiter,
+}
+
+impl TraceLog {
+    pub(super) fn new(lines_per_second: u32) -> Self {
+        TraceLog {
+            limiter: LogRateLimiter::new(lines_per_second),
+        }
     }
 
-    #[test]
-    fn a_flood_does_not_fill_the_log() {
-        let mut budget = LogRateLimiter::new(2);
-        let mut take = |at| budget.take(at);
-        let none = Some(String::new());
-        assert_eq!(
-            [take(0), take(1), take(2), take(999_999)],
-            [none.clone(), none.clone(), None, None]
-        );
-        assert_eq!(
-            [take(1_000_000), take(1_000_001)],
-            [Some(" (2 lines passed over)".to_owned()), none]
+    /// Logs a request that is complete, unless it went smoothly or too many lines were written this second.
+    pub(super) fn write(
+        &mut self,
+        now: Micros,
+        pending: &PendingRequest,
+        servers: &ServerDirectory,
+    ) {
+        // Suppressed lines are counted only where they would have been written.
+        if pending.trace.is_smooth(pending.deadline) || !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        let Some(suppressed) = self.limiter.take(now) else {
+            return;
+        };
+        let request = &pending.request;
+        let budget_ms = request.remaining_us / 1000;
+        let line = pending.trace.line(|id| servers.wire_id_of(id));
+        log::info!(
+            "request {} {}/{} {} KB, {budget_ms} ms: {line}{suppressed}",
+            request.id,
+            request.object,
+            request.part,
+            request.size_kb
         );
     }
 }
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -3,8 +3,8 @@
 use edge_proxy::limits::Limits;
 use edge_proxy::net::SlabKey;
 use edge_proxy::request_table::{
-    server_id, Answer, AttemptId, AttemptResult, ClientRequest, Command, Content, ListedServer,
-    RequestTable, RequestTimer, ResponseTarget,
+    server_id, AdmissionError, Answer, AttemptId, AttemptResult, ClientRequest, Command, Content,
+    ListedServer, RequestTable, RequestTimer, ResponseTarget,
 };
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome};
 use edge_testkit::sample_settings;
@@ -224,15 +224,18 @@
     let first = request_table.admit(NOW, client(1), asked(60)).unwrap();
     assert_eq!(
         request_table.admit(NOW, client(2), asked(60)),
-        None,
+        Err(AdmissionError::BodyBytesExhausted),
         "their bodies are too many bytes"
     );
     request_table.admit(NOW, client(2), asked(0)).unwrap();
-    assert_eq!(request_table.admit(NOW, client(3), asked(0)), None);
+    assert_eq!(
+        request_table.admit(NOW, client(3), asked(0)),
+        Err(AdmissionError::TableFull)
+    );
     let attempt = sent(&request_table.take_commands()).unwrap();
     assert_eq!(attempt.request_key, first);
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table.admit(NOW, client(3), asked(60)).is_some());
+    assert!(request_table.admit(NOW, client(3), asked(60)).is_ok());
 }
 
 #[test]
@@ -278,16 +281,19 @@
     let attempt = sent(&request_table.take_commands()).unwrap();
     assert_eq!(
         request_table.admit(NOW, client(2), other.clone()),
-        None,
+        Err(AdmissionError::DuplicateId),
         "a box would take the two for one"
     );
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table.admit(NOW, client(2), other).is_some());
+    assert!(request_table.admit(NOW, client(2), other).is_ok());
     let post = ClientRequest {
         class: "post".into(),
         ..asked(0)
     };
-    assert_eq!(request_table.admit(NOW, client(3), post.clone()), None);
+    assert_eq!(
+        request_table.admit(NOW, client(3), post.clone()),
+        Err(AdmissionError::MissingIdempotencyKey)
+    );
     assert!(request_table
         .admit(
             NOW,
@@ -297,7 +303,7 @@
                 ..post
             }
         )
-        .is_some());
+        .is_ok());
 }
 
 #[test]
