--- a/crates/proxy/src/frontend/fastcgi.rs
+++ b/crates/proxy/src/frontend/fastcgi.rs
@@ -119,8 +119,8 @@
         group: number("HTTP_X_LOT", MOST_GROUP)?.unwrap_or(0),
         size_kb: size,
         remaining_us: left.ok_or("HTTP_BUDGET_MS")? * 1000,
-        once: digits("HTTP_ONCE_KEY", 32)?,
-        have: digits("HTTP_X_VER", 16)?,
+        idempotency_key: digits("HTTP_ONCE_KEY", 32)?,
+        client_copy_tag: digits("HTTP_X_VER", 16)?,
         body,
     })
 }
--- a/crates/proxy/src/frontend/interconnect/mod.rs
+++ b/crates/proxy/src/frontend/interconnect/mod.rs
@@ -288,7 +288,7 @@
             group: value("lot").and_then(|v| v.parse().ok()).unwrap_or(0),
             size_kb: size_kb.unwrap_or(0.0),
             remaining_us: *wait,
-            have: have.filter(|v| tag(v)).map(str::to_owned),
+            client_copy_tag: have.filter(|v| tag(v)).map(str::to_owned),
             ..ClientRequest::default()
         })
     }
--- a/crates/proxy/src/request_table/admission.rs
+++ b/crates/proxy/src/request_table/admission.rs
@@ -52,6 +52,6 @@
 
     /// Whether a request lacks the idempotency key that its class needs.
     pub(super) fn lacks_key(&self, request: &ClientRequest) -> bool {
-        request.once.is_none() && self.names.contains(&request.class)
+        request.idempotency_key.is_none() && self.names.contains(&request.class)
     }
 }
--- a/crates/proxy/src/request_table/attempt.rs
+++ b/crates/proxy/src/request_table/attempt.rs
@@ -24,7 +24,7 @@
     /// as long as nothing of the attempt is written.
     pub max_age_us: Option<Micros>,
     /// When the attempt is cancelled at the latest.
-    pub until: Micros,
+    pub deadline: Micros,
     /// The attempt must not begin later than this.
     pub send_by: Option<Micros>,
 }
@@ -83,7 +83,7 @@
             server: order.server,
             fill: order.fill,
             max_age_us: order.fill.and_then(|fill| fill.max_age_us),
-            until: deadline,
+            deadline,
             send_by: order.send_by,
         };
         InFlightAttempt {
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -35,9 +35,9 @@
     /// How much longer the client waits, in microseconds. The table subtracts the lead that an answer needs.
     pub remaining_us: Micros,
     /// The client's idempotency key, for classes that are retried under one.
-    pub once: Option<String>,
+    pub idempotency_key: Option<String>,
     /// Tag of the copy that the client holds, if any: the server may then answer `Content::Unchanged`.
-    pub have: Option<String>,
+    pub client_copy_tag: Option<String>,
     /// Payload of a write; empty for a read.
     pub body: Vec<u8>,
 }
--- a/crates/proxy/src/request_table/router_actions.rs
+++ b/crates/proxy/src/request_table/router_actions.rs
@@ -82,9 +82,9 @@
         self.counters.attempts += 1;
         self.commands.push(Command::SendAttempt(attempt));
         // At the request's deadline its own timer ends the attempt.
-        if in_flight.spec.until < request_deadline {
+        if in_flight.spec.deadline < request_deadline {
             self.commands.push(Command::SetTimer(
-                in_flight.spec.until,
+                in_flight.spec.deadline,
                 RequestTimer::AttemptTimeout(attempt),
             ));
         }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -143,7 +143,11 @@
             }),
         ),
         // Only the box's own word for that very copy makes it current.
-        b"304" if asked.is_some_and(|a| a.have.is_some() && a.have.as_deref() == tag) => {
+        b"304"
+            if asked.is_some_and(|a| {
+                a.client_copy_tag.is_some() && a.client_copy_tag.as_deref() == tag
+            }) =>
+        {
             (Outcome::Ok, Some(Content::Unchanged))
         }
         b"404" => (Outcome::Miss, None),
@@ -179,9 +183,11 @@
     };
     add(
         "wait",
-        &(spec.until.saturating_sub(now) / 1000).max(1).to_string(),
+        &(spec.deadline.saturating_sub(now) / 1000)
+            .max(1)
+            .to_string(),
     );
-    if let Some(once) = &asked.once {
+    if let Some(once) = &asked.idempotency_key {
         add("once", once);
     }
     if let Some(fill) = &spec.fill {
@@ -206,7 +212,7 @@
             add("flags", &words.join("+"));
         }
     }
-    if let Some(have) = &asked.have {
+    if let Some(have) = &asked.client_copy_tag {
         add("have", have);
     }
     let mut out = Vec::with_capacity(fields.len() + asked.body.len() + 80);
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -299,7 +299,7 @@
             NOW,
             client(3),
             ClientRequest {
-                once: Some("5c".into()),
+                idempotency_key: Some("5c".into()),
                 ..post
             }
         )
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -413,7 +413,7 @@
             id: "01".into(),
             class: "post".into(),
             object: "01-object".into(),
-            once: Some("1".into()),
+            idempotency_key: Some("1".into()),
             remaining_us: 60_000_000,
             ..ClientRequest::default()
         };
