--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -304,11 +304,11 @@
         let c = self.request_table.counters;
         log::info!(
             "ended: {} taken, {} served, {} refused, {} failed, {} left, {} attempts",
-            c.taken,
+            c.admitted,
             c.served,
-            c.refused,
+            c.rejected,
             c.failed,
-            c.left,
+            c.disconnected,
             c.attempts
         );
         Ok(())
--- a/crates/proxy/src/request_table/counters.rs
+++ b/crates/proxy/src/request_table/counters.rs
@@ -2,28 +2,29 @@
 
 use super::request::Answer;
 
-/// Totals since the start. Each admitted request ends up in exactly one of `served`, `refused`, `failed` and `left`.
+/// Totals since the start. Each admitted request ends up in exactly one of `served`, `rejected`, `failed` and
+/// `disconnected`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestCounters {
     /// Requests admitted.
-    pub taken: u64,
+    pub admitted: u64,
     /// Attempts started.
     pub attempts: u64,
     /// Requests served.
     pub served: u64,
     /// Requests rejected after their admission.
-    pub refused: u64,
+    pub rejected: u64,
     /// Requests failed.
     pub failed: u64,
     /// Requests whose client disconnected before the answer.
-    pub left: u64,
+    pub disconnected: u64,
 }
 
 impl RequestCounters {
     pub(super) fn count_answer(&mut self, answer: &Answer) {
         match answer {
             Answer::Served(_) => self.served += 1,
-            Answer::Rejected { .. } => self.refused += 1,
+            Answer::Rejected { .. } => self.rejected += 1,
             Answer::Failed => self.failed += 1,
         }
     }
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -186,27 +186,10 @@
     }
 
     fn apply_purge(&mut self, now: Micros, purge: Purge) {
-        self.tighten_max_age(now, &purge);
+        self.requests.tighten_max_age(now, &purge);
         self.handle_event(now, purge.into_event(now));
     }
 
-    /// An attempt that waits for its connection was decided on before the purge, and may begin after the grace that the
-    /// router allows for.
-    fn tighten_max_age(&mut self, now: Micros, purge: &Purge) {
-        let max_age_us = purge.max_age_us(now);
-        for request_key in self.requests.keys() {
-            let Some(pending) = self.requests.get_mut(request_key) else {
-                continue;
-            };
-            if !purge.target.concerns(&pending.request) {
-                continue;
-            }
-            if let Some(in_flight) = &mut pending.in_flight {
-                in_flight.tighten_max_age(max_age_us);
-            }
-        }
-    }
-
     /// A frontend has a request. On an error nothing is kept of it, and the frontend has to reject it.
     pub fn admit(
         &mut self,
@@ -222,7 +205,7 @@
             .saturating_sub(self.deadlines.answer_lead_us);
         let pending = PendingRequest::new(now, response_target, request);
         let request_key = self.requests.insert(pending)?;
-        self.counters.taken += 1;
+        self.counters.admitted += 1;
         self.set_deadline_timer(now, request_key);
         if let Some(pending) = self.requests.get(request_key) {
             let routing_request = pending.request.to_routing_request(request_key);
@@ -242,7 +225,7 @@
         {
             return;
         }
-        self.counters.left += 1;
+        self.counters.disconnected += 1;
         self.handle_event(
             now,
             Event::ClientDisconnected {
--- a/crates/proxy/src/request_table/pending_requests.rs
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -1,8 +1,10 @@
 //! The pending requests, bounded in number and in the bytes of their bodies.
 
 use super::admission::AdmissionError;
+use super::purges::Purge;
 use super::request::{PendingRequest, RequestKey};
 use crate::net::Slab;
+use edge_routing::Micros;
 use std::collections::HashSet;
 
 /// The pending requests by their keys.
@@ -70,6 +72,23 @@
             .is_some_and(|pending| !pending.is_settled())
     }
 
+    /// Makes the attempts in flight accept no copy from before a purge. One that waits for its connection was decided on
+    /// before the purge, and may begin after the grace that the router allows for.
+    pub(super) fn tighten_max_age(&mut self, now: Micros, purge: &Purge) {
+        let max_age_us = purge.max_age_us(now);
+        for request_key in self.slab.keys() {
+            let Some(pending) = self.slab.get_mut(request_key) else {
+                continue;
+            };
+            if !purge.target.concerns(&pending.request) {
+                continue;
+            }
+            if let Some(in_flight) = &mut pending.in_flight {
+                in_flight.tighten_max_age(max_age_us);
+            }
+        }
+    }
+
     /// The keys of all requests, in the order of their slots.
     pub(super) fn keys(&self) -> Vec<RequestKey> {
         self.slab.keys()
