--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -1,45 +1,49 @@
-//! The request table alone: requests, attempts and outcomes without any wire.
+//! The request table alone: requests, attempts and final answers without any wire.
 
 use edge_proxy::limits::Limits;
 use edge_proxy::net::SlabKey;
 use edge_proxy::request_table::{
     server_id, AdmissionError, Answer, AttemptId, AttemptResult, ClientRequest, Command, Content,
-    ListedServer, RequestTable, RequestTimer, ResponseTarget,
+    ListedServer, RequestKey, RequestTable, RequestTimer, ResponseTarget,
 };
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome};
 use edge_testkit::sample_settings;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 const NOW: u64 = 1_000_000_000;
+/// How long a client waits that `read_request` speaks for.
+const CLIENT_BUDGET_US: u64 = 1_000_000;
 
-fn entry(uid: &str, zone: &str, kind: &str, state: EndpointState) -> ListedServer {
-    let (zone, kind) = (zone.to_owned(), kind.to_owned());
-    let server = Endpoint {
-        id: server_id(uid),
-        zone,
-        cell: 0,
-        kind,
-        weight: 8.0,
-        state,
-        started: None,
-    };
+fn listed_server(uid: &str, zone: &str, kind: &str, state: EndpointState) -> ListedServer {
     ListedServer {
-        endpoint: server,
+        endpoint: Endpoint {
+            id: server_id(uid),
+            zone: zone.to_owned(),
+            cell: 0,
+            kind: kind.to_owned(),
+            weight: 8.0,
+            state,
+            started: None,
+        },
         uid: uid.to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
     }
 }
 
+fn cache_server(uid: &str, state: EndpointState) -> ListedServer {
+    listed_server(uid, "here", "box", state)
+}
+
+/// A table with the cache servers `a` and `b` and the origin `o`, all ready.
 fn new_table(limits: &Limits) -> RequestTable {
     let settings = edge_settings::from_json(&sample_settings()).unwrap();
     let mut request_table = RequestTable::new(settings, 1, limits).unwrap();
-    let list = [
-        ("a", "here", "box"),
-        ("b", "here", "box"),
-        ("o", "hub", "origin"),
+    let servers = vec![
+        cache_server("a", EndpointState::Ready),
+        cache_server("b", EndpointState::Ready),
+        listed_server("o", "hub", "origin", EndpointState::Ready),
     ];
-    let list = list.map(|(uid, zone, kind)| entry(uid, zone, kind, EndpointState::Ready));
-    request_table.update_endpoints(NOW, EndpointListMode::Snapshot, list.to_vec());
+    request_table.update_endpoints(NOW, EndpointListMode::Snapshot, servers);
     request_table.take_commands();
     request_table
 }
@@ -48,92 +52,121 @@
     Limits::for_machine(1024, 192)
 }
 
-fn client(stream: u32) -> ResponseTarget {
+fn response_target(stream: u32) -> ResponseTarget {
     ResponseTarget {
         connection: SlabKey::from_u64(1),
         stream,
     }
 }
 
-fn asked(body: usize) -> ClientRequest {
-    let (class, object) = ("photo".to_owned(), "00000000000000a1".to_owned());
-    static NEXT: AtomicU64 = AtomicU64::new(1);
-    let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
+/// A request under an id of its own, with a body of so many bytes.
+fn request_with_body(body_bytes: usize) -> ClientRequest {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(1);
     ClientRequest {
-        id,
-        class,
-        object,
+        id: format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed)),
+        class: "photo".into(),
+        object: "00000000000000a1".into(),
         size_kb: 40.0,
-        remaining_us: 1_000_000,
-        body: vec![0; body],
+        remaining_us: CLIENT_BUDGET_US,
+        body: vec![0; body_bytes],
         ..ClientRequest::default()
     }
 }
 
-fn sent(commands: &[Command]) -> Option<AttemptId> {
-    commands.iter().find_map(|c| {
-        if let Command::SendAttempt(attempt) = c {
-            Some(*attempt)
-        } else {
-            None
-        }
+fn read_request() -> ClientRequest {
+    request_with_body(0)
+}
+
+/// Admits a request and returns its key and its first attempt.
+fn admit_and_start(request_table: &mut RequestTable) -> (RequestKey, AttemptId) {
+    let request_key = request_table
+        .admit(NOW, response_target(1), read_request())
+        .unwrap();
+    let attempt = started_attempt(&request_table.take_commands()).unwrap();
+    (request_key, attempt)
+}
+
+fn started_attempt(commands: &[Command]) -> Option<AttemptId> {
+    commands.iter().find_map(|command| match command {
+        Command::SendAttempt(attempt) => Some(*attempt),
+        _ => None,
+    })
+}
+
+fn is_cancelled(commands: &[Command], attempt: AttemptId) -> bool {
+    commands
+        .iter()
+        .any(|command| matches!(command, Command::CancelAttempt(id, _) if *id == attempt))
+}
+
+fn deadline_timer(commands: &[Command]) -> Option<(u64, RequestTimer)> {
+    commands.iter().find_map(|command| match command {
+        Command::SetTimer(at, timer @ RequestTimer::Deadline(_)) => Some((*at, *timer)),
+        _ => None,
     })
 }
 
+fn latest_timer(commands: &[Command]) -> Option<u64> {
+    let times = commands.iter().filter_map(|command| match command {
+        Command::SetTimer(at, _) => Some(*at),
+        _ => None,
+    });
+    times.max()
+}
+
 fn answers(commands: &[Command]) -> Vec<Answer> {
-    let answer = |c: &Command| {
-        if let Command::Respond(_, answer) = c {
-            Some(answer.clone())
-        } else {
-            None
-        }
-    };
-    commands.iter().filter_map(answer).collect()
+    let answers = commands.iter().filter_map(|command| match command {
+        Command::Respond(_, answer) => Some(answer.clone()),
+        _ => None,
+    });
+    answers.collect()
 }
 
 fn served() -> AttemptResult {
-    let content = Content::Object {
-        bytes: b"x".to_vec(),
-        tag: None,
-    };
     AttemptResult {
-        content: Some(content),
+        content: Some(Content::Object {
+            bytes: b"x".to_vec(),
+            tag: None,
+        }),
         ..Outcome::Ok.into()
     }
 }
 
 #[test]
-fn a_second_outcome_of_an_attempt_gives_no_second_answer() {
+fn nothing_after_the_final_answer_gives_a_second_one() {
     let mut request_table = new_table(&limits());
-    request_table.admit(NOW, client(1), asked(0)).unwrap();
-    let attempt = sent(&request_table.take_commands()).unwrap();
+    let (request_key, attempt) = admit_and_start(&mut request_table);
+    assert_eq!(attempt.request_key, request_key);
     request_table.attempt_ended(NOW + 10, attempt, served());
     assert_eq!(answers(&request_table.take_commands()).len(), 1);
+
     request_table.attempt_ended(NOW + 11, attempt, served());
-    request_table.timer_fired(NOW + 2_000_000, RequestTimer::Deadline(attempt.request_key));
-    assert_eq!(
-        (request_table.take_commands(), request_table.is_idle()),
-        (vec![], true)
-    );
+    request_table.timer_fired(NOW + 2_000_000, RequestTimer::Deadline(request_key));
+    assert_eq!(request_table.take_commands(), []);
+    assert!(request_table.is_idle());
 }
 
 #[test]
-fn at_the_deadline_what_is_out_is_given_up_and_a_late_answer_changes_nothing() {
+fn the_deadline_leaves_the_answer_its_lead() {
     let mut request_table = new_table(&limits());
-    request_table.admit(NOW, client(1), asked(0)).unwrap();
+    request_table
+        .admit(NOW, response_target(1), read_request())
+        .unwrap();
+    let (at, _) = deadline_timer(&request_table.take_commands()).unwrap();
+    assert_eq!(at, NOW + CLIENT_BUDGET_US - limits().answer_lead_us);
+}
+
+#[test]
+fn at_the_deadline_the_attempt_is_cancelled_and_the_request_rejected() {
+    let mut request_table = new_table(&limits());
+    request_table
+        .admit(NOW, response_target(1), read_request())
+        .unwrap();
     let commands = request_table.take_commands();
-    let attempt = sent(&commands).unwrap();
-    let due = commands.iter().find_map(|c| match c {
-        Command::SetTimer(at, wake @ RequestTimer::Deadline(_)) => Some((*at, *wake)),
-        _ => None,
-    });
-    let (at, wake) = due.unwrap();
-    assert_eq!(
-        at,
-        NOW + 1_000_000 - limits().answer_lead_us,
-        "the answer has a way to go"
-    );
-    request_table.timer_fired(at, wake);
+    let attempt = started_attempt(&commands).unwrap();
+    let (at, timer) = deadline_timer(&commands).unwrap();
+
+    request_table.timer_fired(at, timer);
     let commands = request_table.take_commands();
     assert!(
         commands.contains(&Command::CancelAttempt(attempt, server_id("a")))
@@ -145,47 +178,64 @@
             retry_after_us: Some(_)
         }]
     ));
+}
+
+#[test]
+fn a_result_after_the_deadline_gives_no_answer() {
+    let mut request_table = new_table(&limits());
+    request_table
+        .admit(NOW, response_target(1), read_request())
+        .unwrap();
+    let commands = request_table.take_commands();
+    let attempt = started_attempt(&commands).unwrap();
+    let (at, timer) = deadline_timer(&commands).unwrap();
+    request_table.timer_fired(at, timer);
+    assert_eq!(answers(&request_table.take_commands()).len(), 1);
+
     request_table.attempt_ended(at + 1, attempt, served());
     assert_eq!(answers(&request_table.take_commands()), []);
 }
 
 #[test]
-fn a_further_attempt_waits_until_the_one_before_is_over() {
+fn a_retry_starts_only_after_the_attempt_before_has_ended() {
     let mut request_table = new_table(&limits());
-    request_table.admit(NOW, client(1), asked(0)).unwrap();
-    let first = sent(&request_table.take_commands()).unwrap();
-    // Ticks until the module takes the attempt for stuck and calls it off.
-    let (mut now, mut given_up) = (NOW, false);
-    while !given_up && now < NOW + 900_000 {
+    let (_, first) = admit_and_start(&mut request_table);
+    // The router's timer fires until it takes the attempt for stalled and cancels it.
+    let mut now = NOW;
+    let mut cancelled = false;
+    while !cancelled && now < NOW + 900_000 {
         now += 50_000;
         request_table.timer_fired(now, RequestTimer::Router(0));
         let commands = request_table.take_commands();
-        assert_eq!(sent(&commands), None, "two attempts would be out at once");
-        given_up = commands
-            .iter()
-            .any(|c| matches!(c, Command::CancelAttempt(a, _) if *a == first));
+        assert_eq!(
+            started_attempt(&commands),
+            None,
+            "two attempts would be in flight at once"
+        );
+        cancelled = is_cancelled(&commands, first);
     }
-    assert!(given_up);
+    assert!(cancelled);
+
     request_table.attempt_ended(now, first, Outcome::Cancelled.into());
     let commands = request_table.take_commands();
-    let second = sent(&commands).expect("a further attempt");
-    assert_eq!((answers(&commands), second.number), (vec![], 1));
+    let second = started_attempt(&commands).expect("a retry");
+    assert_eq!(answers(&commands), []);
+    assert_eq!(second.number, 1);
+
     request_table.attempt_ended(now, second, served());
     assert_eq!(answers(&request_table.take_commands()).len(), 1);
 }
 
 #[test]
-fn an_answer_that_crosses_the_word_that_it_is_given_up_still_serves() {
+fn an_answer_that_crosses_its_cancellation_is_still_served() {
     let mut request_table = new_table(&limits());
-    request_table.admit(NOW, client(1), asked(0)).unwrap();
-    let first = sent(&request_table.take_commands()).unwrap();
-    let ticks = (1..18).map(|tick| NOW + 50_000 * tick);
-    ticks.for_each(|now| request_table.timer_fired(now, RequestTimer::Router(0)));
-    assert!(request_table
-        .take_commands()
-        .iter()
-        .any(|c| matches!(c, Command::CancelAttempt(a, _) if *a == first)));
-    request_table.attempt_ended(NOW + 900_000, first, served());
+    let (_, attempt) = admit_and_start(&mut request_table);
+    for tick in 1..18 {
+        request_table.timer_fired(NOW + 50_000 * tick, RequestTimer::Router(0));
+    }
+    assert!(is_cancelled(&request_table.take_commands(), attempt));
+
+    request_table.attempt_ended(NOW + 900_000, attempt, served());
     assert!(matches!(
         answers(&request_table.take_commands())[..],
         [Answer::Served(_)]
@@ -194,168 +244,191 @@
 }
 
 #[test]
-fn a_client_that_left_is_owed_nothing_and_its_slot_is_free_once_nothing_is_out() {
+fn the_attempt_of_a_disconnected_client_is_cancelled() {
     let mut request_table = new_table(&limits());
-    let request_key = request_table.admit(NOW, client(1), asked(0)).unwrap();
-    let attempt = sent(&request_table.take_commands()).unwrap();
+    let (request_key, attempt) = admit_and_start(&mut request_table);
+    request_table.client_disconnected(NOW, request_key);
+    assert!(is_cancelled(&request_table.take_commands(), attempt));
+}
+
+#[test]
+fn a_disconnected_client_gets_no_answer_and_its_slot_is_free_after_its_attempt() {
+    let mut request_table = new_table(&limits());
+    let (request_key, attempt) = admit_and_start(&mut request_table);
     request_table.client_disconnected(NOW, request_key);
-    assert!(request_table
-        .take_commands()
-        .iter()
-        .any(|c| matches!(c, Command::CancelAttempt(a, _) if *a == attempt)));
     assert!(!request_table.is_idle());
+
     request_table.attempt_ended(NOW, attempt, Outcome::Cancelled.into());
-    assert_eq!(
-        (
-            answers(&request_table.take_commands()),
-            request_table.is_idle()
-        ),
-        (vec![], true)
-    );
+    assert_eq!(answers(&request_table.take_commands()), []);
+    assert!(request_table.is_idle());
 }
 
 #[test]
-fn full_tables_turn_requests_away_until_there_is_room() {
+fn bodies_beyond_the_limit_are_not_admitted_until_there_is_room() {
     let mut request_table = new_table(&Limits {
-        open_requests: 2,
         total_body_bytes: 100,
         ..limits()
     });
-    let first = request_table.admit(NOW, client(1), asked(60)).unwrap();
-    assert_eq!(
-        request_table.admit(NOW, client(2), asked(60)),
-        Err(AdmissionError::BodyBytesExhausted),
-        "their bodies are too many bytes"
-    );
-    request_table.admit(NOW, client(2), asked(0)).unwrap();
+    let first = request_table
+        .admit(NOW, response_target(1), request_with_body(60))
+        .unwrap();
     assert_eq!(
-        request_table.admit(NOW, client(3), asked(0)),
-        Err(AdmissionError::TableFull)
+        request_table.admit(NOW, response_target(2), request_with_body(60)),
+        Err(AdmissionError::BodyBytesExhausted)
     );
-    let attempt = sent(&request_table.take_commands()).unwrap();
+
+    let attempt = started_attempt(&request_table.take_commands()).unwrap();
     assert_eq!(attempt.request_key, first);
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table.admit(NOW, client(3), asked(60)).is_ok());
+    assert!(request_table
+        .admit(NOW, response_target(2), request_with_body(60))
+        .is_ok());
 }
 
 #[test]
-fn word_of_a_drain_takes_back_what_is_not_written_yet() {
-    let mut request_table = new_table(&limits());
-    request_table.update_endpoints(
-        NOW,
-        EndpointListMode::Delta,
-        vec![entry("a", "here", "box", EndpointState::Draining)],
-    );
-    assert_eq!(
-        request_table.take_commands().first(),
-        Some(&Command::DrainServer(server_id("a")))
-    );
-    // What a full list does not name any more is gone.
-    request_table.update_endpoints(
-        NOW,
-        EndpointListMode::Snapshot,
-        vec![entry("a", "here", "box", EndpointState::Draining)],
-    );
-    let withdrawn = request_table.take_commands();
-    assert!(withdrawn.contains(&Command::DrainServer(server_id("b"))) && !request_table.is_ready());
-    assert!(
-        request_table.address_of(server_id("a")).is_some(),
-        "it finishes what it has"
-    );
+fn a_full_table_admits_no_request_until_there_is_room() {
+    let mut request_table = new_table(&Limits {
+        open_requests: 2,
+        ..limits()
+    });
+    let first = request_table
+        .admit(NOW, response_target(1), read_request())
+        .unwrap();
+    request_table
+        .admit(NOW, response_target(2), read_request())
+        .unwrap();
     assert_eq!(
-        request_table.address_of(server_id("b")),
-        None,
-        "new servers come under new ids all day long"
+        request_table.admit(NOW, response_target(3), read_request()),
+        Err(AdmissionError::TableFull)
     );
+
+    let attempt = started_attempt(&request_table.take_commands()).unwrap();
+    assert_eq!(attempt.request_key, first);
+    request_table.attempt_ended(NOW, attempt, served());
+    assert!(request_table
+        .admit(NOW, response_target(3), read_request())
+        .is_ok());
 }
 
 #[test]
-fn the_id_of_an_open_request_and_a_keyed_class_without_a_key_are_not_taken() {
+fn an_id_is_not_admitted_twice_while_its_request_is_pending() {
     let mut request_table = new_table(&limits());
-    let first = asked(0);
-    let other = ClientRequest {
+    let first = read_request();
+    let same_id = ClientRequest {
         object: "00000000000000b2".into(),
         ..first.clone()
     };
-    request_table.admit(NOW, client(1), first).unwrap();
-    let attempt = sent(&request_table.take_commands()).unwrap();
+    request_table.admit(NOW, response_target(1), first).unwrap();
+    let attempt = started_attempt(&request_table.take_commands()).unwrap();
     assert_eq!(
-        request_table.admit(NOW, client(2), other.clone()),
+        request_table.admit(NOW, response_target(2), same_id.clone()),
         Err(AdmissionError::DuplicateId),
-        "a box would take the two for one"
+        "a cache server would take the two for one"
     );
+
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table.admit(NOW, client(2), other).is_ok());
-    let post = ClientRequest {
+    assert!(request_table
+        .admit(NOW, response_target(2), same_id)
+        .is_ok());
+}
+
+#[test]
+fn a_class_with_idempotency_keys_admits_no_request_without_one() {
+    let mut request_table = new_table(&limits());
+    let without_key = ClientRequest {
         class: "post".into(),
-        ..asked(0)
+        ..read_request()
     };
     assert_eq!(
-        request_table.admit(NOW, client(3), post.clone()),
+        request_table.admit(NOW, response_target(1), without_key.clone()),
         Err(AdmissionError::MissingIdempotencyKey)
     );
+    let with_key = ClientRequest {
+        idempotency_key: Some("5c".into()),
+        ..without_key
+    };
     assert!(request_table
-        .admit(
-            NOW,
-            client(3),
-            ClientRequest {
-                idempotency_key: Some("5c".into()),
-                ..post
-            }
-        )
+        .admit(NOW, response_target(1), with_key)
         .is_ok());
 }
 
 #[test]
-fn requests_that_are_over_leave_nothing_behind_for_as_long_as_their_clients_would_have_waited() {
+fn a_draining_server_is_withdrawn_before_anything_else() {
     let mut request_table = new_table(&limits());
-    let two_minutes = ClientRequest {
+    let draining = vec![cache_server("a", EndpointState::Draining)];
+    request_table.update_endpoints(NOW, EndpointListMode::Delta, draining);
+    assert_eq!(
+        request_table.take_commands().first(),
+        Some(&Command::DrainServer(server_id("a")))
+    );
+}
+
+#[test]
+fn a_server_missing_from_a_snapshot_is_withdrawn_and_forgotten() {
+    let mut request_table = new_table(&limits());
+    let without_b = vec![cache_server("a", EndpointState::Draining)];
+    request_table.update_endpoints(NOW, EndpointListMode::Snapshot, without_b);
+    assert!(request_table
+        .take_commands()
+        .contains(&Command::DrainServer(server_id("b"))));
+    assert_eq!(
+        request_table.address_of(server_id("b")),
+        None,
+        "new servers come under new ids all day long"
+    );
+}
+
+#[test]
+fn a_draining_server_takes_no_new_work_and_keeps_its_address() {
+    let mut request_table = new_table(&limits());
+    let only_draining = vec![cache_server("a", EndpointState::Draining)];
+    for mode in [EndpointListMode::Delta, EndpointListMode::Snapshot] {
+        request_table.update_endpoints(NOW, mode, only_draining.clone());
+    }
+    assert!(!request_table.is_ready());
+    assert!(!request_table.accepts_work(server_id("a")));
+    assert!(
+        request_table.address_of(server_id("a")).is_some(),
+        "it finishes what it has"
+    );
+}
+
+#[test]
+fn a_request_rejected_at_once_leaves_no_timer_beyond_the_sweep_interval() {
+    let mut request_table = new_table(&limits());
+    let unknown_class = ClientRequest {
         class: "no-such-class".into(),
         remaining_us: 120_000_000,
-        ..asked(0)
-    };
-    let last = |commands: &[Command]| {
-        commands
-            .iter()
-            .filter_map(|c| {
-                if let Command::SetTimer(at, _) = c {
-                    Some(*at)
-                } else {
-                    None
-                }
-            })
-            .max()
+        ..read_request()
     };
     request_table
-        .admit(NOW, client(1), two_minutes.clone())
+        .admit(NOW, response_target(1), unknown_class)
         .unwrap();
     let commands = request_table.take_commands();
-    assert_eq!(
-        (answers(&commands).len(), request_table.is_idle()),
-        (1, true),
-        "refused at once"
-    );
+    assert_eq!(answers(&commands).len(), 1, "rejected at once");
+    assert!(request_table.is_idle());
     assert!(
-        last(&commands).is_none_or(|at| at <= NOW + limits().deadline_sweep_us),
-        "a flood of them would add up"
+        latest_timer(&commands).is_none_or(|at| at <= NOW + limits().deadline_sweep_us),
+        "those of a flood of requests would add up"
     );
-    // One that goes on is looked at until its time is up.
+}
+
+#[test]
+fn a_pending_request_is_swept_until_its_deadline() {
+    let mut request_table = new_table(&limits());
+    let two_minutes = ClientRequest {
+        remaining_us: 120_000_000,
+        ..read_request()
+    };
     let request_key = request_table
-        .admit(
-            NOW,
-            client(1),
-            ClientRequest {
-                id: "0b".into(),
-                class: "photo".into(),
-                ..two_minutes
-            },
-        )
+        .admit(NOW, response_target(1), two_minutes)
         .unwrap();
-    let (mut now, mut looks) = (NOW, 0);
+    let mut now = NOW;
+    let mut sweeps = 0;
     while answers(&request_table.take_commands()).is_empty() {
         now += limits().deadline_sweep_us;
         request_table.timer_fired(now, RequestTimer::Deadline(request_key));
-        looks += 1;
+        sweeps += 1;
     }
-    assert_eq!(looks, 120, "its deadline");
+    assert_eq!(sweeps, 120, "its deadline");
 }
