--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -74,7 +74,8 @@
             .collect()
     }
 
-    /// Takes over one entry. A new server counts as ready before, so that one first listed as draining is withdrawn too.
+    /// Takes over one entry. A server new to the directory counts as ready before, so that it is withdrawn too if its
+    /// first entry says draining.
     fn list(&mut self, entry: &ListedServer) -> Option<ServerId> {
         let id = entry.endpoint.id;
         let server = self.servers.entry(id).or_insert_with(|| KnownServer {
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -4,10 +4,11 @@
 use edge_proxy::net::SlabKey;
 use edge_proxy::request_table::{
     server_id, AdmissionError, Answer, AttemptId, AttemptResult, ClientRequest, Command, Content,
-    ListedServer, RequestKey, RequestTable, RequestTimer, ResponseTarget,
+    ListedServer, RequestCounters, RequestKey, RequestTable, RequestTimer, ResponseTarget,
 };
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome};
 use edge_testkit::sample_settings;
+use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 const NOW: u64 = 1_000_000_000;
@@ -36,7 +37,11 @@
 
 /// A table with the cache servers `a` and `b` and the origin `o`, all ready.
 fn new_table(limits: &Limits) -> RequestTable {
-    let settings = edge_settings::from_json(&sample_settings()).unwrap();
+    new_table_with_settings(&sample_settings(), limits)
+}
+
+fn new_table_with_settings(settings: &Value, limits: &Limits) -> RequestTable {
+    let settings = edge_settings::from_json(settings).unwrap();
     let mut request_table = RequestTable::new(settings, 1, limits).unwrap();
     let servers = vec![
         cache_server("a", EndpointState::Ready),
@@ -263,6 +268,23 @@
     assert!(request_table.is_idle());
 }
 
+#[test]
+fn without_cancellation_an_abandoned_attempt_is_dequeued_but_stays_in_flight() {
+    let mut settings = sample_settings();
+    settings["limits"]["cancel"] = false.into();
+    let mut request_table = new_table_with_settings(&settings, &limits());
+    let (request_key, attempt) = admit_and_start(&mut request_table);
+    let (_, spec) = request_table.attempt_spec(attempt).unwrap();
+    let server = spec.server;
+
+    request_table.client_disconnected(NOW, request_key);
+    assert_eq!(
+        request_table.take_commands(),
+        [Command::DequeueAttempt(attempt, server)]
+    );
+    assert!(request_table.attempt_spec(attempt).is_some());
+}
+
 #[test]
 fn bodies_beyond_the_limit_are_not_admitted_until_there_is_room() {
     let mut request_table = new_table(&Limits {
@@ -432,3 +454,63 @@
     }
     assert_eq!(sweeps, 120, "its deadline");
 }
+
+#[test]
+fn a_purge_bounds_the_age_of_copies_for_attempts_in_flight() {
+    let mut request_table = new_table(&limits());
+    let (_, attempt) = admit_and_start(&mut request_table);
+    let object = Some("00000000000000a1".to_owned());
+    request_table.purged(NOW + 20, object, 0, NOW + 13);
+    let (_, spec) = request_table.attempt_spec(attempt).unwrap();
+    assert_eq!(spec.max_age_us, Some(7));
+}
+
+#[test]
+fn a_purge_of_another_object_leaves_attempts_as_they_are() {
+    let mut request_table = new_table(&limits());
+    let (_, attempt) = admit_and_start(&mut request_table);
+    let before = *request_table.attempt_spec(attempt).unwrap().1;
+    let other_object = Some("00000000000000b2".to_owned());
+    request_table.purged(NOW + 20, other_object, 0, NOW + 13);
+    assert_eq!(*request_table.attempt_spec(attempt).unwrap().1, before);
+}
+
+#[test]
+fn permanent_purges_are_bounded_and_a_repeated_one_takes_no_room() {
+    let mut request_table = new_table(&Limits {
+        permanent_purges: 1,
+        ..limits()
+    });
+    assert!(request_table.purge_permanently(NOW, None, 1, NOW));
+    assert_eq!(request_table.permanent_purge_capacity(), 0);
+    assert!(request_table.purge_permanently(NOW, None, 1, NOW));
+    assert!(!request_table.purge_permanently(NOW, None, 2, NOW));
+}
+
+#[test]
+fn every_admitted_request_is_counted_under_one_ending() {
+    let mut request_table = new_table(&limits());
+    let (_, attempt) = admit_and_start(&mut request_table);
+    request_table.attempt_ended(NOW, attempt, served());
+    let (request_key, _) = admit_and_start(&mut request_table);
+    request_table.client_disconnected(NOW, request_key);
+    admit_and_start(&mut request_table);
+    request_table.fail_all_pending(NOW);
+    let unknown_class = ClientRequest {
+        class: "no-such-class".into(),
+        ..read_request()
+    };
+    request_table
+        .admit(NOW, response_target(1), unknown_class)
+        .unwrap();
+
+    let expected = RequestCounters {
+        admitted: 4,
+        attempts: 3,
+        served: 1,
+        rejected: 1,
+        failed: 1,
+        disconnected: 1,
+    };
+    assert_eq!(request_table.counters, expected);
+}
