--- a/crates/proxy/src/request_table/pending_requests.rs
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -72,8 +72,8 @@
             .is_some_and(|pending| !pending.is_settled())
     }
 
-    /// Makes the attempts in flight accept no copy from before a purge. One that waits for its connection was decided on
-    /// before the purge, and may begin after the grace that the router allows for.
+    /// Makes the attempts in flight accept no copy from before a purge. One that waits for its connection was decided
+    /// on before the purge, and may begin after the grace that the router allows for.
     pub(super) fn tighten_max_age(&mut self, now: Micros, purge: &Purge) {
         let max_age_us = purge.max_age_us(now);
         for request_key in self.slab.keys() {
--- a/crates/proxy/src/request_table/tests.rs
+++ b/crates/proxy/src/request_table/tests.rs
@@ -1,5 +1,6 @@
-//! The request trace and the log's rate limit, each alone.
+//! Parts of the request table, each alone: the request trace, the log's rate limit, permanent purges.
 
+use super::purges::{PermanentPurges, PurgeTarget};
 use super::{LogRateLimiter, RequestEnding, RequestTrace, SuppressedLines, TraceEvent};
 use edge_routing::{FillResult, Outcome};
 
@@ -84,3 +85,16 @@
     assert_eq!(SuppressedLines(0).to_string(), "");
     assert_eq!(SuppressedLines(2).to_string(), " (2 lines suppressed)");
 }
+
+#[test]
+fn permanent_purges_are_bounded_and_a_repeated_one_takes_no_room() {
+    let group = |group| PurgeTarget {
+        object: None,
+        group,
+    };
+    let mut purges = PermanentPurges::new(1);
+    assert!(purges.insert(group(1)));
+    assert_eq!(purges.remaining_capacity(), 0);
+    assert!(purges.insert(group(1)));
+    assert!(!purges.insert(group(2)));
+}
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -82,15 +82,40 @@
     request_with_body(0)
 }
 
+/// Admits a request for the client of this stream, now.
+fn admit(
+    request_table: &mut RequestTable,
+    stream: u32,
+    request: ClientRequest,
+) -> Result<RequestKey, AdmissionError> {
+    request_table.admit(NOW, response_target(stream), request)
+}
+
 /// Admits a request and returns its key and its first attempt.
 fn admit_and_start(request_table: &mut RequestTable) -> (RequestKey, AttemptId) {
-    let request_key = request_table
-        .admit(NOW, response_target(1), read_request())
-        .unwrap();
+    let request_key = admit(request_table, 1, read_request()).unwrap();
     let attempt = started_attempt(&request_table.take_commands()).unwrap();
     (request_key, attempt)
 }
 
+/// Admits a request and returns its first attempt, and its deadline timer with the time for which it is set.
+fn admit_until_deadline(request_table: &mut RequestTable) -> (AttemptId, u64, RequestTimer) {
+    admit(request_table, 1, read_request()).unwrap();
+    let commands = request_table.take_commands();
+    let attempt = started_attempt(&commands).unwrap();
+    let timer = commands.iter().find_map(|command| match command {
+        Command::SetTimer(at, timer @ RequestTimer::Deadline(_)) => Some((*at, *timer)),
+        _ => None,
+    });
+    let (at, timer) = timer.unwrap();
+    (attempt, at, timer)
+}
+
+/// An object was purged at a time; the table hears of it 20 us after `NOW`.
+fn purge_object(request_table: &mut RequestTable, object: &str, at: u64) {
+    request_table.purged(NOW + 20, Some(object.to_owned()), 0, at);
+}
+
 fn started_attempt(commands: &[Command]) -> Option<AttemptId> {
     commands.iter().find_map(|command| match command {
         Command::SendAttempt(attempt) => Some(*attempt),
@@ -104,13 +129,6 @@
         .any(|command| matches!(command, Command::CancelAttempt(id, _) if *id == attempt))
 }
 
-fn deadline_timer(commands: &[Command]) -> Option<(u64, RequestTimer)> {
-    commands.iter().find_map(|command| match command {
-        Command::SetTimer(at, timer @ RequestTimer::Deadline(_)) => Some((*at, *timer)),
-        _ => None,
-    })
-}
-
 fn latest_timer(commands: &[Command]) -> Option<u64> {
     let times = commands.iter().filter_map(|command| match command {
         Command::SetTimer(at, _) => Some(*at),
@@ -154,22 +172,14 @@
 #[test]
 fn the_deadline_leaves_the_answer_its_lead() {
     let mut request_table = new_table(&limits());
-    request_table
-        .admit(NOW, response_target(1), read_request())
-        .unwrap();
-    let (at, _) = deadline_timer(&request_table.take_commands()).unwrap();
+    let (_, at, _) = admit_until_deadline(&mut request_table);
     assert_eq!(at, NOW + CLIENT_BUDGET_US - limits().answer_lead_us);
 }
 
 #[test]
 fn at_the_deadline_the_attempt_is_cancelled_and_the_request_rejected() {
     let mut request_table = new_table(&limits());
-    request_table
-        .admit(NOW, response_target(1), read_request())
-        .unwrap();
-    let commands = request_table.take_commands();
-    let attempt = started_attempt(&commands).unwrap();
-    let (at, timer) = deadline_timer(&commands).unwrap();
+    let (attempt, at, timer) = admit_until_deadline(&mut request_table);
 
     request_table.timer_fired(at, timer);
     let commands = request_table.take_commands();
@@ -188,12 +198,7 @@
 #[test]
 fn a_result_after_the_deadline_gives_no_answer() {
     let mut request_table = new_table(&limits());
-    request_table
-        .admit(NOW, response_target(1), read_request())
-        .unwrap();
-    let commands = request_table.take_commands();
-    let attempt = started_attempt(&commands).unwrap();
-    let (at, timer) = deadline_timer(&commands).unwrap();
+    let (attempt, at, timer) = admit_until_deadline(&mut request_table);
     request_table.timer_fired(at, timer);
     assert_eq!(answers(&request_table.take_commands()).len(), 1);
 
@@ -276,7 +281,6 @@
     let (request_key, attempt) = admit_and_start(&mut request_table);
     let (_, spec) = request_table.attempt_spec(attempt).unwrap();
     let server = spec.server;
-
     request_table.client_disconnected(NOW, request_key);
     assert_eq!(
         request_table.take_commands(),
@@ -291,20 +295,16 @@
         total_body_bytes: 100,
         ..limits()
     });
-    let first = request_table
-        .admit(NOW, response_target(1), request_with_body(60))
-        .unwrap();
+    let first = admit(&mut request_table, 1, request_with_body(60)).unwrap();
     assert_eq!(
-        request_table.admit(NOW, response_target(2), request_with_body(60)),
+        admit(&mut request_table, 2, request_with_body(60)),
         Err(AdmissionError::BodyBytesExhausted)
     );
 
     let attempt = started_attempt(&request_table.take_commands()).unwrap();
     assert_eq!(attempt.request_key, first);
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table
-        .admit(NOW, response_target(2), request_with_body(60))
-        .is_ok());
+    assert!(admit(&mut request_table, 2, request_with_body(60)).is_ok());
 }
 
 #[test]
@@ -313,23 +313,17 @@
         open_requests: 2,
         ..limits()
     });
-    let first = request_table
-        .admit(NOW, response_target(1), read_request())
-        .unwrap();
-    request_table
-        .admit(NOW, response_target(2), read_request())
-        .unwrap();
+    let first = admit(&mut request_table, 1, read_request()).unwrap();
+    admit(&mut request_table, 2, read_request()).unwrap();
     assert_eq!(
-        request_table.admit(NOW, response_target(3), read_request()),
+        admit(&mut request_table, 3, read_request()),
         Err(AdmissionError::TableFull)
     );
 
     let attempt = started_attempt(&request_table.take_commands()).unwrap();
     assert_eq!(attempt.request_key, first);
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table
-        .admit(NOW, response_target(3), read_request())
-        .is_ok());
+    assert!(admit(&mut request_table, 3, read_request()).is_ok());
 }
 
 #[test]
@@ -340,18 +334,16 @@
         object: "00000000000000b2".into(),
         ..first.clone()
     };
-    request_table.admit(NOW, response_target(1), first).unwrap();
+    admit(&mut request_table, 1, first).unwrap();
     let attempt = started_attempt(&request_table.take_commands()).unwrap();
     assert_eq!(
-        request_table.admit(NOW, response_target(2), same_id.clone()),
+        admit(&mut request_table, 2, same_id.clone()),
         Err(AdmissionError::DuplicateId),
         "a cache server would take the two for one"
     );
 
     request_table.attempt_ended(NOW, attempt, served());
-    assert!(request_table
-        .admit(NOW, response_target(2), same_id)
-        .is_ok());
+    assert!(admit(&mut request_table, 2, same_id).is_ok());
 }
 
 #[test]
@@ -362,16 +354,14 @@
         ..read_request()
     };
     assert_eq!(
-        request_table.admit(NOW, response_target(1), without_key.clone()),
+        admit(&mut request_table, 1, without_key.clone()),
         Err(AdmissionError::MissingIdempotencyKey)
     );
     let with_key = ClientRequest {
         idempotency_key: Some("5c".into()),
         ..without_key
     };
-    assert!(request_table
-        .admit(NOW, response_target(1), with_key)
-        .is_ok());
+    assert!(admit(&mut request_table, 1, with_key).is_ok());
 }
 
 #[test]
@@ -423,9 +413,7 @@
         remaining_us: 120_000_000,
         ..read_request()
     };
-    request_table
-        .admit(NOW, response_target(1), unknown_class)
-        .unwrap();
+    admit(&mut request_table, 1, unknown_class).unwrap();
     let commands = request_table.take_commands();
     assert_eq!(answers(&commands).len(), 1, "rejected at once");
     assert!(request_table.is_idle());
@@ -442,9 +430,7 @@
         remaining_us: 120_000_000,
         ..read_request()
     };
-    let request_key = request_table
-        .admit(NOW, response_target(1), two_minutes)
-        .unwrap();
+    let request_key = admit(&mut request_table, 1, two_minutes).unwrap();
     let mut now = NOW;
     let mut sweeps = 0;
     while answers(&request_table.take_commands()).is_empty() {
@@ -459,34 +445,33 @@
 fn a_purge_bounds_the_age_of_copies_for_attempts_in_flight() {
     let mut request_table = new_table(&limits());
     let (_, attempt) = admit_and_start(&mut request_table);
-    let object = Some("00000000000000a1".to_owned());
-    request_table.purged(NOW + 20, object, 0, NOW + 13);
+    purge_object(&mut request_table, "00000000000000a1", NOW + 13);
     let (_, spec) = request_table.attempt_spec(attempt).unwrap();
     assert_eq!(spec.max_age_us, Some(7));
 }
 
+#[test]
+fn the_newest_of_several_purges_counts_in_whatever_order_they_come() {
+    for purged_at in [[NOW + 5, NOW + 13], [NOW + 13, NOW + 5]] {
+        let mut request_table = new_table(&limits());
+        let (_, attempt) = admit_and_start(&mut request_table);
+        for at in purged_at {
+            purge_object(&mut request_table, "00000000000000a1", at);
+        }
+        let (_, spec) = request_table.attempt_spec(attempt).unwrap();
+        assert_eq!(spec.max_age_us, Some(7));
+    }
+}
+
 #[test]
 fn a_purge_of_another_object_leaves_attempts_as_they_are() {
     let mut request_table = new_table(&limits());
     let (_, attempt) = admit_and_start(&mut request_table);
     let before = *request_table.attempt_spec(attempt).unwrap().1;
-    let other_object = Some("00000000000000b2".to_owned());
-    request_table.purged(NOW + 20, other_object, 0, NOW + 13);
+    purge_object(&mut request_table, "00000000000000b2", NOW + 13);
     assert_eq!(*request_table.attempt_spec(attempt).unwrap().1, before);
 }
 
-#[test]
-fn permanent_purges_are_bounded_and_a_repeated_one_takes_no_room() {
-    let mut request_table = new_table(&Limits {
-        permanent_purges: 1,
-        ..limits()
-    });
-    assert!(request_table.purge_permanently(NOW, None, 1, NOW));
-    assert_eq!(request_table.permanent_purge_capacity(), 0);
-    assert!(request_table.purge_permanently(NOW, None, 1, NOW));
-    assert!(!request_table.purge_permanently(NOW, None, 2, NOW));
-}
-
 #[test]
 fn every_admitted_request_is_counted_under_one_ending() {
     let mut request_table = new_table(&limits());
@@ -500,9 +485,7 @@
         class: "no-such-class".into(),
         ..read_request()
     };
-    request_table
-        .admit(NOW, response_target(1), unknown_class)
-        .unwrap();
+    admit(&mut request_table, 1, unknown_class).unwrap();
 
     let expected = RequestCounters {
         admitted: 4,
