--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -1,8 +1,9 @@
 //! Requests, their attempts, and exactly one final answer for each request.
 //!
-//! The table does no I/O. Frontends, upstream connections and discovery tell it what happened through the methods of
-//! [`RequestTable`]; it drives the router and leaves [`Command`]s for the event loop, which alone calls it. It knows no
-//! wire: frontends and upstream connections translate.
+//! The table does no I/O. The event loop tells it what frontends, upstream connections, discovery and timers bring,
+//! through the methods of [`RequestTable`]; it drives the router and leaves [`Command`]s, which the event loop carries
+//! out. Upstream connections look up the requests that they send. The table knows no wire: frontends and upstream
+//! connections translate.
 //!
 //! All times are microseconds of the event loop's clock, passed in as `now`.
 
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -5,7 +5,8 @@
 use crate::net::SlabKey;
 use edge_routing::{Micros, Request};
 
-/// The key of a pending request. It is never used again, so a late message can't reach a later request.
+/// The key of a pending request. A later request in the same slot has another key, so what comes late for the one does
+/// not reach the other.
 pub type RequestKey = SlabKey;
 
 /// Where the final answer of a request goes: a client connection of some frontend, and the request's number on it.
