--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -81,7 +81,7 @@
         let request_key = if rejected {
             None
         } else {
-            self.request_table.admit(now, target, request)
+            self.request_table.admit(now, target, request).ok()
         };
         match request_key {
             Some(request_key) => session.request_admitted(stream, request_key),
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -115,7 +115,7 @@
         let request_key = if self.shutdown.is_grace_over() {
             None
         } else {
-            self.request_table.admit(now, target, request)
+            self.request_table.admit(now, target, request).ok()
         };
         if request_key.is_some() {
             session.waiting = request_key;
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -192,11 +192,11 @@
         log::info!(
             "ended: {} requests admitted, {} served, {} rejected, {} failed, {} abandoned by their clients, \
              {} attempts",
-            counters.taken,
+            counters.admitted,
             counters.served,
-            counters.refused,
+            counters.rejected,
             counters.failed,
-            counters.left,
+            counters.disconnected,
             counters.attempts
         );
     }
