--- /dev/null
+++ b/crates/proxy/src/frontend/fastcgi/response.rs
@@ -0,0 +1,47 @@
+//! Writes answers as CGI responses (RFC 3875, section 6): a `Status` header, further headers, an empty line, the body.
+
+use crate::request_table::{Answer, Content};
+use edge_routing::Micros;
+
+const MICROS_PER_MILLISECOND: Micros = 1000;
+
+/// The CGI response for the final answer to a request.
+pub(super) fn cgi_response(answer: &Answer) -> Vec<u8> {
+    match answer {
+        Answer::Served(Content::Object { bytes, .. }) => object(bytes),
+        Answer::Served(Content::Unchanged) => without_body("200 OK", "X-Unchanged: 1\r\n"),
+        Answer::Rejected { retry_after_us } => rejection(*retry_after_us),
+        Answer::Failed => status_only("502 Bad Gateway"),
+    }
+}
+
+/// The CGI response that has a status and nothing else. `status` is the code and the reason phrase.
+pub(super) fn status_only(status: &str) -> Vec<u8> {
+    without_body(status, "")
+}
+
+fn object(bytes: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "Status: 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: {}\r\n\r\n",
+        bytes.len()
+    );
+    let mut response = head.into_bytes();
+    response.extend_from_slice(bytes);
+    response
+}
+
+fn rejection(retry_after_us: Option<Micros>) -> Vec<u8> {
+    let back_off = match retry_after_us {
+        Some(wait_us) => format!(
+            "Back-Off-Ms: {}\r\n",
+            wait_us.div_ceil(MICROS_PER_MILLISECOND)
+        ),
+        None => String::new(),
+    };
+    without_body("503 Service Unavailable", &back_off)
+}
+
+/// A response with an empty body; `headers` are whole lines with their line ends.
+fn without_body(status: &str, headers: &str) -> Vec<u8> {
+    format!("Status: {status}\r\n{headers}Content-Length: 0\r\n\r\n").into_bytes()
+}
