--- a/crates/proxy/src/protocol/mod.rs
+++ b/crates/proxy/src/protocol/mod.rs
@@ -1,55 +1,41 @@
-//! The wires: incremental parsers and writers that know no sockets. Bad input is a typed error, never a panic.
+//! Codecs: incremental parsers and writers of protocols, without any I/O.
+//!
+//! Every parser takes bytes as they arrive, cut anywhere, and is bounded by limits that are checked before memory is
+//! taken for what a peer announces. Unusable input is a typed error, never a panic.
+//!
+//! - [`fastcgi`]: FastCGI 1.0 records and parameters.
+//! - [`http`]: HTTP/1.1 messages (RFC 9112).
+//! - [`resp`]: RESP arrays of bulk strings, the protocol of the cache servers.
+//! - [`sse`]: server-sent events, the protocol of the event bus.
 
 pub mod fastcgi;
 pub mod http;
+mod line;
 pub mod resp;
 pub mod sse;
 
-use std::fmt;
+use thiserror::Error;
 
-/// Why input can't be read. It ends the connection that it came by.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why input can't be read. It ends the connection that the input came by.
+///
+/// The text names the part of the input that is at fault and, where it isn't plain, what was expected.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ProtocolError {
     /// Longer than the limits allow.
+    #[error("{0} is too long")]
     TooLong(&'static str),
     /// Not in the form of the protocol.
+    #[error("{0} is malformed")]
     Malformed(&'static str),
 }
 
-impl fmt::Display for ProtocolError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::TooLong(what) => write!(f, "{what} is too long"),
-            Self::Malformed(what) => write!(f, "{what} is malformed"),
-        }
-    }
-}
-
-impl std::error::Error for ProtocolError {}
-
-/// A parser that takes bytes as they come.
+/// An incremental parser.
 pub trait Parser {
-    /// What it gives.
+    /// What the parser yields.
     type Item;
-    /// Takes from the front of `input` what it needs for the next item at most: bytes taken, and the item if
-    /// it is whole. All input is taken where there is none.
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError>;
-}
 
-/// Moves bytes up to the line's end into `line`: bytes taken, and whether the line is whole (without its end).
-pub(crate) fn take_line(
-    input: &[u8],
-    line: &mut Vec<u8>,
-    most: usize,
-) -> Result<(usize, bool), ProtocolError> {
-    let end = input.iter().position(|b| *b == b'\n');
-    let taken = end.map_or(input.len(), |at| at + 1);
-    if line.len() + taken > most {
-        return Err(ProtocolError::TooLong("a line"));
-    }
-    line.extend_from_slice(&input[..end.unwrap_or(input.len())]);
-    if end.is_some() && line.last() == Some(&b'\r') {
-        line.pop();
-    }
-    Ok((taken, end.is_some()))
+    /// Parses up to the end of the next item: how many bytes of `input` are consumed, and the item if it is whole.
+    ///
+    /// Bytes behind the item are left to the next call. Without an item all of `input` is consumed.
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError>;
 }
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -1,122 +1,177 @@
-//! RESP arrays of bulk strings, as pop caches speak them.
+//! RESP arrays of bulk strings, the protocol of the cache servers.
+//!
+//! An array is `*COUNT`, CR LF, then its strings; a string is `$LENGTH`, CR LF, its bytes, CR LF. Other RESP types are
+//! not used.
 
-use super::{take_line, Parser, ProtocolError};
+use super::line::LineBuffer;
+use super::{Parser, ProtocolError};
 
-const MOST_ITEMS: usize = 8;
-const LINE: usize = 32;
+/// The most strings in an array. Requests and answers have four at most.
+const ARRAY_LIMIT: usize = 8;
+/// The longest line that announces an array or a string, in bytes, its end with it.
+const LINE_LIMIT: usize = 32;
+const LINE_END: &[u8] = b"\r\n";
+
+/// The strings of one array.
+pub type Array = Vec<Vec<u8>>;
+
+/// What is being received.
+#[derive(Clone, Copy)]
+enum State {
+    /// The line that announces an array.
+    ArrayHeader,
+    /// The line that announces the next string of an array, which lacks so many strings.
+    StringHeader { missing: usize },
+    /// The bytes of a string and its line end, in an array that lacks so many strings, this one among them.
+    StringContent { missing: usize, length: usize },
+}
 
 /// Reads arrays of bulk strings.
 pub struct Arrays {
-    most: usize,
-    line: Vec<u8>,
-    /// Strings that the array still lacks, the one being read with them; none: no array is begun.
-    lacking: Option<usize>,
-    /// Length of the string being read.
-    length: Option<usize>,
-    items: Vec<Vec<u8>>,
-    item: Vec<u8>,
+    string_limit: usize,
+    state: State,
+    line: LineBuffer,
+    /// The whole strings of the array that is being received.
+    strings: Array,
+    /// The string that is being received.
+    partial_string: Vec<u8>,
 }
 
 impl Arrays {
-    /// A reader that takes strings of so many bytes at most.
-    pub fn new(most: usize) -> Self {
+    /// A reader of arrays whose strings have so many bytes at most.
+    pub fn new(string_limit: usize) -> Self {
         Arrays {
-            most,
-            line: Vec::new(),
-            lacking: None,
-            length: None,
-            items: Vec::new(),
-            item: Vec::new(),
+            string_limit,
+            state: State::ArrayHeader,
+            line: LineBuffer::new(LINE_LIMIT),
+            strings: Vec::new(),
+            partial_string: Vec::new(),
         }
     }
 
-    /// Whether an array has come in part.
+    /// Whether an array is partially received.
     pub fn has_partial_input(&self) -> bool {
-        self.lacking.is_some() || !self.line.is_empty()
+        !matches!(self.state, State::ArrayHeader) || !self.line.is_empty()
     }
 
-    /// The first string of an array that has come in part.
+    /// The first string of the array that is partially received.
     pub fn first(&self) -> Option<&[u8]> {
-        self.items.first().map(Vec::as_slice)
+        self.strings.first().map(Vec::as_slice)
+    }
+
+    /// Parses one step: how many bytes are consumed, and the array if it is whole.
+    fn step(&mut self, input: &[u8]) -> Result<(usize, Option<Array>), ProtocolError> {
+        match self.state {
+            State::StringHeader { missing: 0 } => {
+                self.state = State::ArrayHeader;
+                Ok((0, Some(std::mem::take(&mut self.strings))))
+            }
+            State::ArrayHeader => {
+                let progress = self.line.take(input)?;
+                if let Some(line) = progress.line {
+                    let missing = read_length(&line, b'*', ARRAY_LIMIT, "a RESP array")?;
+                    self.state = State::StringHeader { missing };
+                }
+                Ok((progress.consumed, None))
+            }
+            State::StringHeader { missing } => {
+                let progress = self.line.take(input)?;
+                if let Some(line) = progress.line {
+                    let length = read_length(&line, b'$', self.string_limit, "a RESP string")?;
+                    self.state = State::StringContent { missing, length };
+                }
+                Ok((progress.consumed, None))
+            }
+            State::StringContent { missing, length } => {
+                let consumed = self.take_content(input, missing, length)?;
+                Ok((consumed, None))
+            }
+        }
     }
 
-    fn number(
+    /// Takes bytes of a string and of its line end: how many are consumed.
+    fn take_content(
         &mut self,
-        mark: u8,
-        most: usize,
-        what: &'static str,
+        input: &[u8],
+        missing: usize,
+        length: usize,
     ) -> Result<usize, ProtocolError> {
-        let line = std::mem::take(&mut self.line);
-        let digits = line
-            .strip_prefix(&[mark])
-            .filter(|d| d.iter().all(u8::is_ascii_digit));
-        let number = digits.and_then(|d| std::str::from_utf8(d).ok()?.parse().ok());
-        let number = number.ok_or(ProtocolError::Malformed(what))?;
-        // Checked before anything is taken for it: a peer names any length it likes.
-        if number > most {
-            return Err(ProtocolError::TooLong(what));
+        let wanted = length + LINE_END.len() - self.partial_string.len();
+        let consumed = wanted.min(input.len());
+        self.partial_string.extend_from_slice(&input[..consumed]);
+        if consumed == wanted {
+            if !self.partial_string.ends_with(LINE_END) {
+                return Err(ProtocolError::Malformed(
+                    "the end of a RESP string (expected CR LF)",
+                ));
+            }
+            self.partial_string.truncate(length);
+            self.strings.push(std::mem::take(&mut self.partial_string));
+            self.state = State::StringHeader {
+                missing: missing - 1,
+            };
         }
-        Ok(number)
+        Ok(consumed)
     }
 }
 
 impl Parser for Arrays {
-    type Item = Vec<Vec<u8>>;
+    type Item = Array;
 
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError> {
-        let mut at = 0;
+        let mut position = 0;
         loop {
-            if self.lacking == Some(0) {
-                self.lacking = None;
-                return Ok((at, Some(std::mem::take(&mut self.items))));
+            let is_whole = matches!(self.state, State::StringHeader { missing: 0 });
+            if position == input.len() && !is_whole {
+                return Ok((position, None));
             }
-            if at == input.len() {
-                return Ok((at, None));
-            }
-            let Some(length) = self.length else {
-                let (taken, whole) = take_line(&input[at..], &mut self.line, LINE)?;
-                at += taken;
-                if whole && self.lacking.is_none() {
-                    self.lacking = Some(self.number(b'*', MOST_ITEMS, "a RESP array")?);
-                } else if whole {
-                    self.length = Some(self.number(b'$', self.most, "a RESP string")?);
-                }
-                continue;
-            };
-            // The string and the line end behind it.
-            let wanted = length + 2 - self.item.len();
-            let taken = wanted.min(input.len() - at);
-            self.item.extend_from_slice(&input[at..at + taken]);
-            at += taken;
-            if taken == wanted {
-                if !self.item.ends_with(b"\r\n") {
-                    return Err(ProtocolError::Malformed("the end of a RESP string"));
-                }
-                self.item.truncate(length);
-                self.items.push(std::mem::take(&mut self.item));
-                self.length = None;
-                self.lacking = self.lacking.map(|n| n - 1);
+            let (consumed, array) = self.step(&input[position..])?;
+            position += consumed;
+            if array.is_some() {
+                return Ok((position, array));
             }
         }
     }
 }
 
+/// The number in a line that announces an array or a string: a mark, then decimal digits.
+fn read_length(
+    line: &[u8],
+    mark: u8,
+    limit: usize,
+    what: &'static str,
+) -> Result<usize, ProtocolError> {
+    let malformed = || ProtocolError::Malformed(what);
+    let digits = line.strip_prefix(&[mark]).ok_or_else(malformed)?;
+    if !digits.iter().all(u8::is_ascii_digit) {
+        return Err(malformed());
+    }
+    let length = std::str::from_utf8(digits)
+        .ok()
+        .and_then(|text| text.parse::<usize>().ok())
+        .ok_or_else(malformed)?;
+    // Checked before any memory is taken for it: a peer may announce any length.
+    if length > limit {
+        return Err(ProtocolError::TooLong(what));
+    }
+    Ok(length)
+}
+
 /// Writes an array of bulk strings.
-pub fn write_array(out: &mut Vec<u8>, items: &[&[u8]]) {
-    out.extend_from_slice(format!("*{}\r\n", items.len()).as_bytes());
-    for item in items {
-        out.extend_from_slice(format!("${}\r\n", item.len()).as_bytes());
-        out.extend_from_slice(item);
-        out.extend_from_slice(b"\r\n");
+pub fn write_array(out: &mut Vec<u8>, strings: &[&[u8]]) {
+    out.extend_from_slice(format!("*{}\r\n", strings.len()).as_bytes());
+    for string in strings {
+        out.extend_from_slice(format!("${}\r\n", string.len()).as_bytes());
+        out.extend_from_slice(string);
+        out.extend_from_slice(LINE_END);
     }
 }
 
-/// The value of a name in a list `name=value,name=value`.
+/// The value of a field in a list `name=value,name=value`, by the first of its name.
 pub fn field<'a>(fields: &'a [u8], name: &str) -> Option<&'a str> {
     let fields = std::str::from_utf8(fields).ok()?;
-    fields.split(',').find_map(|f| {
-        f.split_once('=')
-            .filter(|(n, _)| *n == name)
-            .map(|(_, value)| value)
+    fields.split(',').find_map(|field| {
+        let (field_name, value) = field.split_once('=')?;
+        (field_name == name).then_some(value)
     })
 }
--- a/crates/proxy/src/protocol/sse.rs
+++ b/crates/proxy/src/protocol/sse.rs
@@ -1,78 +1,94 @@
-//! Server-sent events.
+//! Server-sent events (HTML Standard, section 9.2).
+//!
+//! A stream is made of lines `name: value`. The `data` lines up to an empty line make up an event; an `id` line names
+//! the id of all events from there on. Comments and other fields are skipped.
 
-use super::{take_line, Parser, ProtocolError};
+use super::line::LineBuffer;
+use super::{Parser, ProtocolError};
 
 /// One event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Event {
-    /// The last id that the stream has named.
+    /// The last id that the stream has named; empty if none.
     pub id: String,
-    /// Its data, lines joined by line feeds; empty for a comment.
+    /// The values of its `data` lines, joined by line feeds.
     pub data: String,
 }
 
 /// Reads events out of a stream's bytes.
 pub struct Events {
-    most: usize,
-    line: Vec<u8>,
-    id: String,
+    event_limit: usize,
+    line: LineBuffer,
+    last_id: String,
+    /// The data of the event that is being received; none while it has no `data` line.
     data: Option<String>,
 }
 
 impl Events {
-    /// A reader of events of so many bytes at most.
-    pub fn new(most: usize) -> Self {
+    /// A reader of events whose data, and of lines that, have so many bytes at most.
+    pub fn new(event_limit: usize) -> Self {
         Events {
-            most,
-            line: Vec::new(),
-            id: String::new(),
+            event_limit,
+            line: LineBuffer::new(event_limit),
+            last_id: String::new(),
             data: None,
         }
     }
+
+    /// Handles a whole line; an event if the line ends one.
+    fn handle_line(&mut self, line: Vec<u8>) -> Result<Option<Event>, ProtocolError> {
+        let line = String::from_utf8(line)
+            .map_err(|_| ProtocolError::Malformed("an event's text (expected UTF-8)"))?;
+        if line.is_empty() {
+            return Ok(self.finish_event());
+        }
+        let (name, value) = line.split_once(':').unwrap_or((&line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "id" => self.last_id = value.to_owned(),
+            "data" => self.append_data(value)?,
+            // Comments, whose name is empty, and fields that are not used.
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn append_data(&mut self, value: &str) -> Result<(), ProtocolError> {
+        let data = self.data.get_or_insert_default();
+        if data.len() + value.len() > self.event_limit {
+            return Err(ProtocolError::TooLong("an event"));
+        }
+        if !data.is_empty() {
+            data.push('\n');
+        }
+        data.push_str(value);
+        Ok(())
+    }
+
+    fn finish_event(&mut self) -> Option<Event> {
+        let data = self.data.take()?;
+        Some(Event {
+            id: self.last_id.clone(),
+            data,
+        })
+    }
 }
 
 impl Parser for Events {
     type Item = Event;
 
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Event>), ProtocolError> {
-        let mut at = 0;
-        while at < input.len() {
-            let (taken, whole) = take_line(&input[at..], &mut self.line, self.most)?;
-            at += taken;
-            if !whole {
+        let mut position = 0;
+        while position < input.len() {
+            let progress = self.line.take(&input[position..])?;
+            position += progress.consumed;
+            let Some(line) = progress.line else {
                 break;
-            }
-            let line = String::from_utf8(std::mem::take(&mut self.line))
-                .map_err(|_| ProtocolError::Malformed("an event's text"))?;
-            if line.is_empty() {
-                if let Some(data) = self.data.take() {
-                    return Ok((
-                        at,
-                        Some(Event {
-                            id: self.id.clone(),
-                            data,
-                        }),
-                    ));
-                }
-                continue;
-            }
-            let (name, value) = line.split_once(':').unwrap_or((&line, ""));
-            let value = value.strip_prefix(' ').unwrap_or(value);
-            match name {
-                "id" => self.id = value.to_owned(),
-                "data" => {
-                    let data = self.data.get_or_insert_default();
-                    if data.len() + value.len() > self.most {
-                        return Err(ProtocolError::TooLong("an event"));
-                    }
-                    if !data.is_empty() {
-                        data.push('\n');
-                    }
-                    data.push_str(value);
-                }
-                _ => {} // Comments and fields that are not used.
+            };
+            if let Some(event) = self.handle_line(line)? {
+                return Ok((position, Some(event)));
             }
         }
-        Ok((at, None))
+        Ok((position, None))
     }
 }
