--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -1,126 +1,198 @@
-//! The parsers against random cuts of valid messages and random garbage.
+//! The codecs against valid input that is split at random places, against random garbage, and at their limits.
 
 mod support;
 
-use edge_proxy::protocol::{fastcgi, http, resp, sse, ProtocolError};
+use edge_proxy::protocol::http::{self, Piece};
+use edge_proxy::protocol::{fastcgi, resp, sse, ProtocolError};
 use proptest::collection::vec;
 use proptest::prelude::*;
-use support::parsing::{check, fixed, items};
+use support::parsing::{assert_robust, parse_all, seeded_config};
 
-fn cuts() -> impl Strategy<Value = Vec<usize>> {
+fn splits() -> impl Strategy<Value = Vec<usize>> {
     vec(any::<usize>(), 0..8)
 }
 
-fn bytes(most: usize) -> impl Strategy<Value = Vec<u8>> {
-    vec(any::<u8>(), 0..most)
+fn bytes(length_limit: usize) -> impl Strategy<Value = Vec<u8>> {
+    vec(any::<u8>(), 0..length_limit)
 }
 
-/// Pieces of a body are cut where the input was: only their sum is the same.
-fn joined(pieces: Vec<http::Piece>) -> Vec<http::Piece> {
-    let mut out: Vec<http::Piece> = Vec::new();
+fn garbage() -> impl Strategy<Value = Vec<u8>> {
+    bytes(99)
+}
+
+/// Joins the pieces of each body: they are split where the input was, only their sum is the same.
+fn join_bodies(pieces: Vec<Piece>) -> Vec<Piece> {
+    let mut joined: Vec<Piece> = Vec::new();
+    for piece in pieces {
+        match (joined.last_mut(), piece) {
+            (Some(Piece::Body(body)), Piece::Body(more)) => body.extend(more),
+            (_, piece) => joined.push(piece),
+        }
+    }
+    joined
+}
+
+fn body_of(pieces: &[Piece]) -> Vec<u8> {
+    let mut body = Vec::new();
     for piece in pieces {
-        match (out.last_mut(), piece) {
-            (Some(http::Piece::Body(body)), http::Piece::Body(more)) => body.extend(more),
-            (_, piece) => out.push(piece),
+        if let Piece::Body(bytes) = piece {
+            body.extend_from_slice(bytes);
         }
     }
-    out
+    body
+}
+
+fn http_request(body: &[u8]) -> Vec<u8> {
+    let mut request = Vec::new();
+    http::write_message(&mut request, "POST /a HTTP/1.1", &[("Host", "a")], body);
+    request
+}
+
+fn chunked_http_request(body: &[u8], chunk_length: usize) -> Vec<u8> {
+    let mut request = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for chunk in body.chunks(chunk_length) {
+        request.extend_from_slice(format!("{:x};x=y\r\n", chunk.len()).as_bytes());
+        request.extend_from_slice(chunk);
+        request.extend_from_slice(b"\r\n");
+    }
+    request.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
+    request
+}
+
+/// A FastCGI record with padding, which the writer never makes.
+fn write_padded_record(out: &mut Vec<u8>, record: &fastcgi::Record, padding: u8) {
+    const PADDING_LENGTH_OFFSET: usize = 6;
+    let start = out.len();
+    fastcgi::write_record(out, record.kind, record.id, &record.content);
+    out[start + PADDING_LENGTH_OFFSET] = padding;
+    out.extend(vec![0; usize::from(padding)]);
+}
+
+fn padded_record() -> impl Strategy<Value = (u8, u16, Vec<u8>, u8)> {
+    (any::<u8>(), any::<u16>(), bytes(300), any::<u8>())
 }
 
 proptest! {
-    #![proptest_config(fixed(128))]
+    #![proptest_config(seeded_config(128))]
 
     #[test]
-    fn fastcgi_records(records in vec((any::<u8>(), any::<u16>(), bytes(300), any::<u8>()), 1..5), cuts in cuts(), garbage in bytes(99)) {
-        let mut valid = Vec::new();
-        for (kind, id, content, padding) in &records {
-            let start = valid.len();
-            fastcgi::write_record(&mut valid, *kind, *id, content);
-            valid[start + 6] = *padding;
-            valid.extend(vec![0; usize::from(*padding)]);
+    fn fastcgi_records_are_read_as_written(
+        padded_records in vec(padded_record(), 1..5),
+        splits in splits(),
+        garbage in garbage(),
+    ) {
+        let mut input = Vec::new();
+        let mut written = Vec::new();
+        for (kind, id, content, padding) in padded_records {
+            let record = fastcgi::Record { kind, id, content };
+            write_padded_record(&mut input, &record, padding);
+            written.push(record);
         }
-        check(fastcgi::Records::default, &valid, &cuts, &garbage, |r| r);
-        let read = items(fastcgi::Records::default(), &valid, &cuts).unwrap();
-        let wrote: Vec<_> = records.into_iter().map(|(kind, id, content, _)| fastcgi::Record { kind, id, content }).collect();
-        prop_assert_eq!(read, wrote);
+        assert_robust(fastcgi::Records::default, &input, &splits, &garbage, |records| records);
+        let read = parse_all(fastcgi::Records::default(), &input, &splits).unwrap();
+        prop_assert_eq!(read, written);
     }
 
     #[test]
-    fn fastcgi_pairs(pairs in vec(("[A-Z_]{0,200}", "[ -~]{0,200}"), 0..5), garbage in bytes(99)) {
-        let mut valid = Vec::new();
-        pairs.iter().for_each(|(name, value)| fastcgi::write_pair(&mut valid, name, value));
-        prop_assert_eq!(fastcgi::read_pairs(&valid), Ok(pairs));
+    fn fastcgi_parameters_are_read_as_written(
+        pairs in vec(("[A-Z_]{0,200}", "[ -~]{0,200}"), 0..5),
+        garbage in garbage(),
+    ) {
+        let mut input = Vec::new();
+        for (name, value) in &pairs {
+            fastcgi::write_pair(&mut input, name, value);
+        }
+        prop_assert_eq!(fastcgi::read_pairs(&input), Ok(pairs));
         let _ = fastcgi::read_pairs(&garbage);
         let _ = fastcgi::read_begin(&garbage);
     }
 
     #[test]
-    fn resp_arrays(arrays in vec(vec(bytes(200), 1..5), 1..4), cuts in cuts(), garbage in bytes(99)) {
-        let mut valid = Vec::new();
+    fn resp_arrays_are_read_as_written(
+        arrays in vec(vec(bytes(200), 1..5), 1..4),
+        splits in splits(),
+        garbage in garbage(),
+    ) {
+        let new_parser = || resp::Arrays::new(200);
+        let mut input = Vec::new();
         for array in &arrays {
-            resp::write_array(&mut valid, &array.iter().map(Vec::as_slice).collect::<Vec<_>>());
+            let strings: Vec<&[u8]> = array.iter().map(Vec::as_slice).collect();
+            resp::write_array(&mut input, &strings);
         }
-        check(|| resp::Arrays::new(200), &valid, &cuts, &garbage, |a| a);
-        prop_assert_eq!(items(resp::Arrays::new(200), &valid, &cuts).unwrap(), arrays);
+        assert_robust(new_parser, &input, &splits, &garbage, |arrays| arrays);
+        let read = parse_all(new_parser(), &input, &splits).unwrap();
+        prop_assert_eq!(read, arrays);
         let _ = resp::field(&garbage, "a");
     }
 
     #[test]
-    fn http_messages(body in bytes(300), chunk in 1..90usize, chunked: bool, cuts in cuts(), garbage in bytes(99)) {
-        let mut valid = Vec::new();
-        if chunked {
-            valid.extend_from_slice(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
-            for part in body.chunks(chunk) {
-                valid.extend_from_slice(format!("{:x};x=y\r\n", part.len()).as_bytes());
-                valid.extend_from_slice(part);
-                valid.extend_from_slice(b"\r\n");
-            }
-            valid.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
+    fn http_messages_are_read_as_written(
+        body in bytes(300),
+        chunk_length in 1..90usize,
+        is_chunked: bool,
+        splits in splits(),
+        garbage in garbage(),
+    ) {
+        let new_parser = || http::Messages::requests(512, 512);
+        let input = if is_chunked {
+            chunked_http_request(&body, chunk_length)
         } else {
-            http::write_message(&mut valid, "POST /a HTTP/1.1", &[("Host", "a")], &body);
-        }
-        check(|| http::Messages::requests(512, 512), &valid, &cuts, &garbage, joined);
-        let read = joined(items(http::Messages::requests(512, 512), &valid, &cuts).unwrap());
-        let bodies: Vec<u8> = read.iter().filter_map(|p| if let http::Piece::Body(b) = p { Some(b.clone()) } else { None }).flatten().collect();
-        prop_assert_eq!((bodies, read.last()), (body, Some(&http::Piece::End)));
+            http_request(&body)
+        };
+        assert_robust(new_parser, &input, &splits, &garbage, join_bodies);
+        let read = join_bodies(parse_all(new_parser(), &input, &splits).unwrap());
+        prop_assert_eq!(body_of(&read), body);
+        prop_assert_eq!(read.last(), Some(&Piece::End));
     }
 
     #[test]
-    fn sse_events(events in vec((any::<u16>(), "[ -~]{1,80}"), 1..5), cuts in cuts(), garbage in bytes(99)) {
-        let text: String = events.iter().map(|(id, data)| format!(": comment\nid: {id}\r\ndata: {data}\n\n")).collect();
-        check(|| sse::Events::new(128), text.as_bytes(), &cuts, &garbage, |e| e);
-        let read = items(sse::Events::new(128), text.as_bytes(), &cuts).unwrap();
-        let wrote: Vec<_> = events.into_iter().map(|(id, data)| sse::Event { id: id.to_string(), data }).collect();
-        prop_assert_eq!(read, wrote);
+    fn server_sent_events_are_read_as_written(
+        id_and_data in vec((any::<u16>(), "[ -~]{1,80}"), 1..5),
+        splits in splits(),
+        garbage in garbage(),
+    ) {
+        let new_parser = || sse::Events::new(128);
+        let mut input = String::new();
+        let mut written = Vec::new();
+        for (id, data) in id_and_data {
+            input.push_str(&format!(": comment\nid: {id}\r\ndata: {data}\n\n"));
+            written.push(sse::Event { id: id.to_string(), data });
+        }
+        assert_robust(new_parser, input.as_bytes(), &splits, &garbage, |events| events);
+        let read = parse_all(new_parser(), input.as_bytes(), &splits).unwrap();
+        prop_assert_eq!(read, written);
     }
 }
 
 #[test]
-fn lengths_are_checked_before_anything_is_taken_for_them() {
+fn announced_lengths_are_checked_against_the_limits_at_once() {
     assert_eq!(
-        items(resp::Arrays::new(9), b"*1\r\n$10\r\n", &[]),
+        parse_all(resp::Arrays::new(9), b"*1\r\n$10\r\n", &[]),
         Err(ProtocolError::TooLong("a RESP string"))
     );
     assert_eq!(
-        items(resp::Arrays::new(9), b"*99999999999999\r\n", &[]),
+        parse_all(resp::Arrays::new(9), b"*99999999999999\r\n", &[]),
         Err(ProtocolError::TooLong("a RESP array"))
     );
     let head = b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n";
     assert_eq!(
-        items(http::Messages::requests(99, 99), head, &[]),
+        parse_all(http::Messages::requests(99, 99), head, &[]),
         Err(ProtocolError::TooLong("an HTTP body"))
     );
     assert_eq!(
-        items(sse::Events::new(9), b"data: 0123456789\n\n", &[]),
+        parse_all(sse::Events::new(9), b"data: 0123456789\n\n", &[]),
         Err(ProtocolError::TooLong("a line"))
     );
 }
 
 #[test]
-fn a_body_whose_end_is_told_twice_is_not_read() {
+fn an_http_body_with_two_length_indications_is_rejected() {
     for second in ["Content-Length: 1", "Transfer-Encoding: chunked"] {
-        let text = format!("POST / HTTP/1.1\r\nContent-Length: 2\r\n{second}\r\n\r\n");
-        let read = items(http::Messages::requests(99, 99), text.as_bytes(), &[]);
-        assert_eq!(read, Err(ProtocolError::Malformed("an HTTP body's length")));
+        let request = format!("POST / HTTP/1.1\r\nContent-Length: 2\r\n{second}\r\n\r\n");
+        let result = parse_all(http::Messages::requests(99, 99), request.as_bytes(), &[]);
+        assert_eq!(
+            result,
+            Err(ProtocolError::Malformed("an HTTP body's length"))
+        );
     }
 }
--- a/crates/proxy/tests/support/parsing.rs
+++ b/crates/proxy/tests/support/parsing.rs
@@ -1,12 +1,12 @@
-//! The one helper of the parsers' tests: what a parser makes of bytes, however they are cut.
+//! What the tests of the codecs share: feeding a parser with input that is split anywhere.
 
 use edge_proxy::protocol::{Parser, ProtocolError};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::fmt::Debug;
 
-/// Runs from a fixed seed: every run tries the same cases.
-pub fn fixed(cases: u32) -> ProptestConfig {
+/// A configuration with a fixed seed: every run tries the same cases.
+pub fn seeded_config(cases: u32) -> ProptestConfig {
     ProptestConfig {
         cases,
         rng_seed: RngSeed::Fixed(0x11ae),
@@ -15,47 +15,68 @@
     }
 }
 
-/// All items of some bytes that come cut at these places, or the error that ends them.
-pub fn items<P: Parser>(
+/// All items that a parser yields for input that arrives split at these places, or the error that ends them.
+///
+/// A place beyond the input counts modulo its length, so that any number will do.
+pub fn parse_all<P: Parser>(
     mut parser: P,
-    bytes: &[u8],
-    cuts: &[usize],
+    input: &[u8],
+    splits: &[usize],
 ) -> Result<Vec<P::Item>, ProtocolError> {
-    let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
-    places.extend([0, bytes.len()]);
-    places.sort_unstable();
     let mut items = Vec::new();
-    for place in places.windows(2) {
-        let mut input = &bytes[place[0]..place[1]];
+    for fragment in fragments(input, splits) {
+        let mut rest = fragment;
         loop {
-            let (taken, item) = parser.parse(input)?;
-            input = &input[taken..];
-            match item {
-                Some(item) => items.push(item),
-                None => break assert!(input.is_empty(), "without an item all input is taken"),
-            }
+            let (consumed, item) = parser.parse(rest)?;
+            rest = &rest[consumed..];
+            let Some(item) = item else {
+                assert!(rest.is_empty(), "without an item all input is consumed");
+                break;
+            };
+            items.push(item);
         }
     }
     Ok(items)
 }
 
-/// Whole and cut, valid bytes give the same; garbage in their midst gives an error or items, never a panic.
-pub fn check<P: Parser>(
-    new: impl Fn() -> P,
+fn fragments<'a>(input: &'a [u8], splits: &[usize]) -> Vec<&'a [u8]> {
+    let mut places: Vec<usize> = splits.iter().map(|split| place(*split, input)).collect();
+    places.extend([0, input.len()]);
+    places.sort_unstable();
+    places
+        .windows(2)
+        .map(|bounds| &input[bounds[0]..bounds[1]])
+        .collect()
+}
+
+fn place(split: usize, input: &[u8]) -> usize {
+    split % (input.len() + 1)
+}
+
+/// Asserts that valid input yields the same items whole and split, and that garbage, alone or in the midst of valid
+/// input, yields items or an error, never a panic.
+///
+/// `normalize` removes differences between the items that may come from the splits alone.
+pub fn assert_robust<P: Parser>(
+    new_parser: impl Fn() -> P,
     valid: &[u8],
-    cuts: &[usize],
+    splits: &[usize],
     garbage: &[u8],
-    join: impl Fn(Vec<P::Item>) -> Vec<P::Item>,
+    normalize: impl Fn(Vec<P::Item>) -> Vec<P::Item>,
 ) where
     P::Item: Debug + PartialEq,
 {
-    let whole = items(new(), valid, &[]).map(&join);
+    let whole = parse_all(new_parser(), valid, &[]).map(&normalize);
     assert!(
         whole.as_ref().is_ok_and(|items| !items.is_empty()),
         "{whole:?}"
     );
-    assert_eq!(items(new(), valid, cuts).map(&join), whole);
-    let at = cuts.first().map_or(0, |cut| cut % (valid.len() + 1));
-    let _ = items(new(), garbage, cuts);
-    let _ = items(new(), &[&valid[..at], garbage, &valid[at..]].concat(), cuts);
+    assert_eq!(
+        parse_all(new_parser(), valid, splits).map(&normalize),
+        whole
+    );
+    let position = splits.first().map_or(0, |split| place(*split, valid));
+    let corrupted = [&valid[..position], garbage, &valid[position..]].concat();
+    let _ = parse_all(new_parser(), garbage, splits);
+    let _ = parse_all(new_parser(), &corrupted, splits);
 }
