--- a/crates/proxy/src/frontend/interconnect/mod.rs
+++ b/crates/proxy/src/frontend/interconnect/mod.rs
@@ -74,7 +74,7 @@
     pub fn payload(status: u16, ptype: &str, value: &Value) -> Self {
         let headers = vec![
             ("Content-Type", format!("{MEDIA}{ptype}")),
-            ("Cache-ControlHandle", "no-store".to_owned()),
+            ("Cache-Control", "no-store".to_owned()),
         ];
         Response {
             status,
