--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -117,7 +117,7 @@
             let Some((_, interconnect)) = &mut self.interconnect else {
                 return Ok(());
             };
-            let (reply, effects) = interconnect.take(
+            let (reply, effects) = interconnect.handle(
                 now,
                 ready,
                 self.request_table.permanent_purge_capacity(),
@@ -240,7 +240,7 @@
         let posts = self
             .interconnect
             .as_ref()
-            .map(|(_, interconnect)| interconnect.notices(ready))
+            .map(|(_, interconnect)| interconnect.footprint_advertisements(ready))
             .unwrap_or_default();
         posts.into_iter().for_each(|post| self.send_out(now, post));
     }
@@ -250,7 +250,7 @@
         let posts = self
             .interconnect
             .as_ref()
-            .map(|(_, interconnect)| interconnect.pass_on(object, group))
+            .map(|(_, interconnect)| interconnect.purge_triggers(object, group))
             .unwrap_or_default();
         posts.into_iter().for_each(|post| self.send_out(now, post));
     }
--- /dev/null
+++ b/crates/proxy/src/frontend/interconnect/identity.rs
@@ -0,0 +1,62 @@
+//! This network and its peers, as the configuration names them.
+
+use super::footprint::Network;
+use edge_routing::Micros;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// A peer CDN: uCDN or dCDN of this network.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerCdn {
+    /// Its CDN Provider ID (RFC 8006).
+    pub provider: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The path of its trigger interface.
+    pub triggers: String,
+    /// The path at which it receives our footprint advertisements.
+    pub notices: String,
+    /// The base of its content's URLs, for clients in its footprint.
+    pub content: String,
+}
+
+/// How this network presents itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Identity {
+    /// Our CDN Provider ID (RFC 8006).
+    pub provider: String,
+    /// The base of our URLs.
+    pub base: String,
+    /// The footprint: the networks whose clients we serve.
+    pub footprint: Vec<Network>,
+    /// The peers that we exchange messages with.
+    pub neighbours: Vec<PeerCdn>,
+    /// The classes whose objects may be requested here, with the time in microseconds after which their clients give
+    /// up.
+    pub classes: Vec<(String, Micros)>,
+}
+
+impl Identity {
+    /// The peer of a CDN Provider ID.
+    pub(super) fn peer(&self, provider: &str) -> Option<&PeerCdn> {
+        self.neighbours
+            .iter()
+            .find(|peer| peer.provider == provider)
+    }
+
+    /// How long clients wait for objects of a class; none if its objects may not be requested here.
+    pub(super) fn client_timeout(&self, class: &str) -> Option<Micros> {
+        let (_, timeout_us) = self.classes.iter().find(|(name, _)| name == class)?;
+        Some(*timeout_us)
+    }
+
+    /// Loop detection: whether a message has come through this network before (RFC 8007, section 4.6).
+    pub(super) fn is_loop(&self, cdn_path: &[Value]) -> bool {
+        has_passed(cdn_path, &self.provider)
+    }
+}
+
+/// Whether a `cdn-path`, the list of the networks that a message has passed, names a provider.
+pub(super) fn has_passed(cdn_path: &[Value], provider: &str) -> bool {
+    cdn_path.iter().any(|passed| passed == provider)
+}
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -1,4 +1,4 @@
-//! One HTTP connection of a neighbour or of a client that was redirected here.
+//! One HTTP connection of a peer or of a client that was redirected here.
 
 use super::Response;
 use crate::net::RingBuffer;
@@ -6,25 +6,28 @@
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::RequestKey;
 
-/// A connection. Its requests are answered one after the other: while one waits, the next stays in the ring.
+/// A connection. Its requests are answered one after the other: while one waits, the next stays in the input buffer.
 pub struct Session {
     messages: Messages,
+    /// The head of the request whose body is being received.
     head: Option<Head>,
+    /// The body, as far as it was received.
     body: Vec<u8>,
-    keep: bool,
-    /// A request is with the request_table, under this request_key.
+    /// Whether the connection stays open after the response.
+    keep_open: bool,
+    /// The key of the request that the request table has admitted.
     pub waiting: Option<RequestKey>,
-    /// When its client gives up.
+    /// When the client of that request gives up, in Unix microseconds.
     pub until: u64,
-    out: Vec<u8>,
-    at: usize,
-    /// A whole request has come by now.
-    asked: bool,
-    /// A request has come in part.
-    half: bool,
+    outgoing: Vec<u8>,
+    /// Bytes of `outgoing` that are written.
+    written: usize,
+    has_received_request: bool,
+    has_partial_input: bool,
 }
 
-fn reason(status: u16) -> &'static str {
+/// The reason phrase of a status code (RFC 9110, section 15).
+fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
         201 => "Created",
@@ -43,66 +46,63 @@
 }
 
 impl Session {
-    /// A connection just accepted, for lines and bodies of so many bytes at most.
-    pub fn new(most_line: usize, most_body: usize) -> Self {
+    /// A connection just accepted: lines and bodies of its requests have so many bytes at most.
+    pub fn new(line_limit: usize, body_limit: usize) -> Self {
         Session {
-            messages: Messages::requests(most_line, most_body),
+            messages: Messages::requests(line_limit, body_limit),
             head: None,
             body: Vec::new(),
-            keep: true,
+            keep_open: true,
             waiting: None,
             until: 0,
-            out: Vec::new(),
-            at: 0,
-            asked: false,
-            half: false,
+            outgoing: Vec::new(),
+            written: 0,
+            has_received_request: false,
+            has_partial_input: false,
         }
     }
 
-    /// Whether nothing is open or on its way out.
+    /// Whether no request waits and no response is on its way out.
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_none() && self.out.is_empty()
+        self.waiting.is_none() && self.outgoing.is_empty()
     }
 
-    /// Whether a request has come in part.
+    /// Whether a request is partially received.
     pub fn has_partial_input(&self) -> bool {
-        self.half
+        self.has_partial_input
     }
 
-    /// Whether any whole request has come.
+    /// Whether any request was received whole.
     pub fn has_received_request(&self) -> bool {
-        self.asked
+        self.has_received_request
     }
 
-    /// Whether the connection has done what it was for.
+    /// Whether the connection is to be closed and nothing is left to write.
     pub fn is_finished(&self) -> bool {
-        !self.keep && self.is_idle()
+        !self.keep_open && self.is_idle()
     }
 
-    /// Bytes of the answer that wait to be written.
+    /// Bytes of the response that wait to be written.
     pub fn pending(&self) -> usize {
-        self.out.len() - self.at
+        self.outgoing.len() - self.written
     }
 
-    /// Reads up to the next whole request, once the one before has its response.
+    /// Reads up to the end of the next request, once the one before has its response.
     pub fn read(
         &mut self,
         input: &mut RingBuffer,
     ) -> Result<Option<(Head, Vec<u8>)>, ProtocolError> {
-        while self.keep && self.is_idle() {
-            let (taken, piece) = self.messages.parse(input.readable())?;
-            input.consume(taken);
-            self.half |= taken > 0;
+        while self.keep_open && self.is_idle() {
+            let (consumed, piece) = self.messages.parse(input.readable())?;
+            input.consume(consumed);
+            self.has_partial_input |= consumed > 0;
             match piece {
                 Some(Piece::Head(head)) => self.head = Some(head),
                 Some(Piece::Body(bytes)) => self.body.extend(bytes),
                 Some(Piece::End) => {
-                    let Some(head) = self.head.take() else {
-                        continue;
-                    };
-                    (self.asked, self.half) = (true, false);
-                    self.keep = head.keeps_open();
-                    return Ok(Some((head, std::mem::take(&mut self.body))));
+                    if let Some(head) = self.head.take() {
+                        return Ok(Some(self.finish_request(head)));
+                    }
                 }
                 None if input.is_empty() => break,
                 None => {}
@@ -114,29 +114,44 @@
     /// The response to the request that was read last.
     pub fn respond(&mut self, response: &Response) {
         self.waiting = None;
-        let connection = if self.keep { "keep-alive" } else { "close" };
-        let mut headers: Vec<_> = response
+        let status_line = format!(
+            "HTTP/1.1 {} {}",
+            response.status,
+            reason_phrase(response.status)
+        );
+        let connection = if self.keep_open {
+            "keep-alive"
+        } else {
+            "close"
+        };
+        let mut headers: Vec<(&str, &str)> = response
             .headers
             .iter()
             .map(|(name, value)| (*name, value.as_str()))
             .collect();
         headers.push(("Connection", connection));
-        let start = format!("HTTP/1.1 {} {}", response.status, reason(response.status));
-        http::write_message(&mut self.out, &start, &headers, &response.body);
+        http::write_message(&mut self.outgoing, &status_line, &headers, &response.body);
     }
 
-    /// What came can't be read: the last response says so.
+    /// Rejects input that can't be read: the last response says so.
     pub fn refuse(&mut self) {
-        self.keep = false;
+        self.keep_open = false;
         self.respond(&Response::bare(400));
     }
 
-    /// Moves as much as fits into the ring.
+    /// Moves as much as fits into the output buffer.
     pub fn write(&mut self, output: &mut RingBuffer) {
-        self.at += output.push(&self.out[self.at..]);
-        if self.at == self.out.len() {
-            self.out.clear();
-            self.at = 0;
+        self.written += output.push(&self.outgoing[self.written..]);
+        if self.written == self.outgoing.len() {
+            self.outgoing.clear();
+            self.written = 0;
         }
     }
+
+    fn finish_request(&mut self, head: Head) -> (Head, Vec<u8>) {
+        self.has_received_request = true;
+        self.has_partial_input = false;
+        self.keep_open = head.keeps_open();
+        (head, std::mem::take(&mut self.body))
+    }
 }
