--- a/crates/proxy/src/frontend/interconnect/frontend.rs
+++ b/crates/proxy/src/frontend/interconnect/frontend.rs
@@ -93,7 +93,7 @@
         footprint::advertisements(&self.identity, ready)
     }
 
-    /// Trigger commands for every peer, for a purge that was not told by one of them.
+    /// Trigger commands for every peer, for a purge that none of them has triggered.
     pub fn purge_triggers(&self, object: Option<&str>, group: u64) -> Vec<Notification> {
         triggers::purge_commands(&self.identity, object, group)
     }
--- a/crates/proxy/src/frontend/interconnect/notification.rs
+++ b/crates/proxy/src/frontend/interconnect/notification.rs
@@ -1,4 +1,4 @@
-//! Payloads that are sent to peers without having been asked for.
+//! Payloads that are sent to peers without a request of theirs.
 
 use std::net::SocketAddr;
 
--- a/crates/proxy/src/frontend/interconnect/response.rs
+++ b/crates/proxy/src/frontend/interconnect/response.rs
@@ -29,7 +29,7 @@
         }
     }
 
-    /// A CDNI payload of a type. Caches must not store it, as it tells of a state that changes.
+    /// A CDNI payload of a type. Caches must not store it, as the state that it describes changes.
     pub fn payload(status: u16, ptype: &str, value: &Value) -> Self {
         Response {
             status,
@@ -47,7 +47,7 @@
     }
 }
 
-/// The response for an answer of the request table; `late` tells that the client's time was over.
+/// The response for an answer of the request table; `late` means that the client has given up by now.
 pub fn response(answer: Answer, late: bool) -> Response {
     match answer {
         Answer::Served(Content::Object { bytes, tag }) => object(bytes, tag),
