--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -89,7 +89,7 @@
         let (reply, effects) =
             interconnect
                 .frontend
-                .take(now, is_ready, purge_capacity, head, body);
+                .handle(now, is_ready, purge_capacity, head, body);
         match reply {
             InterconnectReply::Now(response) => session.respond(&response),
             InterconnectReply::Admit(request) => self.admit_interconnect_request(now, key, request),
--- a/crates/proxy/src/event_loop/notifications.rs
+++ b/crates/proxy/src/event_loop/notifications.rs
@@ -90,7 +90,7 @@
         if std::mem::replace(&mut interconnect.announced_ready, is_ready) == is_ready {
             return;
         }
-        let notifications = interconnect.frontend.notices(is_ready);
+        let notifications = interconnect.frontend.footprint_advertisements(is_ready);
         for notification in notifications {
             self.queue_notification(now, notification);
         }
@@ -101,7 +101,7 @@
         let Some(interconnect) = &self.interconnect else {
             return;
         };
-        let notifications = interconnect.frontend.pass_on(object, group);
+        let notifications = interconnect.frontend.purge_triggers(object, group);
         for notification in notifications {
             self.queue_notification(now, notification);
         }
