Upstream connections: methods take the field's names

flush, enqueue, dequeue, cancel, drain_server, load_if_available, cancelled_recently, close, forget_old_streams, partial_answer_deadline, next_cancellation_report, is_unresponsive.

--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -718,7 +718,7 @@
                     }
                 }
                 let mut told = Vec::new();
-                link.broken(c.conn.connected, c.conn.bytes_written, &mut told);
+                link.close(c.conn.connected, c.conn.bytes_written, &mut told);
                 self.tell(now, server, told);
             }
             Kind::Notification(delivery) => self.posted(now, delivery),
--- a/crates/proxy/src/event_loop/upstreams.rs
+++ b/crates/proxy/src/event_loop/upstreams.rs
@@ -66,7 +66,7 @@
             Some(Connection {
                 kind: Kind::Box(link),
                 ..
-            }) => link.is_silent(),
+            }) => link.is_unresponsive(),
             _ => false,
         };
         let leaver = links
@@ -88,7 +88,7 @@
         }
         match key.and_then(|key| Some((key, self.link(key)?.1))) {
             Some((key, link)) => {
-                link.send(attempt);
+                link.enqueue(attempt);
                 if !self.pump(now, key) {
                     self.close(now, key);
                 }
@@ -112,9 +112,9 @@
                 kind: Kind::Box(link),
                 ..
             }) => Some((
-                !link.gave_up(id),
+                !link.cancelled_recently(id),
                 !conn.connected,
-                link.room_for(id, &self.request_table, &self.limits)?,
+                link.load_if_available(id, &self.request_table, &self.limits)?,
             )),
             _ => None,
         };
@@ -166,10 +166,10 @@
             return true;
         };
         let (server, mut told) = (link.server, Vec::new());
-        let sound = link.pump(now, conn, &self.request_table, &self.limits, &mut told);
+        let sound = link.flush(now, conn, &self.request_table, &self.limits, &mut told);
         let due = [
-            link.report_at(&self.limits),
-            link.half_at(&self.limits).filter(|_| sound),
+            link.next_cancellation_report(&self.limits),
+            link.partial_answer_deadline(&self.limits).filter(|_| sound),
         ];
         for at in due.into_iter().flatten() {
             self.timers.set(at, Timer::UpstreamConnection(key));
@@ -197,7 +197,7 @@
             ..
         }) = self.connections.get_mut(key)
         {
-            link.prune(now, &self.limits);
+            link.forget_old_streams(now, &self.limits);
         }
     }
 
@@ -207,7 +207,7 @@
                 continue;
             };
             let mut told = Vec::new();
-            let sound = link.give_up(now, attempt, conn, &mut told);
+            let sound = link.cancel(now, attempt, conn, &mut told);
             self.tell(now, server, told);
             self.timers.set(
                 now + self.limits.stream_memory_us,
@@ -226,7 +226,7 @@
                 continue;
             };
             let mut told = Vec::new();
-            if link.unqueue(attempt, conn, &mut told) {
+            if link.dequeue(attempt, conn, &mut told) {
                 return self.tell(now, server, told);
             }
         }
@@ -243,7 +243,7 @@
                 continue;
             };
             let (to, mut told) = (link.server, Vec::new());
-            let sound = link.withdraw(server, conn, &self.request_table, &mut told);
+            let sound = link.drain_server(server, conn, &self.request_table, &mut told);
             let over = !sound || to == server && link.is_idle();
             self.tell(now, to, told);
             if over {
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -241,7 +241,7 @@
     }
 
     /// Attempts on it, if it can take one more under this id.
-    pub fn room_for(
+    pub fn load_if_available(
         &self,
         id: &str,
         request_table: &RequestTable,
@@ -270,7 +270,7 @@
     }
 
     /// When the next attempt that was given up is reported as over.
-    pub fn report_at(&self, limits: &Limits) -> Option<Micros> {
+    pub fn next_cancellation_report(&self, limits: &Limits) -> Option<Micros> {
         let written = |s: &Stream| {
             if let Stream::GivenUp(_, Some(r)) = s {
                 r.written
@@ -287,11 +287,14 @@
 
     /// Whether what comes next can be read: nothing of it was garbled, and no answer has stopped short.
     pub fn is_readable(&self, now: Micros, limits: &Limits) -> bool {
-        !self.garbled && self.half_at(limits).is_none_or(|at| now < at)
+        !self.garbled
+            && self
+                .partial_answer_deadline(limits)
+                .is_none_or(|at| now < at)
     }
 
     /// When an answer that has come in part will have stopped short, or nobody will wait for its end any more.
-    pub fn half_at(&self, limits: &Limits) -> Option<Micros> {
+    pub fn partial_answer_deadline(&self, limits: &Limits) -> Option<Micros> {
         let since = self.half_since?;
         let id = self
             .arrays
@@ -314,7 +317,7 @@
     }
 
     /// Whether an attempt under this id was given up here not long ago.
-    pub fn gave_up(&self, id: &str) -> bool {
+    pub fn cancelled_recently(&self, id: &str) -> bool {
         matches!(self.open.get(id), Some(Stream::GivenUp(..)))
     }
 
@@ -325,7 +328,7 @@
     }
 
     /// Whether nothing came back on it for so long that it may lead nowhere, and nobody waits for it any more.
-    pub fn is_silent(&self) -> bool {
+    pub fn is_unresponsive(&self) -> bool {
         let over = self
             .open
             .values()
@@ -335,7 +338,7 @@
 
     /// Queues an attempt. Nothing is written before the connection is up and takes it whole, so that what is
     /// given up or withdrawn until then never reaches the box.
-    pub fn send(&mut self, attempt: AttemptId) {
+    pub fn enqueue(&mut self, attempt: AttemptId) {
         self.queue.push_back(attempt);
     }
 
@@ -355,7 +358,7 @@
 
     /// Moves queued attempts into the connection's ring and reports what was given up once that is written.
     /// False: the connection takes nothing more and must be broken off.
-    pub fn pump(
+    pub fn flush(
         &mut self,
         now: Micros,
         conn: &mut BufferedSocket,
@@ -381,7 +384,7 @@
                     let first = conn.bytes_written;
                     conn.output.push(&frame);
                     let whole = first + frame.len() as u64;
-                    let behind = self.gave_up(&asked.id);
+                    let behind = self.cancelled_recently(&asked.id);
                     let max_age_us = spec.max_age_us;
                     let sent = Sent {
                         attempt,
@@ -421,7 +424,10 @@
         }
         // What comes behind an answer that stopped short would be taken for its rest, and behind one that never
         // ends nothing comes: the connection serves no further use, also for all else that is open on it.
-        if self.half_at(limits).is_some_and(|at| at <= now) {
+        if self
+            .partial_answer_deadline(limits)
+            .is_some_and(|at| at <= now)
+        {
             return false;
         }
         // A side that takes no bytes would keep what is given up here from ever being over.
@@ -436,7 +442,7 @@
     }
 
     /// Takes an attempt out of the queue, or out of the ring: nothing of it was written.
-    pub fn unqueue(
+    pub fn dequeue(
         &mut self,
         attempt: AttemptId,
         conn: &mut BufferedSocket,
@@ -483,14 +489,14 @@
 
     /// Gives an attempt up: takes it out of the queue, or tells the box. False: the connection has no room
     /// even for that.
-    pub fn give_up(
+    pub fn cancel(
         &mut self,
         now: Micros,
         attempt: AttemptId,
         conn: &mut BufferedSocket,
         told: &mut Vec<UpstreamEvent>,
     ) -> bool {
-        if self.unqueue(attempt, conn, told) {
+        if self.dequeue(attempt, conn, told) {
             return true;
         }
         let is_it = |s: &Stream| matches!(s, Stream::Attempt(sent) if sent.attempt == attempt);
@@ -520,7 +526,7 @@
     }
 
     /// Forgets what was given up or answered long enough ago.
-    pub fn prune(&mut self, now: Micros, limits: &Limits) {
+    pub fn forget_old_streams(&mut self, now: Micros, limits: &Limits) {
         let old = |s: &Stream| match s {
             Stream::GivenUp(at, None) | Stream::Answered(at) => *at + limits.stream_memory_us < now,
             _ => false,
@@ -530,7 +536,7 @@
 
     /// Takes back what is not written yet and would go to this box or be filled from it. False: some of it can't
     /// be kept from being written but by breaking the connection off.
-    pub fn withdraw(
+    pub fn drain_server(
         &mut self,
         server: ServerId,
         conn: &mut BufferedSocket,
@@ -651,7 +657,7 @@
 
     /// The connection is over. What never arrived whole can't have run; the rest may have. Only one that never
     /// came up tells that its box can't be reached.
-    pub fn broken(self, up: bool, written: u64, told: &mut Vec<UpstreamEvent>) {
+    pub fn close(self, up: bool, written: u64, told: &mut Vec<UpstreamEvent>) {
         let unsent = if up {
             Outcome::NotSent
         } else {
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -135,17 +135,18 @@
             .into_iter()
             .find_map(sent)
             .unwrap();
-        self.link.send(attempt);
+        self.link.enqueue(attempt);
         self.pump();
         attempt
     }
 
     fn room_for(&self, id: &str) -> Option<usize> {
-        self.link.room_for(id, &self.request_table, &self.limits)
+        self.link
+            .load_if_available(id, &self.request_table, &self.limits)
     }
 
     fn pump(&mut self) -> bool {
-        self.link.pump(
+        self.link.flush(
             self.now,
             &mut self.conn,
             &self.request_table,
@@ -157,7 +158,7 @@
     fn give_up(&mut self, attempt: AttemptId) {
         assert!(self
             .link
-            .give_up(self.now, attempt, &mut self.conn, &mut self.told));
+            .cancel(self.now, attempt, &mut self.conn, &mut self.told));
         self.pump();
         self.now += self.limits.cancel_settle_us;
         self.pump();
@@ -199,7 +200,7 @@
     let queued = rig.send("03");
     let mut told = Vec::new();
     rig.link
-        .broken(rig.conn.connected, rig.conn.bytes_written, &mut told);
+        .close(rig.conn.connected, rig.conn.bytes_written, &mut told);
     let outcome = |t: &UpstreamEvent| {
         if let UpstreamEvent::AttemptEnded(attempt, e) = t {
             Some((*attempt, e.outcome))
@@ -231,7 +232,7 @@
     let waiting = rig.send("04");
     assert!(rig
         .link
-        .withdraw(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
+        .drain_server(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
     assert_eq!(rig.ends(), [(waiting, Outcome::NotSent)]);
     assert!(![kept, withdrawn].contains(&waiting) && !rig.link.is_idle());
 }
@@ -240,7 +241,7 @@
 fn what_was_given_up_is_over_only_once_the_word_of_it_has_had_its_way() {
     let mut rig = Rig::new(true);
     let attempt = rig.send("01");
-    assert!(rig.link.give_up(NOW, attempt, &mut rig.conn, &mut rig.told));
+    assert!(rig.link.cancel(NOW, attempt, &mut rig.conn, &mut rig.told));
     rig.pump();
     assert_eq!(
         rig.ends(),
@@ -248,7 +249,7 @@
         "written, but a further attempt might overtake it"
     );
     assert_eq!(
-        rig.link.report_at(&rig.limits),
+        rig.link.next_cancellation_report(&rig.limits),
         Some(NOW + rig.limits.cancel_settle_us)
     );
     assert_eq!(rig.room_for("01"), None);
@@ -256,10 +257,10 @@
     rig.pump();
     assert_eq!(rig.ends(), [(attempt, Outcome::Cancelled)]);
     // A further attempt here comes behind the word of it, on the same connection.
-    assert!(rig.link.gave_up("01") && rig.room_for("01").is_some());
+    assert!(rig.link.cancelled_recently("01") && rig.room_for("01").is_some());
     rig.link
-        .prune(NOW + rig.limits.stream_memory_us + 1, &rig.limits);
-    assert!(!rig.link.gave_up("01"));
+        .forget_old_streams(NOW + rig.limits.stream_memory_us + 1, &rig.limits);
+    assert!(!rig.link.cancelled_recently("01"));
 }
 
 #[test]
@@ -302,7 +303,7 @@
         (rig.limits.unresponsive_after_us + 1, None),
     ] {
         rig.link = UpstreamConnection::new(rig.server, &rig.limits, NOW - silent_us);
-        rig.link.send(attempt);
+        rig.link.enqueue(attempt);
         rig.pump();
         rig.give_up(attempt);
         assert_eq!(rig.room_for("02"), room);
@@ -334,7 +335,7 @@
         .read(NOW, &mut rig.conn, &rig.request_table, &mut rig.told)
         .unwrap();
     assert_eq!(
-        rig.link.half_at(&rig.limits),
+        rig.link.partial_answer_deadline(&rig.limits),
         Some(NOW + rig.limits.partial_answer_timeout_us)
     );
     rig.now += rig.limits.partial_answer_timeout_us - 1;
@@ -345,7 +346,7 @@
         "what comes now would be taken for the rest of it"
     );
     rig.link
-        .broken(rig.conn.connected, rig.conn.bytes_written, &mut rig.told);
+        .close(rig.conn.connected, rig.conn.bytes_written, &mut rig.told);
     let outcomes = rig.told.iter().map(|t| {
         if let UpstreamEvent::AttemptEnded(a, e) = t {
             Some((*a, e.outcome))
@@ -361,7 +362,7 @@
 fn a_connection_reset_when_it_has_just_come_up_is_no_sign_of_a_box_that_is_gone() {
     let mut rig = Rig::new(false);
     let queued = rig.send("01");
-    rig.link.broken(true, rig.conn.bytes_written, &mut rig.told);
+    rig.link.close(true, rig.conn.bytes_written, &mut rig.told);
     assert!(
         matches!(&rig.told[..], [UpstreamEvent::AttemptEnded(a, e)] if *a == queued && e.outcome == Outcome::NotSent)
     );
@@ -382,7 +383,7 @@
     let begun_bytes = rig.conn.bytes_written;
     assert!(rig
         .link
-        .withdraw(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
+        .drain_server(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
     let stopped = rig.ends().len();
     let (mut reached, mut bytes) = (Vec::new(), [0; 65536]);
     while rig.conn.bytes_written > reached.len() as u64 || !rig.conn.output.is_empty() {
@@ -491,7 +492,7 @@
     let attempt = lying.unwrap();
     assert!(rig
         .link
-        .give_up(rig.now, attempt, &mut rig.conn, &mut rig.told));
+        .cancel(rig.now, attempt, &mut rig.conn, &mut rig.told));
     assert_eq!(
         rig.ends(),
         [(attempt, Outcome::Cancelled)],
