--- /dev/null
+++ b/crates/proxy/src/upstream/command.rs
@@ -0,0 +1,128 @@
+//! Encodes the commands that a cache server takes: `fetch`, `abort` and `stats`.
+
+use crate::protocol::resp;
+use crate::request_table::{AttemptSpec, ClientRequest, RequestTable};
+use edge_routing::{Fill, Micros};
+
+/// The names of the protocol.
+mod wire {
+    pub(super) const FETCH: &[u8] = b"fetch";
+    pub(super) const ABORT: &[u8] = b"abort";
+    pub(super) const STATS: &[u8] = b"stats";
+
+    // The fields of `fetch`, in the order in which they are written.
+    pub(super) const CLASS: &str = "class";
+    pub(super) const OBJECT: &str = "key";
+    pub(super) const PART: &str = "part";
+    pub(super) const WAIT_MS: &str = "wait";
+    pub(super) const IDEMPOTENCY_KEY: &str = "once";
+    pub(super) const FILL_SOURCE: &str = "src";
+    pub(super) const RETENTION_RANK: &str = "keep";
+    pub(super) const MAX_AGE_MS: &str = "maxage";
+    pub(super) const FLAGS: &str = "flags";
+    pub(super) const CLIENT_TAG: &str = "have";
+
+    // The words of the field `flags`, in the order in which they are written.
+    pub(super) const COALESCE: &str = "wait-for";
+    pub(super) const ONLY_IF_CACHED: &str = "no-fetch";
+    pub(super) const BYPASS_PARENT: &str = "no-keep";
+    pub(super) const BACKGROUND_REFRESH: &str = "background";
+}
+
+/// A list `name=value,name=value`.
+#[derive(Default)]
+struct Fields {
+    text: String,
+}
+
+impl Fields {
+    fn add(&mut self, name: &str, value: &str) {
+        if !self.text.is_empty() {
+            self.text.push(',');
+        }
+        self.text.extend([name, "=", value]);
+    }
+}
+
+/// The command that starts an attempt. None if the source of its fill is on the endpoint list no more.
+pub(super) fn encode_fetch(
+    now: Micros,
+    request: &ClientRequest,
+    spec: &AttemptSpec,
+    request_table: &RequestTable,
+) -> Option<Vec<u8>> {
+    let mut fields = Fields::default();
+    fields.add(wire::CLASS, &request.class);
+    fields.add(wire::OBJECT, &request.object);
+    fields.add(wire::PART, &request.part.to_string());
+    fields.add(wire::WAIT_MS, &wait_ms(now, spec).to_string());
+    if let Some(idempotency_key) = &request.once {
+        fields.add(wire::IDEMPOTENCY_KEY, idempotency_key);
+    }
+    if let Some(fill) = &spec.fill {
+        if fill.source != spec.server {
+            let (source, _) = request_table.address_of(fill.source)?;
+            fields.add(wire::FILL_SOURCE, source);
+        }
+        add_fill(&mut fields, fill, spec.max_age_us);
+    }
+    if let Some(tag) = &request.have {
+        fields.add(wire::CLIENT_TAG, tag);
+    }
+    let items = [
+        wire::FETCH,
+        request.id.as_bytes(),
+        fields.text.as_bytes(),
+        &request.body,
+    ];
+    Some(encode(&items))
+}
+
+/// The command that cancels the request under an id. It has no answer.
+pub(super) fn encode_abort(id: &str) -> Vec<u8> {
+    encode(&[wire::ABORT, id.as_bytes()])
+}
+
+/// The command that probes a server. It is answered under the same id.
+pub(super) fn encode_stats(id: &str) -> Vec<u8> {
+    encode(&[wire::STATS, id.as_bytes()])
+}
+
+/// How long the proxy will wait for the answer, in milliseconds, at least 1.
+fn wait_ms(now: Micros, spec: &AttemptSpec) -> u64 {
+    let wait_us = spec.until.saturating_sub(now);
+    (wait_us / 1000).max(1)
+}
+
+fn add_fill(fields: &mut Fields, fill: &Fill, max_age_us: Option<Micros>) {
+    if fill.retention_rank > 0 {
+        fields.add(wire::RETENTION_RANK, &fill.retention_rank.to_string());
+    }
+    if let Some(max_age_us) = max_age_us {
+        // Rounded down, so that no copy from before a purge passes; 0 would mean the fresh time of the
+        // class.
+        let max_age_ms = (max_age_us / 1000).max(1);
+        fields.add(wire::MAX_AGE_MS, &max_age_ms.to_string());
+    }
+    let flags = flags(fill);
+    if !flags.is_empty() {
+        fields.add(wire::FLAGS, &flags.join("+"));
+    }
+}
+
+fn flags(fill: &Fill) -> Vec<&'static str> {
+    let flags = [
+        (fill.coalesce, wire::COALESCE),
+        (fill.only_if_cached, wire::ONLY_IF_CACHED),
+        (fill.bypass_parent, wire::BYPASS_PARENT),
+        (fill.background_refresh, wire::BACKGROUND_REFRESH),
+    ];
+    let set = flags.into_iter().filter(|(is_set, _)| *is_set);
+    set.map(|(_, word)| word).collect()
+}
+
+fn encode(items: &[&[u8]]) -> Vec<u8> {
+    let mut command = Vec::new();
+    resp::write_array(&mut command, items);
+    command
+}
