--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -1,470 +1,294 @@
-//! Links to boxes: what becomes of attempts when connections end, and of ids that were given up.
+//! Connections to cache servers: what becomes of attempts when they are cancelled or withdrawn, when an
+//! answer is late, old or partial, and when the connection closes.
 
-use edge_proxy::limits::Limits;
-use edge_proxy::net::{BufferedSocket, IoProgress, SlabKey};
-use edge_proxy::protocol::resp;
-use edge_proxy::request_table::{
-    server_id, AttemptId, ClientRequest, Command, ListedServer, RequestTable, ResponseTarget,
-};
-use edge_proxy::upstream::{UpstreamConnection, UpstreamEvent};
-use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome, ServerId};
-use edge_testkit::sample_settings;
-use rustix::net::sockopt;
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+#[path = "support/upstream.rs"]
+mod fixture;
 
-const NOW: u64 = 1_000_000_000;
+use edge_proxy::request_table::{AttemptId, ClientRequest};
+use edge_proxy::upstream::UpstreamConnection;
+use edge_routing::Outcome;
+use fixture::{photo_request, post_request, End, Fixture, NOW};
+use std::io::Read;
 
-struct Rig {
-    request_table: RequestTable,
-    link: UpstreamConnection,
-    conn: BufferedSocket,
-    far: TcpStream,
-    limits: Limits,
-    server: ServerId,
-    told: Vec<UpstreamEvent>,
-    now: u64,
-    last: Vec<(String, AttemptId)>,
-}
-
-impl Rig {
-    fn new(up: bool) -> Rig {
-        Rig::to("here", "box", up)
-    }
-
-    /// A connection to a box of this kind, up or begun.
-    fn to(zone: &str, kind: &str, up: bool) -> Rig {
-        let limits = Limits::for_machine(1024, 192);
-        let settings = edge_settings::from_json(&sample_settings()).unwrap();
-        let mut request_table = RequestTable::new(settings, 1, &limits).unwrap();
-        let server = Endpoint {
-            id: server_id("a"),
-            zone: zone.into(),
-            cell: 0,
-            kind: kind.into(),
-            weight: 8.0,
-            state: EndpointState::Ready,
-            started: None,
-        };
-        let entry = ListedServer {
-            endpoint: server,
-            uid: "a".into(),
-            address: ([127, 0, 0, 1], 9).into(),
-        };
-        request_table.update_endpoints(NOW, EndpointListMode::Snapshot, vec![entry]);
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        // Little fits between the two, so that a side which reads nothing shows soon.
-        sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
-        let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        sockopt::set_socket_send_buffer_size(&near, 4096).unwrap();
-        let (far, server) = (listener.accept().unwrap().0, server_id("a"));
-        let conn = BufferedSocket::new(
-            near,
-            up,
-            limits.input_buffer_bytes,
-            limits.output_buffer_bytes,
-        )
-        .unwrap();
-        Rig {
-            request_table,
-            link: UpstreamConnection::new(server, &limits, NOW),
-            conn,
-            far,
-            limits,
-            server,
-            told: Vec::new(),
-            now: NOW,
-            last: Vec::new(),
-        }
-    }
-
-    fn send(&mut self, id: &str) -> AttemptId {
-        self.send_with(id, Vec::new())
-    }
-
-    fn send_with(&mut self, id: &str, body: Vec<u8>) -> AttemptId {
-        self.send_in(id, body, 0)
-    }
-
-    fn send_in(&mut self, id: &str, body: Vec<u8>, group: u64) -> AttemptId {
-        let asked = ClientRequest {
-            group,
-            body,
-            id: id.into(),
-            class: "photo".into(),
-            object: format!("{id}-object"),
-            size_kb: 40.0,
-            remaining_us: 2_000_000,
-            ..ClientRequest::default()
-        };
-        // The request_table takes no two of one id: the one before is over by now.
-        for (_, attempt) in self.last.iter().filter(|(last, _)| last == id) {
-            self.request_table
-                .client_disconnected(self.now, attempt.request_key);
-            self.request_table
-                .attempt_ended(self.now, *attempt, Outcome::Cancelled.into());
-        }
-        self.request_table.take_commands();
-        self.request_table
-            .admit(
-                self.now,
-                ResponseTarget {
-                    connection: SlabKey::from_u64(0),
-                    stream: 0,
-                },
-                asked,
-            )
-            .unwrap();
-        let attempt = self.pass_on();
-        self.last.push((id.to_owned(), attempt));
-        attempt
-    }
-
-    /// Hands the attempt that the module has sent to the connection.
-    fn pass_on(&mut self) -> AttemptId {
-        let sent = |c: Command| {
-            if let Command::SendAttempt(attempt) = c {
-                Some(attempt)
-            } else {
-                None
-            }
-        };
-        let attempt = self
-            .request_table
-            .take_commands()
-            .into_iter()
-            .find_map(sent)
-            .unwrap();
-        self.link.enqueue(attempt);
-        self.pump();
-        attempt
-    }
-
-    fn room_for(&self, id: &str) -> Option<usize> {
-        self.link
-            .load_if_available(id, &self.request_table, &self.limits)
-    }
-
-    fn pump(&mut self) -> bool {
-        self.link.flush(
-            self.now,
-            &mut self.conn,
-            &self.request_table,
-            &self.limits,
-            &mut self.told,
-        )
-    }
-
-    fn give_up(&mut self, attempt: AttemptId) {
-        assert!(self
-            .link
-            .cancel(self.now, attempt, &mut self.conn, &mut self.told));
-        self.pump();
-        self.now += self.limits.cancel_settle_us;
-        self.pump();
-    }
+/// The beginning of a long answer under the id `01`.
+const PARTIAL_ANSWER: &[u8] = b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo";
 
-    /// What reached the other side so far, which is `marks` frames of this word.
-    fn reached(&mut self, word: &str, marks: usize) -> String {
-        let (mut text, mut bytes) = (String::new(), [0; 4096]);
-        while text.matches(word).count() < marks {
-            let got = self.far.read(&mut bytes).unwrap();
-            text += &String::from_utf8_lossy(&bytes[..got]);
-        }
-        text
-    }
+#[test]
+fn closing_reports_written_attempts_as_reset_and_queued_ones_as_never_sent() {
+    let mut fixture = Fixture::connected();
+    let written = fixture.send("01");
+    let cancelled = fixture.send("02");
+    fixture.cancel_and_settle(cancelled);
+    assert_eq!(
+        fixture.take_ends(),
+        [End::new(cancelled, Outcome::Cancelled)]
+    );
+    fixture.socket.connected = false;
+    let queued = fixture.send("03");
+    let expected = [
+        End::new(queued, Outcome::ConnectFailed),
+        End::new(written, Outcome::Reset),
+    ];
+    assert_eq!(fixture.close(false), expected);
+}
 
-    fn ends(&mut self) -> Vec<(AttemptId, Outcome)> {
-        let end = |t| {
-            if let UpstreamEvent::AttemptEnded(attempt, ended) = t {
-                (attempt, ended.outcome)
-            } else {
-                panic!("{t:?}")
-            }
-        };
-        self.told.drain(..).map(end).collect()
-    }
+#[test]
+fn a_connection_that_came_up_and_closed_does_not_report_its_server_as_unreachable() {
+    let mut fixture = Fixture::connecting();
+    let queued = fixture.send("01");
+    let expected = [End::new(queued, Outcome::NotSent)];
+    assert_eq!(fixture.close(true), expected);
 }
 
 #[test]
-fn what_never_arrived_whole_has_not_run_and_what_did_may_have() {
-    let mut rig = Rig::new(true);
-    let (written, given_up) = (rig.send("01"), rig.send("02"));
-    rig.give_up(given_up);
-    assert_eq!(
-        rig.ends(),
-        [(given_up, Outcome::Cancelled)],
-        "once the word of it is written"
-    );
-    rig.conn.connected = false;
-    let queued = rig.send("03");
-    let mut told = Vec::new();
-    rig.link
-        .close(rig.conn.connected, rig.conn.bytes_written, &mut told);
-    let outcome = |t: &UpstreamEvent| {
-        if let UpstreamEvent::AttemptEnded(attempt, e) = t {
-            Some((*attempt, e.outcome))
-        } else {
-            None
-        }
-    };
-    let ends: Vec<_> = told.iter().filter_map(outcome).collect();
+fn an_attempt_cancelled_before_the_connection_is_up_is_never_written() {
+    let mut fixture = Fixture::connecting();
+    let cancelled = fixture.send("01");
+    fixture.send("02");
+    fixture.send("03");
+    fixture.cancel_and_settle(cancelled);
     assert_eq!(
-        ends,
-        [(queued, Outcome::ConnectFailed), (written, Outcome::Reset)]
+        fixture.take_ends(),
+        [End::new(cancelled, Outcome::Cancelled)]
     );
+    fixture.socket.connected = true;
+    fixture.flush();
+    let text = fixture.received_by_server("fetch", 2);
+    assert!(!text.contains("01-object"));
+    assert!(text.contains("02-object"));
+    assert!(text.contains("03-object"));
 }
 
 #[test]
-fn nothing_is_written_of_what_is_given_up_or_withdrawn_before_the_connection_is_up() {
-    let mut rig = Rig::new(false);
-    let (given_up, kept, withdrawn) = (rig.send("01"), rig.send("02"), rig.send("03"));
-    rig.give_up(given_up);
-    assert_eq!(rig.ends(), [(given_up, Outcome::Cancelled)]);
-    rig.conn.connected = true;
-    rig.pump();
-    let text = rig.reached("fetch", 2);
-    assert!(
-        !text.contains("01-object") && text.contains("02-object") && text.contains("03-object")
-    );
-    // The list says that the box drains: what still waits for it comes back unsent.
-    rig.conn.connected = false;
-    let waiting = rig.send("04");
-    assert!(rig
-        .link
-        .drain_server(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
-    assert_eq!(rig.ends(), [(waiting, Outcome::NotSent)]);
-    assert!(![kept, withdrawn].contains(&waiting) && !rig.link.is_idle());
+fn draining_a_server_returns_its_queued_attempts_unsent_and_leaves_the_written_ones() {
+    let mut fixture = Fixture::connected();
+    let written = [fixture.send("02"), fixture.send("03")];
+    fixture.socket.connected = false;
+    let queued = fixture.send("04");
+    assert!(fixture.drain_server());
+    assert_eq!(fixture.take_ends(), [End::new(queued, Outcome::NotSent)]);
+    assert!(!written.contains(&queued));
+    assert!(!fixture.connection.is_idle());
 }
 
 #[test]
-fn what_was_given_up_is_over_only_once_the_word_of_it_has_had_its_way() {
-    let mut rig = Rig::new(true);
-    let attempt = rig.send("01");
-    assert!(rig.link.cancel(NOW, attempt, &mut rig.conn, &mut rig.told));
-    rig.pump();
+fn a_cancellation_is_reported_once_the_abort_has_had_time_to_arrive() {
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    assert!(fixture.cancel(attempt));
+    fixture.flush();
+    // The abort is written, but a further attempt at another server might overtake it.
+    assert_eq!(fixture.take_ends(), []);
+    let report_at = NOW + fixture.limits.cancel_settle_us;
     assert_eq!(
-        rig.ends(),
-        [],
-        "written, but a further attempt might overtake it"
+        fixture.connection.next_cancellation_report(&fixture.limits),
+        Some(report_at)
     );
+    assert_eq!(fixture.load_if_available("01"), None);
+    fixture.now = report_at;
+    fixture.flush();
+    assert_eq!(fixture.take_ends(), [End::new(attempt, Outcome::Cancelled)]);
+}
+
+#[test]
+fn a_reported_cancellation_is_remembered_so_that_a_further_attempt_follows_its_abort() {
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    fixture.cancel_and_settle(attempt);
+    assert!(fixture.connection.cancelled_recently("01"));
+    assert!(fixture.load_if_available("01").is_some());
+    let forgotten_at = NOW + fixture.limits.stream_memory_us + 1;
+    fixture
+        .connection
+        .forget_old_streams(forgotten_at, &fixture.limits);
+    assert!(!fixture.connection.cancelled_recently("01"));
+}
+
+#[test]
+fn a_copy_from_before_a_purge_ends_the_attempt_with_an_error() {
+    for (made_ms, outcome) in [
+        (NOW / 1000 - 100, Outcome::Error),
+        (NOW / 1000, Outcome::Ok),
+    ] {
+        let mut fixture = Fixture::connected();
+        fixture.purge_object("01-object", NOW - 2_000);
+        let attempt = fixture.send("01");
+        assert_eq!(
+            fixture.receive_copy("01", made_ms),
+            [End::new(attempt, outcome)]
+        );
+    }
+}
+
+#[test]
+fn after_an_old_copy_a_further_attempt_on_the_connection_can_be_served() {
+    let mut fixture = Fixture::connected();
+    fixture.purge_object("01-object", NOW - 2_000);
+    fixture.send("01");
+    fixture.receive_copy("01", NOW / 1000 - 100);
+    let attempt = fixture.send("01");
     assert_eq!(
-        rig.link.next_cancellation_report(&rig.limits),
-        Some(NOW + rig.limits.cancel_settle_us)
+        fixture.receive_copy("01", NOW / 1000),
+        [End::new(attempt, Outcome::Ok)]
     );
-    assert_eq!(rig.room_for("01"), None);
-    rig.now += rig.limits.cancel_settle_us;
-    rig.pump();
-    assert_eq!(rig.ends(), [(attempt, Outcome::Cancelled)]);
-    // A further attempt here comes behind the word of it, on the same connection.
-    assert!(rig.link.cancelled_recently("01") && rig.room_for("01").is_some());
-    rig.link
-        .forget_old_streams(NOW + rig.limits.stream_memory_us + 1, &rig.limits);
-    assert!(!rig.link.cancelled_recently("01"));
 }
 
 #[test]
-fn a_copy_from_before_a_purge_is_never_passed_on() {
-    let mut rig = Rig::new(true);
-    rig.request_table
-        .purged(NOW, Some("01-object".into()), 0, NOW - 2_000);
-    let answered = |rig: &mut Rig, made: u64| {
-        let (mut answer, fields) = (Vec::new(), format!("how=local,made={made}"));
-        resp::write_array(&mut answer, &[b"01", b"200", fields.as_bytes(), b"x"]);
-        rig.far.write_all(&answer).unwrap();
-        while rig.conn.read(false) != IoProgress::Advanced {}
-        rig.link
-            .read(NOW, &mut rig.conn, &rig.request_table, &mut rig.told)
-            .unwrap();
-        rig.ends()
-    };
-    let (old, new) = (NOW / 1000 - 100, NOW / 1000);
-    let attempt = rig.send("01");
-    assert_eq!(answered(&mut rig, old), [(attempt, Outcome::Error)]);
-    let attempt = rig.send("01");
-    assert_eq!(answered(&mut rig, new), [(attempt, Outcome::Ok)]);
-    // Behind one that was given up, the answer may be that one's: the further attempt is still out.
-    let attempt = rig.send("01");
-    rig.give_up(attempt);
-    rig.ends();
-    let attempt = rig.send("01");
-    assert_eq!(answered(&mut rig, old), []);
-    assert_eq!(answered(&mut rig, new), [(attempt, Outcome::Ok)]);
+fn an_old_copy_after_a_cancellation_leaves_the_further_attempt_open() {
+    let mut fixture = Fixture::connected();
+    fixture.purge_object("01-object", NOW - 2_000);
+    let cancelled = fixture.send("01");
+    fixture.cancel_and_settle(cancelled);
+    fixture.take_ends();
+    let attempt = fixture.send("01");
+    // It may be the answer to the cancelled attempt.
+    assert_eq!(fixture.receive_copy("01", NOW / 1000 - 100), []);
+    assert_eq!(
+        fixture.receive_copy("01", NOW / 1000),
+        [End::new(attempt, Outcome::Ok)]
+    );
 }
 
 #[test]
-fn a_connection_that_nothing_comes_back_on_takes_no_further_attempts() {
-    let mut rig = Rig::new(true);
-    let attempt = rig.send("01");
-    assert_eq!(rig.room_for("02"), Some(1));
-    // Heard last before the attempt was sent: a short silence is a pause, a long one may be the end.
-    for (silent_us, room) in [
-        (rig.limits.unresponsive_after_us, Some(0)),
-        (rig.limits.unresponsive_after_us + 1, None),
-    ] {
-        rig.link = UpstreamConnection::new(rig.server, &rig.limits, NOW - silent_us);
-        rig.link.enqueue(attempt);
-        rig.pump();
-        rig.give_up(attempt);
-        assert_eq!(rig.room_for("02"), room);
+fn an_unresponsive_connection_takes_no_further_attempts() {
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    assert_eq!(fixture.load_if_available("02"), Some(1));
+    // The server was last heard before the attempt: a short silence is a pause, a long one may be the
+    // end.
+    let longest_pause_us = fixture.limits.unresponsive_after_us;
+    for (silence_us, load) in [(longest_pause_us, Some(0)), (longest_pause_us + 1, None)] {
+        let begun_at = NOW - silence_us;
+        fixture.connection = UpstreamConnection::new(fixture.server, &fixture.limits, begun_at);
+        fixture.connection.enqueue(attempt);
+        fixture.flush();
+        fixture.cancel_and_settle(attempt);
+        assert_eq!(fixture.load_if_available("02"), load);
     }
 }
 
 #[test]
-fn requests_of_one_id_never_share_a_connection() {
-    for up in [true, false] {
-        let mut rig = Rig::new(up);
-        rig.send("01");
-        assert_eq!(
-            (rig.room_for("01"), rig.room_for("02")),
-            (None, Some(1)),
-            "written: {up}"
-        );
+fn requests_with_one_id_never_share_a_connection() {
+    for mut fixture in [Fixture::connected(), Fixture::connecting()] {
+        fixture.send("01");
+        let connected = fixture.socket.connected;
+        assert_eq!(fixture.load_if_available("01"), None, "{connected}");
+        assert_eq!(fixture.load_if_available("02"), Some(1), "{connected}");
     }
 }
 
 #[test]
-fn an_answer_that_stops_short_ends_its_connection_and_all_on_it_may_have_run() {
-    let mut rig = Rig::new(true);
-    let attempts = [rig.send("01"), rig.send("02")];
-    rig.far
-        .write_all(b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo")
-        .unwrap();
-    while rig.conn.read(false) != IoProgress::Advanced {}
-    rig.link
-        .read(NOW, &mut rig.conn, &rig.request_table, &mut rig.told)
-        .unwrap();
+fn a_connection_is_unusable_once_an_answer_has_stopped_part_way() {
+    let mut fixture = Fixture::connected();
+    fixture.send("01");
+    fixture.send("02");
+    fixture.receive(PARTIAL_ANSWER);
+    let deadline = NOW + fixture.limits.partial_answer_timeout_us;
     assert_eq!(
-        rig.link.partial_answer_deadline(&rig.limits),
-        Some(NOW + rig.limits.partial_answer_timeout_us)
+        fixture.connection.partial_answer_deadline(&fixture.limits),
+        Some(deadline)
     );
-    rig.now += rig.limits.partial_answer_timeout_us - 1;
-    assert!(rig.pump(), "the rest may come yet");
-    rig.now += 1;
+    fixture.now = deadline - 1;
+    assert!(fixture.flush(), "the rest may still come");
+    fixture.now = deadline;
     assert!(
-        !rig.pump(),
-        "what comes now would be taken for the rest of it"
+        !fixture.flush(),
+        "what comes now would be taken for the rest"
     );
-    rig.link
-        .close(rig.conn.connected, rig.conn.bytes_written, &mut rig.told);
-    let outcomes = rig.told.iter().map(|t| {
-        if let UpstreamEvent::AttemptEnded(a, e) = t {
-            Some((*a, e.outcome))
-        } else {
-            None
-        }
-    });
-    let ended = attempts.map(|a| Some((a, Outcome::Reset)));
-    assert_eq!(outcomes.collect::<Vec<_>>(), ended);
 }
 
 #[test]
-fn a_connection_reset_when_it_has_just_come_up_is_no_sign_of_a_box_that_is_gone() {
-    let mut rig = Rig::new(false);
-    let queued = rig.send("01");
-    rig.link.close(true, rig.conn.bytes_written, &mut rig.told);
-    assert!(
-        matches!(&rig.told[..], [UpstreamEvent::AttemptEnded(a, e)] if *a == queued && e.outcome == Outcome::NotSent)
-    );
+fn attempts_on_a_connection_with_a_partial_answer_may_have_run() {
+    let mut fixture = Fixture::connected();
+    let first = fixture.send("01");
+    let second = fixture.send("02");
+    fixture.receive(PARTIAL_ANSWER);
+    fixture.now += fixture.limits.partial_answer_timeout_us;
+    assert!(!fixture.flush());
+    let expected = [
+        End::new(first, Outcome::Reset),
+        End::new(second, Outcome::Reset),
+    ];
+    assert_eq!(fixture.close(true), expected);
 }
 
 #[test]
-fn of_what_a_box_does_not_take_nothing_has_begun_that_a_drain_could_still_stop() {
-    let mut rig = Rig::new(true);
-    // The other side reads nothing: what the sockets between take is all that has begun.
-    let (body, mut sent) = (vec![b'.'; 3000], 0);
-    while rig.conn.output.is_empty() {
-        rig.send_with(&format!("{sent:04}"), body.clone());
+fn a_drain_stops_every_attempt_of_which_no_byte_is_written() {
+    let mut fixture = Fixture::connected();
+    // The server reads nothing: what the sockets between take is all that has begun.
+    let body = vec![b'.'; 3000];
+    let mut sent = 0;
+    while fixture.socket.output.is_empty() {
+        fixture.send_with_body(&format!("{sent:04}"), body.clone());
         sent += 1;
     }
-    (0..20).for_each(|n| {
-        rig.send_with(&format!("{:04}", sent + n), body.clone());
-    });
-    let begun_bytes = rig.conn.bytes_written;
-    assert!(rig
-        .link
-        .drain_server(rig.server, &mut rig.conn, &rig.request_table, &mut rig.told));
-    let stopped = rig.ends().len();
-    let (mut reached, mut bytes) = (Vec::new(), [0; 65536]);
-    while rig.conn.bytes_written > reached.len() as u64 || !rig.conn.output.is_empty() {
-        assert!(rig.pump());
-        let got = rig.far.read(&mut bytes).unwrap();
-        reached.extend_from_slice(&bytes[..got]);
+    for _ in 0..20 {
+        fixture.send_with_body(&format!("{sent:04}"), body.clone());
+        sent += 1;
     }
-    let at = |text: &[u8]| {
-        text.windows(13)
-            .filter(|w| w == b"*4\r\n$5\r\nfetch")
-            .count()
+    let written_before_drain = usize::try_from(fixture.socket.bytes_written).unwrap();
+    assert!(fixture.drain_server());
+    let stopped = fixture.take_ends().len();
+
+    let mut received = Vec::new();
+    let mut bytes = [0; 65536];
+    while fixture.socket.bytes_written > received.len() as u64 || !fixture.socket.output.is_empty()
+    {
+        assert!(fixture.flush());
+        let length = fixture.server_socket.read(&mut bytes).unwrap();
+        received.extend_from_slice(&bytes[..length]);
+    }
+    let count_commands = |bytes: &[u8]| {
+        let command = b"*4\r\n$5\r\nfetch";
+        let windows = bytes.windows(command.len());
+        windows.filter(|window| window == command).count()
     };
-    assert_eq!(at(&reached) + stopped, sent + 20);
-    let begun = usize::try_from(begun_bytes).unwrap();
-    assert!(
-        at(&reached[begun..]) == 0,
-        "{} began after the drain was told",
-        at(&reached[begun..])
-    );
+    assert_eq!(count_commands(&received) + stopped, sent);
+    assert_eq!(count_commands(&received[written_before_drain..]), 0);
 }
 
 #[test]
-fn a_repeat_that_waited_for_its_connection_does_not_begin_behind_its_window() {
+fn a_retry_that_waited_for_its_connection_does_not_begin_after_its_window() {
     // The window of the settings is 3 s, and the client waits for longer.
-    for (fill_ttfb_us, begins) in [(2_900_000, true), (3_000_000, false)] {
-        let mut rig = Rig::to("hub", "origin", true);
-        let asked = ClientRequest {
-            id: "01".into(),
-            class: "post".into(),
-            object: "01-object".into(),
-            once: Some("1".into()),
-            remaining_us: 60_000_000,
-            ..ClientRequest::default()
-        };
-        rig.request_table
-            .admit(
-                NOW,
-                ResponseTarget {
-                    connection: SlabKey::from_u64(0),
-                    stream: 0,
-                },
-                asked,
-            )
-            .unwrap();
-        let first = rig.pass_on();
-        rig.request_table
+    for (waited_us, begins) in [(2_900_000, true), (3_000_000, false)] {
+        let mut fixture = Fixture::new("hub", "origin", true);
+        let first = fixture.send_request(post_request("01"));
+        fixture
+            .request_table
             .attempt_ended(NOW, first, Outcome::Reset.into());
-        rig.link = UpstreamConnection::new(rig.server, &rig.limits, NOW);
-        rig.conn.connected = false;
-        let repeat = rig.pass_on();
-        rig.now += fill_ttfb_us;
-        rig.conn.connected = true;
-        rig.pump();
-        assert_eq!(
-            rig.ends(),
-            if begins {
-                vec![]
-            } else {
-                vec![(repeat, Outcome::NotSent)]
-            },
-            "{fill_ttfb_us}"
-        );
+        fixture.connection = UpstreamConnection::new(fixture.server, &fixture.limits, NOW);
+        fixture.socket.connected = false;
+        let retry = fixture.enqueue_next();
+        fixture.now += waited_us;
+        fixture.socket.connected = true;
+        fixture.flush();
+        let not_sent = End::new(retry, Outcome::NotSent);
+        let expected = if begins { vec![] } else { vec![not_sent] };
+        assert_eq!(fixture.take_ends(), expected, "{waited_us}");
     }
 }
 
 #[test]
-fn a_purge_told_while_an_attempt_waits_for_its_connection_bounds_the_age_that_it_asks_for() {
+fn a_purge_bounds_the_accepted_age_of_a_queued_attempt_that_it_concerns() {
     for (object, group, bounded) in [
         (Some("01-object"), 0, true),
         (None, 7, true),
         (Some("02-object"), 0, false),
         (None, 8, false),
     ] {
-        let mut rig = Rig::new(false);
-        rig.send_in("01", Vec::new(), 7);
-        rig.now += 400_000;
-        rig.request_table
-            .purged(rig.now, object.map(str::to_owned), group, rig.now - 30_000);
-        rig.conn.connected = true;
-        rig.pump();
-        let text = rig.reached("fetch", 1);
+        let mut fixture = Fixture::connecting();
+        fixture.send_request(ClientRequest {
+            group: 7,
+            ..photo_request("01")
+        });
+        fixture.now += 400_000;
+        let purged_at = fixture.now - 30_000;
+        fixture
+            .request_table
+            .purged(fixture.now, object.map(str::to_owned), group, purged_at);
+        fixture.socket.connected = true;
+        fixture.flush();
+        let text = fixture.received_by_server("fetch", 1);
         assert_eq!(
             text.contains("maxage=30"),
             bounded,
@@ -474,29 +298,33 @@
 }
 
 #[test]
-fn of_what_a_box_does_not_take_nothing_begins_once_it_is_given_up() {
-    let mut rig = Rig::new(true);
-    let (body, mut sent, mut lying) = (vec![b'.'; 3000], 0, None);
-    // The other side reads nothing, until an attempt lies in the ring of which no byte is written.
-    while lying.is_none() {
-        let before = rig.conn.bytes_written;
-        let attempt = rig.send_with(&format!("{sent:04}"), body.clone());
-        lying = Some(attempt)
-            .filter(|_| rig.conn.bytes_written == before && !rig.conn.output.is_empty());
-        sent += 1;
-        // One that has begun goes on until the ring is empty again.
-        while lying.is_none() && !rig.conn.output.is_empty() {
-            assert!(rig.far.read(&mut [0; 64]).is_ok_and(|got| got > 0) && rig.pump());
-        }
-    }
-    let attempt = lying.unwrap();
-    assert!(rig
-        .link
-        .cancel(rig.now, attempt, &mut rig.conn, &mut rig.told));
+fn an_attempt_of_which_no_byte_is_written_is_cancelled_at_once() {
+    let mut fixture = Fixture::connected();
+    let unwritten = send_until_unwritten(&mut fixture);
+    assert!(fixture.cancel(unwritten));
     assert_eq!(
-        rig.ends(),
-        [(attempt, Outcome::Cancelled)],
-        "at once: no box has seen a byte of it"
+        fixture.take_ends(),
+        [End::new(unwritten, Outcome::Cancelled)]
     );
-    assert!(rig.conn.output.is_empty());
+    assert!(fixture.socket.output.is_empty());
+}
+
+/// Sends attempts to a server that hardly reads, until one lies in the output buffer with no byte
+/// written.
+fn send_until_unwritten(fixture: &mut Fixture) -> AttemptId {
+    for number in 0.. {
+        let written_before = fixture.socket.bytes_written;
+        let attempt = fixture.send_with_body(&format!("{number:04}"), vec![b'.'; 3000]);
+        let is_unwritten = fixture.socket.bytes_written == written_before;
+        if is_unwritten && !fixture.socket.output.is_empty() {
+            return attempt;
+        }
+        // An attempt that has begun goes on until the output buffer is empty again.
+        while !fixture.socket.output.is_empty() {
+            let length = fixture.server_socket.read(&mut [0; 64]).unwrap();
+            assert!(length > 0);
+            assert!(fixture.flush());
+        }
+    }
+    unreachable!("the buffers between the sockets are bounded")
 }
