--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -54,8 +54,8 @@
 }
 
 impl ServerAnswer {
-    /// Splits an array into the parts of an answer. Fields and body may be missing, id and status may
-    /// not.
+    /// Splits an array into the parts of an answer. Fields and body may be missing, id and status
+    /// may not.
     pub(super) fn from_array(array: Vec<Vec<u8>>) -> Result<Self, ProtocolError> {
         let mut items = array.into_iter();
         let (Some(id), Some(status)) = (items.next(), items.next()) else {
@@ -165,7 +165,8 @@
         }
     }
 
-    /// Whether the answer names the very copy that the client holds: only then is that copy current.
+    /// Whether the answer names the very copy that the client holds: only then is that copy
+    /// current.
     fn confirms_copy(&self, request: &ClientRequest) -> bool {
         request.have.is_some() && request.have.as_deref() == self.field(wire::TAG)
     }
--- a/crates/proxy/src/upstream/cancel.rs
+++ b/crates/proxy/src/upstream/cancel.rs
@@ -8,8 +8,8 @@
 use crate::request_table::{AttemptId, RequestTable};
 use edge_routing::{Micros, Outcome, ServerId};
 
-/// An attempt in the output buffer with no byte written, which happens where the server takes nothing
-/// at the moment.
+/// An attempt in the output buffer with no byte written, which happens where the server takes
+/// nothing at the moment.
 struct UnwrittenAttempt {
     attempt: AttemptId,
     /// Whether the output buffer holds nothing else.
@@ -37,9 +37,9 @@
         true
     }
 
-    /// Cancels an attempt: takes it out of the queue, or sends the server an `abort` and reports the
-    /// attempt once that has arrived. False if the connection has no space even for the `abort` and
-    /// must be closed. An attempt that is not on the connection is ignored.
+    /// Cancels an attempt: takes it out of the queue, or sends the server an `abort` and reports
+    /// the attempt once that has arrived. False if the connection has no space even for the `abort`
+    /// and must be closed. An attempt that is not on the connection is ignored.
     pub fn cancel(
         &mut self,
         now: Micros,
@@ -67,8 +67,8 @@
         true
     }
 
-    /// When the next cancellation is due to be reported by `flush`. Cancellations whose `abort` is not
-    /// written yet don't count.
+    /// When the next cancellation is due to be reported by `flush`. Cancellations whose `abort` is
+    /// not written yet don't count.
     pub fn next_cancellation_report(&self, limits: &Limits) -> Option<Micros> {
         let earliest = self
             .streams
--- a/crates/proxy/src/upstream/command.rs
+++ b/crates/proxy/src/upstream/command.rs
@@ -44,7 +44,8 @@
     }
 }
 
-/// The command that starts an attempt. None if the source of its fill is on the endpoint list no more.
+/// The command that starts an attempt. None if the source of its fill is on the endpoint list no
+/// more.
 pub(super) fn encode_fetch(
     now: Micros,
     request: &ClientRequest,
@@ -99,8 +100,8 @@
         fields.add(wire::RETENTION_RANK, &fill.retention_rank.to_string());
     }
     if let Some(max_age_us) = max_age_us {
-        // Rounded down, so that no copy from before a purge passes; 0 would mean the fresh time of the
-        // class.
+        // Rounded down, so that no copy from before a purge passes; 0 would mean the fresh time of
+        // the class.
         let max_age_ms = (max_age_us / 1000).max(1);
         fields.add(wire::MAX_AGE_MS, &max_age_ms.to_string());
     }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -13,8 +13,8 @@
 
 /// A connection to a cache server, a parent or the origin.
 ///
-/// Invariants: no two of its queued attempts and awaited streams have one id, and an id is a client's
-/// or, for a probe, the proxy's own.
+/// Invariant: no two of its queued attempts and awaited streams have one id. Callers keep it by
+/// enqueueing only where `load_if_available` gives a number for the id.
 pub struct UpstreamConnection {
     /// The server at the other end.
     pub server: ServerId,
@@ -41,8 +41,8 @@
         }
     }
 
-    /// The number of attempts and probes on the connection, if it can take one more attempt under this
-    /// id.
+    /// The number of attempts and probes on the connection, if it can take one more attempt under
+    /// this id.
     pub fn load_if_available(
         &self,
         id: &str,
@@ -58,9 +58,9 @@
         is_available.then_some(load)
     }
 
-    /// Whether a further attempt under this id can be told apart from all that is on the connection.
-    /// Two clients may use one id: a second attempt under it here would take the answer to the first,
-    /// also where both still wait in the queue.
+    /// Whether a further attempt under this id can be told apart from all that is on the
+    /// connection. Two clients may use one id: a second attempt under it here would take the answer
+    /// to the first, also where both still wait in the queue.
     fn is_id_free(&self, id: &str, request_table: &RequestTable) -> bool {
         let has_id = |attempt: &AttemptId| {
             request_table
@@ -81,13 +81,14 @@
         self.queue.is_empty() && self.streams.values().all(Stream::is_reported)
     }
 
-    /// Queues an attempt. `flush` writes it once the connection is up and takes it whole, so that an
-    /// attempt which is cancelled or withdrawn until then never reaches the server.
+    /// Queues an attempt. `flush` writes it once the connection is up and takes it whole, so that
+    /// an attempt which is cancelled or withdrawn until then never reaches the server.
     pub fn enqueue(&mut self, attempt: AttemptId) {
         self.queue.push_back(attempt);
     }
 
-    /// Puts a probe into the output buffer. False if the connection is not up or has no space for it.
+    /// Puts a probe into the output buffer. False if the connection is not up or has no space for
+    /// it.
     pub fn probe(&mut self, now: Micros, conn: &mut BufferedSocket) -> bool {
         let id = format!("probe-{}", self.probes_sent);
         let command = command::encode_stats(&id);
@@ -106,9 +107,9 @@
             .retain(|_, stream| !stream.is_forgettable(now, limits.stream_memory_us));
     }
 
-    /// Ends a connection that is over and reports all that was queued or open on it, the queue first
-    /// and the streams in the order of their ids. `connected` tells whether it ever came up, and
-    /// `bytes_written` how many bytes it wrote.
+    /// Ends a connection that is over and reports all that was queued or open on it, the queue
+    /// first and the streams in the order of their ids. `connected` tells whether it ever came up,
+    /// and `bytes_written` how many bytes it wrote.
     ///
     /// An attempt that was not written whole can't have run; the others may have. Only a connection
     /// that never came up shows that its server can't be reached.
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -94,8 +94,8 @@
     /// Handles an answer with a copy that is older than the attempt accepts.
     fn reject_old_copy(&mut self, id: String, sent: SentAttempt, events: &mut Vec<UpstreamEvent>) {
         if sent.follows_cancelled {
-            // The answer to the cancelled attempt may have crossed the `abort`: that one is over, and
-            // this one is still open. It happens once, as there is one such answer at the most.
+            // The answer to the cancelled attempt may have crossed the `abort`: that one is over,
+            // and this one is still open. It happens once, as there is one such answer at the most.
             log::info!("ignored an answer to an attempt that was cancelled");
             let sent = SentAttempt {
                 follows_cancelled: false,
@@ -129,8 +129,8 @@
     }
 }
 
-/// Whether an answer brings a copy that is older than the attempt accepts, for instance one from before
-/// a purge. No server may give one, so it is never passed on.
+/// Whether an answer brings a copy that is older than the attempt accepts, for instance one from
+/// before a purge. No server may give one, so it is never passed on.
 fn is_too_old(answer: &ServerAnswer, sent: &SentAttempt) -> bool {
     answer
         .made_ms()
--- a/crates/proxy/src/upstream/stream.rs
+++ b/crates/proxy/src/upstream/stream.rs
@@ -1,4 +1,5 @@
-//! The states of a stream, which is what a connection holds open under one id, and their transitions.
+//! The states of a stream, which is what a connection holds open under one id, and their
+//! transitions.
 
 use super::UpstreamEvent;
 use crate::request_table::AttemptId;
@@ -9,17 +10,18 @@
 pub(super) enum Stream {
     /// An attempt whose command is written or lies in the output buffer.
     Attempt(SentAttempt),
-    /// A cancelled attempt. A further attempt of the request at this server must follow the `abort`,
-    /// so it takes this connection: on another one the server might read it first and have two of one
-    /// id at once.
+    /// A cancelled attempt. A further attempt of the request at this server must follow the
+    /// `abort`, so it takes this connection: on another one the server might read it first and have
+    /// two of one id at once.
     Cancelled {
         /// When it was cancelled.
         at: Micros,
         /// Present until the cancellation is reported.
         unreported: Option<UnreportedCancellation>,
     },
-    /// An attempt that was answered, but not served. A further attempt of the request may follow, and a
-    /// second copy of the answer would be taken for the answer to that, so it takes another connection.
+    /// An attempt that was answered, but not served. A further attempt of the request may follow,
+    /// and a second copy of the answer would be taken for the answer to that, so it takes another
+    /// connection.
     Answered {
         /// When the answer came.
         at: Micros,
@@ -157,8 +159,10 @@
     /// Whether a copy that the origin gave out at this Unix millisecond is older than the attempt
     /// accepts. The millisecond is counted to its end, so that no copy is rejected for rounding.
     pub(super) fn is_copy_too_old(&self, made_ms: u64) -> bool {
+        // Saturating, as the server may name any number.
+        let made_us = made_ms.saturating_add(1).saturating_mul(1000);
         self.max_age_us
-            .is_some_and(|max_age_us| (made_ms + 1) * 1000 + max_age_us < self.sent_at)
+            .is_some_and(|max_age_us| made_us.saturating_add(max_age_us) < self.sent_at)
     }
 }
 
--- a/crates/proxy/src/upstream/timeouts.rs
+++ b/crates/proxy/src/upstream/timeouts.rs
@@ -1,5 +1,5 @@
-//! Signs that a connection is of no further use: an answer that stopped part way, a server from which
-//! nothing comes back, a socket that takes no bytes, input that can't be read.
+//! Signs that a connection is of no further use: an answer that stopped part way, a server from
+//! which nothing comes back, a socket that takes no bytes, input that can't be read.
 
 use super::UpstreamConnection;
 use crate::limits::Limits;
@@ -48,8 +48,8 @@
         self.garbled = true;
     }
 
-    /// Input arrived that can be read: the end of an answer or none, and the beginning of the next one
-    /// or none.
+    /// Input arrived that can be read: the end of an answer or none, and the beginning of the next
+    /// one or none.
     pub(super) fn received(&mut self, now: Micros, completed_answer: bool, partial_answer: bool) {
         let began_at = self
             .partial_answer_since
@@ -80,8 +80,8 @@
             .is_some_and(|since| since + limits.unawaited_answer_timeout_us < self.last_received)
     }
 
-    /// When the partial answer, if there is one, has to be whole. Its bytes must not pause for longer
-    /// than one limit, and if nobody awaits it, it must not last longer than another in all.
+    /// When the partial answer, if there is one, has to be whole. Its bytes must not pause for
+    /// longer than one limit, and if nobody awaits it, it must not last longer than another in all.
     fn partial_answer_deadline(&self, limits: &Limits, awaited: bool) -> Option<Micros> {
         let since = self.partial_answer_since?;
         let pause_deadline = self.last_received + limits.partial_answer_timeout_us;
@@ -114,8 +114,8 @@
 }
 
 impl UpstreamConnection {
-    /// When the answer that has arrived in part will have stopped short, or nobody will wait for its
-    /// end any more; none: no answer has arrived in part.
+    /// When the answer that has arrived in part will have stopped short, or nobody will wait for
+    /// its end any more; none: no answer has arrived in part.
     pub fn partial_answer_deadline(&self, limits: &Limits) -> Option<Micros> {
         let id = self
             .answers
@@ -126,7 +126,8 @@
         self.liveness.partial_answer_deadline(limits, awaited)
     }
 
-    /// Whether what arrives next can be read: nothing so far was garbled, and no answer stopped short.
+    /// Whether what arrives next can be read: nothing so far was garbled, and no answer stopped
+    /// short.
     pub fn is_readable(&self, now: Micros, limits: &Limits) -> bool {
         let stopped_short = self
             .partial_answer_deadline(limits)
--- a/crates/proxy/src/upstream/write.rs
+++ b/crates/proxy/src/upstream/write.rs
@@ -1,4 +1,5 @@
-//! Writing: moves queued attempts into the output buffer and reports cancellations that have settled.
+//! Writing: moves queued attempts into the output buffer and reports cancellations that have
+//! settled.
 
 use super::command;
 use super::stream::{SentAttempt, Stream};
@@ -16,9 +17,9 @@
 }
 
 impl UpstreamConnection {
-    /// Writes what the socket takes, starts queued attempts and reports settled cancellations. Attempts
-    /// that must not begin any more are reported as not sent. False if the connection is broken, takes
-    /// nothing more or can't be read any more, and must be closed.
+    /// Writes what the socket takes, starts queued attempts and reports settled cancellations.
+    /// Attempts that must not begin any more are reported as not sent. False if the connection is
+    /// broken, takes nothing more or can't be read any more, and must be closed.
     pub fn flush(
         &mut self,
         now: Micros,
@@ -110,8 +111,8 @@
         true
     }
 
-    /// Reports cancellations whose `abort` was written `Limits::cancel_settle_us` ago. It needs that
-    /// time to arrive: a further attempt at a nearer server must not overtake it.
+    /// Reports cancellations whose `abort` was written `Limits::cancel_settle_us` ago. It needs
+    /// that time to arrive: a further attempt at a nearer server must not overtake it.
     fn report_settled_cancellations(
         &mut self,
         context: &WriteContext,
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -118,7 +118,8 @@
         attempt
     }
 
-    /// The request table admits no two requests of one id at a time, so earlier ones have to be over.
+    /// The request table admits no two requests of one id at a time, so earlier ones have to be
+    /// over.
     fn end_requests_with(&mut self, id: &str) {
         for (_, attempt) in self.sent.iter().filter(|(sent_id, _)| sent_id == id) {
             self.request_table
@@ -249,8 +250,8 @@
     }
 }
 
-/// Two connected sockets with little space between them, so that a server which reads nothing is soon
-/// noticed: the proxy's end and the server's.
+/// Two connected sockets with little space between them, so that a server which reads nothing is
+/// soon noticed: the proxy's end and the server's.
 fn socket_pair() -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     sockopt::set_socket_recv_buffer_size(&listener, 4096).unwrap();
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -1,5 +1,5 @@
-//! Connections to cache servers: what becomes of attempts when they are cancelled or withdrawn, when an
-//! answer is late, old or partial, and when the connection closes.
+//! Connections to cache servers: what becomes of attempts when they are cancelled or withdrawn,
+//! when an answer is late, old or partial, and when the connection closes.
 
 #[path = "support/upstream.rs"]
 mod fixture;
@@ -154,8 +154,8 @@
     let mut fixture = Fixture::connected();
     let attempt = fixture.send("01");
     assert_eq!(fixture.load_if_available("02"), Some(1));
-    // The server was last heard before the attempt: a short silence is a pause, a long one may be the
-    // end.
+    // The server was last heard before the attempt: a short silence is a pause, a long one may be
+    // the end.
     let longest_pause_us = fixture.limits.unresponsive_after_us;
     for (silence_us, load) in [(longest_pause_us, Some(0)), (longest_pause_us + 1, None)] {
         let begun_at = NOW - silence_us;
@@ -328,3 +328,17 @@
     }
     unreachable!("the buffers between the sockets are bounded")
 }
+
+#[test]
+fn a_creation_time_in_the_far_future_is_not_too_old() {
+    for made_ms in [u64::MAX, u64::MAX / 1000, NOW] {
+        let mut fixture = Fixture::connected();
+        fixture.purge_object("01-object", NOW - 2_000);
+        let attempt = fixture.send("01");
+        assert_eq!(
+            fixture.receive_copy("01", made_ms),
+            [End::new(attempt, Outcome::Ok)],
+            "{made_ms}"
+        );
+    }
+}
