--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -32,6 +32,29 @@
     assert_eq!(fixture.close(false), expected);
 }
 
+#[test]
+fn closing_reports_an_attempt_written_in_part_as_never_sent() {
+    let mut fixture = Fixture::connected();
+    // The server reads nothing, so the socket soon takes an attempt only in part.
+    let mut number = 0;
+    let mut last = fixture.send("first");
+    while fixture.socket.output.is_empty() {
+        last = fixture.send_with_body(&format!("{number:04}"), vec![b'.'; 3000]);
+        number += 1;
+    }
+    let ends = fixture.close(true);
+    assert_eq!(ends.len(), number + 1);
+    for end in ends {
+        let is_last = end.attempt == last;
+        let expected = if is_last {
+            Outcome::NotSent
+        } else {
+            Outcome::Reset
+        };
+        assert_eq!(end.outcome, expected);
+    }
+}
+
 #[test]
 fn a_connection_that_came_up_and_closed_does_not_report_its_server_as_unreachable() {
     let mut fixture = Fixture::connecting();
@@ -197,6 +220,17 @@
     );
 }
 
+#[test]
+fn a_connection_is_unreadable_once_an_answer_has_stopped_part_way() {
+    let mut fixture = Fixture::connected();
+    fixture.send("01");
+    fixture.receive(PARTIAL_ANSWER);
+    let deadline = NOW + fixture.limits.partial_answer_timeout_us;
+    let connection = &fixture.connection;
+    assert!(connection.is_readable(deadline - 1, &fixture.limits));
+    assert!(!connection.is_readable(deadline, &fixture.limits));
+}
+
 #[test]
 fn attempts_on_a_connection_with_a_partial_answer_may_have_run() {
     let mut fixture = Fixture::connected();
