--- a/crates/sim-adapter/src/wire.rs
+++ b/crates/sim-adapter/src/wire.rs
@@ -218,7 +218,7 @@
         let i = int(m, "i")?;
         match kind {
             "Born" => {
-                let settings = from_json(need(m, "setup")?)?;
+                let settings = from_json(need(m, "setup")?).map_err(|e| e.to_string())?;
                 let router =
                     w::Router::new(settings, int(m, "nonce64")?).map_err(|e| e.to_string())?;
                 self.routers.insert(i, router);
