--- a/crates/settings/src/json.rs
+++ b/crates/settings/src/json.rs
@@ -139,3 +139,17 @@
         }
     }
 }
+
+/// Reads a JSON text.
+pub fn read_str<'de, T: Deserialize<'de>>(text: &'de str) -> Result<T, ReadError> {
+    // Keeping track of the path costs time, so it is done for texts with an error only.
+    serde_json::from_str(text).or_else(|_| {
+        let mut deserializer = serde_json::Deserializer::from_str(text);
+        let value = serde_path_to_error::deserialize(&mut deserializer)?;
+        deserializer.end().map_err(|source| ReadError {
+            path: ".".to_owned(),
+            source,
+        })?;
+        Ok(value)
+    })
+}
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -90,9 +90,9 @@
     assert!(from_json(&document).unwrap().classes[0].multipart);
 }
 
-#[test]
-fn errors_name_the_faulty_key() {
-    for (pointer, value, expected) in [
+/// Pointer to a value, what it is replaced by, and what the error then says.
+fn faults() -> Vec<(&'static str, Value, &'static str)> {
+    vec![
         ("/zone", json!(3), "field 'zone'"),
         ("/zone", Value::Null, "field 'zone'"),
         ("/limits", json!([]), "field 'limits'"),
@@ -139,7 +139,12 @@
         ("/categories", json!([[]]), "field 'categories[0]'"),
         ("", json!({"localities": ["here"]}), "missing field `zone`"),
         ("", json!([]), "expected an object"),
-    ] {
+    ]
+}
+
+#[test]
+fn errors_name_the_faulty_key() {
+    for (pointer, value, expected) in faults() {
         let mut document = minimal();
         if pointer.is_empty() || document.pointer(pointer).is_some() {
             *document.pointer_mut(pointer).unwrap() = value.clone();
--- a/crates/sim-adapter/src/main.rs
+++ b/crates/sim-adapter/src/main.rs
@@ -1,36 +1,48 @@
-//! Hosts many router instances on the bench's wire: one JSON value a line in, one a line out. No decisions here.
+//! Hosts many routing instances on the simulator's line protocol: batches of events on standard input, batches of
+//! actions on standard output, one JSON object a line. All decisions are those of `edge-routing`.
 
-mod wire;
+mod action_message;
+mod error;
+mod event_message;
+mod host;
 
-use std::io::{self, BufRead, BufWriter, Write};
+use error::AdapterError;
+use host::Host;
+use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-fn run(input: impl BufRead, out: impl Write) -> Result<(), String> {
-    let mut out = BufWriter::with_capacity(1 << 16, out);
-    let mut host = wire::Host::default();
-    for (number, line) in input.lines().enumerate() {
-        let line = line.map_err(|e| format!("line {}: {e}", number + 1))?;
-        if line.trim().is_empty() {
-            continue;
-        }
-        if let Some(reply) = host
-            .line(&line)
-            .map_err(|e| format!("line {}: {e}", number + 1))?
-        {
-            out.write_all(reply.as_bytes())
-                .and_then(|()| out.flush())
-                .map_err(|e| e.to_string())?;
-        }
-    }
-    Ok(())
-}
-
 fn main() -> ExitCode {
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("edge-sim-adapter: {message}");
+        Err(error) => {
+            eprintln!("edge-sim-adapter: {error}");
             ExitCode::from(2)
         }
     }
 }
+
+/// Answers batches until the input ends. Each reply is written whole and flushed.
+fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), AdapterError> {
+    let mut host = Host::default();
+    let mut line = String::new();
+    for number in 1.. {
+        line.clear();
+        let length = input
+            .read_line(&mut line)
+            .map_err(|source| AdapterError::Input { number, source })?;
+        if length == 0 {
+            break;
+        }
+        if line.trim().is_empty() {
+            continue;
+        }
+        let reply = host
+            .handle_line(&line)
+            .map_err(|source| AdapterError::Line { number, source })?;
+        if let Some(reply) = reply {
+            output.write_all(&reply).map_err(AdapterError::Output)?;
+            output.flush().map_err(AdapterError::Output)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/sim-adapter/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -1,4 +1,4 @@
-//! The adapter as a process: a batch of our own writing for each event and action, and bad input.
+//! The adapter as a process: batches that hold every event and cause every kind of action, and invalid input.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -35,7 +35,7 @@
  {"store":5,"campus":"hub","shape":"mid","group":1,"weight":30,"state":1},
  {"store":6,"campus":"hub","shape":"root","group":2,"weight":1,"state":1,"note":"unknown fields are skipped"}]}"#;
 
-fn flat(text: &str) -> String {
+fn on_one_line(text: &str) -> String {
     text.replace('\n', "")
 }
 
@@ -47,7 +47,7 @@
 }
 
 fn born() -> String {
-    flat(&format!(
+    on_one_line(&format!(
         "{{\"event_type\":\"Born\",\"i\":0,\"nonce64\":12,\"setup\":{SETUP}}}"
     ))
 }
@@ -73,13 +73,13 @@
         .collect()
 }
 
-fn has(lines: &[String], parts: &[&str]) -> bool {
+fn any_line_has(lines: &[String], parts: &[&str]) -> bool {
     lines.iter().any(|l| parts.iter().all(|p| l.contains(p)))
 }
 
-#[test]
-fn every_event_is_read_and_each_action_written() {
-    let input = batch(1_000_000, 1, &[born(), flat(LIST)])
+/// Batches that hold every event.
+fn every_event() -> String {
+    batch(1_000_000, 1, &[born(), on_one_line(LIST)])
         + &batch(1_002_000, 2, &[order(7, "film", 4_000_000), order(8, "post", 4_000_000), order(9, "film", 0)])
         + &batch(1_004_000, 3, &[resolved(7, 4, "ok", true), resolved(8, 6, "reset", false)])
         + &batch(1_006_000, 4, &[order(10, "film", 4_000_000)])
@@ -98,17 +98,21 @@
                 "{\"event_type\":\"SomethingNew\",\"i\":0}".into(),
             ],
         )
-        + &batch(1_070_000, 7, &["{\"event_type\":\"Stop\",\"i\":0}".into()]);
-    let out = run(&input);
+        + &batch(1_070_000, 7, &["{\"event_type\":\"Stop\",\"i\":0}".into()])
+}
+
+#[test]
+fn every_event_is_read_and_every_action_is_written() {
+    let out = run(&every_event());
     assert!(
         out.status.success(),
         "{}",
         String::from_utf8_lossy(&out.stderr)
     );
-    let l = lines(&out);
-    assert_eq!(l.iter().filter(|l| l.contains("\"Ack\"")).count(), 7);
-    assert!(has(
-        &l,
+    let lines = lines(&out);
+    assert_eq!(lines.iter().filter(|l| l.contains("\"Ack\"")).count(), 7);
+    assert!(any_line_has(
+        &lines,
         &[
             "ReadThrough",
             "\"request-id\":7",
@@ -118,24 +122,30 @@
         ]
     ));
     assert!(
-        has(&l, &["ReadThrough", "\"request-id\":8", "\"store\":6"]),
+        any_line_has(&lines, &["ReadThrough", "\"request-id\":8", "\"store\":6"]),
         "a write goes to the origin"
     );
-    assert!(has(
-        &l,
+    assert!(any_line_has(
+        &lines,
         &["PushBack", "\"request-id\":9", "\"retry-after-us\":200000"]
     ));
-    assert!(has(&l, &["Abort", "\"request-id\":8"]));
-    assert!(has(&l, &["Retract", "\"request-id\":10", "\"go\":0"]));
-    assert!(has(&l, &["After", "\"at-us\":1110000", "\"ctx\":0"]));
-    assert!(has(
-        &l,
+    assert!(any_line_has(&lines, &["Abort", "\"request-id\":8"]));
+    assert!(any_line_has(
+        &lines,
+        &["Retract", "\"request-id\":10", "\"go\":0"]
+    ));
+    assert!(any_line_has(
+        &lines,
+        &["After", "\"at-us\":1110000", "\"ctx\":0"]
+    ));
+    assert!(any_line_has(
+        &lines,
         &["ReadThrough", "\"request-id\":11", "\"how-old-us\":5000"]
     ));
 }
 
 #[test]
-fn a_line_that_is_not_json_ends_it_with_a_message() {
+fn a_line_that_is_not_json_is_a_fatal_error_with_its_line_number() {
     let out = run("{\"event_type\":\"Clock\",\"at-time-us\":1,\"round\":1}\nnot json\n");
     assert!(!out.status.success());
     let message = String::from_utf8_lossy(&out.stderr).into_owned();
@@ -146,7 +156,7 @@
 }
 
 #[test]
-fn a_missing_field_is_named() {
+fn an_error_names_the_missing_field() {
     let input = batch(
         1,
         1,
@@ -159,15 +169,15 @@
     assert!(!out.status.success());
     let message = String::from_utf8_lossy(&out.stderr).into_owned();
     assert!(
-        message.contains("line 3") && message.contains("'grade'"),
+        message.contains("line 3") && message.contains("`grade`"),
         "{message}"
     );
     let out = run("{\"event_type\":\"Clock\",\"at-time-us\":1}\n");
-    assert!(String::from_utf8_lossy(&out.stderr).contains("'round'"));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("`round`"));
 }
 
 #[test]
-fn a_batch_cut_off_is_not_answered_and_the_end_of_input_is_no_error() {
+fn a_truncated_batch_gets_no_reply_and_end_of_input_is_a_normal_exit() {
     let out = run("{\"event_type\":\"Clock\",\"at-time-us\":1,\"round\":1}\n");
     assert!(out.status.success());
     assert!(out.stdout.is_empty());
@@ -175,7 +185,7 @@
 }
 
 #[test]
-fn unusable_settings_end_it_with_a_message() {
+fn invalid_settings_are_a_fatal_error() {
     let born = born().replace("\"tip-after-us\":1000000", "\"tip-after-us\":0");
     let out = run(&batch(1, 1, &[born]));
     assert!(!out.status.success());
