--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -67,7 +67,7 @@
     let known = object(m, "known")?;
     let events = list(known, "batch")?
         .iter()
-        .map(read_event)
+        .map(|event| read_event(event).map_err(|e| e.to_string()))
         .collect::<Result<_>>()?;
     Ok((int_or(known, "offset", 0)?, events))
 }
--- a/crates/proxy/src/discovery/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -1,34 +1,72 @@
-//! Consul as a source of the list of boxes: its health API by blocking queries, its catalogue for what is gone.
+//! Consul as a source of the endpoint list: blocking queries of its health API, and its catalogue for what is no longer
+//! registered. The two queries take turns; together they give one list.
 
-use crate::discovery::event_bus::entry;
+use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
 use crate::protocol::http::{Head, Messages, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::ListedServer;
 use edge_routing::EndpointState;
-use edge_settings::{get, int, list, object, text, wrong, Fields, Result};
+use edge_settings::json::{read, Object, ReadError, Tolerant, WholeNumber};
+use serde::Deserialize;
 use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// What the next query asks.
+/// Why a response of Consul cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConsulError {
+    /// The query ended without a response.
+    #[error("no answer")]
+    NoAnswer,
+    /// The status is not 200.
+    #[error("Consul answered '{status_line}'")]
+    Status {
+        /// The first line of the response.
+        status_line: String,
+    },
+    /// The body is not JSON.
+    #[error("Consul's answer is not JSON: {0}")]
+    NotJson(#[from] serde_json::Error),
+    /// The body is not a JSON list.
+    #[error("Consul's answer is not a list")]
+    NotAList,
+    /// An item of the list cannot be read.
+    #[error("Consul's answer: {0}")]
+    Item(#[from] ReadError),
+    /// A field of an instance is missing or cannot be read.
+    #[error("Consul's answer: instance '{instance}': field '{key}' is missing or invalid")]
+    Field {
+        /// The instance's id.
+        instance: String,
+        /// The key.
+        key: &'static str,
+    },
+}
+
+/// Which query is next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Asks {
-    /// The instances with their checks; waits for a change.
+enum Query {
+    /// The instances with their checks; Consul answers once there is a change.
     Health,
-    /// What is registered at all.
+    /// All instances that are registered.
     Catalogue,
 }
 
-/// The state of one deployment's list as Consul tells it.
+/// The endpoint list as Consul has it, and which query is next.
 pub struct Consul {
     service: String,
+    /// How long a health query waits for a change, in seconds.
     wait_s: u64,
+    /// Consul's index of the last health response; 0: all of it is asked for.
     index: u64,
-    asks: Asks,
+    next_query: Query,
+    /// Instances of the last health response.
     healthy: Vec<ListedServer>,
-    told: Vec<ListedServer>,
+    /// The list that was last given out.
+    published: Vec<ListedServer>,
 }
 
-/// One call.
+/// The client's side of one query: collects the response.
 pub struct ConsulQuery {
     messages: Messages,
     head: Option<Head>,
@@ -36,7 +74,7 @@
 }
 
 impl ConsulQuery {
-    /// A call just begun.
+    /// A query that begins now.
     pub fn new(limits: &Limits) -> Self {
         ConsulQuery {
             messages: Messages::responses(limits.line_bytes, limits.endpoint_list_bytes),
@@ -45,11 +83,8 @@
         }
     }
 
-    /// Takes bytes in; gives the response once it is whole.
-    pub fn read(
-        &mut self,
-        mut input: &[u8],
-    ) -> std::result::Result<Option<(Head, Vec<u8>)>, ProtocolError> {
+    /// Reads bytes that have arrived. Gives head and body of the response once it is complete.
+    pub fn read(&mut self, mut input: &[u8]) -> Result<Option<(Head, Vec<u8>)>, ProtocolError> {
         loop {
             let (taken, piece) = self.messages.parse(input)?;
             input = &input[taken..];
@@ -66,116 +101,226 @@
     }
 }
 
-/// An instance of the service as an entry of the list, in the words of the event bus.
-fn instance(v: &Value) -> Result<ListedServer> {
-    let m = v.as_object().ok_or_else(|| wrong("instance"))?;
-    let (node, service) = (object(m, "Node")?, object(m, "Service")?);
-    let meta = if get(service, "Meta").is_some() {
-        object(service, "Meta")?
-    } else {
-        &Fields::new()
-    };
-    let mut words = Fields::new();
-    for (key, value) in meta {
-        // Consul holds texts only.
-        let text = value.as_str().ok_or_else(|| wrong("Meta"))?;
-        let number = matches!(key.as_str(), "pod_group" | "capacity_hint" | "boot_ms");
-        let number = text.parse::<f64>().ok().filter(|_| number).map(Value::from);
-        words.insert(key.clone(), number.unwrap_or_else(|| text.into()));
-    }
-    let address = text(service, "Address").ok().filter(|a| !a.is_empty());
-    let address = address.map_or_else(|| text(node, "Address"), Ok)?;
-    let critical =
-        |check: &Value| check["Status"] == "critical" || check["Status"] == "maintenance";
-    let draining = list(m, "Checks")?.iter().any(critical);
-    words.insert("uid".to_owned(), text(service, "ID")?.into());
-    words.insert(
-        "endpoint".to_owned(),
-        format!("{address}:{}", int(service, "Port")?).into(),
-    );
-    words.insert(
-        "state".to_owned(),
-        if draining { "draining" } else { "ready" }.into(),
-    );
-    entry(&words)
-}
-
 impl Consul {
-    /// A list not told yet; queries wait for so many seconds at most.
+    /// A service whose instances are not known yet. Health queries wait for `wait_s` seconds at most.
     pub fn new(service: String, wait_s: u64) -> Self {
         Consul {
             service,
             wait_s,
             index: 0,
-            asks: Asks::Health,
+            next_query: Query::Health,
             healthy: Vec::new(),
-            told: Vec::new(),
+            published: Vec::new(),
         }
     }
 
-    /// The next query.
+    /// The HTTP request of the next query.
     pub fn request(&self, host: &str) -> Vec<u8> {
-        let service = &self.service;
-        let target = match (self.asks, self.index) {
-            (Asks::Catalogue, _) => format!("/v1/catalog/service/{service}"),
-            (Asks::Health, 0) => format!("/v1/health/service/{service}"),
-            (Asks::Health, index) => {
-                format!(
-                    "/v1/health/service/{service}?index={index}&wait={}s",
-                    self.wait_s
-                )
+        let Consul {
+            service,
+            wait_s,
+            index,
+            ..
+        } = self;
+        let target = match (self.next_query, index) {
+            (Query::Catalogue, _) => format!("/v1/catalog/service/{service}"),
+            (Query::Health, 0) => format!("/v1/health/service/{service}"),
+            (Query::Health, _) => {
+                format!("/v1/health/service/{service}?index={index}&wait={wait_s}s")
             }
         };
         format!("GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
             .into_bytes()
     }
 
-    /// A query failed: what was told stays, and the next one asks for all of it.
+    /// A query has failed: the list stays as it is, and the next query asks for all of it.
     pub fn failed(&mut self) {
         self.index = 0;
-        self.asks = Asks::Health;
+        self.next_query = Query::Health;
     }
 
-    /// Takes a response in; gives the whole list once it has changed.
-    pub fn response(&mut self, head: &Head, body: &[u8]) -> Result<Option<Vec<ListedServer>>> {
+    /// Handles the response to the last query. Gives the whole list where it has changed.
+    pub fn response(
+        &mut self,
+        head: &Head,
+        body: &[u8],
+    ) -> Result<Option<Vec<ListedServer>>, ConsulError> {
         if head.status() != Some(200) {
-            return Err(format!("Consul answered '{}'", head.start));
+            return Err(ConsulError::Status {
+                status_line: head.start.clone(),
+            });
         }
-        let value: Value = serde_json::from_slice(body)
-            .map_err(|e| format!("Consul's answer is not JSON: {e}"))?;
-        let items = value.as_array().ok_or("Consul's answer is not a list")?;
-        if self.asks == Asks::Health {
-            let index = head
-                .header("x-consul-index")
-                .and_then(|v| v.parse().ok())
-                .unwrap_or(0);
-            // An index that went back is of a restored or new server: all of it must be read again.
-            self.index = if index < self.index { 0 } else { index };
-            self.healthy = items.iter().map(instance).collect::<Result<_>>()?;
-            self.asks = Asks::Catalogue;
-            return Ok(None);
+        let value: Value = serde_json::from_slice(body)?;
+        if !value.is_array() {
+            return Err(ConsulError::NotAList);
         }
-        self.asks = Asks::Health;
-        let registered = |e: &ListedServer| items.iter().any(|i| i["ServiceID"] == e.uid.as_str());
-        let mut entries: Vec<ListedServer> = self
-            .healthy
-            .iter()
-            .filter(|e| registered(e))
-            .cloned()
+        match self.next_query {
+            Query::Health => {
+                self.handle_health(head, &value)?;
+                Ok(None)
+            }
+            Query::Catalogue => self.handle_catalogue(&value),
+        }
+    }
+
+    fn handle_health(&mut self, head: &Head, value: &Value) -> Result<(), ConsulError> {
+        let index = head
+            .header("x-consul-index")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        // An index that went back is that of a restored or new Consul: all must be read again.
+        self.index = if index < self.index { 0 } else { index };
+        let instances: Vec<Object<HealthInstance>> = read(value)?;
+        self.healthy = instances
+            .into_iter()
+            .map(|Object(instance)| instance.into_listed_server())
+            .collect::<Result<_, _>>()?;
+        self.next_query = Query::Catalogue;
+        Ok(())
+    }
+
+    fn handle_catalogue(
+        &mut self,
+        value: &Value,
+    ) -> Result<Option<Vec<ListedServer>>, ConsulError> {
+        let items: Vec<Tolerant<Object<CatalogueInstance>>> = read(value)?;
+        let registered: BTreeSet<String> = items
+            .into_iter()
+            .filter_map(Tolerant::valid)
+            .map(|Object(instance)| instance.id)
             .collect();
-        // Still registered, yet without health: its agent is on the way out.
-        let unhealthy = self
-            .told
+        self.next_query = Query::Health;
+        let is_registered = |server: &&ListedServer| registered.contains(&server.uid);
+        let mut servers: Vec<ListedServer> =
+            self.healthy.iter().filter(is_registered).cloned().collect();
+        // Still registered, yet no longer in the health response: its agent is about to leave.
+        let healthy_ids: BTreeSet<&str> = self.healthy.iter().map(|s| s.uid.as_str()).collect();
+        let leaving = self
+            .published
             .iter()
-            .filter(|e| registered(e) && !entries.iter().any(|h| h.uid == e.uid));
-        let mut unhealthy: Vec<ListedServer> = unhealthy.cloned().collect();
-        unhealthy
-            .iter_mut()
-            .for_each(|e| e.endpoint.state = EndpointState::Draining);
-        entries.extend(unhealthy);
-        entries.sort_by(|a, b| a.uid.cmp(&b.uid));
-        let changed = entries != self.told;
-        self.told.clone_from(&entries);
-        Ok(changed.then_some(entries))
+            .filter(is_registered)
+            .filter(|server| !healthy_ids.contains(server.uid.as_str()));
+        servers.extend(leaving.cloned().map(|mut server| {
+            server.endpoint.state = EndpointState::Draining;
+            server
+        }));
+        servers.sort_by(|a, b| a.uid.cmp(&b.uid));
+        if servers == self.published {
+            return Ok(None);
+        }
+        self.published.clone_from(&servers);
+        Ok(Some(servers))
+    }
+}
+
+/// An item of a health response.
+#[derive(Deserialize)]
+struct HealthInstance {
+    #[serde(rename = "Node")]
+    node: Object<Node>,
+    #[serde(rename = "Service")]
+    service: Object<Service>,
+    #[serde(rename = "Checks")]
+    checks: Option<Vec<Tolerant<Object<Check>>>>,
+}
+
+#[derive(Deserialize)]
+struct Node {
+    #[serde(rename = "Address")]
+    address: Option<Tolerant<String>>,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    #[serde(rename = "ID")]
+    id: String,
+    /// Empty: that of the node.
+    #[serde(rename = "Address")]
+    address: Option<Tolerant<String>>,
+    #[serde(rename = "Port")]
+    port: Option<WholeNumber>,
+    /// Optional keys of an [`EndpointEntry`], all of them as text.
+    #[serde(rename = "Meta")]
+    metadata: Option<BTreeMap<String, String>>,
+}
+
+#[derive(Deserialize)]
+struct Check {
+    #[serde(rename = "Status")]
+    status: String,
+}
+
+/// An item of a catalogue response.
+#[derive(Deserialize)]
+struct CatalogueInstance {
+    #[serde(rename = "ServiceID")]
+    id: String,
+}
+
+impl HealthInstance {
+    fn into_listed_server(self) -> Result<ListedServer, ConsulError> {
+        let Object(service) = self.service;
+        let invalid = |key| ConsulError::Field {
+            instance: service.id.clone(),
+            key,
+        };
+        let host = service
+            .address
+            .and_then(Tolerant::valid)
+            .filter(|address| !address.is_empty())
+            .or(self.node.0.address.and_then(Tolerant::valid))
+            .ok_or_else(|| invalid("Address"))?;
+        let port = service.port.ok_or_else(|| invalid("Port"))?.0;
+        let address = format!("{host}:{port}")
+            .parse()
+            .map_err(|_| invalid("Address"))?;
+        let is_draining = self.checks.unwrap_or_default().iter().any(is_critical);
+        let metadata = Metadata(service.metadata.unwrap_or_default());
+        let entry = EndpointEntry {
+            address,
+            state: match is_draining {
+                true => EndpointState::Draining,
+                false => EndpointState::Ready,
+            },
+            zone: metadata.text("az"),
+            cell: metadata.whole_number("pod_group").map_err(invalid)?,
+            kind: metadata.text("model"),
+            weight: metadata.number("capacity_hint").map_err(invalid)?,
+            started_ms: metadata.whole_number("boot_ms").map_err(invalid)?,
+            uid: service.id.clone(),
+        };
+        Ok(entry.into())
+    }
+}
+
+/// Whether a check asks for no new requests. One that cannot be read does not.
+fn is_critical(check: &Tolerant<Object<Check>>) -> bool {
+    check
+        .as_valid()
+        .is_some_and(|Object(check)| matches!(check.status.as_str(), "critical" | "maintenance"))
+}
+
+/// The metadata of a service. An error is the key at fault.
+struct Metadata(BTreeMap<String, String>);
+
+impl Metadata {
+    fn text(&self, key: &str) -> Option<String> {
+        self.0.get(key).cloned()
+    }
+
+    /// A number; one that is not finite counts as absent.
+    fn number(&self, key: &'static str) -> Result<Option<f64>, &'static str> {
+        let Some(text) = self.0.get(key) else {
+            return Ok(None);
+        };
+        let value: f64 = text.parse().map_err(|_| key)?;
+        Ok(Some(value).filter(|value| value.is_finite()))
+    }
+
+    fn whole_number(&self, key: &'static str) -> Result<Option<WholeNumber>, &'static str> {
+        match self.number(key)? {
+            None => Ok(None),
+            Some(value) => WholeNumber::from_f64(value).map(Some).ok_or(key),
+        }
     }
 }
--- /dev/null
+++ b/crates/proxy/src/discovery/endpoint_entry.rs
@@ -0,0 +1,64 @@
+//! An entry of the endpoint list. The event bus writes entries as JSON, and Consul's metadata have the same key names.
+
+use crate::request_table::{server_id, ListedServer};
+use edge_routing::{Endpoint, EndpointState};
+use edge_settings::json::WholeNumber;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+use std::net::SocketAddr;
+
+/// An entry as it stands in JSON.
+#[derive(Debug, Deserialize)]
+pub(super) struct EndpointEntry {
+    /// The server's id, in text.
+    pub uid: String,
+    /// Where the server listens.
+    #[serde(rename = "endpoint")]
+    pub address: SocketAddr,
+    /// `ready`, `draining` or `gone`.
+    #[serde(deserialize_with = "endpoint_state")]
+    pub state: EndpointState,
+    #[serde(rename = "az")]
+    pub zone: Option<String>,
+    #[serde(rename = "pod_group")]
+    pub cell: Option<WholeNumber>,
+    #[serde(rename = "model")]
+    pub kind: Option<String>,
+    #[serde(rename = "capacity_hint")]
+    pub weight: Option<f64>,
+    /// Unix time of the last start, in milliseconds; 0: long ago.
+    #[serde(rename = "boot_ms")]
+    pub started_ms: Option<WholeNumber>,
+}
+
+fn endpoint_state<'de, D: Deserializer<'de>>(deserializer: D) -> Result<EndpointState, D::Error> {
+    let word = String::deserialize(deserializer)?;
+    match word.as_str() {
+        "ready" => Ok(EndpointState::Ready),
+        "draining" => Ok(EndpointState::Draining),
+        "gone" => Ok(EndpointState::Gone),
+        _ => Err(Error::unknown_variant(
+            &word,
+            &["ready", "draining", "gone"],
+        )),
+    }
+}
+
+impl From<EndpointEntry> for ListedServer {
+    fn from(entry: EndpointEntry) -> Self {
+        let started_us = WholeNumber::or(entry.started_ms, 0).saturating_mul(1000);
+        ListedServer {
+            endpoint: Endpoint {
+                id: server_id(&entry.uid),
+                zone: entry.zone.unwrap_or_default(),
+                cell: WholeNumber::or(entry.cell, 0),
+                kind: entry.kind.unwrap_or_default(),
+                weight: entry.weight.unwrap_or(1.0),
+                state: entry.state,
+                started: Some(started_us).filter(|started| *started > 0),
+            },
+            uid: entry.uid,
+            address: entry.address,
+        }
+    }
+}
--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -1,26 +1,26 @@
-//! The event bus: numbered purges and changes of the list of boxes, read as server-sent events.
+//! The event bus: numbered purges and changes of the endpoint list, read as server-sent events over HTTP.
 
+use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
 use crate::protocol::{http, sse, Parser, ProtocolError};
-use crate::request_table::{server_id, ListedServer};
-use edge_routing::{Endpoint, EndpointListMode, EndpointState, Micros};
-use edge_settings::{
-    flag, get, int, int_or, list, num_or, object, text, text_or, wrong, Fields, Result,
-};
+use crate::request_table::ListedServer;
+use edge_routing::{EndpointListMode, Micros};
+use edge_settings::json::{read, Object, ReadError, Tolerant, WholeNumber};
+use serde::Deserialize;
 use serde_json::Value;
 
-/// What an event tells.
+/// What an event of the bus means.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DiscoveryEvent {
-    /// The list of boxes, or changes to it.
+    /// The endpoint list, or changes to it.
     List(EndpointListMode, Vec<ListedServer>),
-    /// An object, or with none a whole group, was purged at this Unix time.
+    /// An object, or with none a whole group, was purged.
     Purge {
         /// The object.
         object: Option<String>,
-        /// The group.
+        /// The group; 0 where an object is named.
         group: u64,
-        /// When.
+        /// Unix time of the purge, in microseconds.
         at: Micros,
     },
 }
@@ -30,150 +30,172 @@
 pub struct EventBusMessage {
     /// Its number.
     pub offset: u64,
-    /// What it tells; none: a kind that is not known here.
+    /// What it means; none: a kind of event that is not known here.
     pub event: Option<DiscoveryEvent>,
 }
 
-/// Reads an entry of the list of boxes.
-pub(crate) fn entry(m: &Fields) -> Result<ListedServer> {
-    let uid = text(m, "uid")?;
-    let endpoint = text(m, "endpoint")?;
-    let state = match text(m, "state")?.as_str() {
-        "ready" => EndpointState::Ready,
-        "draining" => EndpointState::Draining,
-        "gone" => EndpointState::Gone,
-        _ => return Err(wrong("state")),
-    };
-    let described = Endpoint {
-        id: server_id(&uid),
-        zone: text_or(m, "az", "")?,
-        cell: int_or(m, "pod_group", 0)?,
-        kind: text_or(m, "model", "")?,
-        weight: num_or(m, "capacity_hint", 1.0)?,
-        state,
-        started: Some(int_or(m, "boot_ms", 0)? * 1000).filter(|at| *at > 0),
-    };
-    Ok(ListedServer {
-        endpoint: described,
-        uid,
-        address: endpoint.parse().map_err(|_| wrong("endpoint"))?,
-    })
+/// Why an event of the bus cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum EventReadError {
+    /// A key is missing or holds a value of the wrong type.
+    #[error(transparent)]
+    Field(#[from] ReadError),
+    /// The same, within the purge that the event carries.
+    #[error("ban: {0}")]
+    Purge(ReadError),
+    /// A purge names neither an object nor a group.
+    #[error("ban: field 'tag' is missing or not a whole number")]
+    PurgeWithoutTarget,
+}
+
+/// An event as it stands in JSON. It carries either an endpoint list or a purge.
+#[derive(Deserialize)]
+struct RawEvent {
+    offset: WholeNumber,
+    topology: Option<Object<RawEndpointList>>,
+    /// A [`RawPurge`].
+    ban: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct RawEndpointList {
+    /// The entries are the whole list; otherwise they are changes.
+    #[serde(rename = "all")]
+    is_snapshot: Option<bool>,
+    /// An [`EndpointEntry`] each.
+    #[serde(rename = "targets")]
+    entries: Option<Vec<Value>>,
+}
+
+#[derive(Deserialize)]
+struct RawPurge {
+    #[serde(rename = "url")]
+    object: Option<String>,
+    /// Not read where an object is named.
+    #[serde(rename = "tag")]
+    group: Option<Tolerant<WholeNumber>>,
+    /// Unix time in milliseconds.
+    #[serde(rename = "ts")]
+    purged_at_ms: WholeNumber,
 }
 
 /// Reads an event.
-pub fn read_event(value: &Value) -> Result<EventBusMessage> {
-    let m = value.as_object().ok_or("an event is not an object")?;
-    let news = if get(m, "topology").is_some() {
-        let topology = object(m, "topology")?;
-        let mode = if flag(topology, "all")? {
-            EndpointListMode::Snapshot
-        } else {
-            EndpointListMode::Delta
-        };
-        // One that can't be read must not keep the others' drains from being heard.
-        let read = |v: &Value| match v
-            .as_object()
-            .ok_or_else(|| wrong("targets"))
-            .and_then(entry)
-        {
-            Ok(entry) => Some(entry),
-            Err(e) => {
-                log::warn!("an entry of the list was passed over: {e}");
-                None
-            }
-        };
-        Some(DiscoveryEvent::List(
-            mode,
-            list(topology, "targets")?.iter().filter_map(read).collect(),
-        ))
-    } else if get(m, "ban").is_some() {
-        let ban = object(m, "ban")?;
-        let object = get(ban, "url").map(|_| text(ban, "url")).transpose()?;
-        let group = if object.is_some() {
-            0
-        } else {
-            int(ban, "tag")?
-        };
-        Some(DiscoveryEvent::Purge {
-            object,
-            group,
-            at: int(ban, "ts")? * 1000,
-        })
-    } else {
-        None
+pub fn read_event(value: &Value) -> Result<EventBusMessage, EventReadError> {
+    let Object(raw): Object<RawEvent> = read(value)?;
+    let event = match (raw.topology, raw.ban) {
+        (Some(Object(list)), _) => Some(endpoint_list(list)),
+        (None, Some(purge)) => Some(read_purge(&purge)?),
+        (None, None) => None,
     };
     Ok(EventBusMessage {
-        offset: int(m, "offset")?,
-        event: news,
+        offset: raw.offset.0,
+        event,
     })
 }
 
-/// One call to the bus.
-pub struct EventStreamClient {
-    http: http::Messages,
-    events: sse::Events,
-    read: Micros,
+fn endpoint_list(list: RawEndpointList) -> DiscoveryEvent {
+    let mode = match list.is_snapshot {
+        Some(true) => EndpointListMode::Snapshot,
+        _ => EndpointListMode::Delta,
+    };
+    let entries = list.entries.unwrap_or_default();
+    DiscoveryEvent::List(mode, entries.iter().filter_map(read_entry).collect())
 }
 
-/// The request that reads on behind an event.
-pub fn request(host: &str, last: u64) -> Vec<u8> {
+/// Reads an entry of the endpoint list. One that cannot be read is skipped, so that the drains of the others still
+/// take effect.
+fn read_entry(value: &Value) -> Option<ListedServer> {
+    match read::<Object<EndpointEntry>>(value) {
+        Ok(Object(entry)) => Some(entry.into()),
+        Err(error) => {
+            log::warn!("an entry of the endpoint list is skipped: {error}");
+            None
+        }
+    }
+}
+
+fn read_purge(value: &Value) -> Result<DiscoveryEvent, EventReadError> {
+    let Object(purge): Object<RawPurge> = read(value).map_err(EventReadError::Purge)?;
+    let group = match (&purge.object, purge.group) {
+        (Some(_), _) => 0,
+        (None, Some(Tolerant::Valid(group))) => group.0,
+        (None, _) => return Err(EventReadError::PurgeWithoutTarget),
+    };
+    Ok(DiscoveryEvent::Purge {
+        object: purge.object,
+        group,
+        at: purge.purged_at_ms.0.saturating_mul(1000),
+    })
+}
+
+/// The HTTP request for all events after the one with this number.
+pub fn request(host: &str, last_offset: u64) -> Vec<u8> {
     format!(
-        "GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nCache-ControlHandle: no-cache\r\n\
-         Last-Event-ID: {last}\r\n\r\n"
+        "GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\n\
+         Last-Event-ID: {last_offset}\r\n\r\n"
     )
     .into_bytes()
 }
 
+/// The client's side of one connection to the event bus: reads the response, which goes on until the connection ends.
+pub struct EventStreamClient {
+    http: http::Messages,
+    events: sse::Events,
+    last_read: Micros,
+}
+
 impl EventStreamClient {
-    /// A call just begun.
+    /// The client of a connection that begins now.
     pub fn new(limits: &Limits, now: Micros) -> Self {
-        let http = http::Messages::responses(limits.line_bytes, usize::MAX);
         EventStreamClient {
-            http,
+            http: http::Messages::responses(limits.line_bytes, usize::MAX),
             events: sse::Events::new(limits.endpoint_list_bytes),
-            read: now,
+            last_read: now,
         }
     }
 
-    /// When something last came.
+    /// When something last arrived.
     pub fn last_read(&self) -> Micros {
-        self.read
+        self.last_read
     }
 
-    /// Takes bytes in: how many, and the events that became whole, those after `last` only.
+    /// Reads bytes that have arrived. Gives the events that are complete by them and have a number above
+    /// `last_offset`, and moves that on. An error ends the connection.
     pub fn read(
         &mut self,
         now: Micros,
         mut input: &[u8],
-        last: &mut u64,
-    ) -> std::result::Result<Vec<EventBusMessage>, ProtocolError> {
-        self.read = now;
-        let mut events = Vec::new();
+        last_offset: &mut u64,
+    ) -> Result<Vec<EventBusMessage>, ProtocolError> {
+        self.last_read = now;
+        let mut messages = Vec::new();
         loop {
             let (taken, piece) = self.http.parse(input)?;
             input = &input[taken..];
             match piece {
-                None => return Ok(events),
+                None => return Ok(messages),
                 Some(http::Piece::Head(head)) if head.status() != Some(200) => {
                     return Err(ProtocolError::Malformed("the event bus's answer"));
                 }
                 Some(http::Piece::Head(_)) => {}
-                Some(http::Piece::Body(bytes)) => self.body(&bytes, last, &mut events)?,
+                Some(http::Piece::Body(bytes)) => {
+                    self.read_body(&bytes, last_offset, &mut messages)?;
+                }
                 Some(http::Piece::End) => {
                     return Err(ProtocolError::Malformed(
                         "the end of the event bus's stream",
-                    ))
+                    ));
                 }
             }
         }
     }
 
-    fn body(
+    fn read_body(
         &mut self,
         mut bytes: &[u8],
-        last: &mut u64,
-        events: &mut Vec<EventBusMessage>,
-    ) -> std::result::Result<(), ProtocolError> {
+        last_offset: &mut u64,
+        messages: &mut Vec<EventBusMessage>,
+    ) -> Result<(), ProtocolError> {
         while !bytes.is_empty() {
             let (taken, event) = self.events.parse(bytes)?;
             bytes = &bytes[taken..];
@@ -181,13 +203,13 @@
             let value = serde_json::from_str(&event.data)
                 .map_err(|_| ProtocolError::Malformed("an event"))?;
             match read_event(&value) {
-                // A repeat after a reconnection is old news: the list must not step back.
-                Ok(event) if event.offset > *last => {
-                    *last = event.offset;
-                    events.push(event);
+                Ok(message) if message.offset > *last_offset => {
+                    *last_offset = message.offset;
+                    messages.push(message);
                 }
+                // A repeat after a reconnection: the list must not go back to an earlier state.
                 Ok(_) => {}
-                Err(e) => log::warn!("an event of the bus was passed over: {e}"),
+                Err(error) => log::warn!("an event of the bus is skipped: {error}"),
             }
         }
         Ok(())
--- a/crates/proxy/src/discovery/purge_gossip.rs
+++ b/crates/proxy/src/discovery/purge_gossip.rs
@@ -1,65 +1,53 @@
-//! Datagrams between the proxies of one installation: purges that only one of them was told of.
+//! Purge gossip: datagrams by which the proxies of one installation pass on the purges that only one of them was
+//! notified of. The purge log holds the same text, one purge a line.
+//!
+//! `purge object OBJECT UNIX_US` or `purge group NUMBER UNIX_US`, in ASCII, with one space between words.
 
 use edge_routing::Micros;
 
-/// The longest datagram that the platform carries.
-pub const MOST: usize = 256;
+/// The longest datagram that the platform carries, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 256;
 
-/// A purge: of an object, or with none of a group, and when.
-pub type Purge = (Option<String>, u64, Micros);
+/// A purge of an object, or of a whole group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Purge {
+    /// The object; none: all objects of the group.
+    pub object: Option<String>,
+    /// The group; 0 where an object is named.
+    pub group: u64,
+    /// Unix time of the purge, in microseconds.
+    pub purged_at: Micros,
+}
 
-/// A purge as a datagram.
-pub fn write(object: Option<&str>, group: u64, at: Micros) -> Option<String> {
+/// A purge as a datagram; none where it would be too long.
+pub fn encode(purge: &Purge) -> Option<String> {
+    let Purge {
+        object,
+        group,
+        purged_at,
+    } = purge;
     let text = match object {
-        Some(object) => format!("purge object {object} {at}"),
-        None => format!("purge group {group} {at}"),
+        Some(object) => format!("purge object {object} {purged_at}"),
+        None => format!("purge group {group} {purged_at}"),
     };
-    (text.len() <= MOST).then_some(text)
+    (text.len() <= MAX_DATAGRAM_BYTES).then_some(text)
 }
 
-/// Object, group and time of a purge, if the datagram is one.
-pub fn read(bytes: &[u8]) -> Option<Purge> {
-    let text = std::str::from_utf8(bytes)
-        .ok()
-        .filter(|t| t.len() <= MOST)?;
-    let mut words = text.split(' ');
-    let (Some("purge"), kind, what, at) =
-        (words.next(), words.next()?, words.next()?, words.next()?)
-    else {
+/// The purge that a datagram holds; none where it is not a purge.
+pub fn decode(datagram: &[u8]) -> Option<Purge> {
+    if datagram.len() > MAX_DATAGRAM_BYTES {
         return None;
-    };
-    let at = at.parse().ok().filter(|_| words.next().is_none())?;
-    match kind {
-        "object" => Some((Some(what.to_owned()), 0, at)),
-        "group" => Some((None, what.parse().ok()?, at)),
-        _ => None,
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn datagrams_come_back_as_they_were_and_stay_short() {
-        assert_eq!(
-            read(write(Some("0a"), 0, 7).unwrap().as_bytes()),
-            Some((Some("0a".into()), 0, 7))
-        );
-        assert_eq!(
-            read(write(None, 9, 8).unwrap().as_bytes()),
-            Some((None, 9, 8))
-        );
-        assert_eq!(write(Some(&"a".repeat(250)), 0, 1), None);
-        for bad in [
-            "",
-            "purge",
-            "purge group x 1",
-            "purge group 1 1 1",
-            "purge object a -1",
-            "hello a b 1",
-        ] {
-            assert_eq!(read(bad.as_bytes()), None, "{bad}");
-        }
     }
+    let text = std::str::from_utf8(datagram).ok()?;
+    let words: Vec<&str> = text.splitn(5, ' ').collect();
+    let (object, group, purged_at) = match words[..] {
+        ["purge", "object", object, purged_at] => (Some(object.to_owned()), 0, purged_at),
+        ["purge", "group", group, purged_at] => (None, group.parse().ok()?, purged_at),
+        _ => return None,
+    };
+    Some(Purge {
+        object,
+        group,
+        purged_at: purged_at.parse().ok()?,
+    })
 }
--- a/crates/proxy/src/discovery/purge_log.rs
+++ b/crates/proxy/src/discovery/purge_log.rs
@@ -1,126 +1,111 @@
-//! A file of the purges that only this proxy and its peers were told of: the boxes hear nothing of them, so a
-//! proxy that starts again must know them.
+//! The purge log: a file of the purges that only this proxy and its peers were notified of. Cache servers do not learn of
+//! them, so a proxy that starts again must read them back.
+//!
+//! Each line is a purge as [`purge_gossip`](super::purge_gossip) encodes it.
 
-use crate::discovery::purge_gossip::{self as peers, Purge};
+use crate::discovery::purge_gossip::{decode, encode, Purge};
+use edge_routing::Micros;
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// The file, and what stands in it.
+/// The file is rewritten once it has more lines than two for each purge plus this many.
+pub const REWRITE_SLACK_LINES: usize = 1024;
+
+/// What a purge names: an object, or with none a group.
+type PurgeTarget = (Option<String>, u64);
+
+/// The file, and the purges in it.
 pub struct PurgeLog {
     path: PathBuf,
     file: File,
+    /// Lines in the file.
     lines: usize,
-    last: BTreeMap<(Option<String>, u64), u64>,
+    /// Unix time of the last purge of each target, in microseconds.
+    last_purges: BTreeMap<PurgeTarget, Micros>,
 }
 
-/// Lines beyond two a purge that the file may have before it is written anew.
-const SLACK: usize = 1024;
-
 impl PurgeLog {
-    /// Reads the file, if there is one, and writes it anew: a line that a crash cut off must not run into the
-    /// next.
+    /// Reads the file, if there is one, and rewrites it: a line that a crash cut off must not run into the next one.
+    /// Fails where the file cannot be read or written; a line that is not a purge is skipped.
     pub fn open(path: &Path) -> io::Result<Self> {
         let text = match fs::read(path) {
             Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
-            Err(e) => return Err(e),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => String::new(),
+            Err(error) => return Err(error),
         };
-        let mut last = BTreeMap::new();
+        let mut last_purges = BTreeMap::new();
         for line in text.split_inclusive('\n') {
-            match line
-                .strip_suffix('\n')
-                .and_then(|line| peers::read(line.as_bytes()))
-            {
-                Some((object, group, at)) => {
-                    let known = last.entry((object, group)).or_insert(at);
-                    *known = at.max(*known);
-                }
-                None => log::warn!("{}: a line that is no purge is passed over", path.display()),
-            }
+            let Some(purge) = read_line(line) else {
+                log::warn!("{}: a line that is not a purge is skipped", path.display());
+                continue;
+            };
+            let last = last_purges
+                .entry((purge.object, purge.group))
+                .or_insert(purge.purged_at);
+            *last = purge.purged_at.max(*last);
         }
-        let (file, lines) = (Self::write(path, &last)?, last.len());
         Ok(PurgeLog {
             path: path.to_owned(),
-            file,
-            lines,
-            last,
+            file: rewrite(path, &last_purges)?,
+            lines: last_purges.len(),
+            last_purges,
         })
     }
 
-    /// The file as a whole, put in its place at once.
-    fn write(path: &Path, last: &BTreeMap<(Option<String>, u64), u64>) -> io::Result<File> {
-        let mut beside = path.as_os_str().to_owned();
-        beside.push(".new");
-        let mut file = File::create(&beside)?;
-        let lines = last
-            .iter()
-            .filter_map(|((object, group), at)| peers::write(object.as_deref(), *group, *at));
-        file.write_all(lines.map(|line| line + "\n").collect::<String>().as_bytes())?;
-        fs::rename(&beside, path)?;
-        Ok(file)
-    }
-
-    /// What stands in it: for each object or group its last purge.
+    /// The last purge of each object or group in the file.
     pub fn purges(&self) -> Vec<Purge> {
-        self.last
-            .iter()
-            .map(|((object, group), at)| (object.clone(), *group, *at))
-            .collect()
+        self.last_purges.iter().map(to_purge).collect()
     }
 
-    /// Adds a purge. One that is known, as peers repeat them, is not written again.
-    pub fn add(&mut self, object: Option<&str>, group: u64, at: u64) -> io::Result<()> {
-        let known = self
-            .last
-            .entry((object.map(str::to_owned), group))
+    /// Adds a purge. One that is known, as peers repeat them, is not written again, nor one too long for a datagram.
+    pub fn add(&mut self, purge: &Purge) -> io::Result<()> {
+        let last = self
+            .last_purges
+            .entry((purge.object.clone(), purge.group))
             .or_insert(0);
-        let Some(line) = peers::write(object, group, at).filter(|_| *known < at) else {
+        if purge.purged_at <= *last {
+            return Ok(());
+        }
+        let Some(line) = encode(purge) else {
             return Ok(());
         };
-        *known = at;
+        *last = purge.purged_at;
         self.lines += 1;
-        if self.lines > 2 * self.last.len() + SLACK {
-            self.file = Self::write(&self.path, &self.last)?;
-            self.lines = self.last.len();
+        if self.lines > 2 * self.last_purges.len() + REWRITE_SLACK_LINES {
+            self.file = rewrite(&self.path, &self.last_purges)?;
+            self.lines = self.last_purges.len();
             return Ok(());
         }
         self.file.write_all((line + "\n").as_bytes())
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+/// The purge of a line; none where it is not a purge, or its end is missing.
+fn read_line(line: &str) -> Option<Purge> {
+    decode(line.strip_suffix('\n')?.as_bytes())
+}
 
-    #[test]
-    fn what_was_added_is_there_after_a_crash_and_the_file_stays_short() {
-        let path =
-            std::env::temp_dir().join(format!("edge-proxy-purge-log-{}", std::process::id()));
-        let _ = fs::remove_file(&path);
-        let mut purge_log = PurgeLog::open(&path).unwrap();
-        for at in 1..=5000 {
-            purge_log.add(Some("0a"), 0, at).unwrap();
-            purge_log.add(None, 7, 3).unwrap();
-        }
-        purge_log.add(Some("0a"), 0, 4).unwrap();
-        assert!(fs::read_to_string(&path).unwrap().lines().count() <= SLACK + 4);
-        fs::OpenOptions::new()
-            .append(true)
-            .open(&path)
-            .unwrap()
-            .write_all(b"purge object 0b 12")
-            .unwrap();
-        let mut again = PurgeLog::open(&path).unwrap();
-        assert_eq!(
-            again.purges(),
-            [(None, 7, 3), (Some("0a".into()), 0, 5000)],
-            "a line cut off is no purge"
-        );
-        again.add(Some("0b"), 0, 9).unwrap();
-        assert_eq!(PurgeLog::open(&path).unwrap().purges().len(), 3);
-        fs::remove_file(&path).unwrap();
-        assert!(PurgeLog::open(&path.join("below")).is_err());
+fn to_purge(((object, group), purged_at): (&PurgeTarget, &Micros)) -> Purge {
+    Purge {
+        object: object.clone(),
+        group: *group,
+        purged_at: *purged_at,
     }
 }
+
+/// Writes the whole file beside the old one and puts it in its place in one step.
+fn rewrite(path: &Path, last_purges: &BTreeMap<PurgeTarget, Micros>) -> io::Result<File> {
+    let mut new_path = path.as_os_str().to_owned();
+    new_path.push(".new");
+    let mut file = File::create(&new_path)?;
+    let lines: String = last_purges
+        .iter()
+        .filter_map(|entry| encode(&to_purge(entry)))
+        .map(|line| line + "\n")
+        .collect();
+    file.write_all(lines.as_bytes())?;
+    fs::rename(&new_path, path)?;
+    Ok(file)
+}
--- a/crates/proxy/src/event_loop/discovery.rs
+++ b/crates/proxy/src/event_loop/discovery.rs
@@ -1,7 +1,7 @@
 //! Where the list of boxes and purges come from: the event bus, Consul and the peers.
 
 use super::{EventLoop, Kind, Timer};
-use crate::discovery::consul::ConsulQuery;
+use crate::discovery::consul::{ConsulError, ConsulQuery};
 use crate::discovery::event_bus::{DiscoveryEvent, EventBusMessage, EventStreamClient};
 use crate::discovery::purge_gossip as peers;
 use crate::net::SlabKey;
@@ -107,7 +107,7 @@
             return;
         };
         let told = response
-            .ok_or("no answer".to_owned())
+            .ok_or(ConsulError::NoAnswer)
             .and_then(|(head, body)| consul.response(&head, &body));
         let again = match told {
             Ok(entries) => {
@@ -129,7 +129,7 @@
     // ---- Peers ----
 
     pub(super) fn hear_peers(&mut self, now: Micros) {
-        let mut bytes = [0; peers::MOST + 1];
+        let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
         while let Some((socket, known)) = &self.peers {
             let (length, from) = match socket.recv_from(&mut bytes) {
                 Ok(received) => received,
@@ -137,9 +137,9 @@
                 Err(_) => continue,
             };
             // What does not come from a peer is not listened to.
-            let purge = peers::read(&bytes[..length]).filter(|_| known.contains(&from));
-            if let Some((object, group, at)) = purge {
-                self.purge_for_good(now, object, group, at);
+            let purge = peers::decode(&bytes[..length]).filter(|_| known.contains(&from));
+            if let Some(purge) = purge {
+                self.purge_for_good(now, purge.object, purge.group, purge.purged_at);
             }
         }
     }
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,7 +1,7 @@
 //! The second front's sockets: what neighbours and redirected clients ask, and what neighbours are sent.
 
 use super::{Connection, EventLoop, Kind, Timer, CDNI};
-use crate::discovery::purge_gossip as peers;
+use crate::discovery::purge_gossip::{self as peers, Purge};
 use crate::frontend::interconnect::{
     self as cdni, Effect, InterconnectReply, Notification, Session, MEDIA,
 };
@@ -162,7 +162,11 @@
     fn carry_out(&mut self, now: Micros, effect: Effect) {
         match effect {
             Effect::Purge(object, group) => {
-                if let Some(text) = peers::write(object.as_deref(), group, now) {
+                if let Some(text) = peers::encode(&Purge {
+                    object: object.clone(),
+                    group,
+                    purged_at: now,
+                }) {
                     self.tell_peers(now, text, 2);
                 }
                 self.purge_for_good(now, object, group, now);
@@ -185,11 +189,13 @@
         {
             return;
         }
-        if let Some(Err(e)) = self
-            .purge_log
-            .as_mut()
-            .map(|purge_log| purge_log.add(object.as_deref(), group, at))
-        {
+        if let Some(Err(e)) = self.purge_log.as_mut().map(|purge_log| {
+            purge_log.add(&Purge {
+                object,
+                group,
+                purged_at: at,
+            })
+        }) {
             log::error!("a purge is in force but not kept for the next start: {e}");
         }
     }
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -250,10 +250,10 @@
             .as_ref()
             .map(PurgeLog::purges)
             .unwrap_or_default();
-        for (object, group, at) in kept {
+        for purge in kept {
             daemon
                 .request_table
-                .purge_permanently(now, object, group, at);
+                .purge_permanently(now, purge.object, purge.group, purge.purged_at);
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.call_bus(now);
--- a/crates/proxy/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -1,4 +1,4 @@
-//! Consul as the source of the list: its answers, and a stand-in that the daemon reads.
+//! Consul as the source of the endpoint list: what its responses give.
 
 use edge_proxy::discovery::consul::Consul;
 use edge_proxy::protocol::http::Head;
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn checks_and_the_catalogue_tell_ready_draining_and_gone() {
+fn checks_and_catalogue_give_ready_draining_and_gone() {
     let mut consul = Consul::new("pop-cache".into(), 10);
     assert_eq!(target(&consul), "/v1/health/service/pop-cache");
     assert_eq!(
@@ -72,7 +72,7 @@
         target(&consul),
         "/v1/health/service/pop-cache?index=5&wait=10s"
     );
-    // One is registered no more, one has no health any more.
+    // One instance is no longer registered, one no longer in the health response.
     assert_eq!(
         answer(
             &mut consul,
@@ -90,13 +90,13 @@
         ],
         "c is gone"
     );
-    // Nothing new is told where nothing has changed.
+    // No list is given where nothing has changed.
     answer(&mut consul, 7, &health(&[("b", "passing")]));
     assert_eq!(answer(&mut consul, 7, &catalogue(&["a", "b"])), None);
 }
 
 #[test]
-fn an_index_that_goes_back_or_a_failed_query_reads_all_anew() {
+fn a_lower_index_or_a_failed_query_makes_the_next_query_ask_for_everything() {
     let mut consul = Consul::new("s".into(), 10);
     for (index, next) in [
         (9, "?index=9&wait=10s"),
@@ -122,6 +122,7 @@
     assert!(consul
         .response(&head, b"rpc error")
         .unwrap_err()
+        .to_string()
         .contains("500"));
     let head = Head {
         start: "HTTP/1.1 200 OK".to_owned(),
@@ -131,6 +132,7 @@
         consul
             .response(&head, body.to_string().as_bytes())
             .unwrap_err()
+            .to_string()
     };
     assert!(text(&mut consul, json!([{"Node": {}, "Service": {"ID": "a"}}])).contains("Address"));
     assert!(text(&mut consul, json!({})).contains("not a list"));
--- /dev/null
+++ b/crates/proxy/tests/event_bus.rs
@@ -0,0 +1,129 @@
+//! The event bus: events as JSON, and the stream that carries them.
+
+use edge_proxy::discovery::event_bus::{
+    read_event, request, DiscoveryEvent, EventBusMessage, EventStreamClient,
+};
+use edge_proxy::limits::Limits;
+use edge_routing::{EndpointListMode, EndpointState};
+use serde_json::{json, Value};
+
+fn entry(uid: &str) -> Value {
+    json!({"uid": uid, "endpoint": "10.1.0.9:6565", "az": "east", "model": "std", "pod_group": 2,
+        "state": "ready", "capacity_hint": 4, "boot_ms": 0})
+}
+
+fn endpoint_list(entries: &[Value]) -> EventBusMessage {
+    read_event(&json!({"offset": 41, "topology": {"rev": 7, "all": false, "targets": entries}}))
+        .unwrap()
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_is_skipped_and_the_others_are_kept() {
+    let mut draining = entry("s-2");
+    draining["state"] = json!("draining");
+    let mut without_address = entry("s-3");
+    without_address["endpoint"] = json!("nowhere");
+    let mut unknown_state = entry("s-4");
+    unknown_state["state"] = json!("asleep");
+    let message = endpoint_list(&[
+        entry("s-1"),
+        without_address,
+        json!(7),
+        unknown_state,
+        draining,
+    ]);
+    let Some(DiscoveryEvent::List(EndpointListMode::Delta, servers)) = message.event else {
+        panic!("not a list: {message:?}");
+    };
+    let read: Vec<_> = servers
+        .iter()
+        .map(|server| (server.uid.as_str(), server.endpoint.state))
+        .collect();
+    assert_eq!(
+        read,
+        [
+            ("s-1", EndpointState::Ready),
+            ("s-2", EndpointState::Draining)
+        ]
+    );
+}
+
+#[test]
+fn the_fields_of_an_entry_have_defaults_and_units() {
+    let late =
+        json!({"uid": "s-1", "endpoint": "10.1.0.9:6565", "state": "ready", "boot_ms": 12.0});
+    let message = endpoint_list(&[entry("s-0"), late]);
+    let Some(DiscoveryEvent::List(_, servers)) = message.event else {
+        panic!("not a list: {message:?}");
+    };
+    let (full, bare) = (&servers[0].endpoint, &servers[1].endpoint);
+    assert_eq!((full.zone.as_str(), full.kind.as_str()), ("east", "std"));
+    assert_eq!((full.cell, full.weight, full.started), (2, 4.0, None));
+    assert_eq!((bare.zone.as_str(), bare.kind.as_str()), ("", ""));
+    assert_eq!(
+        (bare.cell, bare.weight, bare.started),
+        (0, 1.0, Some(12_000))
+    );
+}
+
+#[test]
+fn purges_name_an_object_or_a_group() {
+    let purge = |ban: Value| read_event(&json!({"offset": 42, "ban": ban}));
+    let object = purge(json!({"url": "7f3a", "tag": "unused", "ts": 5})).unwrap();
+    assert_eq!(
+        object.event,
+        Some(DiscoveryEvent::Purge {
+            object: Some("7f3a".into()),
+            group: 0,
+            at: 5_000
+        })
+    );
+    let group = purge(json!({"url": null, "tag": 17, "ts": 5})).unwrap();
+    assert_eq!(
+        group.event,
+        Some(DiscoveryEvent::Purge {
+            object: None,
+            group: 17,
+            at: 5_000
+        })
+    );
+    for (ban, key) in [
+        (json!({"ts": 5}), "tag"),
+        (json!({"tag": "x", "ts": 5}), "tag"),
+        (json!({"url": "7f3a"}), "ts"),
+        (json!({"url": 3, "ts": 5}), "url"),
+        (json!([]), "ban"),
+    ] {
+        let message = purge(ban).unwrap_err().to_string();
+        assert!(message.contains(key), "{message}");
+    }
+}
+
+#[test]
+fn an_event_of_an_unknown_kind_has_a_number_only() {
+    let message = read_event(&json!({"offset": 43, "later": {}})).unwrap();
+    assert_eq!((message.offset, message.event), (43, None));
+    assert!(read_event(&json!({"later": {}}))
+        .unwrap_err()
+        .to_string()
+        .contains("offset"));
+}
+
+#[test]
+fn a_stream_gives_each_event_once_and_skips_what_is_not_an_event() {
+    let head = String::from_utf8(request("bus:8500", 41)).unwrap();
+    assert!(head.contains("\r\nLast-Event-ID: 41\r\n"));
+    assert!(head.contains("\r\nCache-Control: no-cache\r\n"));
+
+    let mut client = EventStreamClient::new(&Limits::for_machine(1024, 192), 3);
+    let mut last_offset = 41;
+    let stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: comment\n\n\
+        data: {\"offset\":41}\n\ndata: {\"offset\":42}\n\ndata: {\"ban\":{}}\n\ndata: {\"offset\":44}\n\n";
+    let messages = client.read(9, stream.as_bytes(), &mut last_offset).unwrap();
+    let offsets: Vec<u64> = messages.iter().map(|message| message.offset).collect();
+    assert_eq!(offsets, [42, 44]);
+    assert_eq!((last_offset, client.last_read()), (44, 9));
+    assert!(client
+        .read(9, b"data: no JSON\n\n", &mut last_offset)
+        .is_err());
+}
--- /dev/null
+++ b/crates/proxy/tests/purge_log.rs
@@ -0,0 +1,85 @@
+//! The purge log: what a proxy that starts again reads back, and the files of earlier versions.
+
+use edge_proxy::discovery::purge_gossip::Purge;
+use edge_proxy::discovery::purge_log::{PurgeLog, REWRITE_SLACK_LINES};
+use std::fs;
+use std::io::Write;
+use std::path::PathBuf;
+
+/// A path for a test's own file, without a file.
+fn fresh_path(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("edge-proxy-{name}-{}", std::process::id()));
+    let _ = fs::remove_file(&path);
+    path
+}
+
+fn object(object: &str, purged_at: u64) -> Purge {
+    Purge {
+        object: Some(object.into()),
+        group: 0,
+        purged_at,
+    }
+}
+
+fn group(group: u64, purged_at: u64) -> Purge {
+    Purge {
+        object: None,
+        group,
+        purged_at,
+    }
+}
+
+#[test]
+fn added_purges_are_read_back_after_a_crash_and_the_file_stays_short() {
+    let path = fresh_path("purge-log");
+    let mut purge_log = PurgeLog::open(&path).unwrap();
+    for at in 1..=5000 {
+        purge_log.add(&object("0a", at)).unwrap();
+        purge_log.add(&group(7, 3)).unwrap();
+    }
+    purge_log.add(&object("0a", 4)).unwrap();
+    assert!(fs::read_to_string(&path).unwrap().lines().count() <= REWRITE_SLACK_LINES + 4);
+    fs::OpenOptions::new()
+        .append(true)
+        .open(&path)
+        .unwrap()
+        .write_all(b"purge object 0b 12")
+        .unwrap();
+    let mut reopened = PurgeLog::open(&path).unwrap();
+    assert_eq!(
+        reopened.purges(),
+        [group(7, 3), object("0a", 5000)],
+        "a line cut off is no purge"
+    );
+    reopened.add(&object("0b", 9)).unwrap();
+    assert_eq!(PurgeLog::open(&path).unwrap().purges().len(), 3);
+    fs::remove_file(&path).unwrap();
+    assert!(PurgeLog::open(&path.join("below")).is_err());
+}
+
+#[test]
+fn a_file_of_the_earlier_version_is_read_and_rewritten_in_its_format() {
+    let path = fresh_path("purge-log-v0");
+    fs::write(&path, include_bytes!("data/purge_log_v0.txt")).unwrap();
+    let mut purge_log = PurgeLog::open(&path).unwrap();
+    assert_eq!(
+        purge_log.purges(),
+        [
+            group(17, 1_764_576_000_480_000),
+            object("/o/kd6b5sum7ecwe", 1_764_576_001_000_000),
+            object("00000000000000a1", 1_764_576_004_000_000),
+        ],
+        "the last purge of each, without the line cut off"
+    );
+    purge_log
+        .add(&object("00000000000000b2", 1_764_576_005_000_000))
+        .unwrap();
+    assert_eq!(
+        fs::read_to_string(&path).unwrap(),
+        "purge group 17 1764576000480000\n\
+         purge object /o/kd6b5sum7ecwe 1764576001000000\n\
+         purge object 00000000000000a1 1764576004000000\n\
+         purge object 00000000000000b2 1764576005000000\n"
+    );
+    fs::remove_file(&path).unwrap();
+}
