--- /dev/null
+++ b/crates/proxy/src/config/mod.rs
@@ -0,0 +1,298 @@
+//! The configuration of a proxy: where it is read from, its defaults, and its validation. Every error names the key at
+//! fault.
+
+mod document;
+mod error;
+
+pub use error::ConfigError;
+
+use crate::discovery::event_bus::{read_event, EventBusMessage};
+use crate::frontend::interconnect::footprint::Network;
+use crate::frontend::interconnect::{Identity, PeerCdn};
+use crate::limits::Limits;
+use document::{
+    ConfigDocument, InterconnectDocument, InterconnectFields, InterconnectListen, KnownEvents,
+    MachineLimits, PeerCdnFields,
+};
+use edge_routing::{Class, Settings};
+use edge_settings::json::{read, Object, WholeNumber};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Reads the configuration, at the start and again on SIGHUP.
+pub type Source = Box<dyn Fn() -> Result<Config, ConfigError>>;
+
+/// The configuration of a proxy.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name of the proxy, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Seed for random numbers.
+    pub seed: u64,
+    /// The bounds that follow from the size of the machine.
+    pub limits: Limits,
+    /// The event bus; none: the endpoint list comes from elsewhere.
+    pub bus: Option<SocketAddr>,
+    /// The number of the event bus's last event before the start, and the events up to it.
+    pub known: (u64, Vec<EventBusMessage>),
+    /// The settings of the routing module.
+    pub settings: Settings,
+    /// Where purge gossip is received, and the peers it is sent to.
+    pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// The interconnect; none: it is off.
+    pub cdni: Option<InterconnectConfig>,
+    /// Consul as the source of the endpoint list: its address and the name of the service.
+    pub consul: Option<(SocketAddr, String)>,
+}
+
+/// The configuration of the interconnect with peer CDNs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InterconnectConfig {
+    /// Where peer CDNs and redirected clients connect.
+    pub listen: SocketAddr,
+    /// How this network presents itself.
+    pub identity: Identity,
+    /// Path of the purge log; none: purges last as long as the process.
+    pub purges: Option<PathBuf>,
+}
+
+const CONFIG_VARIABLE: &str = "ROUTER_CONFIG";
+const INTERCONNECT_VARIABLE: &str = "EDGE_PROXY_INTERCONNECT";
+const DEFAULT_INTERCONNECT_FILE: &str = "deploy/interconnect.json";
+/// Keys of the configuration, and the variables that are read where the file lacks them.
+const KEY_VARIABLES: [(&str, &str); 2] = [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN")];
+
+const DEFAULT_NAME: &str = "edge-proxy";
+const DEFAULT_SEED: &str = "0";
+const DEFAULT_SOCKETS: u64 = 1024;
+const DEFAULT_MEMORY_MB: u64 = 192;
+const DEFAULT_CONSUL_SERVICE: &str = "pop-cache";
+const DEFAULT_TRIGGERS_PATH: &str = "/cdni/triggers";
+
+/// Cache servers complete a purge this much later than the settings say, in microseconds: every time limit is longer on
+/// real sockets. Until then, requests must limit the age of a copy.
+const PURGE_COMPLETION_SLACK_US: u64 = 50_000;
+/// The longest time that a client is told to wait before it retries, in microseconds.
+const MAX_RETRY_AFTER_US: u64 = 200_000;
+
+impl Config {
+    /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for keys that it lacks.
+    /// The interconnect and Consul are configured in a file of the deployment's own, `deploy/interconnect.json` unless
+    /// `EDGE_PROXY_INTERCONNECT` names another.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var(CONFIG_VARIABLE).map_err(|_| ConfigError::NoFile)?;
+        let mut document = read_file(&path)?;
+        add_variables(&mut document);
+        let mut config = Self::from_json(&document).map_err(in_file(&path))?;
+        let named = std::env::var(INTERCONNECT_VARIABLE).ok();
+        let path = named.as_deref().unwrap_or(DEFAULT_INTERCONNECT_FILE);
+        if named.is_some() || Path::new(path).exists() {
+            config
+                .apply_interconnect(&read_file(path)?)
+                .map_err(in_file(path))?;
+        }
+        Ok(config)
+    }
+
+    /// Reads a configuration.
+    pub fn from_json(value: &Value) -> Result<Self, ConfigError> {
+        let Object(document): Object<ConfigDocument> = read(value)?;
+        let settings = read_settings(&document.settings)?;
+        let Object(machine) = document.limits.unwrap_or_default();
+        let Object(known) = document.known.unwrap_or_default();
+        let peers = document.peers.unwrap_or_default();
+        Ok(Config {
+            name: document.name.unwrap_or_else(|| DEFAULT_NAME.to_owned()),
+            listen: document.listen,
+            seed: read_seed(document.seed.as_deref().unwrap_or(DEFAULT_SEED))?,
+            limits: limits(&machine, &settings)?,
+            bus: document.bus,
+            known: known_events(known)?,
+            settings,
+            peers: document.peer_listen.map(|own| (own, peers)),
+            cdni: None,
+            consul: None,
+        })
+    }
+
+    /// Adds what the deployment's own file says of the interconnect and of Consul. Each is off where the file says
+    /// nothing of it, or gives no address.
+    pub fn apply_interconnect(&mut self, value: &Value) -> Result<(), ConfigError> {
+        let Object(document): Object<InterconnectDocument> = read(value)?;
+        if let Some(fields) = document.cdni {
+            self.cdni = interconnect(&fields, &self.settings.classes)?;
+        }
+        if let Some(Object(consul)) = document.consul {
+            let service = consul.service;
+            let service = service.unwrap_or_else(|| DEFAULT_CONSUL_SERVICE.to_owned());
+            self.consul = consul.address.map(|address| (address, service));
+        }
+        Ok(())
+    }
+
+    /// The keys in which a new configuration differs although a running proxy cannot follow it there: sockets, tables
+    /// and the routing module are built from them at the start. `seed` and `known` differ with every start and mean
+    /// nothing to a proxy that runs.
+    pub fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
+        let peer_listen = |config: &Config| config.peers.as_ref().map(|(own, _)| *own);
+        let changes = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", self.limits != new.limits),
+            ("settings", self.settings != new.settings),
+            ("peer_listen", peer_listen(self) != peer_listen(new)),
+            ("cdni", self.cdni != new.cdni),
+            ("consul", self.consul != new.consul),
+        ];
+        changes
+            .into_iter()
+            .filter(|(_, changed)| *changed)
+            .map(|(key, _)| key)
+            .collect()
+    }
+}
+
+/// Reads a file as JSON.
+fn read_file(path: &str) -> Result<Value, ConfigError> {
+    let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable {
+        path: path.to_owned(),
+        source,
+    })?;
+    serde_json::from_str(&text).map_err(|source| ConfigError::NotJson {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn in_file(path: &str) -> impl FnOnce(ConfigError) -> ConfigError + '_ {
+    move |source| ConfigError::InFile {
+        path: path.to_owned(),
+        source: Box::new(source),
+    }
+}
+
+/// Fills keys that are absent or null from the environment.
+fn add_variables(document: &mut Value) {
+    let Value::Object(fields) = document else {
+        return;
+    };
+    for (key, variable) in KEY_VARIABLES {
+        let is_absent = fields.get(key).is_none_or(Value::is_null);
+        if let (true, Ok(value)) = (is_absent, std::env::var(variable)) {
+            fields.insert(key.to_owned(), value.into());
+        }
+    }
+}
+
+fn read_settings(value: &Value) -> Result<Settings, ConfigError> {
+    let mut settings = edge_settings::from_json(value)?;
+    let completion_us = &mut settings.rules.purge_completion_us;
+    *completion_us = completion_us.saturating_add(PURGE_COMPLETION_SLACK_US);
+    settings.validate()?;
+    Ok(settings)
+}
+
+fn read_seed(text: &str) -> Result<u64, ConfigError> {
+    u64::from_str_radix(text, 16).map_err(|_| ConfigError::Invalid {
+        key: "seed".to_owned(),
+        expected: "a hexadecimal number of 64 bits",
+    })
+}
+
+fn limits(machine: &MachineLimits, settings: &Settings) -> Result<Limits, ConfigError> {
+    let sockets = machine_limit("sockets", machine.sockets, DEFAULT_SOCKETS)?;
+    let memory_mb = machine_limit("memory_mb", machine.memory_mb, DEFAULT_MEMORY_MB)?;
+    let deadlines = settings.classes.iter().map(|class| class.deadline_us);
+    Ok(Limits {
+        retry_after_us: settings.max_retry_after_us.min(MAX_RETRY_AFTER_US),
+        shutdown_deadline_us: Limits::shutdown_deadline_us(deadlines.max().unwrap_or(0)),
+        ..Limits::for_machine(sockets, memory_mb)
+    })
+}
+
+fn machine_limit(
+    key: &str,
+    value: Option<WholeNumber>,
+    default: u64,
+) -> Result<usize, ConfigError> {
+    usize::try_from(WholeNumber::or(value, default))
+        .ok()
+        .filter(|value| *value > 0)
+        .ok_or_else(|| ConfigError::Invalid {
+            key: format!("limits.{key}"),
+            expected: "a whole number from 1",
+        })
+}
+
+fn known_events(known: KnownEvents) -> Result<(u64, Vec<EventBusMessage>), ConfigError> {
+    let events = known
+        .batch
+        .unwrap_or_default()
+        .iter()
+        .enumerate()
+        .map(|(index, event)| {
+            read_event(event).map_err(|source| ConfigError::KnownEvent { index, source })
+        })
+        .collect::<Result<_, _>>()?;
+    Ok((WholeNumber::or(known.offset, 0), events))
+}
+
+/// Reads `cdni`; none where it has no address to listen on. Other keys are then not checked.
+fn interconnect(
+    value: &Value,
+    classes: &[Class],
+) -> Result<Option<InterconnectConfig>, ConfigError> {
+    let Object(InterconnectListen { listen }) = read(value).map_err(ConfigError::Interconnect)?;
+    let Some(listen) = listen else {
+        return Ok(None);
+    };
+    let Object(fields): Object<InterconnectFields> =
+        read(value).map_err(ConfigError::Interconnect)?;
+    let peers = fields.peers.unwrap_or_default();
+    let readable = classes.iter().filter(|class| !class.is_write);
+    let identity = Identity {
+        provider: fields.provider,
+        base: fields.base,
+        footprint: footprint(&fields.footprint.unwrap_or_default())?,
+        neighbours: peers
+            .into_iter()
+            .map(|Object(peer)| peer_cdn(peer))
+            .collect(),
+        classes: readable
+            .map(|class| (class.name.clone(), class.deadline_us))
+            .collect(),
+    };
+    Ok(Some(InterconnectConfig {
+        listen,
+        identity,
+        purges: fields.purge_log,
+    }))
+}
+
+fn footprint(networks: &[String]) -> Result<Vec<Network>, ConfigError> {
+    networks
+        .iter()
+        .enumerate()
+        .map(|(index, text)| {
+            Network::read(text).ok_or_else(|| ConfigError::Invalid {
+                key: format!("cdni.footprint[{index}]"),
+                expected: "an IPv4 network, such as 127.0.0.0/8",
+            })
+        })
+        .collect()
+}
+
+fn peer_cdn(fields: PeerCdnFields) -> PeerCdn {
+    PeerCdn {
+        provider: fields.provider,
+        address: fields.address,
+        triggers: fields
+            .triggers
+            .unwrap_or_else(|| DEFAULT_TRIGGERS_PATH.to_owned()),
+        notices: fields.notices,
+        content: fields.content,
+    }
+}
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -1,6 +1,6 @@
-//! Configuration: what is read, what is taken where nothing is said, and messages that name the faulty key.
+//! Configuration: what is read, the defaults, and errors that name the key at fault.
 
-use edge_proxy::config::Config;
+use edge_proxy::config::{Config, ConfigError};
 use edge_testkit::sample_settings;
 use serde_json::{json, Value};
 
@@ -8,24 +8,24 @@
     json!({"listen": "127.0.0.1:0", "settings": sample_settings()})
 }
 
-fn read(value: &Value) -> Result<Config, String> {
+fn read(value: &Value) -> Result<Config, ConfigError> {
     Config::from_json(value)
 }
 
 #[test]
-fn what_is_not_said_has_a_default() {
+fn absent_keys_have_defaults() {
     let config = read(&good()).unwrap();
     assert_eq!(
         (config.bus, config.known.0, config.limits.descriptors),
         (None, 0, 1024)
     );
     assert!(config.cdni.is_none() && config.consul.is_none() && config.peers.is_none());
-    // Time limits are longer on sockets, that of the boxes' own dropping among them.
+    // 50 ms later than the settings say: cache servers complete a purge later on real sockets.
     assert_eq!(config.settings.rules.purge_completion_us, 6_050_000);
 }
 
 #[test]
-fn messages_name_the_faulty_key() {
+fn errors_name_the_faulty_key() {
     for (key, value) in [
         ("listen", json!("nowhere")),
         ("listen", Value::Null),
@@ -41,7 +41,7 @@
     ] {
         let mut config = good();
         config[key] = value.clone();
-        let message = read(&config).unwrap_err();
+        let message = read(&config).unwrap_err().to_string();
         let inner = value.as_object().and_then(|o| o.keys().next());
         let named = message.contains(key) || inner.is_some_and(|k| message.contains(k));
         assert!(named, "{key} = {value}: {message}");
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn the_second_front_is_off_until_it_is_told_where_to_listen() {
+fn the_interconnect_is_off_until_it_has_an_address_to_listen_on() {
     let mut config = read(&good()).unwrap();
     let shipped: Value =
         serde_json::from_str(include_str!("../../../deploy/interconnect.json")).unwrap();
@@ -67,13 +67,13 @@
         ),
         (json!({"consul": {"address": "x"}}), "address"),
     ] {
-        let message = config.apply_interconnect(&file).unwrap_err();
+        let message = config.apply_interconnect(&file).unwrap_err().to_string();
         assert!(message.contains(key), "{message}");
     }
 }
 
 #[test]
-fn the_examples_can_be_read() {
+fn the_example_files_are_valid() {
     let text = include_str!("../../../examples/config.json");
     let mut config = read(&serde_json::from_str(text).unwrap()).unwrap();
     let text = include_str!("../../../examples/interconnect.json");
@@ -84,7 +84,7 @@
 }
 
 #[test]
-fn what_a_running_daemon_can_not_follow_is_told_by_its_key() {
+fn changes_that_need_a_restart_are_named_by_key() {
     let old = read(&good()).unwrap();
     let mut new = good();
     (new["bus"], new["seed"], new["known"]) =
@@ -98,3 +98,24 @@
         ["name", "listen", "limits", "settings"]
     );
 }
+
+#[test]
+fn errors_name_the_path_of_a_nested_key() {
+    for (key, value, expected) in [
+        ("limits", json!({"memory_mb": 0}), "'limits.memory_mb'"),
+        ("limits", json!({"sockets": "x"}), "'limits.sockets'"),
+        ("limits", json!([]), "'limits'"),
+        ("peers", json!(["127.0.0.1:1", 3]), "'peers[1]'"),
+        ("known", json!({"offset": -1}), "'known.offset'"),
+        (
+            "known",
+            json!({"batch": [{"offset": 1}, {}]}),
+            "known: event 1",
+        ),
+    ] {
+        let mut config = good();
+        config[key] = value;
+        let message = read(&config).unwrap_err().to_string();
+        assert!(message.contains(expected), "{message}");
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,8 @@
 
 mod convert;
 mod document;
-mod fields;
 pub mod json;
 
-pub use fields::*;
-
 use document::SettingsDocument;
 use edge_routing::Settings;
 use json::{Object, ReadError};
@@ -31,7 +28,7 @@
 }
 
 /// Reads the settings object. Whether a router can work with the settings is for [`Settings::validate`] to say.
-pub fn from_json(value: &Value) -> std::result::Result<Settings, SettingsReadError> {
+pub fn from_json(value: &Value) -> Result<Settings, SettingsReadError> {
     let Object(document): Object<SettingsDocument> = json::read(value)?;
     convert::settings(document)
 }
