--- a/crates/proxy/src/config/document.rs
+++ b/crates/proxy/src/config/document.rs
@@ -1,5 +1,5 @@
-//! The configuration as it stands in JSON: one struct for each object. A key may be absent or null if its type is an
-//! `Option`. Keys that are not listed are ignored.
+//! The configuration as it stands in JSON: one struct for each object. A key may be absent or null
+//! if its type is an `Option`. Keys that are not listed are ignored.
 
 use edge_settings::json::{Object, WholeNumber};
 use serde::Deserialize;
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -1,5 +1,5 @@
-//! The configuration of a proxy: where it is read from, its defaults, and its validation. Every error names the key at
-//! fault.
+//! The configuration of a proxy: where it is read from, its defaults, and its validation. Every
+//! error names the key at fault.
 
 mod document;
 mod error;
@@ -72,16 +72,16 @@
 const DEFAULT_CONSUL_SERVICE: &str = "pop-cache";
 const DEFAULT_TRIGGERS_PATH: &str = "/cdni/triggers";
 
-/// Cache servers complete a purge this much later than the settings say, in microseconds: every time limit is longer on
-/// real sockets. Until then, requests must limit the age of a copy.
+/// Cache servers complete a purge this much later than the settings say, in microseconds: every
+/// time limit is longer on real sockets. Until then, requests must limit the age of a copy.
 const PURGE_COMPLETION_SLACK_US: u64 = 50_000;
-/// The longest time that a client is told to wait before it retries, in microseconds.
+/// The longest retry advice for a full request table, in microseconds.
 const MAX_RETRY_AFTER_US: u64 = 200_000;
 
 impl Config {
-    /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for keys that it lacks.
-    /// The interconnect and Consul are configured in a file of the deployment's own, `deploy/interconnect.json` unless
-    /// `EDGE_PROXY_INTERCONNECT` names another.
+    /// Reads the file that `ROUTER_CONFIG` names; `ROUTER_NAME` and `ROUTER_LISTEN` stand in for
+    /// keys that it lacks. The interconnect and Consul are configured in a file of the deployment's
+    /// own, `deploy/interconnect.json` unless `EDGE_PROXY_INTERCONNECT` names another.
     pub fn from_env() -> Result<Self, ConfigError> {
         let path = std::env::var(CONFIG_VARIABLE).map_err(|_| ConfigError::NoFile)?;
         let mut document = read_file(&path)?;
@@ -118,8 +118,8 @@
         })
     }
 
-    /// Adds what the deployment's own file says of the interconnect and of Consul. Each is off where the file says
-    /// nothing of it, or gives no address.
+    /// Adds what the deployment's own file says of the interconnect and of Consul. Each is off
+    /// where the file says nothing of it, or gives no address.
     pub fn apply_interconnect(&mut self, value: &Value) -> Result<(), ConfigError> {
         let Object(document): Object<InterconnectDocument> = read(value)?;
         if let Some(fields) = document.cdni {
@@ -133,9 +133,9 @@
         Ok(())
     }
 
-    /// The keys in which a new configuration differs although a running proxy cannot follow it there: sockets, tables
-    /// and the routing module are built from them at the start. `seed` and `known` differ with every start and mean
-    /// nothing to a proxy that runs.
+    /// The keys in which a new configuration differs although a running proxy cannot follow it
+    /// there: sockets, tables and the routing module are built from them at the start. `seed` and
+    /// `known` differ with every start and mean nothing to a proxy that runs.
     pub fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
         let peer_listen = |config: &Config| config.peers.as_ref().map(|(own, _)| *own);
         let changes = [
--- a/crates/proxy/src/discovery/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -1,5 +1,5 @@
-//! Consul as a source of the endpoint list: blocking queries of its health API, and its catalogue for what is no longer
-//! registered. The two queries take turns; together they give one list.
+//! Consul as a source of the endpoint list: blocking queries of its health API, and its catalogue
+//! for what is no longer registered. The two queries take turns; together they give one list.
 
 use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
@@ -102,7 +102,8 @@
 }
 
 impl Consul {
-    /// A service whose instances are not known yet. Health queries wait for `wait_s` seconds at most.
+    /// A service whose instances are not known yet. Health queries wait for `wait_s` seconds at
+    /// most.
     pub fn new(service: String, wait_s: u64) -> Self {
         Consul {
             service,
--- a/crates/proxy/src/discovery/endpoint_entry.rs
+++ b/crates/proxy/src/discovery/endpoint_entry.rs
@@ -1,4 +1,5 @@
-//! An entry of the endpoint list. The event bus writes entries as JSON, and Consul's metadata have the same key names.
+//! An entry of the endpoint list. The event bus writes entries as JSON, and Consul's metadata have
+//! the same key names.
 
 use crate::request_table::{server_id, ListedServer};
 use edge_routing::{Endpoint, EndpointState};
--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -1,4 +1,5 @@
-//! The event bus: numbered purges and changes of the endpoint list, read as server-sent events over HTTP.
+//! The event bus: numbered purges and changes of the endpoint list, read as server-sent events over
+//! HTTP.
 
 use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
@@ -102,8 +103,8 @@
     DiscoveryEvent::List(mode, entries.iter().filter_map(read_entry).collect())
 }
 
-/// Reads an entry of the endpoint list. One that cannot be read is skipped, so that the drains of the others still
-/// take effect.
+/// Reads an entry of the endpoint list. One that cannot be read is skipped, so that the drains of
+/// the others still take effect.
 fn read_entry(value: &Value) -> Option<ListedServer> {
     match read::<Object<EndpointEntry>>(value) {
         Ok(Object(entry)) => Some(entry.into()),
@@ -137,7 +138,8 @@
     .into_bytes()
 }
 
-/// The client's side of one connection to the event bus: reads the response, which goes on until the connection ends.
+/// The client's side of one connection to the event bus: reads the response, which goes on until
+/// the connection ends.
 pub struct EventStreamClient {
     http: http::Messages,
     events: sse::Events,
@@ -159,8 +161,8 @@
         self.last_read
     }
 
-    /// Reads bytes that have arrived. Gives the events that are complete by them and have a number above
-    /// `last_offset`, and moves that on. An error ends the connection.
+    /// Reads bytes that have arrived. Gives the events that are complete by them and have a number
+    /// above `last_offset`, and moves that on. An error ends the connection.
     pub fn read(
         &mut self,
         now: Micros,
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -1,4 +1,5 @@
-//! Sources of the endpoint list and of purges: event bus, Consul, gossip between proxies and the purge log.
+//! Sources of the endpoint list and of purges: event bus, Consul, gossip between proxies and the
+//! purge log.
 
 pub mod consul;
 mod endpoint_entry;
--- a/crates/proxy/src/discovery/purge_gossip.rs
+++ b/crates/proxy/src/discovery/purge_gossip.rs
@@ -1,7 +1,8 @@
-//! Purge gossip: datagrams by which the proxies of one installation pass on the purges that only one of them was
-//! notified of. The purge log holds the same text, one purge a line.
+//! Purge gossip: datagrams by which the proxies of one installation pass on the purges that only
+//! one of them was notified of. The purge log holds the same text, one purge a line.
 //!
-//! `purge object OBJECT UNIX_US` or `purge group NUMBER UNIX_US`, in ASCII, with one space between words.
+//! `purge object OBJECT UNIX_US` or `purge group NUMBER UNIX_US`, in ASCII, with one space between
+//! words.
 
 use edge_routing::Micros;
 
--- a/crates/proxy/src/discovery/purge_log.rs
+++ b/crates/proxy/src/discovery/purge_log.rs
@@ -1,5 +1,5 @@
-//! The purge log: a file of the purges that only this proxy and its peers were notified of. Cache servers do not learn of
-//! them, so a proxy that starts again must read them back.
+//! The purge log: a file of the purges that only this proxy and its peers were notified of. Cache
+//! servers do not learn of them, so a proxy that starts again must read them back.
 //!
 //! Each line is a purge as [`purge_gossip`](super::purge_gossip) encodes it.
 
@@ -27,8 +27,9 @@
 }
 
 impl PurgeLog {
-    /// Reads the file, if there is one, and rewrites it: a line that a crash cut off must not run into the next one.
-    /// Fails where the file cannot be read or written; a line that is not a purge is skipped.
+    /// Reads the file, if there is one, and rewrites it: a line that a crash cut off must not run
+    /// into the next one. Fails where the file cannot be read or written; a line that is not a
+    /// purge is skipped.
     pub fn open(path: &Path) -> io::Result<Self> {
         let text = match fs::read(path) {
             Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
@@ -59,7 +60,8 @@
         self.last_purges.iter().map(to_purge).collect()
     }
 
-    /// Adds a purge. One that is known, as peers repeat them, is not written again, nor one too long for a datagram.
+    /// Adds a purge. One that is known, as peers repeat them, is not written again, nor one too
+    /// long for a datagram.
     pub fn add(&mut self, purge: &Purge) -> io::Result<()> {
         let last = self
             .last_purges
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -1,6 +1,7 @@
 //! Every size, count and time that bounds the proxy, in one type that is filled at the start.
 //!
-//! Names end in their unit: `_us` is microseconds, `_bytes` bytes, `_kb` KB. A field without a unit is a count.
+//! Names end in their unit: `_us` is microseconds, `_bytes` bytes, `_kb` KB. A field without a unit
+//! is a count.
 
 use edge_routing::Micros;
 
@@ -10,12 +11,13 @@
     // ---- File descriptors and connections ----
     /// File descriptors of the process.
     pub descriptors: usize,
-    /// Connections from clients. The other descriptors are for cache servers, the event bus and the process itself.
+    /// Connections from clients. The other descriptors are for cache servers, the event bus and the
+    /// process itself.
     pub client_connections: usize,
     /// Connections of any kind: clients, cache servers, event bus, Consul, peer CDNs.
     pub connections: usize,
-    /// Slots of the connection table that further connections to a cache server leave free, so that every server can
-    /// get its first one.
+    /// Slots of the connection table that further connections to a cache server leave free, so that
+    /// every server can get its first one.
     pub spare_connections: usize,
     /// How long to wait before accepting again after no descriptor was left.
     pub accept_retry_us: Micros,
@@ -23,20 +25,22 @@
     // ---- Client connections: how long they last ----
     /// How often a client connection is checked against the times below.
     pub client_sweep_us: Micros,
-    /// A client connection that has sent no request, or none that is complete, is closed after this long.
+    /// A client connection that has sent no request, or none that is complete, is closed after this
+    /// long.
     pub client_request_timeout_us: Micros,
-    /// A client connection on which everything is answered is closed after this long: longer than usual clients keep
-    /// one.
+    /// A client connection on which everything is answered is closed after this long: longer than
+    /// usual clients keep one.
     pub client_idle_timeout_us: Micros,
     /// A client connection that takes none of its answers for this long is closed.
     pub client_write_timeout_us: Micros,
-    /// After the writing side of a client connection is shut, input is read and dropped for this long: input that is
-    /// under way at a close would make the kernel reset the connection and lose answers not yet received.
+    /// After the writing side of a client connection is shut, input is read and dropped for this
+    /// long: input that is under way at a close would make the kernel reset the connection and lose
+    /// answers not yet received.
     pub lingering_close_us: Micros,
     /// Input that is dropped during a lingering close, at most.
     pub lingering_close_bytes: usize,
-    /// A client connection is not closed to make room for another within this long of its last change: it may be about
-    /// to be used.
+    /// A client connection is not closed to make room for another within this long of its last
+    /// change: it may be about to be used.
     pub eviction_immunity_us: Micros,
 
     // ---- Requests of clients ----
@@ -44,7 +48,8 @@
     pub open_requests: usize,
     /// Requests open on one client connection.
     pub requests_per_client: usize,
-    /// The same, once half of the request table is taken: one client must leave room for the others.
+    /// The same, once half of the request table is taken: one client must leave room for the
+    /// others.
     pub requests_per_client_when_crowded: usize,
     /// Parameters of one request.
     pub params_bytes: usize,
@@ -68,10 +73,10 @@
     pub unsent_answer_bytes: usize,
     /// A final answer is sent this long before the client gives up, since it takes time to arrive.
     pub answer_lead_us: Micros,
-    /// How often an open request is checked until its deadline. A check at the deadline alone would keep requests in
-    /// memory that ended long before.
+    /// How often an open request is checked until its deadline. A check at the deadline alone would
+    /// keep requests in memory that ended long before.
     pub deadline_sweep_us: Micros,
-    /// How long a client is told to wait whose request found the request table full.
+    /// The retry advice to a client whose request found the request table full.
     pub retry_after_us: Micros,
 
     // ---- Buffers ----
@@ -85,14 +90,15 @@
     // ---- Connections to cache servers ----
     /// Connections to one cache server.
     pub connections_per_server: usize,
-    /// A further connection to a cache server is opened once the least used one has this many attempts in flight.
+    /// A further connection to a cache server is opened once the least used one has this many
+    /// attempts in flight.
     pub attempts_before_new_connection: usize,
     /// Attempts in flight on one connection.
     pub attempts_per_connection: usize,
     /// A connection, of any kind that the proxy opens, must be established within this.
     pub connect_timeout_us: Micros,
-    /// A connection on which a cache server sends nothing for this long, while an answer is due, counts as
-    /// unresponsive: the machine may be gone or cut off.
+    /// A connection on which a cache server sends nothing for this long, while an answer is due,
+    /// counts as unresponsive: the machine may be gone or cut off.
     pub unresponsive_after_us: Micros,
     /// A connection on which a cache server takes none of the output for this long is closed.
     pub server_write_timeout_us: Micros,
@@ -104,11 +110,14 @@
     pub object_bytes: usize,
     /// An answer that has begun and brings nothing more for this long is incomplete.
     pub partial_answer_timeout_us: Micros,
-    /// An answer that no request waits for may take this long: answers behind it on the connection have to wait.
+    /// An answer that no request waits for may take this long: answers behind it on the connection
+    /// have to wait.
     pub unawaited_answer_timeout_us: Micros,
-    /// A cancelled attempt counts as ended this long after the cancellation was written, which takes time to arrive.
+    /// A cancelled attempt counts as ended this long after the cancellation was written, which
+    /// takes time to arrive.
     pub cancel_settle_us: Micros,
-    /// The id of a cancelled attempt is remembered on its connection for this long, to recognise a late answer.
+    /// The id of a cancelled attempt is remembered on its connection for this long, to recognise a
+    /// late answer.
     pub stream_memory_us: Micros,
 
     // ---- Discovery: event bus, Consul, purge gossip ----
@@ -136,9 +145,11 @@
     pub notification_timeout_us: Micros,
 
     // ---- Shutdown, counted from SIGTERM ----
-    /// New connections and requests are taken for this long. A later request has too little time left before SIGKILL.
+    /// New connections and requests are taken for this long. A later request has too little time
+    /// left before SIGKILL.
     pub shutdown_grace_us: Micros,
-    /// Requests that are still open are answered at this time: the process may be killed right after.
+    /// Requests that are still open are answered at this time: the process may be killed right
+    /// after.
     pub shutdown_deadline_us: Micros,
 
     // ---- Log ----
@@ -158,7 +169,8 @@
 /// The last answers are given this long before SIGKILL.
 const KILL_LEAD_US: Micros = 50 * MS;
 
-/// Descriptors that are neither in the connection table nor free: listeners, signals, files, and a reserve.
+/// Descriptors that are neither in the connection table nor free: listeners, signals, files, and a
+/// reserve.
 const RESERVED_DESCRIPTORS: usize = 24;
 /// Connections beyond those of clients that even the smallest machine has.
 const MIN_OTHER_CONNECTIONS: usize = 16;
@@ -169,8 +181,8 @@
 /// Memory of the machine for each open request.
 const MEMORY_PER_OPEN_REQUEST_BYTES: usize = 16 * KIB;
 
-/// The bounds of a machine with 1,024 descriptors and 192 MB. Those that depend on the machine are replaced by
-/// [`Limits::for_machine`].
+/// The bounds of a machine with 1,024 descriptors and 192 MB. Those that depend on the machine are
+/// replaced by [`Limits::for_machine`].
 const DEFAULT_MACHINE: Limits = Limits {
     descriptors: 1024,
     client_connections: 614,
@@ -258,13 +270,14 @@
         }
     }
 
-    /// When requests that are still open are answered after SIGTERM, given the longest deadline of all classes.
+    /// When requests that are still open are answered after SIGTERM, given the longest deadline of
+    /// all classes.
     pub fn shutdown_deadline_us(longest_deadline_us: Micros) -> Micros {
         longest_deadline_us.min(MAX_RESTART_DEADLINE_US) + RESTART_GRACE_US - KILL_LEAD_US
     }
 
-    /// Whether a client connection may open one more request, where it is owed this many answers, the new one included.
-    /// `crowded` says that half of the request table is taken.
+    /// Whether a client connection may open one more request, where it is owed this many answers,
+    /// the new one included. `crowded` says that half of the request table is taken.
     pub fn admits(&self, owed: usize, crowded: bool) -> bool {
         let most = if crowded {
             self.requests_per_client_when_crowded
--- a/crates/settings/src/convert.rs
+++ b/crates/settings/src/convert.rs
@@ -1,4 +1,5 @@
-//! From the settings document to the routing crate's settings: defaults, and the words of the document.
+//! From the settings document to the routing crate's settings: defaults, and the words of the
+//! document.
 
 use crate::document::{Category, Customer, FamilyInfo, IndexedList, Rules, SettingsDocument};
 use crate::json::{Object, Tolerant, WholeNumber};
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,12 +1,15 @@
-//! The settings as they stand in JSON: one struct for each object, with its key names. A field means what the field of
-//! [`edge_routing::Settings`] means that `convert` fills from it; comments here name units and words only.
+//! The settings as they stand in JSON: one struct for each object, with its key names. A field
+//! means what the field of [`edge_routing::Settings`] means that `convert` fills from it; comments
+//! here name units and words only.
 //!
-//! Every key may be absent or null unless its type is not an `Option`. Keys that are not listed are ignored.
+//! Every key may be absent or null unless its type is not an `Option`. Keys that are not listed are
+//! ignored.
 
 use crate::json::{Object, Tolerant, WholeNumber};
 use serde::Deserialize;
 
-/// A list with one value for each class or zone. Values past the last class or zone are not checked.
+/// A list with one value for each class or zone. Values past the last class or zone are not
+/// checked.
 pub(crate) type IndexedList<T> = Option<Vec<Tolerant<T>>>;
 
 /// The whole document.
--- a/crates/settings/src/json.rs
+++ b/crates/settings/src/json.rs
@@ -1,5 +1,5 @@
-//! What the JSON documents of this workspace have in common: numbers that may be written with a point, objects that
-//! must be objects, and errors that name the key at fault.
+//! What the JSON documents of this workspace have in common: numbers that may be written with a
+//! point, objects that must be objects, and errors that name the key at fault.
 
 use serde::de::value::MapAccessDeserializer;
 use serde::de::{Error, IgnoredAny, MapAccess, Unexpected, Visitor};
@@ -12,8 +12,8 @@
 #[derive(Debug, thiserror::Error)]
 #[error("{}{source}", field_prefix(path))]
 pub struct ReadError {
-    /// Path of the key at fault, such as `categories[0].aim-us`; `.` is the document itself. Where a key is missing,
-    /// this is the object that lacks it, and `source` names the key.
+    /// Path of the key at fault, such as `categories[0].aim-us`; `.` is the document itself. Where
+    /// a key is missing, this is the object that lacks it, and `source` names the key.
     pub path: String,
     /// What is wrong with it.
     pub source: serde_json::Error,
@@ -40,8 +40,8 @@
     Ok(serde_path_to_error::deserialize(value)?)
 }
 
-/// A number from 0 that counts whole units. `300000.0` is read as 300000, a fraction is dropped, and what exceeds 64
-/// bits becomes the largest number.
+/// A number from 0 that counts whole units. `300000.0` is read as 300000, a fraction is dropped,
+/// and what exceeds 64 bits becomes the largest number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WholeNumber(pub u64);
 
@@ -88,7 +88,8 @@
     }
 }
 
-/// A struct that is read from a JSON object only. By itself, `serde` also reads a struct from a list of its fields.
+/// A struct that is read from a JSON object only. By itself, `serde` also reads a struct from a
+/// list of its fields.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Object<T>(pub T);
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,8 @@
-//! Reads the settings of a deployment from JSON into [`edge_routing::Settings`]. The proxy finds the object in its
-//! configuration, the simulator adapter in the message that starts an instance.
+//! Reads the settings of a deployment from JSON into [`edge_routing::Settings`]. The proxy finds
+//! the object in its configuration, the simulator adapter in the message that starts an instance.
 //!
-//! `document` mirrors the JSON and is the only place that knows its key names, `convert` fills in defaults, and [`json`]
-//! holds what other JSON documents of the workspace are read with too.
+//! `document` mirrors the JSON and is the only place that knows its key names, `convert` fills in
+//! defaults, and [`json`] holds what other JSON documents of the workspace are read with too.
 
 mod convert;
 mod document;
@@ -27,7 +27,8 @@
     },
 }
 
-/// Reads the settings object. Whether a router can work with the settings is for [`Settings::validate`] to say.
+/// Reads the settings object. Whether a router can work with the settings is for
+/// [`Settings::validate`] to say.
 pub fn from_json(value: &Value) -> Result<Settings, SettingsReadError> {
     let Object(document): Object<SettingsDocument> = json::read(value)?;
     convert::settings(document)
--- a/crates/sim-adapter/src/action_message.rs
+++ b/crates/sim-adapter/src/action_message.rs
@@ -1,5 +1,6 @@
-//! Messages to the simulator: one variant for each, with its key names. Times are microseconds. The fields of each stand
-//! in the order of their keys, so that a recorded reply can be compared byte for byte.
+//! Messages to the simulator: one variant for each, with its key names. Times are microseconds. The
+//! fields of each stand in the order of their keys, so that a recorded reply can be compared byte
+//! for byte.
 
 use edge_routing::{Action, Fill};
 use serde::Serialize;
--- a/crates/sim-adapter/src/event_message.rs
+++ b/crates/sim-adapter/src/event_message.rs
@@ -1,5 +1,5 @@
-//! Messages of the simulator: one struct for each, with its key names, and its meaning as an [`edge_routing::Event`].
-//! Times are microseconds. Keys that are not listed are ignored.
+//! Messages of the simulator: one struct for each, with its key names, and its meaning as an
+//! [`edge_routing::Event`]. Times are microseconds. Keys that are not listed are ignored.
 
 use crate::error::LineError;
 use edge_routing as routing;
@@ -232,8 +232,8 @@
     }
 }
 
-/// Reads an event for an instance that runs; none where the type is unknown. `Peer` is one of these: instances do not
-/// send each other messages.
+/// Reads an event for an instance that runs; none where the type is unknown. `Peer` is one of
+/// these: instances do not send each other messages.
 pub fn read_event(event_type: &str, line: &str) -> Result<Option<routing::Event>, LineError> {
     let event = match event_type {
         "PeersKnown" => read::<PeersKnown>(event_type, line)?.into(),
--- a/crates/sim-adapter/src/host.rs
+++ b/crates/sim-adapter/src/host.rs
@@ -67,7 +67,8 @@
         Ok(())
     }
 
-    /// Has a router handle an event. An unknown event type and an instance that does not run are no errors.
+    /// Has a router handle an event. An unknown event type and an instance that does not run are no
+    /// errors.
     fn run_router(&mut self, instance: u64, event_type: &str, line: &str) -> Result<(), LineError> {
         let event = event_message::read_event(event_type, line)?;
         let (Some(router), Some(event)) = (self.routers.get_mut(&instance), event) else {
--- a/crates/sim-adapter/src/main.rs
+++ b/crates/sim-adapter/src/main.rs
@@ -1,5 +1,6 @@
-//! Hosts many routing instances on the simulator's line protocol: batches of events on standard input, batches of
-//! actions on standard output, one JSON object a line. All decisions are those of `edge-routing`.
+//! Hosts many routing instances on the simulator's line protocol: batches of events on standard
+//! input, batches of actions on standard output, one JSON object a line. All decisions are those of
+//! `edge-routing`.
 
 mod action_message;
 mod error;
--- a/crates/sim-adapter/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -1,5 +1,7 @@
-//! The adapter as a process: batches that hold every event and cause every kind of action, and invalid input.
+//! The adapter as a process: batches that hold every event and cause every kind of action, and
+//! invalid input.
 
+use serde_json::{json, Value};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -35,35 +37,40 @@
  {"store":5,"campus":"hub","shape":"mid","group":1,"weight":30,"state":1},
  {"store":6,"campus":"hub","shape":"root","group":2,"weight":1,"state":1,"note":"unknown fields are skipped"}]}"#;
 
-fn on_one_line(text: &str) -> String {
-    text.replace('\n', "")
+fn parse(text: &str) -> Value {
+    serde_json::from_str(text).expect("a sample is JSON")
 }
 
-fn batch(at: u64, round: u64, events: &[String]) -> String {
-    let body: String = events.iter().map(|e| format!("{e}\n")).collect();
-    format!(
-        "{{\"event_type\":\"Clock\",\"at-time-us\":{at},\"round\":{round}}}\n{body}{{\"event_type\":\"End\"}}\n"
-    )
+/// A batch as the simulator writes it.
+fn batch(at: u64, round: u64, events: &[Value]) -> String {
+    let clock = json!({"event_type": "Clock", "at-time-us": at, "round": round});
+    let end = json!({"event_type": "End"});
+    [&clock]
+        .into_iter()
+        .chain(events)
+        .chain([&end])
+        .map(|message| format!("{message}\n"))
+        .collect()
 }
 
-fn born() -> String {
-    on_one_line(&format!(
-        "{{\"event_type\":\"Born\",\"i\":0,\"nonce64\":12,\"setup\":{SETUP}}}"
-    ))
+fn born(setup: Value) -> Value {
+    json!({"event_type": "Born", "i": 0, "nonce64": 12, "setup": setup})
 }
 
-fn order(id: u64, class: &str, remaining: u64) -> String {
-    format!(
-        "{{\"event_type\":\"Order\",\"i\":0,\"request-id\":{id},\"grade\":\"{class}\",\"owner\":0,\
-         \"content-id\":\"/o/{id}\",\"remaining-us\":{remaining},\"length-kb\":400,\"purge-group\":1,\"segment\":0}}"
-    )
+fn order(id: u64, class: &str, remaining: u64) -> Value {
+    json!({
+        "event_type": "Order", "i": 0, "request-id": id, "grade": class, "owner": 0,
+        "content-id": format!("/o/{id}"), "remaining-us": remaining, "length-kb": 400,
+        "purge-group": 1, "segment": 0,
+    })
 }
 
-fn resolved(id: u64, store: u64, how: &str, settled: bool) -> String {
-    format!(
-        "{{\"event_type\":\"Resolved\",\"i\":0,\"request-id\":{id},\"store\":{store},\"how\":\"{how}\",\
-         \"took-us\":9000,\"go\":0,\"settled\":{settled},\"note\":1,\"usage\":{{\"cpu_share\":0.5,\"odd\":[]}}}}"
-    )
+fn resolved(id: u64, store: u64, how: &str, settled: bool) -> Value {
+    json!({
+        "event_type": "Resolved", "i": 0, "request-id": id, "store": store, "how": how,
+        "took-us": 9000, "go": 0, "settled": settled, "note": 1,
+        "usage": {"cpu_share": 0.5, "odd": []},
+    })
 }
 
 fn lines(out: &Output) -> Vec<String> {
@@ -79,26 +86,33 @@
 
 /// Batches that hold every event.
 fn every_event() -> String {
-    batch(1_000_000, 1, &[born(), on_one_line(LIST)])
-        + &batch(1_002_000, 2, &[order(7, "film", 4_000_000), order(8, "post", 4_000_000), order(9, "film", 0)])
-        + &batch(1_004_000, 3, &[resolved(7, 4, "ok", true), resolved(8, 6, "reset", false)])
-        + &batch(1_006_000, 4, &[order(10, "film", 4_000_000)])
-        + &batch(1_008_000, 5, &["{\"event_type\":\"ClientLeft\",\"i\":0,\"request-id\":10}".into()])
-        + &batch(
-            1_060_000,
-            6,
-            &[
-                "{\"event_type\":\"Elapsed\",\"i\":0,\"ctx\":0}".into(),
-                "{\"event_type\":\"Accepted\",\"i\":0,\"request-id\":10,\"store\":4,\"took-us\":1,\"go\":0}".into(),
-                "{\"event_type\":\"CheckResult\",\"i\":0,\"took-us\":1,\"how\":\"ok\",\"store\":4}".into(),
-                "{\"event_type\":\"Peer\",\"i\":0,\"by\":2,\"octets\":\"hi\"}".into(),
-                "{\"event_type\":\"Invalidated\",\"i\":0,\"content-id\":\"/o/11\",\"batch-id\":1,\"how-old-us\":5000}"
-                    .into(),
-                order(11, "film", 4_000_000),
-                "{\"event_type\":\"SomethingNew\",\"i\":0}".into(),
-            ],
-        )
-        + &batch(1_070_000, 7, &["{\"event_type\":\"Stop\",\"i\":0}".into()])
+    let requests = [
+        order(7, "film", 4_000_000),
+        order(8, "post", 4_000_000),
+        order(9, "film", 0),
+    ];
+    let outcomes = [resolved(7, 4, "ok", true), resolved(8, 6, "reset", false)];
+    let others = [
+        json!({"event_type": "Elapsed", "i": 0, "ctx": 0}),
+        json!({"event_type": "Accepted", "i": 0, "request-id": 10, "store": 4, "took-us": 1, "go": 0}),
+        json!({"event_type": "CheckResult", "i": 0, "took-us": 1, "how": "ok", "store": 4}),
+        json!({"event_type": "Peer", "i": 0, "by": 2, "octets": "hi"}),
+        json!({"event_type": "Invalidated", "i": 0, "content-id": "/o/11", "batch-id": 1, "how-old-us": 5000}),
+        order(11, "film", 4_000_000),
+        json!({"event_type": "SomethingNew", "i": 0}),
+    ];
+    let client_left = json!({"event_type": "ClientLeft", "i": 0, "request-id": 10});
+    let stop = json!({"event_type": "Stop", "i": 0});
+    [
+        batch(1_000_000, 1, &[born(parse(SETUP)), parse(LIST)]),
+        batch(1_002_000, 2, &requests),
+        batch(1_004_000, 3, &outcomes),
+        batch(1_006_000, 4, &[order(10, "film", 4_000_000)]),
+        batch(1_008_000, 5, &[client_left]),
+        batch(1_060_000, 6, &others),
+        batch(1_070_000, 7, &[stop]),
+    ]
+    .concat()
 }
 
 #[test]
@@ -161,8 +175,8 @@
         1,
         1,
         &[
-            born(),
-            "{\"event_type\":\"Order\",\"i\":0,\"request-id\":3}".into(),
+            born(parse(SETUP)),
+            json!({"event_type": "Order", "i": 0, "request-id": 3}),
         ],
     );
     let out = run(&input);
@@ -186,8 +200,9 @@
 
 #[test]
 fn invalid_settings_are_a_fatal_error() {
-    let born = born().replace("\"tip-after-us\":1000000", "\"tip-after-us\":0");
-    let out = run(&batch(1, 1, &[born]));
+    let mut setup = parse(SETUP);
+    setup["rules"]["tip-after-us"] = json!(0);
+    let out = run(&batch(1, 1, &[born(setup)]));
     assert!(!out.status.success());
     assert!(String::from_utf8_lossy(&out.stderr).contains("overload window"));
 }
