Routing: decisions in policy/, facts in state/, statistics in estimate/

decide.rs held all decisions, tables and statistics of one Router with 24 fields in functions of up to 140 lines. Now policy/ holds every decision and tuning constant by subject, state/ the tables of servers, requests, purges and the link, and estimate/ counters, averages and hashes that take their tuning numbers as parameters. Names are those of the field. Dropped as dead: removing a request without an attempt in flight when its client disconnects, as such a request is never in the table between events.

--- a/crates/routing/src/action.rs
+++ b/crates/routing/src/action.rs
@@ -77,3 +77,18 @@
         line: String,
     },
 }
+
+impl Action {
+    /// Wake the router at this time, with this tag.
+    pub(crate) fn set_timer(at: Micros, tag: u64) -> Self {
+        Action::SetTimer { at, tag }
+    }
+
+    /// The final answer that a request is rejected, with this advice when to retry.
+    pub(crate) fn reject(request: RequestId, retry_after_us: Option<Micros>) -> Self {
+        Action::Reject {
+            request,
+            retry_after_us,
+        }
+    }
+}
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -95,10 +95,20 @@
     Miss,
 }
 
+impl Outcome {
+    /// The request surely had no effect.
+    pub(crate) fn never_ran(self) -> bool {
+        matches!(
+            self,
+            Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss
+        )
+    }
+}
+
 /// How an answer was made, or why a fill failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FillResult {
-    /// Not told.
+    /// Not reported.
     Unknown,
     /// Found in the cache.
     Hit,
@@ -122,6 +132,16 @@
     OriginFailed,
 }
 
+impl FillResult {
+    /// The source of the fill, or the origin behind it, failed.
+    pub(crate) fn source_failed(self) -> bool {
+        matches!(
+            self,
+            FillResult::SourceRejected | FillResult::SourceUnreachable | FillResult::OriginFailed
+        )
+    }
+}
+
 /// A server's report of its load; values that it does not report are absent.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
@@ -185,7 +205,8 @@
         group: u64,
         /// Time since the purge.
         age_us: Micros,
-        /// The servers are not notified of it: they drop nothing by themselves, so it holds for good.
+        /// The servers are not notified of it: they drop nothing by themselves, so it holds for
+        /// good.
         permanent: bool,
     },
 }
@@ -212,3 +233,22 @@
     /// The server's report.
     pub load: Option<LoadReport>,
 }
+
+impl AttemptReport {
+    /// Time since it was sent, in seconds.
+    pub(crate) fn took_s(&self) -> f64 {
+        self.took_us as f64 / 1e6
+    }
+
+    /// Served from the server's own copy.
+    pub(crate) fn is_hit(&self) -> bool {
+        self.outcome == Outcome::Ok
+            && matches!(self.fill_result, FillResult::Hit | FillResult::Stale)
+    }
+
+    /// Served from a copy that was filled for it.
+    pub(crate) fn is_filled(&self) -> bool {
+        let filled = [FillResult::Filled, FillResult::FilledFromOrigin];
+        self.outcome == Outcome::Ok && filled.contains(&self.fill_result)
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,28 +1,72 @@
-//! edge_routing decides for a front of caches of large objects behind thin links: which cache a request goes to,
-//! where a miss is filled from, what is kept, and what happens when things fail.
+//! edge_routing decides for a front of caches of large objects behind thin links: which cache a
+//! request goes to, where a miss is filled from, what is kept, and what happens when things fail.
 //!
-//! The library is sans-IO. A proxy feeds a [`Router`] with events and carries out the actions that come back;
-//! time is the `now` of each call, and randomness comes from the seed alone.
+//! The library is sans-IO. A proxy feeds a [`Router`] with events and carries out the actions that
+//! come back; time is the `now` of each call, and randomness comes from the seed alone.
+//!
+//! Inside, `policy` holds every decision and tuning constant, `state` the facts that it decides by,
+//! and `estimate` the statistics, which know nothing of either.
 //!
 //! ```
 //! use edge_routing::*;
 //!
 //! let class = Class {
-//!     name: "video".into(), latency_objective_us: 500_000, objective_per_transfer_time: 1.5, deadline_us: 5_000_000, priority_weight: 2.0,
-//!     late_weight: 0.1, idempotency: Idempotency::Idempotent, dedup_scope: DedupScope::All, dedup_window_us: 0, streaming: false,
-//!     multipart: true, is_write: false, freshness_lifetime_us: 0, stale_grace_us: 0, stale_weight: 0.0,
+//!     name: "video".into(),
+//!     latency_objective_us: 500_000,
+//!     objective_per_transfer_time: 1.5,
+//!     deadline_us: 5_000_000,
+//!     priority_weight: 2.0,
+//!     late_weight: 0.1,
+//!     idempotency: Idempotency::Idempotent,
+//!     dedup_scope: DedupScope::All,
+//!     dedup_window_us: 0,
+//!     streaming: false,
+//!     multipart: true,
+//!     is_write: false,
+//!     freshness_lifetime_us: 0,
+//!     stale_grace_us: 0,
+//!     stale_weight: 0.0,
+//! };
+//! let zone = |name: &str, edge_proxies, hub| Zone {
+//!     name: name.into(),
+//!     edge_proxies,
+//!     hub,
+//!     link_kb_per_s: 0.0,
 //! };
-//! let zone = |name: &str, edge_proxies, hub| Zone { name: name.into(), edge_proxies, hub, link_kb_per_s: 0.0 };
 //! let mut settings = Settings {
-//!     classes: vec![class], tenants: vec![], zones: vec![zone("hub", 0, 0), zone("town", 1, 0)], zone: 1,
-//!     parent_kind: None, origin_kind: "origin".into(), poll_endpoint_list: false, direct_requests: false, coalescing: true,
-//!     peer_fill: PeerFill::Off, provenance: Provenance::Full, load_reports: LoadReportSource::Off, weights_known: true,
-//!     transfer_kb_per_s: 4_000.0, max_attempts: 4, hedging: false, cancellation: true, probing: false,
-//!     retry_after: true, max_retry_after_us: 1_000_000, origin_overload_multiple: 0.0,
+//!     classes: vec![class],
+//!     tenants: vec![],
+//!     zones: vec![zone("hub", 0, 0), zone("town", 1, 0)],
+//!     zone: 1,
+//!     parent_kind: None,
+//!     origin_kind: "origin".into(),
+//!     poll_endpoint_list: false,
+//!     direct_requests: false,
+//!     coalescing: true,
+//!     peer_fill: PeerFill::Off,
+//!     provenance: Provenance::Full,
+//!     load_reports: LoadReportSource::Off,
+//!     weights_known: true,
+//!     transfer_kb_per_s: 4_000.0,
+//!     max_attempts: 4,
+//!     hedging: false,
+//!     cancellation: true,
+//!     probing: false,
+//!     retry_after: true,
+//!     max_retry_after_us: 1_000_000,
+//!     origin_overload_multiple: 0.0,
 //!     rules: Rules {
-//!         drain_grace_us: 1_000_000, warm_up_initial_share: 0.2, warm_up_us: 10_000_000, overload_multiple: 3.0,
-//!         overload_window_us: 1_000_000, parent_warm_up_initial_share: 0.1, parent_warm_up_us: 10_000_000, parent_overload_multiple: 2.0,
-//!         purge_grace_us: 500_000, purge_completion_us: 5_000_000, poll_within_us: 0,
+//!         drain_grace_us: 1_000_000,
+//!         warm_up_initial_share: 0.2,
+//!         warm_up_us: 10_000_000,
+//!         overload_multiple: 3.0,
+//!         overload_window_us: 1_000_000,
+//!         parent_warm_up_initial_share: 0.1,
+//!         parent_warm_up_us: 10_000_000,
+//!         parent_overload_multiple: 2.0,
+//!         purge_grace_us: 500_000,
+//!         purge_completion_us: 5_000_000,
+//!         poll_within_us: 0,
 //!     },
 //! };
 //! let mut router = Router::new(settings.clone(), 42)?;
@@ -30,41 +74,81 @@
 //!
 //! // The list of servers: one cache here, and the origin at the hub.
 //! let server = |id, zone: &str, kind: &str| Endpoint {
-//!     id, zone: zone.into(), cell: 0, kind: kind.into(), weight: 8.0, state: EndpointState::Ready, started: None,
+//!     id,
+//!     zone: zone.into(),
+//!     cell: 0,
+//!     kind: kind.into(),
+//!     weight: 8.0,
+//!     state: EndpointState::Ready,
+//!     started: None,
 //! };
 //! let servers = vec![server(1, "town", "cache"), server(9, "hub", "origin")];
-//! router.handle(0, Event::EndpointList { mode: EndpointListMode::Snapshot, endpoints: servers }, &mut actions);
+//! router.handle(
+//!     0,
+//!     Event::EndpointList {
+//!         mode: EndpointListMode::Snapshot,
+//!         endpoints: servers,
+//!     },
+//!     &mut actions,
+//! );
 //!
 //! // A request: the router names the cache, and the origin as the source of a fill.
 //! actions.clear();
 //! let request = Request {
-//!     id: 7, class: "video".into(), tenant: None, object: "/o/film".into(), part: 0, group: 0,
-//!     size_kb: 900.0, remaining_us: 5_000_000, is_retry: false,
+//!     id: 7,
+//!     class: "video".into(),
+//!     tenant: None,
+//!     object: "/o/film".into(),
+//!     part: 0,
+//!     group: 0,
+//!     size_kb: 900.0,
+//!     remaining_us: 5_000_000,
+//!     is_retry: false,
 //! };
 //! router.handle(1_000, Event::Request(request), &mut actions);
-//! assert!(matches!(actions[0], Action::StartAttempt { request: 7, server: 1, fill: Some(Fill { source: 9, .. }), .. }));
+//! assert!(matches!(
+//!     actions[0],
+//!     Action::StartAttempt {
+//!         request: 7,
+//!         server: 1,
+//!         fill: Some(Fill { source: 9, .. }),
+//!         ..
+//!     }
+//! ));
 //!
 //! // Its outcome: the client has its answer, nothing is left to do.
 //! actions.clear();
 //! let outcome = Event::AttemptEnded(AttemptReport {
-//!     request: 7, attempt: 0, server: 1, outcome: Outcome::Ok, took_us: 240_000, settled: true,
-//!     fill_result: FillResult::Filled, fill_ttfb_us: 30_000, load: None,
+//!     request: 7,
+//!     attempt: 0,
+//!     server: 1,
+//!     outcome: Outcome::Ok,
+//!     took_us: 240_000,
+//!     settled: true,
+//!     fill_result: FillResult::Filled,
+//!     fill_ttfb_us: 30_000,
+//!     load: None,
 //! });
 //! router.handle(241_000, outcome, &mut actions);
 //! assert!(actions.is_empty());
 //!
-//! // Unusable settings are told at the start.
+//! // Unusable settings are an error at the start.
 //! settings.classes.clear();
-//! assert_eq!(Router::new(settings, 42).err(), Some(SettingsError::NoClasses));
+//! assert_eq!(
+//!     Router::new(settings, 42).err(),
+//!     Some(SettingsError::NoClasses)
+//! );
 //! # Ok::<(), SettingsError>(())
 //! ```
 
 mod action;
-mod decide;
+mod estimate;
 mod event;
+mod policy;
 mod settings;
+mod state;
 
 pub use action::*;
-pub use decide::Router;
 pub use event::*;
+pub use policy::Router;
 pub use settings::*;
--- a/crates/routing/src/settings/mod.rs
+++ b/crates/routing/src/settings/mod.rs
@@ -124,7 +124,8 @@
 /// The limits that a router must keep; see the deployment's rules.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
-    /// A draining or departed server gets nothing new later than this after the router was notified.
+    /// A draining or departed server gets nothing new later than this after the router was
+    /// notified.
     pub drain_grace_us: Micros,
     /// A cache server that has just started has this share of its capacity, or more.
     pub warm_up_initial_share: f64,
@@ -144,7 +145,8 @@
     pub purge_grace_us: Micros,
     /// After this long the servers have dropped older copies by themselves.
     pub purge_completion_us: Micros,
-    /// Where the endpoint list is polled: without an update for this long, a router counts as notified.
+    /// Where the endpoint list is polled: without an update for this long, a router counts as
+    /// notified.
     pub poll_within_us: Micros,
 }
 
@@ -196,3 +198,84 @@
     /// The limits that the router must keep.
     pub rules: Rules,
 }
+
+impl Class {
+    /// How long a copy is fresh; none: until it is purged.
+    pub(crate) fn lifetime_us(&self) -> Option<Micros> {
+        (self.freshness_lifetime_us > 0).then_some(self.freshness_lifetime_us)
+    }
+}
+
+/// The limits that hold for a server after its start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WarmUp {
+    /// Share of its capacity that it starts with, from 0 to 1.
+    pub(crate) initial_share: f64,
+    /// It is warm after this long at most.
+    pub(crate) time_us: Micros,
+    /// It collapses at this multiple of its present capacity.
+    pub(crate) overload_multiple: f64,
+    /// Edge proxies that send to it.
+    pub(crate) routers: u32,
+}
+
+impl Settings {
+    /// The router's own zone.
+    pub(crate) fn own_zone(&self) -> &Zone {
+        &self.zones[self.zone]
+    }
+
+    /// Index of the zone of this name.
+    pub(crate) fn zone_index(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|zone| zone.name == name)
+    }
+
+    /// Index of the class of this name.
+    pub(crate) fn class_index(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class.name == name)
+    }
+
+    /// The limits for a cache of the router's own zone after its start.
+    pub(crate) fn cache_warm_up(&self) -> WarmUp {
+        WarmUp {
+            initial_share: self.rules.warm_up_initial_share,
+            time_us: self.rules.warm_up_us,
+            overload_multiple: self.rules.overload_multiple,
+            routers: self.own_zone().edge_proxies,
+        }
+    }
+
+    /// The limits for a parent after its start; all zones send to it.
+    pub(crate) fn parent_warm_up(&self) -> WarmUp {
+        WarmUp {
+            initial_share: self.rules.parent_warm_up_initial_share,
+            time_us: self.rules.parent_warm_up_us,
+            overload_multiple: self.rules.parent_overload_multiple,
+            routers: self.zones.iter().map(|zone| zone.edge_proxies).sum(),
+        }
+    }
+
+    /// Edge proxies of the router's own zone besides its own.
+    pub(crate) fn other_routers(&self) -> f64 {
+        f64::from(self.own_zone().edge_proxies.max(1)) - 1.0
+    }
+
+    /// Time in seconds that a transfer of this size takes alone; none: the size or the rate is
+    /// unknown.
+    pub(crate) fn transfer_s(&self, size_kb: f64) -> Option<f64> {
+        let known = self.transfer_kb_per_s > 0.0 && size_kb > 0.0;
+        known.then(|| size_kb / self.transfer_kb_per_s)
+    }
+
+    /// A rate in KB per second as a number of transfers at full rate.
+    pub(crate) fn transfers(&self, rate_kb_per_s: f64) -> f64 {
+        rate_kb_per_s / self.transfer_kb_per_s.max(1.0)
+    }
+
+    /// Mean rate in KB per second of the zones' links, without those that are unknown.
+    pub(crate) fn mean_link_kb_per_s(&self) -> f64 {
+        let known = self.zones.iter().filter(|zone| zone.link_kb_per_s > 0.0);
+        let sum: f64 = self.zones.iter().map(|zone| zone.link_kb_per_s).sum();
+        sum / known.count().max(1) as f64
+    }
+}
--- a/crates/routing/src/settings/validation.rs
+++ b/crates/routing/src/settings/validation.rs
@@ -31,7 +31,11 @@
         let invalid = not_negative
             .iter()
             .find(|(_, value)| !value.is_finite() || *value < 0.0)
-            .or_else(|| positive.iter().find(|(_, value)| !value.is_finite() || *value <= 0.0));
+            .or_else(|| {
+                positive
+                    .iter()
+                    .find(|(_, value)| !value.is_finite() || *value <= 0.0)
+            });
         match invalid {
             Some((name, _)) => Err(SettingsError::InvalidValue(name)),
             None => Ok(()),
@@ -44,15 +48,25 @@
             ("transfer rate", self.transfer_kb_per_s),
             ("origin overload multiple", self.origin_overload_multiple),
             ("warm-up share", self.rules.warm_up_initial_share),
-            ("parent warm-up share", self.rules.parent_warm_up_initial_share),
+            (
+                "parent warm-up share",
+                self.rules.parent_warm_up_initial_share,
+            ),
         ];
         for class in &self.classes {
-            values.push(("objective per transfer time", class.objective_per_transfer_time));
+            values.push((
+                "objective per transfer time",
+                class.objective_per_transfer_time,
+            ));
             values.push(("priority weight", class.priority_weight));
             values.push(("late weight", class.late_weight));
             values.push(("stale weight", class.stale_weight));
         }
-        values.extend(self.zones.iter().map(|zone| ("zone link", zone.link_kb_per_s)));
+        values.extend(
+            self.zones
+                .iter()
+                .map(|zone| ("zone link", zone.link_kb_per_s)),
+        );
         values
     }
 
@@ -62,9 +76,16 @@
             ("attempts", f64::from(self.max_attempts)),
             ("overload multiple", self.rules.overload_multiple),
             ("overload window", self.rules.overload_window_us as f64),
-            ("parent overload multiple", self.rules.parent_overload_multiple),
+            (
+                "parent overload multiple",
+                self.rules.parent_overload_multiple,
+            ),
         ];
-        values.extend(self.classes.iter().map(|class| ("deadline", class.deadline_us as f64)));
+        values.extend(
+            self.classes
+                .iter()
+                .map(|class| ("deadline", class.deadline_us as f64)),
+        );
         values
     }
 }
