--- a/crates/routing/src/estimate/mod.rs
+++ b/crates/routing/src/estimate/mod.rs
@@ -17,3 +17,6 @@
 pub(crate) use load::FleetLoad;
 pub(crate) use pace::TransferPace;
 pub(crate) use share::AdaptiveShare;
+
+#[cfg(test)]
+mod tests;
--- a/crates/routing/src/state/mod.rs
+++ b/crates/routing/src/state/mod.rs
@@ -12,3 +12,6 @@
 pub(crate) use purges::PurgeTable;
 pub(crate) use requests::{EndedAttempt, FirstRun, InFlightAttempt, RequestState, RequestTable};
 pub(crate) use servers::{RankedServers, Role, ServerState, ServerTable, Target};
+
+#[cfg(test)]
+mod tests;
