--- a/crates/proxy/src/event_loop/consul.rs
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -3,7 +3,7 @@
 use super::connections::{Connection, ConnectionRole};
 use super::timer::TimerEvent;
 use super::EventLoop;
-use crate::discovery::consul::{Consul, ConsulQuery};
+use crate::discovery::consul::{Consul, ConsulError, ConsulQuery};
 use crate::net::SlabKey;
 use crate::protocol::{http, ProtocolError};
 use edge_routing::{EndpointListMode, Micros};
@@ -80,7 +80,7 @@
             return;
         };
         let update = response
-            .ok_or("no answer".to_owned())
+            .ok_or(ConsulError::NoAnswer)
             .and_then(|(head, body)| consul.response(&head, &body));
         let next_query = match update {
             Ok(servers) => {
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -3,7 +3,7 @@
 use super::connections::Connection;
 use super::timer::TimerEvent;
 use super::{purge_gossip, EventLoop};
-use crate::discovery::purge_gossip as gossip;
+use crate::discovery::purge_gossip::{self as gossip, Purge};
 use crate::discovery::purge_log::PurgeLog;
 use crate::frontend::interconnect::{
     self as frontend, Effect, InterconnectFrontend, InterconnectReply,
@@ -131,10 +131,15 @@
     fn apply_effect(&mut self, now: Micros, effect: Effect) {
         match effect {
             Effect::Purge(object, group) => {
-                if let Some(datagram) = gossip::write(object.as_deref(), group, now) {
+                let purge = Purge {
+                    object,
+                    group,
+                    purged_at: now,
+                };
+                if let Some(datagram) = gossip::encode(&purge) {
                     self.gossip_purge(now, datagram, purge_gossip::REPEATS);
                 }
-                self.purge_permanently(now, object, group, now);
+                self.purge_permanently(now, purge);
             }
             Effect::Notify(notification) => self.queue_notification(now, notification),
         }
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -11,7 +11,7 @@
 /// How often a purge is repeated: any datagram may be lost.
 pub(super) const REPEATS: u8 = 2;
 /// One byte more than the longest datagram, so that a longer one is recognized rather than cut.
-const RECEIVE_BUFFER_BYTES: usize = gossip::MOST + 1;
+const RECEIVE_BUFFER_BYTES: usize = gossip::MAX_DATAGRAM_BYTES + 1;
 
 /// The socket for purge gossip, and the proxies it is exchanged with.
 pub(super) struct PurgeGossip {
@@ -46,7 +46,7 @@
             if !self.peers.contains(&sender) {
                 continue;
             }
-            if let Some(purge) = gossip::read(&buffer[..length]) {
+            if let Some(purge) = gossip::decode(&buffer[..length]) {
                 return Some(purge);
             }
         }
@@ -63,10 +63,8 @@
 impl EventLoop {
     /// Takes in all purges that peer proxies have sent.
     pub(super) fn receive_purge_gossip(&mut self, now: Micros) {
-        while let Some((object, group, at)) =
-            self.purge_gossip.as_ref().and_then(PurgeGossip::receive)
-        {
-            self.purge_permanently(now, object, group, at);
+        while let Some(purge) = self.purge_gossip.as_ref().and_then(PurgeGossip::receive) {
+            self.purge_permanently(now, purge);
         }
     }
 
@@ -88,16 +86,13 @@
     }
 
     /// A purge that cache servers learn nothing of: it holds from here on, also for a proxy that starts again.
-    pub(super) fn purge_permanently(
-        &mut self,
-        now: Micros,
-        object: Option<String>,
-        group: u64,
-        at: Micros,
-    ) {
-        let is_new = self
-            .request_table
-            .purge_permanently(now, object.clone(), group, at);
+    pub(super) fn purge_permanently(&mut self, now: Micros, purge: Purge) {
+        let is_new = self.request_table.purge_permanently(
+            now,
+            purge.object.clone(),
+            purge.group,
+            purge.purged_at,
+        );
         if !is_new {
             return;
         }
@@ -105,7 +100,7 @@
             .interconnect
             .as_mut()
             .and_then(|interconnect| interconnect.purge_log.as_mut());
-        let logged = purge_log.map(|log| log.add(object.as_deref(), group, at));
+        let logged = purge_log.map(|log| log.add(&purge));
         if let Some(Err(e)) = logged {
             log::error!("a purge is in force but not kept for the next start: {e}");
         }
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -137,7 +137,7 @@
                 self.write_interconnect_client(key) && !self.is_client_finished(key)
             }
             ConnectionRole::Lingering { .. } => true,
-            ConnectionRole::Upstream(_) => self.pump_upstream(now, key),
+            ConnectionRole::Upstream(_) => self.flush_upstream(now, key),
             ConnectionRole::EventBus(_) | ConnectionRole::Consul(_) => {
                 connection.transport.write() != IoProgress::Broken
             }
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -11,7 +11,7 @@
 use super::signals::Signals;
 use super::upstreams::UpstreamConnections;
 use super::EventLoop;
-use crate::config::{Cdni, Config, Source};
+use crate::config::{Config, InterconnectConfig, Source};
 use crate::discovery::event_bus::EventBusMessage;
 use crate::discovery::purge_log::PurgeLog;
 use crate::frontend::interconnect::InterconnectFrontend;
@@ -117,8 +117,9 @@
             .as_ref()
             .and_then(|interconnect| interconnect.purge_log.as_ref());
         let kept_purges = purge_log.map(PurgeLog::purges).unwrap_or_default();
-        for (object, group, at) in kept_purges {
-            self.request_table.purge_permanently(now, object, group, at);
+        for purge in kept_purges {
+            self.request_table
+                .purge_permanently(now, purge.object, purge.group, purge.purged_at);
         }
         for event in known_events {
             self.apply_event_bus_message(now, event);
@@ -136,7 +137,7 @@
 }
 
 fn start_interconnect(
-    cdni: &Cdni,
+    cdni: &InterconnectConfig,
     config: &Config,
     poller: &Poller,
 ) -> Result<(Acceptor, Interconnect), StartError> {
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -44,8 +44,8 @@
         };
         match key.and_then(|key| Some((key, self.upstream_mut(key)?.1))) {
             Some((key, upstream)) => {
-                upstream.send(attempt);
-                if !self.pump_upstream(now, key) {
+                upstream.enqueue(attempt);
+                if !self.flush_upstream(now, key) {
                     self.close(now, key);
                 }
                 self.update_poll_interest(key);
@@ -83,9 +83,9 @@
         let candidate = |key: &SlabKey| {
             let (transport, upstream) = self.upstream(*key)?;
             let attempts_in_flight =
-                upstream.room_for(request_id, &self.request_table, &self.limits)?;
+                upstream.load_if_available(request_id, &self.request_table, &self.limits)?;
             Some(Candidate {
-                is_new_to_request: !upstream.gave_up(request_id),
+                is_new_to_request: !upstream.cancelled_recently(request_id),
                 is_connecting: !transport.connected,
                 attempts_in_flight,
                 key: *key,
@@ -120,7 +120,7 @@
         if keys.len() >= self.limits.connections_per_server {
             let is_unresponsive = |key: &SlabKey| {
                 let upstream = self.upstream(*key);
-                upstream.is_some_and(|(_, upstream)| upstream.is_silent())
+                upstream.is_some_and(|(_, upstream)| upstream.is_unresponsive())
             };
             let unresponsive = keys.iter().copied().find(is_unresponsive)?;
             self.close(now, unresponsive);
@@ -152,13 +152,13 @@
                 continue;
             };
             let mut events = Vec::new();
-            let is_usable = upstream.give_up(now, attempt, transport, &mut events);
+            let is_usable = upstream.cancel(now, attempt, transport, &mut events);
             self.report_upstream_events(now, server, events);
             self.timers.set(
                 now + self.limits.stream_memory_us,
                 TimerEvent::CheckUpstream(key),
             );
-            if !is_usable || !self.pump_upstream(now, key) {
+            if !is_usable || !self.flush_upstream(now, key) {
                 self.close(now, key);
             }
             self.update_poll_interest(key);
@@ -177,7 +177,7 @@
                 continue;
             };
             let mut events = Vec::new();
-            if upstream.unqueue(attempt, transport, &mut events) {
+            if upstream.dequeue(attempt, transport, &mut events) {
                 return self.report_upstream_events(now, server, events);
             }
         }
@@ -196,7 +196,8 @@
             };
             let connected_to = upstream.server;
             let mut events = Vec::new();
-            let is_usable = upstream.withdraw(server, transport, &self.request_table, &mut events);
+            let is_usable =
+                upstream.drain_server(server, transport, &self.request_table, &mut events);
             let is_drained = connected_to == server && upstream.is_idle();
             self.report_upstream_events(now, connected_to, events);
             if !is_usable || is_drained {
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -96,7 +96,7 @@
     }
 
     /// Writes queued attempts and sets the timers that follow. False where the connection is to be closed.
-    pub(in crate::event_loop) fn pump_upstream(&mut self, now: Micros, key: SlabKey) -> bool {
+    pub(in crate::event_loop) fn flush_upstream(&mut self, now: Micros, key: SlabKey) -> bool {
         let Some((transport, upstream)) = self
             .connections
             .get_mut(key)
@@ -106,15 +106,17 @@
         };
         let server = upstream.server;
         let mut events = Vec::new();
-        let is_usable = upstream.pump(
+        let is_usable = upstream.flush(
             now,
             transport,
             &self.request_table,
             &self.limits,
             &mut events,
         );
-        let cancelled_over_at = upstream.report_at(&self.limits);
-        let answer_stalls_at = upstream.half_at(&self.limits).filter(|_| is_usable);
+        let cancelled_over_at = upstream.next_cancellation_report(&self.limits);
+        let answer_stalls_at = upstream
+            .partial_answer_deadline(&self.limits)
+            .filter(|_| is_usable);
         let has_output = transport.connected && !transport.output.is_empty();
         let write_stalls_at = has_output.then_some(now + self.limits.server_write_timeout_us);
         for at in [cancelled_over_at, answer_stalls_at, write_stalls_at]
@@ -132,7 +134,7 @@
 
     /// Checks a connection at the time of one of its timers.
     pub(in crate::event_loop) fn check_upstream(&mut self, now: Micros, key: SlabKey) {
-        if !self.pump_upstream(now, key) {
+        if !self.flush_upstream(now, key) {
             self.close(now, key);
         }
         self.update_poll_interest(key);
@@ -141,7 +143,7 @@
             .get_mut(key)
             .and_then(Connection::as_upstream_mut)
         {
-            upstream.prune(now, &self.limits);
+            upstream.forget_old_streams(now, &self.limits);
         }
     }
 
@@ -156,7 +158,7 @@
         let server = upstream.server;
         self.upstream_connections.remove(server, key);
         let mut events = Vec::new();
-        upstream.broken(transport.connected, transport.bytes_written, &mut events);
+        upstream.close(transport.connected, transport.bytes_written, &mut events);
         self.report_upstream_events(now, server, events);
     }
 
