--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -1,4 +1,5 @@
-//! Where client connections are accepted, of FastCGI clients and of peer CDNs, and when accepting pauses.
+//! Where client connections are accepted, of FastCGI clients and of peer CDNs, and when accepting
+//! pauses.
 
 use super::connections::ConnectionRole;
 use super::timer::TimerEvent;
@@ -56,7 +57,8 @@
         self.listener.local_addr().ok()
     }
 
-    /// Stops watching the listener: unaccepted connections would keep it readable and the loop spinning.
+    /// Stops watching the listener: unaccepted connections would keep it readable and the loop
+    /// spinning.
     fn pause(&mut self, poller: &Poller) {
         let _ = poller.change(&self.listener, self.token, false, false);
         self.watched = false;
@@ -78,8 +80,8 @@
     pub(super) fastcgi: Option<Acceptor>,
     /// None where no interconnect is configured.
     pub(super) interconnect: Option<Acceptor>,
-    /// Both listeners may pause; were each to set a timer of its own, each of those timers would set two more
-    /// while the connection table stays full.
+    /// Both listeners may pause; were each to set a timer of its own, each of those timers would
+    /// set two more while the connection table stays full.
     retry_scheduled: bool,
 }
 
@@ -115,7 +117,8 @@
     }
 }
 
-/// Whether the next connection in the kernel's queue may be accepted at once, although this one failed.
+/// Whether the next connection in the kernel's queue may be accepted at once, although this one
+/// failed.
 fn concerns_one_connection(e: &io::Error) -> bool {
     matches!(
         e.kind(),
@@ -127,7 +130,8 @@
     /// Accepts all connections that wait at a listener, as far as there is room for them.
     pub(super) fn accept_clients(&mut self, now: Micros, kind: ListenerKind) {
         while self.is_accepting(kind) {
-            // With no room left, connections wait in the kernel's queue and are accepted once others have ended.
+            // With no room left, connections wait in the kernel's queue and are accepted once
+            // others have ended.
             let room = self.make_room_for_client(now);
             let Some(acceptor) = self.acceptors.get(kind) else {
                 return;
--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -22,7 +22,8 @@
     Busy,
 }
 
-/// When a connection is ended that has been of one class since a given time. None while answers are owed to it.
+/// When a connection is ended that has been of one class since a given time. None while answers are
+/// owed to it.
 pub(super) fn idle_deadline(
     class: EvictionClass,
     unanswered_requests: usize,
@@ -90,13 +91,14 @@
 }
 
 impl EventLoop {
-    /// The connection to close for one more client; none where there is room, an error where there is none to be
-    /// made.
+    /// The connection to close for one more client; none where there is room, an error where there
+    /// is none to be made.
     ///
-    /// Where the table is full, the connection that is least likely to be used again makes room: many connections
-    /// that never send a request, or clients that send one and keep the connection for good, must not shut out all
-    /// others. A connection that was opened a moment ago is spared, because its request is on its way, and so is one
-    /// whose request has arrived but was not read yet.
+    /// Where the table is full, the connection that is least likely to be used again makes room:
+    /// many connections that never send a request, or clients that send one and keep the connection
+    /// for good, must not shut out all others. A connection that was opened a moment ago is spared,
+    /// because its request is on its way, and so is one whose request has arrived but was not read
+    /// yet.
     pub(in crate::event_loop) fn make_room_for_client(
         &mut self,
         now: Micros,
@@ -117,7 +119,8 @@
         }
     }
 
-    /// The client connection that is the first to make room: by class, then the one that has been in it longest.
+    /// The client connection that is the first to make room: by class, then the one that has been
+    /// in it longest.
     fn eviction_candidate(&self, now: Micros) -> Option<SlabKey> {
         let latest_evictable = now.saturating_sub(self.limits.eviction_immunity_us);
         let rank = |key: SlabKey| {
--- a/crates/proxy/src/event_loop/clients/mod.rs
+++ b/crates/proxy/src/event_loop/clients/mod.rs
@@ -1,4 +1,5 @@
-//! Client connections of both listeners: what they hold, and how long one may stay without making progress.
+//! Client connections of both listeners: what they hold, and how long one may stay without making
+//! progress.
 
 mod eviction;
 mod fastcgi;
@@ -14,7 +15,8 @@
 
 /// What the event loop keeps for one client connection.
 pub(super) struct ClientActivity {
-    /// When an answer was last awaited or on its way out, or when the connection's present class began.
+    /// When an answer was last awaited or on its way out, or when the connection's present class
+    /// began.
     pub(super) since: Micros,
     /// A request was partially received when the connection was last looked at.
     has_partial_request: bool,
@@ -83,16 +85,16 @@
         if class == EvictionClass::Busy || partial_request_begins {
             connection.activity.since = now;
         }
-        // Hundreds of clients may send one request and keep their connections: the buffers that each has grown must
-        // not add up.
+        // Hundreds of clients may send one request and keep their connections: the buffers that
+        // each has grown must not add up.
         if class == EvictionClass::Idle {
             connection.transport.input.release_memory();
             connection.transport.output.release_memory();
         }
     }
 
-    /// Accounts for what a FastCGI connection holds of partially received requests. Where all connections together
-    /// hold too much, the one that holds the most is ended.
+    /// Accounts for what a FastCGI connection holds of partially received requests. Where all
+    /// connections together hold too much, the one that holds the most is ended.
     pub(super) fn enforce_partial_request_limit(&mut self, now: Micros, key: SlabKey) {
         let Some(Connection {
             role: ConnectionRole::FastCgiClient(session),
@@ -119,8 +121,8 @@
         }
     }
 
-    /// Ends a client connection that holds its place for nothing. Ordinary clients end theirs sooner, so that none
-    /// of their requests can cross this.
+    /// Ends a client connection that holds its place for nothing. Ordinary clients end theirs
+    /// sooner, so that none of their requests can cross this.
     pub(super) fn check_client(&mut self, now: Micros, key: SlabKey) {
         let has_expired = |deadline: Option<Micros>| deadline.is_some_and(|at| at <= now);
         let deadline = self
@@ -143,7 +145,8 @@
             let next_check = deadline.map_or(next_sweep, |at| at.min(next_sweep));
             self.timers.set(next_check, TimerEvent::CheckClient(key));
         } else if matches!(class, EvictionClass::Busy | EvictionClass::Lingering) {
-            // It takes neither its answer nor the end of the connection, and is waited for no longer.
+            // It takes neither its answer nor the end of the connection, and is waited for no
+            // longer.
             self.close(now, key);
         } else {
             self.close_gracefully(now, key);
--- a/crates/proxy/src/event_loop/clients/tests.rs
+++ b/crates/proxy/src/event_loop/clients/tests.rs
@@ -11,8 +11,8 @@
         Some(7 + limits.client_write_timeout_us),
         "it takes no answer"
     );
-    // A request is due within three seconds of connecting, and ordinary clients end an idle connection themselves
-    // after four.
+    // A request is due within three seconds of connecting, and ordinary clients end an idle
+    // connection themselves after four.
     assert!([EvictionClass::NoRequest, EvictionClass::PartialRequest]
         .iter()
         .all(|class| at(*class, 0) < Some(7 + 3_000_000)));
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -18,7 +18,8 @@
     FastCgiClient(fastcgi::Session),
     /// A peer CDN, or a client that one redirected here.
     InterconnectClient(Box<interconnect::Session>),
-    /// A client connection whose writing side is shut down. It is read until the client ends it too.
+    /// A client connection whose writing side is shut down. It is read until the client ends it
+    /// too.
     Lingering {
         /// Bytes read and thrown away so far.
         discarded_bytes: usize,
@@ -118,8 +119,8 @@
         Some(key)
     }
 
-    /// Whether the table has a free slot besides the one kept for the event bus, whose connection may be down just
-    /// then: without it the proxy would hear of no drain and no purge.
+    /// Whether the table has a free slot besides the one kept for the event bus, whose connection
+    /// may be down just then: without it the proxy would hear of no drain and no purge.
     pub(super) fn has_free_connection_slot(&self) -> bool {
         let event_bus_is_down =
             self.reload.config.bus.is_some() && self.event_bus.connection.is_none();
@@ -182,8 +183,8 @@
             .is_some_and(|connection| connection.role.is_client())
     }
 
-    /// Updates what the poller watches a connection for: reading while there is room for input, writing while there
-    /// is output.
+    /// Updates what the poller watches a connection for: reading while there is room for input,
+    /// writing while there is output.
     pub(super) fn update_poll_interest(&mut self, key: SlabKey) {
         let Some(connection) = self.connections.get_mut(key) else {
             return;
@@ -199,10 +200,12 @@
         }
     }
 
-    /// Ends a connection from this side. A client connection lingers: closing it over bytes that are unread, or that
-    /// cross the close, would reset it, and output that was written before would be lost on its way.
+    /// Ends a connection from this side. A client connection lingers: closing it over bytes that
+    /// are unread, or that cross the close, would reset it, and output that was written before
+    /// would be lost on its way.
     pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey) {
-        // Answers that are ready are still owed; a client that does not take them is not waited for.
+        // Answers that are ready are still owed; a client that does not take them is not waited
+        // for.
         self.write_fastcgi_client(key);
         let Some(connection) = self.connections.get_mut(key) else {
             return;
--- a/crates/proxy/src/event_loop/consul.rs
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -1,4 +1,5 @@
-//! Consul as the source of the endpoint list: one query after the other, each on a connection of its own.
+//! Consul as the source of the endpoint list: one query after the other, each on a connection of
+//! its own.
 
 use super::connections::{Connection, ConnectionRole};
 use super::timer::TimerEvent;
@@ -62,15 +63,16 @@
         let response = query.read(input)?;
         transport.input.consume(input_bytes);
         if response.is_some() {
-            // One query a connection. It is removed rather than closed, since closing counts as a failed query.
+            // One query a connection. It is removed rather than closed, since closing counts as a
+            // failed query.
             self.connections.remove(key);
             self.handle_consul_response(now, response);
         }
         Ok(())
     }
 
-    /// Takes in the response to the last query; none where it failed. The next query follows at once, or after a
-    /// pause where this one failed.
+    /// Takes in the response to the last query; none where it failed. The next query follows at
+    /// once, or after a pause where this one failed.
     pub(super) fn handle_consul_response(
         &mut self,
         now: Micros,
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -8,7 +8,8 @@
 use crate::protocol::ProtocolError;
 use edge_routing::Micros;
 
-/// The state of the subscription. The bus's address is part of the configuration, which SIGHUP may change.
+/// The state of the subscription. The bus's address is part of the configuration, which SIGHUP may
+/// change.
 pub(super) struct EventBusSubscription {
     /// The connection in use; none while there is no connection.
     pub(super) connection: Option<SlabKey>,
@@ -44,7 +45,8 @@
         self.schedule_event_bus_check(now + next_check_us);
     }
 
-    /// The bus has moved to another address: events behind the last one are requested there at once.
+    /// The bus has moved to another address: events behind the last one are requested there at
+    /// once.
     pub(super) fn follow_moved_event_bus(&mut self, now: Micros) {
         if let Some(old) = self.event_bus.connection.take() {
             self.close(now, old);
@@ -59,8 +61,9 @@
         }
     }
 
-    /// Reconnects where there is no connection, or where the bus has been silent for too long: it may have vanished
-    /// without closing its connection, and would be taken for one that has nothing to say.
+    /// Reconnects where there is no connection, or where the bus has been silent for too long: it
+    /// may have vanished without closing its connection, and would be taken for one that has
+    /// nothing to say.
     pub(super) fn check_event_bus(&mut self, now: Micros) {
         let Some((key, last_read)) = self.event_bus_last_read() else {
             return self.connect_event_bus(now);
@@ -84,8 +87,8 @@
         }
     }
 
-    /// A connection to the bus is gone. One that was given up for another, at a new address or after silence, is not
-    /// replaced.
+    /// A connection to the bus is gone. One that was given up for another, at a new address or
+    /// after silence, is not replaced.
     pub(super) fn event_bus_closed(&mut self, now: Micros, key: SlabKey) {
         if self.event_bus.connection == Some(key) {
             self.event_bus.connection = None;
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,4 +1,5 @@
-//! Interconnect clients: requests of peer CDNs and of the clients that they redirect, and what follows from them.
+//! Interconnect clients: requests of peer CDNs and of the clients that they redirect, and what
+//! follows from them.
 
 use super::connections::Connection;
 use super::timer::TimerEvent;
@@ -40,7 +41,8 @@
 }
 
 impl EventLoop {
-    /// Handles the requests that an interconnect connection has received, as far as their turn has come.
+    /// Handles the requests that an interconnect connection has received, as far as their turn has
+    /// come.
     pub(super) fn read_interconnect_client(
         &mut self,
         now: Micros,
@@ -58,7 +60,8 @@
                 Ok(Some(request)) => request,
                 Ok(None) => return Ok(()),
                 Err(e) => {
-                    // Answered by a status before the connection ends, so that the sender learns what it did.
+                    // Answered by a status before the connection ends, so that the sender learns
+                    // what it did.
                     log::warn!("a peer CDN sent what can't be read: {e}");
                     session.refuse();
                     return Ok(());
@@ -161,8 +164,8 @@
         };
         let is_late = now + self.limits.answer_lead_us >= session.until;
         session.respond(&frontend::response(answer, is_late));
-        // The next request may have arrived meanwhile. It is read from the loop, not from here, so that a peer CDN
-        // that sends many at once can't nest them.
+        // The next request may have arrived meanwhile. It is read from the loop, not from here, so
+        // that a peer CDN that sends many at once can't nest them.
         self.timers
             .set(now, TimerEvent::ResumeInterconnectClient(key));
     }
@@ -175,8 +178,8 @@
         }
     }
 
-    /// Writes as much of an interconnect connection's answer as its client takes. False where the connection is
-    /// broken.
+    /// Writes as much of an interconnect connection's answer as its client takes. False where the
+    /// connection is broken.
     pub(super) fn write_interconnect_client(&mut self, key: SlabKey) -> bool {
         let Some((transport, session)) = self
             .connections
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -1,8 +1,8 @@
 //! The event loop: sockets, timers and signals on one side, the request table on the other.
 //!
-//! One thread waits for readiness, handles what is ready, then the timers that are due. After each of these it
-//! executes the commands that the request table has issued meanwhile, so that decisions take effect in the order in
-//! which they were made.
+//! One thread waits for readiness, handles what is ready, then the timers that are due. After each
+//! of these it executes the commands that the request table has issued meanwhile, so that decisions
+//! take effect in the order in which they were made.
 //!
 //! | What | Where |
 //! | --- | --- |
@@ -190,8 +190,8 @@
     fn log_summary(&self) {
         let counters = self.request_table.counters;
         log::info!(
-            "ended: {} requests admitted, {} served, {} rejected, {} failed, {} abandoned by their clients, \
-             {} attempts",
+            "ended: {} requests admitted, {} served, {} rejected, {} failed, {} abandoned by \
+             their clients, {} attempts",
             counters.admitted,
             counters.served,
             counters.rejected,
--- a/crates/proxy/src/event_loop/notifications.rs
+++ b/crates/proxy/src/event_loop/notifications.rs
@@ -143,7 +143,8 @@
         }
     }
 
-    /// An attempt is over, with a response or without one: the notification is delivered, given up or tried again.
+    /// An attempt is over, with a response or without one: the notification is delivered, given up
+    /// or tried again.
     pub(super) fn notification_attempted(
         &mut self,
         now: Micros,
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -1,4 +1,5 @@
-//! Purges between the proxies of one installation, over UDP, and purges that are kept for the next start.
+//! Purges between the proxies of one installation, over UDP, and purges that are kept for the next
+//! start.
 
 use super::timer::TimerEvent;
 use super::{tokens, EventLoop};
@@ -33,14 +34,15 @@
         Ok(PurgeGossip { socket, peers })
     }
 
-    /// The next purge received; none once nothing more has arrived. Datagrams from anyone but a peer are ignored.
+    /// The next purge received; none once nothing more has arrived. Datagrams from anyone but a
+    /// peer are ignored.
     fn receive(&self) -> Option<Purge> {
         let mut buffer = [0; RECEIVE_BUFFER_BYTES];
         loop {
             let (length, sender) = match self.socket.recv_from(&mut buffer) {
                 Ok(received) => received,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                // The error of an earlier datagram, which a peer's host refused.
+                // Any other error concerns a single datagram.
                 Err(_) => continue,
             };
             if !self.peers.contains(&sender) {
@@ -85,7 +87,8 @@
         }
     }
 
-    /// A purge that cache servers learn nothing of: it holds from here on, also for a proxy that starts again.
+    /// A purge that cache servers learn nothing of: it holds from here on, also for a proxy that
+    /// starts again.
     pub(super) fn purge_permanently(&mut self, now: Micros, purge: Purge) {
         let is_new = self.request_table.purge_permanently(
             now,
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -10,7 +10,8 @@
 impl EventLoop {
     /// Handles what the poller reports of a connection.
     pub(super) fn handle_readiness(&mut self, now: Micros, key: SlabKey, readiness: Readiness) {
-        // A stale event, of a connection that was closed earlier in the same round, misses by its generation.
+        // A stale event, of a connection that was closed earlier in the same round, misses by its
+        // generation.
         let Some(connection) = self.connections.get(key) else {
             return;
         };
@@ -35,14 +36,15 @@
         self.enforce_partial_request_limit(now, key);
     }
 
-    /// Takes in what a connection has received by now, also where the poller has not reported it yet.
+    /// Takes in what a connection has received by now, also where the poller has not reported it
+    /// yet.
     pub(super) fn read_pending_input(&mut self, now: Micros, key: SlabKey) {
         self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
         self.execute_commands(now);
     }
 
-    /// Completes an outgoing connection and queues the request it was opened for, if that is fixed by its role.
-    /// False where the connection could not be established.
+    /// Completes an outgoing connection and queues the request it was opened for, if that is fixed
+    /// by its role. False where the connection could not be established.
     fn finish_connect(&mut self, key: SlabKey) -> bool {
         let Some(connection) = self.connections.get_mut(key) else {
             return false;
@@ -67,8 +69,8 @@
         true
     }
 
-    /// Reads from the socket once and handles what came. Both results count: the last bytes before the end of a
-    /// connection are handled too.
+    /// Reads from the socket once and handles what came. Both results count: the last bytes before
+    /// the end of a connection are handled too.
     fn receive(
         &mut self,
         now: Micros,
@@ -123,7 +125,8 @@
         }
     }
 
-    /// Writes what a connection has to send. False where the connection is over, and is to be closed.
+    /// Writes what a connection has to send. False where the connection is over, and is to be
+    /// closed.
     pub(super) fn write(&mut self, now: Micros, key: SlabKey) -> bool {
         let Some(connection) = self.connections.get_mut(key) else {
             return true;
@@ -149,8 +152,8 @@
         stays_open
     }
 
-    /// Whether nothing more will be sent on a client connection: its client asked for it to end, or the grace period
-    /// of a shutdown is over and no request is open or partially received.
+    /// Whether nothing more will be sent on a client connection: its client asked for it to end, or
+    /// the grace period of a shutdown is over and no request is open or partially received.
     fn is_client_finished(&self, key: SlabKey) -> bool {
         let Some(connection) = self.connections.get(key) else {
             return false;
--- a/crates/proxy/src/event_loop/reload.rs
+++ b/crates/proxy/src/event_loop/reload.rs
@@ -1,4 +1,5 @@
-//! SIGHUP: the configuration is read again, and what a running proxy can follow takes effect at once.
+//! SIGHUP: the configuration is read again, and what a running proxy can follow takes effect at
+//! once.
 
 use super::EventLoop;
 use crate::config::{Config, Source};
@@ -11,8 +12,8 @@
 }
 
 impl EventLoop {
-    /// Reads the configuration again. No connection is dropped for it, and a faulty file changes nothing: a proxy
-    /// that stopped over it would take all its clients with it.
+    /// Reads the configuration again. No connection is dropped for it, and a faulty file changes
+    /// nothing: a proxy that stopped over it would take all its clients with it.
     pub(super) fn reload(&mut self, now: Micros) {
         self.signals.hangup.drain();
         let new = match (self.reload.source)() {
@@ -25,7 +26,8 @@
         self.apply_configuration(now, new);
     }
 
-    /// Takes over the addresses of the event bus and of the peer proxies; everything else is fixed at the start.
+    /// Takes over the addresses of the event bus and of the peer proxies; everything else is fixed
+    /// at the start.
     fn apply_configuration(&mut self, now: Micros, mut new: Config) {
         if let (Some(gossip), Some((_, peers))) = (&mut self.purge_gossip, &new.peers) {
             gossip.peers.clone_from(peers);
--- a/crates/proxy/src/event_loop/shutdown.rs
+++ b/crates/proxy/src/event_loop/shutdown.rs
@@ -1,10 +1,12 @@
 //! Graceful shutdown: what happens between SIGTERM and the end of the process.
 //!
-//! 1. SIGTERM (`begin_shutdown`): the proxy reports itself as not ready, and goes on taking connections and requests
-//!    for a grace period, because clients learn of it with a delay.
-//! 2. The grace period ends (`end_shutdown_grace`): the listeners close, further requests are rejected, and each
-//!    client connection ends once nothing is owed on it.
-//! 3. The shutdown deadline: whatever is still open is answered as failed, because SIGKILL may follow.
+//! 1. SIGTERM (`begin_shutdown`): the proxy reports itself as not ready. It goes on accepting
+//!    connections and requests for a grace period, in which a request still has the time to be
+//!    answered before SIGKILL.
+//! 2. The grace period ends (`end_shutdown_grace`): nothing more is accepted, further requests are
+//!    rejected, and each client connection ends once nothing is owed on it.
+//! 3. The shutdown deadline: whatever is still open is answered as failed, because SIGKILL may
+//!    follow.
 //! 4. The last client connection is gone (`is_shut_down`): `run` returns.
 
 use super::acceptor::ListenerKind;
@@ -56,8 +58,9 @@
         );
     }
 
-    /// From here on no request is admitted: one that came now might still be open when the process is killed. What
-    /// was requested before is answered, and each client connection ends once nothing is owed on it.
+    /// From here on no request is admitted: one that came now might still be open when the process
+    /// is killed. What was requested before is answered, and each client connection ends once
+    /// nothing is owed on it.
     pub(super) fn end_shutdown_grace(&mut self, now: Micros) {
         self.accept_clients(now, ListenerKind::FastCgi);
         self.accept_clients(now, ListenerKind::Interconnect);
@@ -80,8 +83,8 @@
         }
     }
 
-    /// Whether `run` may return. A client connection that is left has an answer coming to it, or lingers; attempts
-    /// that nobody waits for end with their connections.
+    /// Whether `run` may return. A client connection that is left has an answer coming to it, or
+    /// lingers; attempts that nobody waits for end with their connections.
     pub(super) fn is_shut_down(&self) -> bool {
         self.shutdown.is_grace_over() && self.clients.connections == 0
     }
--- a/crates/proxy/src/event_loop/signals.rs
+++ b/crates/proxy/src/event_loop/signals.rs
@@ -28,8 +28,9 @@
     }
 }
 
-/// A signal turned into a readable socket (the self-pipe technique): the signal handler writes to one end, and the
-/// poller watches the other, so a signal is handled between two events like any other input.
+/// A signal turned into a readable socket (the self-pipe technique): the signal handler writes to
+/// one end, and the poller watches the other, so a signal is handled between two events like any
+/// other input.
 pub(super) struct SignalPipe {
     receiver: UnixStream,
     sender: UnixStream,
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -1,4 +1,5 @@
-//! Startup: sockets are bound, kept purges and known events replayed, and the sources of the endpoint list contacted.
+//! Startup: sockets are bound, kept purges and known events replayed, and the sources of the
+//! endpoint list contacted.
 
 use super::acceptor::{Acceptor, Acceptors, ListenerKind};
 use super::clients::ClientAccounting;
@@ -65,7 +66,8 @@
 }
 
 impl EventLoop {
-    /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from `source`.
+    /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from
+    /// `source`.
     pub fn start(mut config: Config, source: Source) -> Result<Self, StartError> {
         let poller = Poller::new(POLL_BATCH)?;
         let fastcgi = Acceptor::bind(ListenerKind::FastCgi, config.listen, &poller)
@@ -156,7 +158,8 @@
     })
 }
 
-/// Peer proxies are sent only the purges that come by the interconnect, so that there is no gossip without one.
+/// Peer proxies are sent only the purges that come by the interconnect, so that there is no gossip
+/// without one.
 fn start_purge_gossip(config: &Config, poller: &Poller) -> Result<Option<PurgeGossip>, StartError> {
     let (Some(_), Some((own, peers))) = (&config.cdni, &config.peers) else {
         return Ok(None);
--- a/crates/proxy/src/event_loop/timer.rs
+++ b/crates/proxy/src/event_loop/timer.rs
@@ -13,7 +13,8 @@
     Request(RequestTimer),
     /// An outgoing connection must be established by now.
     ConnectTimeout(SlabKey),
-    /// A connection to a cache server is checked: cancelled ids that are over, answers or writes that have stalled.
+    /// A connection to a cache server is checked: cancelled ids that are over, answers or writes
+    /// that have stalled.
     CheckUpstream(SlabKey),
     /// The event bus is connected to, or found silent.
     CheckEventBus,
@@ -23,7 +24,8 @@
     ResponseTimeout(SlabKey),
     /// A notification is sent to a peer CDN once more.
     RetryNotification(Box<NotificationDelivery>),
-    /// The next request on an interconnect connection is read: it waited for the answer to the one before.
+    /// The next request on an interconnect connection is read: it waited for the answer to the one
+    /// before.
     ResumeInterconnectClient(SlabKey),
     /// A purge is sent to the peer proxies once more.
     RepeatPurgeGossip {
--- a/crates/proxy/src/event_loop/tokens.rs
+++ b/crates/proxy/src/event_loop/tokens.rs
@@ -1,7 +1,7 @@
 //! Poller tokens of the sockets that are no connections.
 //!
-//! A connection's token is its `SlabKey` as a number. These lie at the upper end, where no key of a bounded table
-//! reaches.
+//! A connection's token is its `SlabKey` as a number. These lie at the upper end, where no key of a
+//! bounded table reaches.
 
 /// The listener for FastCGI clients.
 pub(super) const FASTCGI_LISTENER: u64 = u64::MAX;
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -1,4 +1,5 @@
-//! Attempts: which connection one takes, when a connection is opened for it, and how it is taken back.
+//! Attempts: which connection one takes, when a connection is opened for it, and how it is taken
+//! back.
 
 use crate::event_loop::connections::{Connection, ConnectionRole};
 use crate::event_loop::timer::TimerEvent;
@@ -58,8 +59,9 @@
         }
     }
 
-    /// The best connection for an attempt. Where nothing is in flight on it, the server may have closed it by now:
-    /// what is written to such a connection is lost, and nobody could tell whether it ran. So it is read first.
+    /// The best connection for an attempt. Where nothing is in flight on it, the server may have
+    /// closed it by now: what is written to such a connection is lost, and nobody could tell
+    /// whether it ran. So it is read first.
     fn choose_connection(&mut self, now: Micros, attempt: AttemptId) -> Option<Candidate> {
         loop {
             let candidate = self.best_connection(attempt)?;
@@ -97,8 +99,9 @@
 
     /// Whether a further connection is opened although an attempt has one.
     ///
-    /// One answer that can't be read ends everything in flight on its connection: the more connections, the less is
-    /// lost at once. The next one is opened ahead of its use, so that no attempt waits for it.
+    /// One answer that can't be read ends everything in flight on its connection: the more
+    /// connections, the less is lost at once. The next one is opened ahead of its use, so that no
+    /// attempt waits for it.
     fn should_connect_ahead(&self, server: ServerId, candidate: Candidate) -> bool {
         let keys = self.upstream_connections.of(server);
         let is_shared = candidate.attempts_in_flight >= self.limits.attempts_before_new_connection;
@@ -113,8 +116,9 @@
             && keys.iter().all(is_connected)
     }
 
-    /// Opens a connection for an attempt that found none with room. Where the server has as many as it may, one that
-    /// went unresponsive makes room: it may stay so for good without ever being reported as broken.
+    /// Opens a connection for an attempt that found none with room. Where the server has as many as
+    /// it may, one that went unresponsive makes room: it may stay so for good without ever being
+    /// reported as broken.
     fn connect_for_attempt(&mut self, now: Micros, server: ServerId) -> Option<SlabKey> {
         let keys = self.upstream_connections.of(server);
         if keys.len() >= self.limits.connections_per_server {
@@ -183,8 +187,8 @@
         }
     }
 
-    /// Takes back everything not written yet that would go to a server that drains or is gone, or that another server
-    /// would fill from it.
+    /// Takes back everything not written yet that would go to a server that drains or is gone, or
+    /// that another server would fill from it.
     pub(in crate::event_loop) fn drain_server(&mut self, now: Micros, server: ServerId) {
         for key in self.upstream_connections.all() {
             let Some((transport, upstream)) = self
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Writes queued attempts and sets the timers that follow. False where the connection is to be closed.
+    /// Writes queued attempts and sets the timers that follow. False where the connection is to be
+    /// closed.
     pub(in crate::event_loop) fn flush_upstream(&mut self, now: Micros, key: SlabKey) -> bool {
         let Some((transport, upstream)) = self
             .connections
@@ -125,8 +126,8 @@
         {
             self.timers.set(at, TimerEvent::CheckUpstream(key));
         }
-        // A server that drains or is gone gets nothing new: once all that it owed has come, its connections are of no
-        // use, and where its machine has vanished nobody else would end them.
+        // A server that drains or is gone gets nothing new: once all that it owed has come, its
+        // connections are of no use, and where its machine has vanished nobody else would end them.
         let is_drained = upstream.is_idle() && !self.request_table.accepts_work(server);
         self.report_upstream_events(now, server, events);
         is_usable && !is_drained
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,5 +1,5 @@
-//! The edge proxy's program: reads the configuration, runs the event loop, turns errors into a log line and an exit
-//! code.
+//! The edge proxy's program: reads the configuration, runs the event loop, turns errors into a log
+//! line and an exit code.
 
 use edge_proxy::{config::Config, event_loop::EventLoop};
 use std::process::ExitCode;
