--- a/crates/routing/src/policy/attempt_end.rs
+++ b/crates/routing/src/policy/attempt_end.rs
@@ -102,12 +102,10 @@
         if end.request.size_known && attempt.source.is_some() && used_link {
             let moving_s = report.took_us.saturating_sub(report.fill_ttfb_us) as f64 / 1e6;
             let in_flight = (attempt.link_in_flight + self.link.in_flight.total()) / 2.0;
-            self.link
-                .pace
-                .add(now, moving_s, end.expected_s(), in_flight);
+            let pace = &mut self.link.pace;
+            pace.add(now, moving_s, end.expected_s(), in_flight);
         }
-        // A fill after a purge that never came, its own or one that it joined, was late at the
-        // origin.
+        // A fill after a purge that never came, or that it joined, was late at the origin.
         let never_came = matches!(report.outcome, Outcome::Timeout | Outcome::Cancelled);
         let (fill_result, waited_us) = if attempt.group_purged && never_came {
             (FillResult::OriginFailed, report.took_us)
@@ -117,9 +115,8 @@
         // An unreachable parent tells nothing of the origin: requests to other parents must go on.
         let unreachable = report.fill_result == FillResult::SourceUnreachable;
         let served_others = |id: ServerId| self.servers.succeeded_since(id, attempt.sent_at);
-        let tells_of_origin = attempt
-            .source
-            .is_some_and(|id| !unreachable || served_others(id));
+        let source = attempt.source;
+        let tells_of_origin = source.is_some_and(|id| !unreachable || served_others(id));
         if tells_of_origin || attempt.group_purged && never_came {
             let objective_us = self.class(&end.request).latency_objective_us.max(1);
             let lateness = waited_us as f64 / objective_us as f64;
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -1,7 +1,7 @@
 //! Every decision of the router, and every threshold and tuning constant.
 //!
 //! [`Router`] dispatches events. The ordinary path of a request is in [`replication`], which
-//! follows the design that `docs/architecture.md` names; the other modules decide what that design leaves open.
+//! follows the design that `docs/architecture.md` names; the others decide what that leaves open.
 
 mod admission;
 mod attempt_end;
