--- a/crates/proxy/src/config/document.rs
+++ b/crates/proxy/src/config/document.rs
@@ -16,7 +16,7 @@
     pub seed: Option<String>,
     pub limits: Option<Object<MachineLimits>>,
     pub bus: Option<SocketAddr>,
-    pub known: Option<Object<KnownEvents>>,
+    pub known: Option<Object<KnownEventsDocument>>,
     /// Read by `edge_settings`.
     pub settings: Value,
     pub peer_listen: Option<SocketAddr>,
@@ -33,7 +33,7 @@
 
 /// `known`: the event bus's events up to the start.
 #[derive(Default, Deserialize)]
-pub(super) struct KnownEvents {
+pub(super) struct KnownEventsDocument {
     /// Number of the last event.
     pub offset: Option<WholeNumber>,
     /// Read by `event_bus::read_event`.
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -11,8 +11,8 @@
 use crate::frontend::interconnect::{Identity, PeerCdn};
 use crate::limits::Limits;
 use document::{
-    ConfigDocument, InterconnectDocument, InterconnectFields, InterconnectListen, KnownEvents,
-    MachineLimits, PeerCdnFields,
+    ConfigDocument, InterconnectDocument, InterconnectFields, InterconnectListen,
+    KnownEventsDocument, MachineLimits, PeerCdnFields,
 };
 use edge_routing::{Class, Settings};
 use edge_settings::json::{read, Object, WholeNumber};
@@ -35,19 +35,28 @@
     /// The bounds that follow from the size of the machine.
     pub limits: Limits,
     /// The event bus; none: the endpoint list comes from elsewhere.
-    pub bus: Option<SocketAddr>,
-    /// The number of the event bus's last event before the start, and the events up to it.
-    pub known: (u64, Vec<EventBusMessage>),
+    pub event_bus: Option<SocketAddr>,
+    /// The events of the event bus before the start.
+    pub known_events: KnownEvents,
     /// The settings of the routing module.
     pub settings: Settings,
     /// Where purge gossip is received, and the peers it is sent to.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// The interconnect; none: it is off.
-    pub cdni: Option<InterconnectConfig>,
+    pub interconnect: Option<InterconnectConfig>,
     /// Consul as the source of the endpoint list: its address and the name of the service.
     pub consul: Option<(SocketAddr, String)>,
 }
 
+/// The events of the event bus before the start.
+#[derive(Clone, Debug, Default)]
+pub struct KnownEvents {
+    /// Number of the last one.
+    pub last_offset: u64,
+    /// The events, in their order.
+    pub events: Vec<EventBusMessage>,
+}
+
 /// The configuration of the interconnect with peer CDNs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InterconnectConfig {
@@ -109,11 +118,11 @@
             listen: document.listen,
             seed: read_seed(document.seed.as_deref().unwrap_or(DEFAULT_SEED))?,
             limits: limits(&machine, &settings)?,
-            bus: document.bus,
-            known: known_events(known)?,
+            event_bus: document.bus,
+            known_events: known_events(known)?,
             settings,
             peers: document.peer_listen.map(|own| (own, peers)),
-            cdni: None,
+            interconnect: None,
             consul: None,
         })
     }
@@ -123,7 +132,7 @@
     pub fn apply_interconnect(&mut self, value: &Value) -> Result<(), ConfigError> {
         let Object(document): Object<InterconnectDocument> = read(value)?;
         if let Some(fields) = document.cdni {
-            self.cdni = interconnect(&fields, &self.settings.classes)?;
+            self.interconnect = interconnect(&fields, &self.settings.classes)?;
         }
         if let Some(Object(consul)) = document.consul {
             let service = consul.service;
@@ -144,7 +153,7 @@
             ("limits", self.limits != new.limits),
             ("settings", self.settings != new.settings),
             ("peer_listen", peer_listen(self) != peer_listen(new)),
-            ("cdni", self.cdni != new.cdni),
+            ("cdni", self.interconnect != new.interconnect),
             ("consul", self.consul != new.consul),
         ];
         changes
@@ -227,8 +236,8 @@
         })
 }
 
-fn known_events(known: KnownEvents) -> Result<(u64, Vec<EventBusMessage>), ConfigError> {
-    let events = known
+fn known_events(document: KnownEventsDocument) -> Result<KnownEvents, ConfigError> {
+    let events = document
         .batch
         .unwrap_or_default()
         .iter()
@@ -237,7 +246,10 @@
             read_event(event).map_err(|source| ConfigError::KnownEvent { index, source })
         })
         .collect::<Result<_, _>>()?;
-    Ok((WholeNumber::or(known.offset, 0), events))
+    Ok(KnownEvents {
+        last_offset: WholeNumber::or(document.offset, 0),
+        events,
+    })
 }
 
 /// Reads `cdni`; none where it has no address to listen on. Other keys are then not checked.
@@ -255,9 +267,9 @@
     let readable = classes.iter().filter(|class| !class.is_write);
     let identity = Identity {
         provider: fields.provider,
-        base: fields.base,
+        base_url: fields.base,
         footprint: footprint(&fields.footprint.unwrap_or_default())?,
-        neighbours: peers
+        peers: peers
             .into_iter()
             .map(|Object(peer)| peer_cdn(peer))
             .collect(),
@@ -289,10 +301,10 @@
     PeerCdn {
         provider: fields.provider,
         address: fields.address,
-        triggers: fields
+        trigger_path: fields
             .triggers
             .unwrap_or_else(|| DEFAULT_TRIGGERS_PATH.to_owned()),
-        notices: fields.notices,
-        content: fields.content,
+        advertisement_path: fields.notices,
+        content_base_url: fields.content,
     }
 }
--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -5,7 +5,7 @@
 use super::timer::TimerEvent;
 use super::{tokens, EventLoop};
 use crate::frontend::interconnect;
-use crate::net::{BufferedSocket, Poller, SlabKey};
+use crate::net::{BufferedSocket, Interest, Poller, SlabKey};
 use edge_routing::Micros;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -45,7 +45,7 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
-        poller.add(&listener, kind.token(), true, false)?;
+        poller.add(&listener, kind.token(), Interest::READ)?;
         Ok(Acceptor {
             listener,
             token: kind.token(),
@@ -60,7 +60,7 @@
     /// Stops watching the listener: unaccepted connections would keep it readable and the loop
     /// spinning.
     fn pause(&mut self, poller: &Poller) {
-        let _ = poller.change(&self.listener, self.token, false, false);
+        let _ = poller.change(&self.listener, self.token, Interest::NONE);
         self.watched = false;
     }
 
@@ -68,7 +68,7 @@
     fn resume(&mut self, poller: &Poller) {
         if !self.watched {
             self.watched = poller
-                .change(&self.listener, self.token, true, false)
+                .change(&self.listener, self.token, Interest::READ)
                 .is_ok();
         }
     }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -100,7 +100,7 @@
         transport: BufferedSocket,
         role: ConnectionRole,
     ) -> Option<SlabKey> {
-        let connected = transport.connected;
+        let interest = transport.interest();
         let key = self
             .connections
             .insert(Connection {
@@ -110,8 +110,7 @@
             })
             .ok()?;
         let socket = self.connections.get(key)?.transport.socket();
-        // An outgoing connection becomes writable when it is established.
-        if let Err(e) = self.poller.add(socket, key.to_u64(), true, !connected) {
+        if let Err(e) = self.poller.add(socket, key.to_u64(), interest) {
             log::warn!("a connection can't be watched: {e}");
             self.connections.remove(key);
             return None;
@@ -123,7 +122,7 @@
     /// may be down just then: without it the proxy would hear of no drain and no purge.
     pub(super) fn has_free_connection_slot(&self) -> bool {
         let event_bus_is_down =
-            self.reload.config.bus.is_some() && self.event_bus.connection.is_none();
+            self.reload.config.event_bus.is_some() && self.event_bus.connection.is_none();
         let reserved = usize::from(event_bus_is_down);
         self.connections.free_slots() > reserved
     }
@@ -189,12 +188,12 @@
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        let Some((read, write)) = connection.transport.take_interest_change() else {
+        let Some(interest) = connection.transport.take_interest_change() else {
             return;
         };
         let changed = self
             .poller
-            .change(connection.transport.socket(), key.to_u64(), read, write);
+            .change(connection.transport.socket(), key.to_u64(), interest);
         if let Err(e) = changed {
             log::warn!("a connection can't be watched: {e}");
         }
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -32,7 +32,7 @@
 impl EventLoop {
     /// Connects to the event bus, if there is one.
     pub(super) fn connect_event_bus(&mut self, now: Micros) {
-        let Some(address) = self.reload.config.bus else {
+        let Some(address) = self.reload.config.event_bus else {
             return;
         };
         let stream = EventStreamClient::new(&self.limits, now);
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -87,7 +87,7 @@
     }
 
     /// Where peer CDNs connect; none without an interconnect.
-    pub fn cdni_address(&self) -> Option<SocketAddr> {
+    pub fn interconnect_address(&self) -> Option<SocketAddr> {
         self.acceptors
             .interconnect
             .as_ref()
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -4,7 +4,7 @@
 use super::timer::TimerEvent;
 use super::{tokens, EventLoop};
 use crate::discovery::purge_gossip::{self as gossip, Purge};
-use crate::net::Poller;
+use crate::net::{Interest, Poller};
 use edge_routing::Micros;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -30,7 +30,7 @@
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
-        poller.add(&socket, tokens::PURGE_GOSSIP, true, false)?;
+        poller.add(&socket, tokens::PURGE_GOSSIP, Interest::READ)?;
         Ok(PurgeGossip { socket, peers })
     }
 
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -53,7 +53,7 @@
             return false;
         }
         let request = match &connection.role {
-            ConnectionRole::EventBus(_) => self.reload.config.bus.map(|address| {
+            ConnectionRole::EventBus(_) => self.reload.config.event_bus.map(|address| {
                 event_bus::request(&address.to_string(), self.event_bus.last_event_id)
             }),
             ConnectionRole::Consul(_) => self
--- a/crates/proxy/src/event_loop/reload.rs
+++ b/crates/proxy/src/event_loop/reload.rs
@@ -33,8 +33,8 @@
             gossip.peers.clone_from(peers);
         }
         let current = &mut self.reload.config;
-        let event_bus_moved = current.bus != new.bus;
-        current.bus = new.bus;
+        let event_bus_moved = current.event_bus != new.event_bus;
+        current.event_bus = new.event_bus;
         current.peers = new.peers.take().or(current.peers.take());
         let also = if event_bus_moved {
             "; the event bus has moved"
--- a/crates/proxy/src/event_loop/signals.rs
+++ b/crates/proxy/src/event_loop/signals.rs
@@ -1,7 +1,7 @@
 //! SIGTERM and SIGHUP as readable sockets, and the handle that raises them from another thread.
 
 use super::tokens;
-use crate::net::Poller;
+use crate::net::{Interest, Poller};
 use std::io::{self, Read, Write};
 use std::os::unix::net::UnixStream;
 
@@ -70,8 +70,8 @@
 
     /// Has the poller report signals under their tokens.
     pub(super) fn watch(&self, poller: &Poller) -> io::Result<()> {
-        poller.add(&self.terminate.receiver, tokens::SIGTERM, true, false)?;
-        poller.add(&self.hangup.receiver, tokens::SIGHUP, true, false)
+        poller.add(&self.terminate.receiver, tokens::SIGTERM, Interest::READ)?;
+        poller.add(&self.hangup.receiver, tokens::SIGHUP, Interest::READ)
     }
 
     pub(super) fn control_handle(&self) -> io::Result<ControlHandle> {
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -74,9 +74,10 @@
             .map_err(StartError::listen("listen", config.listen))?;
         let signals = Signals::register()?;
         signals.watch(&poller)?;
-        let (acceptor, interconnect) = match &config.cdni {
-            Some(cdni) => {
-                let (acceptor, interconnect) = start_interconnect(cdni, &config, &poller)?;
+        let (acceptor, interconnect) = match &config.interconnect {
+            Some(interconnect_config) => {
+                let (acceptor, interconnect) =
+                    start_interconnect(interconnect_config, &config, &poller)?;
                 (Some(acceptor), Some(interconnect))
             }
             None => (None, None),
@@ -84,7 +85,7 @@
         let purge_gossip = start_purge_gossip(&config, &poller)?;
         let limits = config.limits.clone();
         let request_table = RequestTable::new(config.settings.clone(), config.seed, &limits)?;
-        let (last_event_id, known_events) = std::mem::take(&mut config.known);
+        let known = std::mem::take(&mut config.known_events);
         let mut event_loop = EventLoop {
             clock: Clock::start(),
             request_table,
@@ -96,7 +97,7 @@
             acceptors: Acceptors::new(fastcgi, acceptor),
             clients: ClientAccounting::default(),
             upstream_connections: UpstreamConnections::default(),
-            event_bus: EventBusSubscription::new(last_event_id),
+            event_bus: EventBusSubscription::new(known.last_offset),
             consul: start_consul(&config),
             purge_gossip,
             interconnect,
@@ -104,7 +105,7 @@
             reload: Reload { config, source },
         };
         let now = event_loop.clock.now();
-        event_loop.replay(now, known_events);
+        event_loop.replay(now, known.events);
         event_loop.connect_event_bus(now);
         event_loop.query_consul(now);
         event_loop.execute_commands(now);
@@ -132,22 +133,36 @@
         if let Some(address) = self.address() {
             log::info!("{} listens on {address}", self.reload.config.name);
         }
-        if let Some(address) = self.cdni_address() {
+        if let Some(address) = self.interconnect_address() {
             log::info!("peer CDNs connect to {address}");
         }
     }
 }
 
 fn start_interconnect(
-    cdni: &InterconnectConfig,
+    interconnect_config: &InterconnectConfig,
     config: &Config,
     poller: &Poller,
 ) -> Result<(Acceptor, Interconnect), StartError> {
-    let acceptor = Acceptor::bind(ListenerKind::Interconnect, cdni.listen, poller)
-        .map_err(StartError::listen("cdni.listen", cdni.listen))?;
-    let frontend =
-        InterconnectFrontend::new(cdni.identity.clone(), config.seed, config.limits.triggers);
-    let purge_log = cdni.purges.as_deref().map(open_purge_log).transpose()?;
+    let acceptor = Acceptor::bind(
+        ListenerKind::Interconnect,
+        interconnect_config.listen,
+        poller,
+    )
+    .map_err(StartError::listen(
+        "cdni.listen",
+        interconnect_config.listen,
+    ))?;
+    let frontend = InterconnectFrontend::new(
+        interconnect_config.identity.clone(),
+        config.seed,
+        config.limits.triggers,
+    );
+    let purge_log = interconnect_config
+        .purges
+        .as_deref()
+        .map(open_purge_log)
+        .transpose()?;
     Ok((acceptor, Interconnect::new(frontend, purge_log)))
 }
 
@@ -161,7 +176,7 @@
 /// Peer proxies are sent only the purges that come by the interconnect, so that there is no gossip
 /// without one.
 fn start_purge_gossip(config: &Config, poller: &Poller) -> Result<Option<PurgeGossip>, StartError> {
-    let (Some(_), Some((own, peers))) = (&config.cdni, &config.peers) else {
+    let (Some(_), Some((own, peers))) = (&config.interconnect, &config.peers) else {
         return Ok(None);
     };
     let gossip = PurgeGossip::bind(*own, peers.clone(), poller)
--- a/crates/proxy/src/frontend/interconnect/footprint.rs
+++ b/crates/proxy/src/frontend/interconnect/footprint.rs
@@ -95,9 +95,9 @@
 /// Our advertisement for every peer.
 pub(super) fn advertisements(identity: &Identity, ready: bool) -> Vec<Notification> {
     let body = advertisement(identity, ready).to_string();
-    let notifications = identity.neighbours.iter().map(|peer| Notification {
+    let notifications = identity.peers.iter().map(|peer| Notification {
         address: peer.address,
-        path: peer.notices.clone(),
+        path: peer.advertisement_path.clone(),
         ptype: PTYPE,
         body: body.clone(),
     });
--- a/crates/proxy/src/frontend/interconnect/identity.rs
+++ b/crates/proxy/src/frontend/interconnect/identity.rs
@@ -13,11 +13,11 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// The path of its trigger interface.
-    pub triggers: String,
+    pub trigger_path: String,
     /// The path at which it receives our footprint advertisements.
-    pub notices: String,
+    pub advertisement_path: String,
     /// The base of its content's URLs, for clients in its footprint.
-    pub content: String,
+    pub content_base_url: String,
 }
 
 /// How this network presents itself.
@@ -26,11 +26,11 @@
     /// Our CDN Provider ID (RFC 8006).
     pub provider: String,
     /// The base of our URLs.
-    pub base: String,
+    pub base_url: String,
     /// The footprint: the networks whose clients we serve.
     pub footprint: Vec<Network>,
     /// The peers that we exchange messages with.
-    pub neighbours: Vec<PeerCdn>,
+    pub peers: Vec<PeerCdn>,
     /// The classes whose objects may be requested here, with the time in microseconds after which their clients give
     /// up.
     pub classes: Vec<(String, Micros)>,
@@ -39,9 +39,7 @@
 impl Identity {
     /// The peer of a CDN Provider ID.
     pub(super) fn peer(&self, provider: &str) -> Option<&PeerCdn> {
-        self.neighbours
-            .iter()
-            .find(|peer| peer.provider == provider)
+        self.peers.iter().find(|peer| peer.provider == provider)
     }
 
     /// How long clients wait for objects of a class; none if its objects may not be requested here.
--- a/crates/proxy/src/frontend/interconnect/redirect.rs
+++ b/crates/proxy/src/frontend/interconnect/redirect.rs
@@ -141,7 +141,7 @@
 
 fn own_target<'a>(identity: &'a Identity, request: &RedirectionRequest) -> Option<Target<'a>> {
     Some(Target {
-        base_url: &identity.base,
+        base_url: &identity.base_url,
         scope: network_of(&identity.footprint, request.client)?,
     })
 }
@@ -157,7 +157,7 @@
         .filter(|peer| !has_passed(request.cdn_path, &peer.provider))
         .find_map(|peer| Some((&peer.provider, network_of(&peer.networks, request.client)?)))?;
     Some(Target {
-        base_url: &identity.peer(provider)?.content,
+        base_url: &identity.peer(provider)?.content_base_url,
         scope,
     })
 }
--- a/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
@@ -20,7 +20,7 @@
 fn content_urls(identity: &Identity, object: &str) -> Vec<String> {
     let first_class = identity.classes.iter().take(1);
     first_class
-        .map(|(class, _)| format!("{}/content/{class}/{object}", identity.base))
+        .map(|(class, _)| format!("{}/content/{class}/{object}", identity.base_url))
         .collect()
 }
 
@@ -35,12 +35,12 @@
     extended_path.push(json!(identity.provider));
     let body = json!({"trigger": specification, "cdn-path": extended_path}).to_string();
     identity
-        .neighbours
+        .peers
         .iter()
         .filter(|peer| !has_passed(cdn_path, &peer.provider))
         .map(|peer| Notification {
             address: peer.address,
-            path: peer.triggers.clone(),
+            path: peer.trigger_path.clone(),
             ptype: COMMAND_PTYPE,
             body: body.clone(),
         })
--- a/crates/proxy/src/frontend/interconnect/triggers/resources.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/resources.rs
@@ -227,7 +227,7 @@
 }
 
 fn collection_url(identity: &Identity) -> String {
-    format!("{}/cdni/triggers", identity.base)
+    format!("{}/cdni/triggers", identity.base_url)
 }
 
 fn resource_url(identity: &Identity, number: u64) -> String {
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -1,5 +1,6 @@
 //! A non-blocking TCP socket with a buffer for each direction.
 
+use super::poll::Interest;
 use super::ring_buffer::RingBuffer;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io;
@@ -16,7 +17,7 @@
     pub bytes_written: u64,
     /// False while a connection that was opened from here is still being established.
     pub connected: bool,
-    watched: (bool, bool),
+    interest: Interest,
 }
 
 /// What a read or write achieved.
@@ -87,7 +88,11 @@
             output,
             bytes_written: 0,
             connected,
-            watched: (true, !connected),
+            interest: Interest {
+                readable: true,
+                // A connection that was opened from here becomes writable when it is established.
+                writable: !connected,
+            },
         })
     }
 
@@ -142,12 +147,18 @@
         self.socket.shutdown(Shutdown::Write)
     }
 
-    /// The interest in readability and writability from now on, if it has changed since the last call.
-    pub fn take_interest_change(&mut self) -> Option<(bool, bool)> {
-        let wanted = (
-            self.input.free_space() > 0,
-            !self.connected || !self.output.is_empty(),
-        );
-        (std::mem::replace(&mut self.watched, wanted) != wanted).then_some(wanted)
+    /// What the socket is to be watched for from now on, if that has changed since the last call.
+    pub fn take_interest_change(&mut self) -> Option<Interest> {
+        let wanted = Interest {
+            readable: self.input.free_space() > 0,
+            writable: !self.connected || !self.output.is_empty(),
+        };
+        let before = std::mem::replace(&mut self.interest, wanted);
+        (before != wanted).then_some(wanted)
+    }
+
+    /// What the socket is watched for.
+    pub fn interest(&self) -> Interest {
+        self.interest
     }
 }
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -9,7 +9,7 @@
 
 pub use clock::Clock;
 pub use connection::{connect, BufferedSocket, IoProgress};
-pub use poll::{Poller, Readiness};
+pub use poll::{Interest, Poller, Readiness};
 pub use ring_buffer::RingBuffer;
 pub use slab::{Slab, SlabKey};
 pub use timer_queue::{TimerKey, TimerQueue};
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -4,6 +4,38 @@
 use rustix::fd::{AsFd, OwnedFd};
 use std::io;
 
+/// What a socket is watched for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Interest {
+    /// Report when it is readable.
+    pub readable: bool,
+    /// Report when it is writable.
+    pub writable: bool,
+}
+
+impl Interest {
+    /// Nothing is reported but a broken connection.
+    pub const NONE: Interest = Interest {
+        readable: false,
+        writable: false,
+    };
+    /// Readability alone.
+    pub const READ: Interest = Interest {
+        readable: true,
+        writable: false,
+    };
+
+    fn event_flags(self) -> epoll::EventFlags {
+        let mut flags = epoll::EventFlags::empty();
+        flags.set(
+            epoll::EventFlags::IN | epoll::EventFlags::RDHUP,
+            self.readable,
+        );
+        flags.set(epoll::EventFlags::OUT, self.writable);
+        flags
+    }
+}
+
 /// What epoll reports about one socket.
 #[derive(Clone, Copy, Debug)]
 pub struct Readiness {
@@ -35,13 +67,6 @@
     events: Vec<epoll::Event>,
 }
 
-fn flags(read: bool, write: bool) -> epoll::EventFlags {
-    let mut flags = epoll::EventFlags::empty();
-    flags.set(epoll::EventFlags::IN | epoll::EventFlags::RDHUP, read);
-    flags.set(epoll::EventFlags::OUT, write);
-    flags
-}
-
 impl Poller {
     /// An instance that reports at most `events` events per wait.
     pub fn new(events: usize) -> io::Result<Self> {
@@ -52,22 +77,22 @@
     }
 
     /// Registers a socket. It stays registered until it is closed.
-    pub fn add(&self, socket: impl AsFd, token: u64, read: bool, write: bool) -> io::Result<()> {
+    pub fn add(&self, socket: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
         Ok(epoll::add(
             &self.fd,
             socket,
             epoll::EventData::new_u64(token),
-            flags(read, write),
+            interest.event_flags(),
         )?)
     }
 
     /// Changes the interest in a registered socket.
-    pub fn change(&self, socket: impl AsFd, token: u64, read: bool, write: bool) -> io::Result<()> {
+    pub fn change(&self, socket: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
         Ok(epoll::modify(
             &self.fd,
             socket,
             epoll::EventData::new_u64(token),
-            flags(read, write),
+            interest.event_flags(),
         )?)
     }
 
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -16,10 +16,14 @@
 fn absent_keys_have_defaults() {
     let config = read(&good()).unwrap();
     assert_eq!(
-        (config.bus, config.known.0, config.limits.descriptors),
+        (
+            config.event_bus,
+            config.known_events.last_offset,
+            config.limits.descriptors
+        ),
         (None, 0, 1024)
     );
-    assert!(config.cdni.is_none() && config.consul.is_none() && config.peers.is_none());
+    assert!(config.interconnect.is_none() && config.consul.is_none() && config.peers.is_none());
     // 50 ms later than the settings say: cache servers complete a purge later on real sockets.
     assert_eq!(config.settings.rules.purge_completion_us, 6_050_000);
 }
@@ -54,7 +58,7 @@
     let shipped: Value =
         serde_json::from_str(include_str!("../../../deploy/interconnect.json")).unwrap();
     config.apply_interconnect(&shipped).unwrap();
-    assert!(config.cdni.is_none() && config.consul.is_none());
+    assert!(config.interconnect.is_none() && config.consul.is_none());
     for (file, key) in [
         (json!({"cdni": {"listen": "x"}}), "listen"),
         (
@@ -80,7 +84,7 @@
     config
         .apply_interconnect(&serde_json::from_str(text).unwrap())
         .unwrap();
-    assert!(config.cdni.is_some());
+    assert!(config.interconnect.is_some());
 }
 
 #[test]
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -111,7 +111,10 @@
         let (tell, told) = channel();
         let run = std::thread::spawn(move || {
             let mut daemon = EventLoop::start(config, Box::new(read)).unwrap();
-            let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
+            let addresses = (
+                daemon.address().unwrap(),
+                daemon.interconnect_address().unwrap(),
+            );
             tell.send((addresses, daemon.control().unwrap())).unwrap();
             daemon.run()
         });
