--- a/crates/proxy/src/discovery/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -191,21 +191,21 @@
             .map(|Object(instance)| instance.id)
             .collect();
         self.next_query = Query::Health;
-        let is_registered = |server: &&ListedServer| registered.contains(&server.uid);
+        let is_registered = |server: &&ListedServer| registered.contains(&server.wire_id);
         let mut servers: Vec<ListedServer> =
             self.healthy.iter().filter(is_registered).cloned().collect();
         // Still registered, yet no longer in the health response: its agent is about to leave.
-        let healthy_ids: BTreeSet<&str> = self.healthy.iter().map(|s| s.uid.as_str()).collect();
+        let healthy_ids: BTreeSet<&str> = self.healthy.iter().map(|s| s.wire_id.as_str()).collect();
         let leaving = self
             .published
             .iter()
             .filter(is_registered)
-            .filter(|server| !healthy_ids.contains(server.uid.as_str()));
+            .filter(|server| !healthy_ids.contains(server.wire_id.as_str()));
         servers.extend(leaving.cloned().map(|mut server| {
             server.endpoint.state = EndpointState::Draining;
             server
         }));
-        servers.sort_by(|a, b| a.uid.cmp(&b.uid));
+        servers.sort_by(|a, b| a.wire_id.cmp(&b.wire_id));
         if servers == self.published {
             return Ok(None);
         }
@@ -288,7 +288,7 @@
             kind: metadata.text("model"),
             weight: metadata.number("capacity_hint").map_err(invalid)?,
             started_ms: metadata.whole_number("boot_ms").map_err(invalid)?,
-            uid: service.id.clone(),
+            wire_id: service.id.clone(),
         };
         Ok(entry.into())
     }
--- a/crates/proxy/src/discovery/endpoint_entry.rs
+++ b/crates/proxy/src/discovery/endpoint_entry.rs
@@ -12,7 +12,8 @@
 #[derive(Debug, Deserialize)]
 pub(super) struct EndpointEntry {
     /// The server's id, in text.
-    pub uid: String,
+    #[serde(rename = "uid")]
+    pub wire_id: String,
     /// Where the server listens.
     #[serde(rename = "endpoint")]
     pub address: SocketAddr,
@@ -50,7 +51,7 @@
         let started_us = WholeNumber::or(entry.started_ms, 0).saturating_mul(1000);
         ListedServer {
             endpoint: Endpoint {
-                id: server_id(&entry.uid),
+                id: server_id(&entry.wire_id),
                 zone: entry.zone.unwrap_or_default(),
                 cell: WholeNumber::or(entry.cell, 0),
                 kind: entry.kind.unwrap_or_default(),
@@ -58,7 +59,7 @@
                 state: entry.state,
                 started: Some(started_us).filter(|started| *started > 0),
             },
-            uid: entry.uid,
+            wire_id: entry.wire_id,
             address: entry.address,
         }
     }
--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -10,17 +10,17 @@
     /// What the router is told.
     pub endpoint: Endpoint,
     /// The server's id on the wire.
-    pub uid: String,
+    pub wire_id: String,
     /// Where it listens.
     pub address: SocketAddr,
 }
 
 /// The number of a server, from its id on the wire (FNV-1a, 64 bits). It is the same at every proxy: the router's order
 /// of servers is hashed from it.
-pub fn server_id(uid: &str) -> ServerId {
+pub fn server_id(wire_id: &str) -> ServerId {
     const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x100_0000_01b3;
-    uid.bytes().fold(OFFSET_BASIS, |hash, byte| {
+    wire_id.bytes().fold(OFFSET_BASIS, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(PRIME)
     })
 }
@@ -54,7 +54,7 @@
         for entry in entries {
             log::info!(
                 "cache server {} at {} is {:?}",
-                entry.uid,
+                entry.wire_id,
                 entry.address,
                 entry.endpoint.state
             );
@@ -79,7 +79,7 @@
     fn list(&mut self, entry: &ListedServer) -> Option<ServerId> {
         let id = entry.endpoint.id;
         let server = self.servers.entry(id).or_insert_with(|| KnownServer {
-            wire_id: entry.uid.clone(),
+            wire_id: entry.wire_id.clone(),
             address: entry.address,
             state: EndpointState::Ready,
         });
--- a/crates/proxy/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -35,7 +35,7 @@
     Some(
         entries
             .into_iter()
-            .map(|e| (e.uid, e.endpoint.state))
+            .map(|e| (e.wire_id, e.endpoint.state))
             .collect(),
     )
 }
--- a/crates/proxy/tests/event_bus.rs
+++ b/crates/proxy/tests/event_bus.rs
@@ -37,7 +37,7 @@
     };
     let read: Vec<_> = servers
         .iter()
-        .map(|server| (server.uid.as_str(), server.endpoint.state))
+        .map(|server| (server.wire_id.as_str(), server.endpoint.state))
         .collect();
     assert_eq!(
         read,
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -26,7 +26,7 @@
             state,
             started: None,
         },
-        uid: uid.to_owned(),
+        wire_id: uid.to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
     }
 }
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -245,7 +245,7 @@
             state: EndpointState::Ready,
             started: None,
         },
-        uid: "a".into(),
+        wire_id: "a".into(),
         address: ([127, 0, 0, 1], 9).into(),
     }
 }
