--- a/crates/proxy/tests/connection_endings.rs
+++ b/crates/proxy/tests/connection_endings.rs
@@ -5,10 +5,11 @@
 
 use edge_proxy::config::Config;
 use edge_proxy::protocol::fastcgi::{self, kind};
-use edge_testkit::clients::{WebServer, PATIENCE};
-use edge_testkit::fake_cache::{Manner, StandIn};
-use edge_testkit::fake_event_bus::entry;
-use edge_testkit::scripted_server::{Line, Puppet};
+use edge_testkit::fake_cache::{Behavior, FakeCacheServer};
+use edge_testkit::fake_event_bus::{cache_entry, origin_entry};
+use edge_testkit::fastcgi_client::FastCgiClient;
+use edge_testkit::scripted_server::{ScriptedConnection, ScriptedServer};
+use edge_testkit::TEST_TIMEOUT;
 use edge_testkit::{sample_settings, unix_ms};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
@@ -20,14 +21,14 @@
 const MINUTE_US: u64 = 60_000_000;
 
 /// Whether a client's connection was ended by a close, not by a reset.
-fn is_closed(web: &mut WebServer) -> bool {
-    web.end()
+fn is_closed(web: &mut FastCgiClient) -> bool {
+    web.next_response()
         .is_err_and(|e| e.kind() == ErrorKind::UnexpectedEof)
 }
 
 #[test]
 fn once_the_grace_is_over_nothing_that_is_read_is_sent_on_and_what_is_open_is_answered() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     let mut rig = Rig::puppet(
         &puppet,
         |_| {},
@@ -35,28 +36,35 @@
     );
     let (mut busy, mut resting) = (rig.web(), rig.web());
     resting
-        .send(&WebServer::request(1, "/_health", &[], b""))
+        .send(&FastCgiClient::encode_request(1, "/_health", &[], b""))
         .unwrap();
-    resting.end().unwrap();
-    busy.ask(1, WRITE, &object(1), 60_000).unwrap();
-    let mut line = puppet.line().unwrap();
-    let open = line.frame().unwrap();
+    resting.next_response().unwrap();
+    busy.request_object(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.accept().unwrap();
+    let open = line.next_frame().unwrap();
     rig.end_grace();
     // One that rests is ended, and what crosses that end is read by nobody.
     assert!(is_closed(&mut resting));
-    resting.ask(2, WRITE, &object(2), 60_000).unwrap();
+    resting
+        .request_object(2, WRITE, &object(2), 60_000)
+        .unwrap();
     // One that still waits is owed an answer to all that it asks; a new request would outlive the process.
-    busy.ask(2, WRITE, &object(3), 60_000).unwrap();
-    let (id, answer) = busy.end().unwrap();
+    busy.request_object(2, WRITE, &object(3), 60_000).unwrap();
+    let (id, answer) = busy.next_response().unwrap();
     assert_eq!((id, answer.unwrap().status), (2, 503));
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
-    let (id, answer) = busy.end().unwrap();
+    line.answer(
+        &open.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
+    let (id, answer) = busy.next_response().unwrap();
     assert_eq!((id, answer.unwrap().status), (1, 200));
     assert!(is_closed(&mut busy), "nothing is open on it any more");
     drop((busy, resting));
     rig.run.join().unwrap().unwrap();
-    assert!(line.frame().is_err(), "nothing else was sent on");
+    assert!(line.next_frame().is_err(), "nothing else was sent on");
 }
 
 #[test]
@@ -67,26 +75,28 @@
         |limits| limits.lingering_close_us = MINUTE_US,
     );
     // More than the sockets between take at once: the rest is still on its way when all is written.
-    rig.origin.behave(Manner {
-        padding: 480_000,
-        ..Manner::default()
+    rig.origin.set_behavior(Behavior {
+        padding_bytes: 480_000,
+        ..Behavior::default()
     });
     let mut web = rig.web();
     for id in 1..=8 {
-        web.ask(id, WRITE, &object(u64::from(id)), 60_000).unwrap();
+        web.request_object(id, WRITE, &object(u64::from(id)), 60_000)
+            .unwrap();
     }
     (1..=8).for_each(|n| {
         rig.origin
-            .wait_for(|a| a.field("key") == Some(&object(n)))
+            .wait_for_command(|a| a.field("key") == Some(&object(n)))
             .unwrap();
     });
     rig.end_grace();
     for n in 1..=8 {
         // It sends on while it reads: the first bytes of a request that never becomes whole.
-        let request = WebServer::request(100, "/invoke/photo", &[("HTTP_REQUEST_ID", "0a")], b"");
+        let request =
+            FastCgiClient::encode_request(100, "/invoke/photo", &[("HTTP_REQUEST_ID", "0a")], b"");
         web.send(&request[n - 1..n]).unwrap();
         assert_eq!(
-            web.end().unwrap().1.unwrap().status,
+            web.next_response().unwrap().1.unwrap().status,
             200,
             "answer {n} came whole"
         );
@@ -97,7 +107,7 @@
 
 #[test]
 fn a_client_that_does_not_keep_its_connection_gets_its_answer_and_then_the_end() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     let rig = Rig::puppet(
         &puppet,
         |_| {},
@@ -112,16 +122,21 @@
         ("HTTP_BUDGET_MS", "60000"),
         ("HTTP_ONCE_KEY", &once),
     ];
-    let mut request = WebServer::request(1, "/invoke/post", &fields, b"");
+    let mut request = FastCgiClient::encode_request(1, "/invoke/post", &fields, b"");
     let mut begin = Vec::new();
     fastcgi::write_record(&mut begin, kind::BEGIN, 1, &[0, 1, 0, 0, 0, 0, 0, 0]);
     request.splice(..begin.len(), begin);
     web.send(&request).unwrap();
-    let mut line = puppet.line().unwrap();
-    let open = line.frame().unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    let mut line = puppet.accept().unwrap();
+    let open = line.next_frame().unwrap();
+    line.answer(
+        &open.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
+    assert_eq!(web.next_response().unwrap().1.unwrap().status, 200);
     assert!(is_closed(&mut web), "it waits for nothing but the end");
     rig.stop();
 }
@@ -138,65 +153,84 @@
     assert_eq!(one(&mut first, "photo", &object(1)).status, 200);
     let held = rig.hold();
     let mut second = rig.web();
-    first.ask(2, "photo", &object(2), 60_000).unwrap();
+    first
+        .request_object(2, "photo", &object(2), 60_000)
+        .unwrap();
     drop(held);
     assert_eq!(
-        first.end().unwrap().1.unwrap().status,
+        first.next_response().unwrap().1.unwrap().status,
         200,
         "its request was there when room was looked for"
     );
-    second.ask(1, "photo", &object(3), 60_000).unwrap();
-    assert_eq!(second.end().unwrap().1.unwrap().status, 200);
+    second
+        .request_object(1, "photo", &object(3), 60_000)
+        .unwrap();
+    assert_eq!(second.next_response().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
 
 #[test]
 fn an_answer_that_has_come_counts_also_where_its_connection_breaks_under_the_next_request() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     let mut rig = Rig::puppet(&puppet, |_| {}, |_| {});
     let (mut first, mut second) = (rig.web(), rig.web());
-    first.ask(1, WRITE, &object(1), 60_000).unwrap();
-    let mut line = puppet.line().unwrap();
-    let open = line.frame().unwrap();
+    first.request_object(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.accept().unwrap();
+    let open = line.next_frame().unwrap();
     let held = rig.hold();
-    second.ask(1, WRITE, &object(2), 60_000).unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
+    second.request_object(1, WRITE, &object(2), 60_000).unwrap();
+    line.answer(
+        &open.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
     line.reset().unwrap();
     drop(held);
     // The next request has to be sent elsewhere; the first one was answered.
-    let mut line = puppet.line().unwrap();
-    let again = line.frame().unwrap();
-    assert_eq!(again.key(), Some(object(2).as_str()));
-    assert_eq!(first.end().unwrap().1.unwrap().status, 200);
-    line.answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
-    assert_eq!(second.end().unwrap().1.unwrap().status, 200);
+    let mut line = puppet.accept().unwrap();
+    let again = line.next_frame().unwrap();
+    assert_eq!(again.object_key(), Some(object(2).as_str()));
+    assert_eq!(first.next_response().unwrap().1.unwrap().status, 200);
+    line.answer(
+        &again.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
+    assert_eq!(second.next_response().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
 
 #[test]
 fn a_connection_that_has_ended_is_not_used_again_for_what_may_not_be_repeated() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     let once =
         |config: &mut Value| config["settings"]["categories"][1]["repeat"] = json!("side_effect");
     let mut rig = Rig::puppet(&puppet, once, |_| {});
     let mut web = rig.web();
-    let served = |web: &mut WebServer, line: &mut Line| {
-        let open = line.frame().unwrap();
-        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-            .unwrap();
-        web.end().unwrap().1.unwrap().status
+    let served = |web: &mut FastCgiClient, line: &mut ScriptedConnection| {
+        let open = line.next_frame().unwrap();
+        line.answer(
+            &open.request_id,
+            "200",
+            "how=local,made=1,etag=t1",
+            "all of it",
+        )
+        .unwrap();
+        web.next_response().unwrap().1.unwrap().status
     };
-    web.ask(1, WRITE, &object(1), 60_000).unwrap();
-    let mut line = puppet.line().unwrap();
+    web.request_object(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.accept().unwrap();
     assert_eq!(served(&mut web, &mut line), 200);
     let held = rig.hold();
-    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    web.request_object(2, WRITE, &object(2), 60_000).unwrap();
     line.close().unwrap();
     drop(held);
     assert_eq!(
-        served(&mut web, &mut puppet.line().unwrap()),
+        served(&mut web, &mut puppet.accept().unwrap()),
         200,
         "nothing of it was sent on the one that ended"
     );
@@ -205,7 +239,7 @@
 
 #[test]
 fn connections_that_have_gone_silent_do_not_bar_the_way_to_their_box() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     // One connection, and any silence makes it one that may lead nowhere.
     let rig = Rig::puppet(
         &puppet,
@@ -213,46 +247,68 @@
         |limits| (limits.connections_per_server, limits.unresponsive_after_us) = (1, 0),
     );
     let mut web = rig.web();
-    web.ask(1, WRITE, &object(1), 300).unwrap();
-    let mut silent = puppet.line().unwrap();
-    silent.frame().unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 503, "its time was up");
-    assert_eq!(silent.frame().unwrap().word, "abort");
-    web.ask(2, WRITE, &object(2), 60_000).unwrap();
-    let mut line = puppet.line().unwrap();
-    let open = line.frame().unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
-    assert!(silent.frame().is_err(), "the silent one made room");
+    web.request_object(1, WRITE, &object(1), 300).unwrap();
+    let mut silent = puppet.accept().unwrap();
+    silent.next_frame().unwrap();
+    assert_eq!(
+        web.next_response().unwrap().1.unwrap().status,
+        503,
+        "its time was up"
+    );
+    assert_eq!(silent.next_frame().unwrap().command, "abort");
+    web.request_object(2, WRITE, &object(2), 60_000).unwrap();
+    let mut line = puppet.accept().unwrap();
+    let open = line.next_frame().unwrap();
+    line.answer(
+        &open.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
+    assert_eq!(web.next_response().unwrap().1.unwrap().status, 200);
+    assert!(silent.next_frame().is_err(), "the silent one made room");
     rig.stop();
 }
 
 #[test]
 fn a_second_copy_of_an_answer_is_not_taken_for_that_of_a_further_attempt() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     let rig = Rig::puppet(&puppet, |_| {}, |_| {});
     let mut web = rig.web();
-    web.ask(1, WRITE, &object(1), 60_000).unwrap();
-    let mut line = puppet.line().unwrap();
-    let open = line.frame().unwrap();
-    line.answer(&open.id, "503", "-", "").unwrap();
+    web.request_object(1, WRITE, &object(1), 60_000).unwrap();
+    let mut line = puppet.accept().unwrap();
+    let open = line.next_frame().unwrap();
+    line.answer(&open.request_id, "503", "-", "").unwrap();
     // It never ran, so it is asked again, and nothing tells that answer's copy from its own on one connection.
-    let mut other = puppet.line().unwrap();
-    let again = other.frame().unwrap();
-    assert_eq!((again.word.as_str(), &again.id), ("fetch", &open.id));
-    line.answer(&open.id, "503", "-", "").unwrap();
+    let mut other = puppet.accept().unwrap();
+    let again = other.next_frame().unwrap();
+    assert_eq!(
+        (again.command.as_str(), &again.request_id),
+        ("fetch", &open.request_id)
+    );
+    line.answer(&open.request_id, "503", "-", "").unwrap();
     // An answer behind the copy on its connection shows that the copy was read.
-    web.ask(2, WRITE, &object(2), 60_000).unwrap();
-    let next = line.frame().unwrap();
-    line.answer(&next.id, "200", "how=local,made=1,etag=t2", "the second")
-        .unwrap();
-    let (id, answer) = web.end().unwrap();
+    web.request_object(2, WRITE, &object(2), 60_000).unwrap();
+    let next = line.next_frame().unwrap();
+    line.answer(
+        &next.request_id,
+        "200",
+        "how=local,made=1,etag=t2",
+        "the second",
+    )
+    .unwrap();
+    let (id, answer) = web.next_response().unwrap();
     assert_eq!((id, answer.unwrap().status), (2, 200));
     other
-        .answer(&again.id, "200", "how=local,made=1,etag=t1", "all of it")
+        .answer(
+            &again.request_id,
+            "200",
+            "how=local,made=1,etag=t1",
+            "all of it",
+        )
         .unwrap();
-    let (id, answer) = web.end().unwrap();
+    let (id, answer) = web.next_response().unwrap();
     assert_eq!((id, answer.unwrap().status), (1, 200));
     rig.stop();
 }
@@ -260,7 +316,7 @@
 #[test]
 fn nothing_begins_for_a_client_that_has_gone_also_where_attempts_cannot_be_called_off() {
     for cancel in [true, false] {
-        let puppet = Puppet::start().unwrap();
+        let puppet = ScriptedServer::start().unwrap();
         let mut rig = Rig::puppet(
             &puppet,
             |config| config["settings"]["limits"]["cancel"] = cancel.into(),
@@ -269,29 +325,40 @@
         let held = rig.hold();
         let (mut leaves, mut closes, mut stays) = (rig.web(), rig.web(), rig.web());
         // All of it comes before the connection to the box is up.
-        leaves.ask(1, "photo", &object(1), 60_000).unwrap();
+        leaves
+            .request_object(1, "photo", &object(1), 60_000)
+            .unwrap();
         leaves.abort(1).unwrap();
-        closes.ask(1, "photo", &object(2), 60_000).unwrap();
+        closes
+            .request_object(1, "photo", &object(2), 60_000)
+            .unwrap();
         drop(closes);
-        stays.ask(1, "photo", &object(3), 60_000).unwrap();
+        stays
+            .request_object(1, "photo", &object(3), 60_000)
+            .unwrap();
         drop(held);
-        let mut line = puppet.line().unwrap();
-        let open = line.frame().unwrap();
+        let mut line = puppet.accept().unwrap();
+        let open = line.next_frame().unwrap();
         assert_eq!(
-            open.key(),
+            open.object_key(),
             Some(object(3).as_str()),
             "calling off allowed: {cancel}"
         );
-        line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-            .unwrap();
-        assert_eq!(stays.end().unwrap().1.unwrap().status, 200);
+        line.answer(
+            &open.request_id,
+            "200",
+            "how=local,made=1,etag=t1",
+            "all of it",
+        )
+        .unwrap();
+        assert_eq!(stays.next_response().unwrap().1.unwrap().status, 200);
         rig.stop();
     }
 }
 
 #[test]
 fn an_answer_that_never_ends_costs_what_waits_for_it_and_no_later_request() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     // It never pauses for long enough to be taken for one that stopped short.
     let rig = Rig::puppet(
         &puppet,
@@ -304,53 +371,67 @@
         },
     );
     let mut web = rig.web();
-    web.ask(1, WRITE, &object(1), 300).unwrap();
-    let mut endless = puppet.line().unwrap();
-    let open = endless.frame().unwrap();
+    web.request_object(1, WRITE, &object(1), 300).unwrap();
+    let mut endless = puppet.accept().unwrap();
+    let open = endless.next_frame().unwrap();
     endless
         .send(
             format!(
                 "*4\r\n$16\r\n{}\r\n$3\r\n200\r\n$1\r\n-\r\n$9000\r\n...",
-                open.id
+                open.request_id
             )
             .as_bytes(),
         )
         .unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 503, "its time was up");
-    assert!(endless.ends().unwrap(), "nobody waits for the rest of it");
-    web.ask(2, WRITE, &object(2), 60_000).unwrap();
-    let mut line = puppet.line().unwrap();
-    let open = line.frame().unwrap();
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    assert_eq!(
+        web.next_response().unwrap().1.unwrap().status,
+        503,
+        "its time was up"
+    );
+    endless
+        .wait_until_closed()
+        .expect("nobody waits for the rest of it");
+    web.request_object(2, WRITE, &object(2), 60_000).unwrap();
+    let mut line = puppet.accept().unwrap();
+    let open = line.next_frame().unwrap();
+    line.answer(
+        &open.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
+    assert_eq!(web.next_response().unwrap().1.unwrap().status, 200);
     // An answer under an id that nobody asked for is not waited for either.
     line.send(b"*4\r\n$16\r\nffffffffffffffff\r\n$3\r\n200\r\n")
         .unwrap();
-    assert!(line.ends().unwrap(), "it holds up all behind it");
+    line.wait_until_closed().expect("it holds up all behind it");
     rig.stop();
 }
 
 #[test]
 fn a_whole_list_of_a_large_fleet_is_taken_in() {
     let rig = Rig::with(&[], |config| config["known"] = Value::Null);
-    let mut list = vec![entry(&rig.origin, "hub", "origin", READY)];
+    let mut list = vec![origin_entry(&rig.origin, READY)];
     for n in 0..2000 {
         let mut other = list[0].clone();
         other["uid"] = format!("s-{n:08x}").into();
         other["az"] = "far".into();
         list.push(other);
     }
-    rig.bus.list(true, list);
+    rig.bus.publish_server_list(list);
     let mut web = rig.web();
     let mut health = || {
-        web.send(&WebServer::request(1, "/_health", &[], b""))
+        web.send(&FastCgiClient::encode_request(1, "/_health", &[], b""))
             .unwrap();
-        web.end().unwrap().1.unwrap().status
+        web.next_response().unwrap().1.unwrap().status
     };
     // ClientRequest until the event has come; a further call would mean that it was given up in the middle.
     while health() != 200 {
-        assert!(rig.bus.calls() <= 1, "it is read by the first call");
+        assert!(
+            rig.bus.subscription_count() <= 1,
+            "it is read by the first call"
+        );
     }
     rig.stop();
 }
@@ -363,7 +444,7 @@
         ("how=local,made=1,etag=00000000000000c1".to_owned(), 503),
         ("-".to_owned(), 503),
     ] {
-        let puppet = Puppet::start().unwrap();
+        let puppet = ScriptedServer::start().unwrap();
         let once = |config: &mut Value| config["settings"]["limits"]["try-limit"] = 1.into();
         let rig = Rig::puppet(&puppet, once, |_| {});
         let mut web = rig.web();
@@ -374,12 +455,17 @@
             ("HTTP_BUDGET_MS", "60000"),
             ("HTTP_X_VER", held),
         ];
-        web.send(&WebServer::request(1, "/invoke/photo", &asked, b""))
-            .unwrap();
-        let mut line = puppet.line().unwrap();
-        let open = line.frame().unwrap();
-        line.answer(&open.id, "304", &fields, "").unwrap();
-        let answer = web.end().unwrap().1.unwrap();
+        web.send(&FastCgiClient::encode_request(
+            1,
+            "/invoke/photo",
+            &asked,
+            b"",
+        ))
+        .unwrap();
+        let mut line = puppet.accept().unwrap();
+        let open = line.next_frame().unwrap();
+        line.answer(&open.request_id, "304", &fields, "").unwrap();
+        let answer = web.next_response().unwrap().1.unwrap();
         assert_eq!(
             (answer.status, answer.header("x-unchanged").is_some()),
             (status, status == 200),
@@ -395,12 +481,11 @@
         |config: &mut Value| config["settings"]["family-info"]["purge-takes-us"] = 200_000.into();
     let rig = Rig::with(&["s-0a"], soon);
     let mut web = rig.web();
-    rig.bus
-        .push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
+    rig.bus.publish_object_purge(&object(1), unix_ms());
     // ClientRequest for until the purge is known, and once more when every box says that it holds no older copy.
     let bounded = || {
         rig.boxes[0]
-            .arrivals()
+            .received()
             .last()
             .is_some_and(|a| a.field("maxage").is_some())
     };
@@ -419,32 +504,37 @@
 
 #[test]
 fn what_a_client_left_behind_is_freed_when_its_time_is_up_also_if_no_answer_ever_comes() {
-    let puppet = Puppet::start().unwrap();
+    let puppet = ScriptedServer::start().unwrap();
     let never = |config: &mut Value| config["settings"]["limits"]["cancel"] = false.into();
     let rig = Rig::puppet(&puppet, never, |limits| limits.open_requests = 1);
     let mut web = rig.web();
-    web.ask(1, WRITE, &object(1), 300).unwrap();
-    let mut line = puppet.line().unwrap();
-    line.frame().unwrap();
+    web.request_object(1, WRITE, &object(1), 300).unwrap();
+    let mut line = puppet.accept().unwrap();
+    line.next_frame().unwrap();
     web.abort(1).unwrap();
-    assert_eq!(web.end().unwrap(), (1, None));
+    assert_eq!(web.next_response().unwrap(), (1, None));
     // The table has room for one request: until the first one's time is up, others are turned away.
-    let until = Instant::now() + PATIENCE;
+    let until = Instant::now() + TEST_TIMEOUT;
     let open = loop {
-        web.ask(2, WRITE, &object(2), 60_000).unwrap();
-        web.send(&WebServer::request(3, "/_health", &[], b""))
+        web.request_object(2, WRITE, &object(2), 60_000).unwrap();
+        web.send(&FastCgiClient::encode_request(3, "/_health", &[], b""))
             .unwrap();
-        match web.end().unwrap() {
-            (3, _) => break line.fetch().unwrap(),
+        match web.next_response().unwrap() {
+            (3, _) => break line.next_fetch().unwrap(),
             (_, answer) => assert_eq!(answer.unwrap().status, 503),
         }
-        assert_eq!(web.end().unwrap().0, 3);
+        assert_eq!(web.next_response().unwrap().0, 3);
         assert!(Instant::now() < until, "its place is never freed");
     };
-    assert_eq!(open.key(), Some(object(2).as_str()));
-    line.answer(&open.id, "200", "how=local,made=1,etag=t1", "all of it")
-        .unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    assert_eq!(open.object_key(), Some(object(2).as_str()));
+    line.answer(
+        &open.request_id,
+        "200",
+        "how=local,made=1,etag=t1",
+        "all of it",
+    )
+    .unwrap();
+    assert_eq!(web.next_response().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
 
@@ -454,17 +544,17 @@
     let mut rig = Rig::bounded(&["s-0a"], |_| {}, |limits| limits.connections = 3);
     let mut web = rig.web();
     assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
-    assert_eq!(rig.bus.call(0), Some(0));
+    assert_eq!(rig.bus.wait_for_subscription(0), Some(0));
     let held = rig.hold();
-    rig.bus.cut_off();
-    web.ask(2, WRITE, &object(2), 60_000).unwrap();
+    rig.bus.disconnect_subscribers_and_wait();
+    web.request_object(2, WRITE, &object(2), 60_000).unwrap();
     drop(held);
     assert_eq!(
-        web.end().unwrap().1.unwrap().status,
+        web.next_response().unwrap().1.unwrap().status,
         503,
         "the origin's connection would take the place of the bus"
     );
-    assert_eq!(rig.bus.call(1), Some(0));
+    assert_eq!(rig.bus.wait_for_subscription(1), Some(0));
     rig.stop();
 }
 
@@ -472,40 +562,41 @@
 fn one_entry_that_cannot_be_read_costs_itself_and_not_the_list() {
     let rig = Rig::with(&["s-0a", "s-0b"], |_| {});
     let mut web = rig.web();
-    let mut odd = entry(&rig.boxes[1], "here", "box", "melting");
+    let mut odd = cache_entry(&rig.boxes[1], "melting");
     odd["uid"] = "s-0c".into();
-    rig.bus.list(
-        false,
-        vec![odd, entry(&rig.boxes[0], "here", "box", "draining")],
-    );
     rig.bus
-        .push(json!({"ban": {"url": object(1), "ts": unix_ms()}}));
+        .publish_server_changes(vec![odd, cache_entry(&rig.boxes[0], "draining")]);
+    rig.bus.publish_object_purge(&object(1), unix_ms());
     // The purge behind the list is known once an age is asked for.
-    let bounded = |b: &StandIn| b.arrivals().iter().any(|a| a.field("maxage").is_some());
+    let bounded = |b: &FakeCacheServer| b.received().iter().any(|a| a.field("maxage").is_some());
     while !rig.boxes.iter().any(bounded) {
         assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
     }
-    let before = rig.boxes[0].arrivals().len();
+    let before = rig.boxes[0].received().len();
     for n in 0..20 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
     }
-    assert_eq!(rig.boxes[0].arrivals().len(), before, "it drains");
+    assert_eq!(rig.boxes[0].received().len(), before, "it drains");
     rig.stop();
 }
 
 #[test]
 fn what_is_still_open_when_the_process_may_be_killed_is_answered_before() {
     for cancel in [true, false] {
-        let puppet = Puppet::start().unwrap();
+        let puppet = ScriptedServer::start().unwrap();
         let calls_off = |config: &mut Value| config["settings"]["limits"]["cancel"] = cancel.into();
         // The deadline of the shutdown comes with SIGTERM itself.
         let mut rig = Rig::puppet(&puppet, calls_off, |limits| limits.shutdown_deadline_us = 0);
         let mut web = rig.web();
-        web.ask(1, WRITE, &object(1), 60_000).unwrap();
-        let mut line = puppet.line().unwrap();
-        line.frame().unwrap();
+        web.request_object(1, WRITE, &object(1), 60_000).unwrap();
+        let mut line = puppet.accept().unwrap();
+        line.next_frame().unwrap();
         rig.control.stop().unwrap();
-        assert_eq!(web.end().unwrap().1.unwrap().status, 502, "it may have run");
+        assert_eq!(
+            web.next_response().unwrap().1.unwrap().status,
+            502,
+            "it may have run"
+        );
         assert!(is_closed(&mut web), "and nothing else is owed");
         drop(web);
         rig.run.join().unwrap().unwrap();
@@ -545,8 +636,8 @@
             ) = (100_000, MINUTE_US)
         },
     );
-    let half = |web: &mut WebServer, stream: u16, bytes: usize| {
-        let request = WebServer::request(
+    let half = |web: &mut FastCgiClient, stream: u16, bytes: usize| {
+        let request = FastCgiClient::encode_request(
             stream,
             "/invoke/post",
             &[("HTTP_REQUEST_ID", "0a")],
@@ -554,9 +645,9 @@
         );
         web.send(&request[..request.len() - 8]).unwrap();
         // Read by now: what comes behind it is answered.
-        web.send(&WebServer::request(100, "/_health", &[], b""))
+        web.send(&FastCgiClient::encode_request(100, "/_health", &[], b""))
             .unwrap();
-        web.end()
+        web.next_response()
     };
     let (mut large, mut small, mut usual) = (rig.web(), rig.web(), rig.web());
     assert!(half(&mut small, 1, 20_000).is_ok());
@@ -574,7 +665,7 @@
 fn a_client_that_takes_no_answers_cannot_ask_for_ever() {
     let rig = Rig::start();
     let mut web = rig.web();
-    let health = WebServer::request(1, "/_health", &[], b"");
+    let health = FastCgiClient::encode_request(1, "/_health", &[], b"");
     // Far more than rings and sockets hold, of which none is read.
     let ended = (0..500_000).any(|_| web.send(&health).is_err());
     assert!(ended, "all of their answers are held for it");
@@ -586,17 +677,17 @@
 fn what_comes_behind_a_request_and_cannot_be_read_does_not_cost_its_answer() {
     let rig = Rig::start();
     let mut web = rig.web();
-    let mut bytes = WebServer::request(
+    let mut bytes = FastCgiClient::encode_request(
         1,
         "/invoke/photo",
         &[("HTTP_REQUEST_ID", "not hexadecimal!")],
         b"",
     );
-    bytes.extend(WebServer::request(2, "/_health", &[], b""));
+    bytes.extend(FastCgiClient::encode_request(2, "/_health", &[], b""));
     bytes.extend(b"GET / HTTP/1.1\r\n\r\n");
     web.send(&bytes).unwrap();
     for (stream, status) in [(1, 400), (2, 200)] {
-        let (id, answer) = web.end().unwrap();
+        let (id, answer) = web.next_response().unwrap();
         assert_eq!((id, answer.unwrap().status), (stream, status));
     }
     assert!(is_closed(&mut web));
--- a/crates/proxy/tests/scenario.rs
+++ b/crates/proxy/tests/scenario.rs
@@ -1,6 +1,6 @@
 //! The rehearsal kit against the real daemon: it finds nothing wrong, and finds what was planted.
 
-use edge_testkit::{rehearse, Plant};
+use edge_testkit::{run_scenario, InjectedFault, Rule};
 use std::path::Path;
 
 fn daemon() -> &'static Path {
@@ -9,21 +9,24 @@
 
 #[test]
 fn the_daemon_keeps_the_rules_in_both_cases() {
-    let report = rehearse(daemon(), None).expect("the rehearsal is played");
-    assert_eq!(report.breaches, [], "{report}");
-    assert_eq!(report.played.len(), 4, "{report}");
+    let report = run_scenario(daemon(), None).expect("the rehearsal is played");
+    assert_eq!(report.violations, [], "{report}");
+    assert_eq!(report.completed_cases.len(), 4, "{report}");
 }
 
 #[test]
-fn planted_breaches_are_reported() {
-    for (plant, rule) in [(Plant::StaleCopies, "purge"), (Plant::DrainUntold, "drain")] {
-        let report = rehearse(daemon(), Some(plant)).expect("the rehearsal is played");
+fn planted_violations_are_reported() {
+    for (plant, rule) in [
+        (InjectedFault::StaleCopies, Rule::PurgeTakesEffect),
+        (InjectedFault::UnannouncedDrain, Rule::DrainTakesEffect),
+    ] {
+        let report = run_scenario(daemon(), Some(plant)).expect("the rehearsal is played");
         assert!(
-            report.breaches.len() > 1,
+            report.violations.len() > 1,
             "each one is reported, not only the first: {report}"
         );
         assert!(
-            report.breaches.iter().all(|b| b.rule == rule),
+            report.violations.iter().all(|b| b.rule == rule),
             "{plant:?}: {report}"
         );
     }
--- a/crates/proxy/tests/support/fixture.rs
+++ b/crates/proxy/tests/support/fixture.rs
@@ -4,11 +4,12 @@
 use edge_proxy::config::Config;
 use edge_proxy::event_loop::{ControlHandle, EventLoop};
 use edge_proxy::limits::Limits;
-use edge_testkit::clients::{Answer, WebServer};
-use edge_testkit::fake_cache::StandIn;
-use edge_testkit::fake_event_bus::{entry, Bus};
+use edge_testkit::fake_cache::FakeCacheServer;
+use edge_testkit::fake_event_bus::{cache_entry, origin_entry, FakeEventBus};
+use edge_testkit::fastcgi_client::FastCgiClient;
 use edge_testkit::sample_settings;
-use edge_testkit::scripted_server::Puppet;
+use edge_testkit::scripted_server::ScriptedServer;
+use edge_testkit::Response;
 use serde_json::{json, Value};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -27,9 +28,9 @@
     /// What the daemon reads on SIGHUP.
     pub file: Arc<Mutex<Value>>,
     pub run: JoinHandle<std::io::Result<()>>,
-    pub bus: Bus,
-    pub boxes: Vec<StandIn>,
-    pub origin: StandIn,
+    pub bus: FakeEventBus,
+    pub boxes: Vec<FakeCacheServer>,
+    pub origin: FakeCacheServer,
     gate: Gate,
 }
 
@@ -49,7 +50,7 @@
 
     /// With a puppet in the place of the only box and of the origin.
     pub fn puppet(
-        puppet: &Puppet,
+        puppet: &ScriptedServer,
         change: impl Fn(&mut Value),
         bound: impl Fn(&mut Limits),
     ) -> Rig {
@@ -71,17 +72,14 @@
         change: impl Fn(&mut Value),
         bound: impl Fn(&mut Limits),
     ) -> Rig {
-        let bus = Bus::start().unwrap();
-        let boxes: Vec<StandIn> = boxes
+        let bus = FakeEventBus::start().unwrap();
+        let boxes: Vec<FakeCacheServer> = boxes
             .iter()
-            .map(|uid| StandIn::start(uid).unwrap())
+            .map(|uid| FakeCacheServer::start(uid).unwrap())
             .collect();
-        let origin = StandIn::start("s-0f").unwrap();
-        let mut list: Vec<Value> = boxes
-            .iter()
-            .map(|b| entry(b, "here", "box", READY))
-            .collect();
-        list.push(entry(&origin, "hub", "origin", READY));
+        let origin = FakeCacheServer::start("s-0f").unwrap();
+        let mut list: Vec<Value> = boxes.iter().map(|b| cache_entry(b, READY)).collect();
+        list.push(origin_entry(&origin, READY));
         let known = json!({"offset": 0, "batch": [
             {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
         ]});
@@ -129,8 +127,8 @@
         }
     }
 
-    pub fn web(&self) -> WebServer {
-        WebServer::connect(self.front).unwrap()
+    pub fn web(&self) -> FastCgiClient {
+        FastCgiClient::connect(self.front).unwrap()
     }
 
     /// Holds the daemon's loop: what happens until it is let go is seen by it at once, in the order in which it
@@ -147,11 +145,14 @@
     pub fn end_grace(&mut self) {
         let mut resting = self.web();
         resting
-            .send(&WebServer::request(1, "/_health", &[], b""))
+            .send(&FastCgiClient::encode_request(1, "/_health", &[], b""))
             .unwrap();
-        resting.end().unwrap();
+        resting.next_response().unwrap();
         self.control.stop().unwrap();
-        assert_eq!(resting.end().unwrap_err().kind(), ErrorKind::UnexpectedEof);
+        assert_eq!(
+            resting.next_response().unwrap_err().kind(),
+            ErrorKind::UnexpectedEof
+        );
     }
 
     /// Stops the daemon, which must end well.
@@ -162,9 +163,9 @@
 }
 
 /// Asks for one object and waits for the answer.
-pub fn one(web: &mut WebServer, class: &str, object: &str) -> Answer {
-    web.ask(1, class, object, 2500).unwrap();
-    web.end().unwrap().1.expect("an answer")
+pub fn one(web: &mut FastCgiClient, class: &str, object: &str) -> Response {
+    web.request_object(1, class, object, 2500).unwrap();
+    web.next_response().unwrap().1.expect("an answer")
 }
 
 pub fn object(n: u64) -> String {
--- a/crates/testkit/examples/fake_caches.rs
+++ b/crates/testkit/examples/fake_caches.rs
@@ -1,15 +1,18 @@
-//! The boxes of `config.json`, for a first try: two that keep copies and an origin, until it is stopped.
+//! The servers of `examples/config.json`, for a first try of the proxy: two caches and an origin, until this program is
+//! stopped.
 
-use edge_testkit::fake_cache::StandIn;
+use edge_testkit::fake_cache::FakeCacheServer;
+
+const SERVERS: [(&str, &str); 3] = [
+    ("s-00000001", "127.0.0.1:7001"),
+    ("s-00000002", "127.0.0.1:7002"),
+    ("s-0000000f", "127.0.0.1:7015"),
+];
 
 fn main() -> std::io::Result<()> {
-    for (uid, address) in [
-        ("s-00000001", "127.0.0.1:7001"),
-        ("s-00000002", "127.0.0.1:7002"),
-        ("s-0000000f", "127.0.0.1:7015"),
-    ] {
-        let toy = StandIn::start_at(uid, address)?;
-        println!("{} serves on {}", toy.uid, toy.address);
+    for (id, address) in SERVERS {
+        let server = FakeCacheServer::start_at(id, address)?;
+        println!("{} serves on {}", server.id, server.address);
     }
     loop {
         std::thread::park();
--- a/crates/testkit/src/fake_cache.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -1,6 +1,8 @@
-//! Stand-in boxes: they keep copies, honour the age that is asked for, and write down all that reaches them.
+//! Fake cache servers: they keep copies, honour the age limit of a request, and record every command.
 
-use crate::{listen, unix_ms};
+use crate::{
+    listen, unix_ms, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT,
+};
 use edge_proxy::protocol::{resp, Parser};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -9,213 +11,314 @@
 use std::thread;
 use std::time::Duration;
 
-/// How a box behaves from now on.
+/// How a cache server treats the requests to come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Manner {
-    /// It waits so many milliseconds before it answers.
-    pub hold_ms: u64,
-    /// Bytes that its answers hold besides what they tell.
-    pub padding: usize,
-    /// It answers nothing.
-    pub mute: bool,
-    /// It serves what it holds however old that is, and calls it new.
-    pub any_age: bool,
+pub struct Behavior {
+    /// Delay of each response.
+    pub response_delay_ms: u64,
+    /// Bytes that each response body holds in addition to the object's name and time.
+    pub padding_bytes: usize,
+    /// Sends no response.
+    pub unresponsive: bool,
+    /// Serves copies older than the request allows, and claims that they are new.
+    pub ignores_max_age: bool,
 }
 
-/// Something that reached a box.
+impl Behavior {
+    /// Responds after a delay.
+    pub fn delayed(response_delay_ms: u64) -> Self {
+        Behavior {
+            response_delay_ms,
+            ..Behavior::default()
+        }
+    }
+
+    /// Responds with large bodies.
+    pub fn padded(padding_bytes: usize) -> Self {
+        Behavior {
+            padding_bytes,
+            ..Behavior::default()
+        }
+    }
+
+    /// Does not respond.
+    pub fn unresponsive() -> Self {
+        Behavior {
+            unresponsive: true,
+            ..Behavior::default()
+        }
+    }
+
+    /// Serves stale copies as if they were new.
+    pub fn ignoring_max_age() -> Self {
+        Behavior {
+            ignores_max_age: true,
+            ..Behavior::default()
+        }
+    }
+}
+
+/// A command that a cache server has received.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Arrival {
-    /// When, in Unix milliseconds.
-    pub at: u64,
-    /// `fetch`, `abort` or a probe's word.
-    pub word: String,
-    /// The request.
-    pub id: String,
-    /// The fields.
+pub struct ReceivedCommand {
+    /// Unix time in milliseconds.
+    pub received_at_ms: u64,
+    /// `fetch`, `abort` or the name of a probe.
+    pub name: String,
+    /// Id of the request that it is about.
+    pub request_id: String,
+    /// Fields as they are on the wire.
     pub fields: String,
-    /// The body.
+    /// Body of a write.
     pub body: Vec<u8>,
 }
 
-impl Arrival {
+impl ReceivedCommand {
+    fn from_array(array: &[Vec<u8>]) -> Self {
+        let text = |index: usize| {
+            array
+                .get(index)
+                .map(|bytes| String::from_utf8_lossy(bytes).into_owned())
+                .unwrap_or_default()
+        };
+        ReceivedCommand {
+            received_at_ms: unix_ms(),
+            name: text(0),
+            request_id: text(1),
+            fields: text(2),
+            body: array.get(3).cloned().unwrap_or_default(),
+        }
+    }
+
     /// The value of a field.
     pub fn field(&self, name: &str) -> Option<&str> {
         resp::field(self.fields.as_bytes(), name)
     }
+
+    /// Whether it requests an object.
+    pub fn is_fetch(&self) -> bool {
+        self.name == "fetch"
+    }
+
+    /// The name under which a copy of the requested part is kept.
+    fn part_name(&self) -> String {
+        let key = self.field("key").unwrap_or("");
+        let part = self.field("part").unwrap_or("");
+        format!("{key}/{part}")
+    }
+
+    /// Largest age of a copy that may serve the request. Zero means no limit.
+    fn max_age_ms(&self) -> Option<u64> {
+        let max_age_ms = self.field("maxage")?.parse().ok()?;
+        Some(max_age_ms).filter(|max_age_ms| *max_age_ms > 0)
+    }
 }
 
 #[derive(Default)]
 struct State {
-    manner: Manner,
-    arrivals: Vec<Arrival>,
-    made: BTreeMap<String, u64>,
-    connections: usize,
-    ended: usize,
+    behavior: Behavior,
+    received: Vec<ReceivedCommand>,
+    /// When the kept copy of each part left the origin.
+    copies_created_at_ms: BTreeMap<String, u64>,
+    accepted_connections: usize,
+    closed_connections: usize,
 }
 
-type Shared = Arc<(Mutex<State>, Condvar)>;
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    command_received: Condvar,
+}
 
-/// A stand-in box.
+/// A fake cache server. Clones are handles to the same server.
 #[derive(Clone)]
-pub struct StandIn {
-    /// Its id.
-    pub uid: &'static str,
+pub struct FakeCacheServer {
+    /// Its id in the server list.
+    pub id: &'static str,
     /// Where it listens.
     pub address: SocketAddr,
-    state: Shared,
+    shared: Arc<Shared>,
 }
 
-impl StandIn {
-    /// Starts a box on a port of its own.
-    pub fn start(uid: &'static str) -> io::Result<Self> {
-        Self::start_at(uid, "127.0.0.1:0")
+impl FakeCacheServer {
+    /// Starts a server on a port of its own.
+    pub fn start(id: &'static str) -> io::Result<Self> {
+        Self::start_at(id, ANY_LOOPBACK_PORT)
     }
 
-    /// Starts a box at an address.
-    pub fn start_at(uid: &'static str, address: &str) -> io::Result<Self> {
-        let state = Shared::default();
-        let served = state.clone();
+    /// Starts a server at an address.
+    pub fn start_at(id: &'static str, address: &str) -> io::Result<Self> {
+        let shared = Arc::<Shared>::default();
+        let serving = shared.clone();
         let address = listen(address, move |socket| {
-            let stand_in = StandIn {
-                uid,
+            let server = FakeCacheServer {
+                id,
                 address: socket.local_addr().ok()?,
-                state: served.clone(),
+                shared: serving.clone(),
             };
-            stand_in.state().connections += 1;
-            let served = stand_in.serve(socket);
-            stand_in.state().ended += 1;
+            server.state().accepted_connections += 1;
+            let served = server.serve(socket);
+            server.state().closed_connections += 1;
             served
         })?;
-        Ok(StandIn {
-            uid,
+        Ok(FakeCacheServer {
+            id,
             address,
-            state,
+            shared,
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The same server under another id: one that has taken over the address.
+    pub fn successor_at_same_address(&self, id: &'static str) -> Self {
+        FakeCacheServer { id, ..self.clone() }
     }
 
-    /// The same box under another id, as if it had taken over the address.
-    pub fn heir(&self, uid: &'static str) -> Self {
-        StandIn {
-            uid,
-            ..self.clone()
-        }
+    /// Changes how it treats the requests to come.
+    pub fn set_behavior(&self, behavior: Behavior) {
+        self.state().behavior = behavior;
     }
 
-    /// Changes its manner.
-    pub fn behave(&self, manner: Manner) {
-        self.state().manner = manner;
+    /// Number of connections that it has accepted.
+    pub fn accepted_connections(&self) -> usize {
+        self.state().accepted_connections
     }
 
-    /// How many connections it has taken.
-    pub fn connections(&self) -> usize {
-        self.state().connections
-    }
-
-    /// How many connections to it are open.
-    pub fn open(&self) -> usize {
+    /// Number of connections to it that are open.
+    pub fn open_connections(&self) -> usize {
         let state = self.state();
-        state.connections - state.ended
+        state.accepted_connections - state.closed_connections
     }
 
-    /// All that has reached it.
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        self.state().arrivals.clone()
+    /// Every command that it has received.
+    pub fn received(&self) -> Vec<ReceivedCommand> {
+        self.state().received.clone()
     }
 
-    /// Waits until something that fits has reached it; none after ten seconds.
-    pub fn wait_for(&self, fits: impl Fn(&Arrival) -> bool) -> Option<Arrival> {
-        let waited = self
-            .state
-            .1
-            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| {
-                !s.arrivals.iter().any(&fits)
-            });
+    /// Waits until it has received a command that matches; none has come within [`TEST_TIMEOUT`] if this returns
+    /// `None`.
+    pub fn wait_for_command(
+        &self,
+        matches: impl Fn(&ReceivedCommand) -> bool,
+    ) -> Option<ReceivedCommand> {
+        let waited =
+            self.shared
+                .command_received
+                .wait_timeout_while(self.state(), TEST_TIMEOUT, |state| {
+                    !state.received.iter().any(&matches)
+                });
         let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        state.arrivals.iter().find(|a| fits(a)).cloned()
+        let command = state.received.iter().find(|command| matches(command));
+        command.cloned()
+    }
+
+    /// Waits until it has received any fetch, like [`Self::wait_for_command`].
+    pub fn wait_for_fetch(&self) -> Option<ReceivedCommand> {
+        self.wait_for_command(ReceivedCommand::is_fetch)
     }
 
+    /// Waits until it has received a command for an object, like [`Self::wait_for_command`].
+    pub fn wait_for_request_of(&self, object_key: &str) -> Option<ReceivedCommand> {
+        self.wait_for_command(|command| command.field("key") == Some(object_key))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves a connection until it closes or sends what is no command.
     fn serve(&self, mut socket: TcpStream) -> Option<()> {
-        let mut arrays = resp::Arrays::new(1 << 20);
-        let mut bytes = [0; 4096];
+        let mut arrays = resp::Arrays::new(MAX_MESSAGE_BYTES);
+        let mut chunk = [0; READ_CHUNK_BYTES];
         loop {
-            let got = socket.read(&mut bytes).ok().filter(|n| *n > 0)?;
-            let mut input = &bytes[..got];
+            let length = socket.read(&mut chunk).ok().filter(|length| *length > 0)?;
+            let mut input = &chunk[..length];
             while !input.is_empty() {
-                let (taken, array) = arrays.parse(input).ok()?;
-                input = &input[taken..];
+                let (consumed, array) = arrays.parse(input).ok()?;
+                input = &input[consumed..];
                 if let Some(array) = array {
-                    self.arrived(&array, &socket);
+                    self.handle(ReceivedCommand::from_array(&array), &socket);
                 }
             }
         }
     }
 
-    fn arrived(&self, array: &[Vec<u8>], socket: &TcpStream) {
-        let text = |at: usize| {
-            array
-                .get(at)
-                .map(|b| String::from_utf8_lossy(b).into_owned())
-                .unwrap_or_default()
-        };
-        let body = array.get(3).cloned().unwrap_or_default();
-        let arrival = Arrival {
-            at: unix_ms(),
-            word: text(0),
-            id: text(1),
-            fields: text(2),
-            body,
-        };
+    /// Records a command and responds to it as the current behavior says.
+    fn handle(&self, command: ReceivedCommand, socket: &TcpStream) {
         let mut state = self.state();
-        state.arrivals.push(arrival.clone());
-        self.state.1.notify_all();
-        let manner = state.manner;
-        if arrival.word != "fetch" || manner.mute {
+        state.received.push(command.clone());
+        self.shared.command_received.notify_all();
+        let behavior = state.behavior;
+        if !command.is_fetch() || behavior.unresponsive {
             return;
         }
-        let name = format!(
-            "{}/{}",
-            arrival.field("key").unwrap_or(""),
-            arrival.field("part").unwrap_or("")
-        );
-        let oldest = arrival
-            .field("maxage")
-            .and_then(|v| v.parse::<u64>().ok())
-            .filter(|v| *v > 0);
-        let held = state.made.get(&name).copied();
-        let good =
-            held.filter(|made| manner.any_age || oldest.is_none_or(|age| made + age >= arrival.at));
-        let made = good.unwrap_or(arrival.at);
-        state.made.insert(name.clone(), made);
+        let copy = state.copy_for(&command);
         drop(state);
         let Ok(mut socket) = socket.try_clone() else {
             return;
         };
-        let mut answer = move || {
-            thread::sleep(Duration::from_millis(manner.hold_ms));
-            let how = if good.is_some() { "local" } else { "pulled" };
-            let told = if manner.any_age { arrival.at } else { made };
-            let fields = format!("how={how},ttfb=1,made={told},etag=t{made}");
-            let mut out = Vec::new();
-            let body = format!("{}{name}@{made}", ".".repeat(manner.padding));
-            resp::write_array(
-                &mut out,
-                &[
-                    arrival.id.as_bytes(),
-                    b"200",
-                    fields.as_bytes(),
-                    body.as_bytes(),
-                ],
-            );
-            let _ = socket.write_all(&out);
+        let mut respond = move || {
+            thread::sleep(Duration::from_millis(behavior.response_delay_ms));
+            // A proxy that has closed the connection meanwhile wants no response.
+            let _ = socket.write_all(&encode_response(&command, copy, behavior));
         };
-        if manner.hold_ms > 0 {
-            thread::spawn(answer);
+        if behavior.response_delay_ms > 0 {
+            thread::spawn(respond);
         } else {
-            answer();
+            respond();
         }
     }
 }
+
+/// The copy that a response brings.
+#[derive(Clone, Copy)]
+struct ServedCopy {
+    created_at_ms: u64,
+    /// Whether the server had it, and did not fetch it for this request.
+    was_cached: bool,
+}
+
+impl State {
+    /// The copy for a request: the kept one if it is new enough, else one that is created now.
+    fn copy_for(&mut self, command: &ReceivedCommand) -> ServedCopy {
+        let part_name = command.part_name();
+        let is_fresh = |created_at_ms: &u64| {
+            self.behavior.ignores_max_age
+                || command
+                    .max_age_ms()
+                    .is_none_or(|max_age_ms| created_at_ms + max_age_ms >= command.received_at_ms)
+        };
+        let cached = self.copies_created_at_ms.get(&part_name).copied();
+        let cached = cached.filter(is_fresh);
+        let created_at_ms = cached.unwrap_or(command.received_at_ms);
+        self.copies_created_at_ms.insert(part_name, created_at_ms);
+        ServedCopy {
+            created_at_ms,
+            was_cached: cached.is_some(),
+        }
+    }
+}
+
+fn encode_response(command: &ReceivedCommand, copy: ServedCopy, behavior: Behavior) -> Vec<u8> {
+    let created_at_ms = copy.created_at_ms;
+    let claimed_ms = if behavior.ignores_max_age {
+        command.received_at_ms
+    } else {
+        created_at_ms
+    };
+    let source = if copy.was_cached { "local" } else { "pulled" };
+    let fields = format!("how={source},ttfb=1,made={claimed_ms},etag=t{created_at_ms}");
+    let padding = ".".repeat(behavior.padding_bytes);
+    let body = format!("{padding}{}@{created_at_ms}", command.part_name());
+    let mut out = Vec::new();
+    resp::write_array(
+        &mut out,
+        &[
+            command.request_id.as_bytes(),
+            b"200",
+            fields.as_bytes(),
+            body.as_bytes(),
+        ],
+    );
+    out
+}
--- a/crates/testkit/src/fake_consul.rs
+++ b/crates/testkit/src/fake_consul.rs
@@ -1,111 +1,146 @@
-//! A stand-in Consul: the health and catalogue answers of one service, with blocking queries.
+//! A fake Consul agent: the health and catalogue endpoints of one service, with blocking queries.
 
-use crate::listen;
+use crate::fake_cache::FakeCacheServer;
+use crate::http_client::read_head;
+use crate::sample_deployment::{CACHE_KIND, CAPACITY_HINT, LOCAL_ZONE};
+use crate::{listen, ANY_LOOPBACK_PORT};
 use serde_json::{json, Value};
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// How long a blocking query waits for a change.
+const BLOCKING_QUERY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An instance of the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConsulInstance {
+    /// Service id.
+    pub id: &'static str,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Zone, from its metadata.
+    pub zone: &'static str,
+    /// Kind of server, from its metadata.
+    pub kind: &'static str,
+    /// Status of its health check: `passing`, `warning` or `critical`.
+    pub check_status: &'static str,
+}
+
+impl ConsulInstance {
+    /// An instance for a cache server in the proxy's zone.
+    pub fn for_cache(server: &FakeCacheServer, check_status: &'static str) -> Self {
+        ConsulInstance {
+            id: server.id,
+            address: server.address,
+            zone: LOCAL_ZONE,
+            kind: CACHE_KIND,
+            check_status,
+        }
+    }
+
+    fn health_entry(&self) -> Value {
+        json!({
+            "Node": {"Address": self.address.ip().to_string()},
+            "Service": {
+                "ID": self.id,
+                "Address": "",
+                "Port": self.address.port(),
+                "Meta": {
+                    "az": self.zone,
+                    "model": self.kind,
+                    "capacity_hint": CAPACITY_HINT.to_string(),
+                },
+            },
+            "Checks": [{"Status": self.check_status}],
+        })
+    }
+
+    fn catalogue_entry(&self) -> Value {
+        json!({"ServiceID": self.id})
+    }
+}
+
 struct State {
+    /// Raised with every change; a blocking query names the one that it knows.
     index: u64,
-    instances: Vec<(
-        &'static str,
-        SocketAddr,
-        &'static str,
-        &'static str,
-        &'static str,
-    )>,
+    instances: Vec<ConsulInstance>,
 }
 
-type Shared = Arc<(Mutex<State>, Condvar)>;
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
 
-/// A Consul agent that knows one service.
+/// A Consul agent that knows one service. Clones are handles to the same agent.
 #[derive(Clone)]
-pub struct Agent {
+pub struct FakeConsul {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Shared,
+    shared: Arc<Shared>,
 }
 
-impl Agent {
+impl FakeConsul {
     /// Starts an agent that knows no instance.
     pub fn start() -> io::Result<Self> {
-        let state: Shared = Arc::new((
-            Mutex::new(State {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State {
                 index: 1,
                 instances: Vec::new(),
             }),
-            Condvar::new(),
-        ));
-        let served = state.clone();
-        let address = listen("127.0.0.1:0", move |socket| {
-            let address = socket.local_addr()?;
-            Agent {
-                address,
-                state: served.clone(),
-            }
-            .serve(socket)
-        })?;
-        Ok(Agent { address, state })
+            changed: Condvar::new(),
+        });
+        let serving = shared.clone();
+        let address = listen(ANY_LOOPBACK_PORT, move |socket| serve(&serving, socket))?;
+        Ok(FakeConsul { address, shared })
     }
 
-    /// Registers instances in place of those before: id, address, zone, kind and the status of their check.
-    pub fn register(
-        &self,
-        instances: &[(
-            &'static str,
-            SocketAddr,
-            &'static str,
-            &'static str,
-            &'static str,
-        )],
-    ) {
-        let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Replaces the registered instances.
+    pub fn register(&self, instances: &[ConsulInstance]) {
+        let mut state = self.shared.lock();
         state.index += 1;
         state.instances = instances.to_vec();
-        self.state.1.notify_all();
+        self.shared.changed.notify_all();
     }
+}
 
-    fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            socket.read_exact(&mut byte)?;
-            head.extend(byte);
-        }
-        let head = String::from_utf8_lossy(&head).into_owned();
-        let target = head.split(' ').nth(1).unwrap_or("");
-        let index = target
-            .split_once("index=")
-            .and_then(|(_, rest)| rest.split('&').next()?.parse().ok())
-            .unwrap_or(0);
-        let state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = self
-            .state
-            .1
-            .wait_timeout_while(state, Duration::from_secs(5), |s| s.index <= index);
-        let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
-        let catalogue = target.starts_with("/v1/catalog/");
-        let instance =
-            |(id, address, zone, kind, status): &(&str, SocketAddr, &str, &str, &str)| {
-                if catalogue {
-                    return json!({"ServiceID": id});
-                }
-                json!({
-                    "Node": {"Address": address.ip().to_string()},
-                    "Service": {"ID": id, "Address": "", "Port": address.port(),
-                        "Meta": {"az": zone, "model": kind, "capacity_hint": "8"}},
-                    "Checks": [{"Status": status}],
-                })
-            };
-        let body: Value = state.instances.iter().map(instance).collect();
-        let (index, body) = (state.index, body.to_string());
-        drop(state);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Consul-Index: {index}\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        socket.write_all((head + &body).as_bytes())
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Waits until there is news behind an index, or until the query times out.
+    fn wait_for_change(&self, known_index: u64) -> MutexGuard<'_, State> {
+        let waited =
+            self.changed
+                .wait_timeout_while(self.lock(), BLOCKING_QUERY_TIMEOUT, |state| {
+                    state.index <= known_index
+                });
+        waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+}
+
+/// Answers the one query of a connection.
+fn serve(shared: &Shared, mut socket: TcpStream) -> io::Result<()> {
+    let head = read_head(&mut socket)?;
+    let target = head.split(' ').nth(1).unwrap_or("");
+    let known_index = target
+        .split_once("index=")
+        .and_then(|(_, rest)| rest.split('&').next()?.parse().ok())
+        .unwrap_or(0);
+    let entry = if target.starts_with("/v1/catalog/") {
+        ConsulInstance::catalogue_entry
+    } else {
+        ConsulInstance::health_entry
+    };
+    let state = shared.wait_for_change(known_index);
+    let body: Value = state.instances.iter().map(entry).collect();
+    let (index, body) = (state.index, body.to_string());
+    drop(state);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Consul-Index: {index}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all((head + &body).as_bytes())
 }
--- a/crates/testkit/src/fake_event_bus.rs
+++ b/crates/testkit/src/fake_event_bus.rs
@@ -1,150 +1,199 @@
-//! A stand-in event bus.
+//! A fake event bus: streams server lists and purges to the proxy as server-sent events.
 
-use crate::fake_cache::StandIn;
-use crate::listen;
+use crate::fake_cache::FakeCacheServer;
+use crate::http_client::read_head;
+use crate::sample_deployment::{CACHE_KIND, CAPACITY_HINT, HUB_ZONE, LOCAL_ZONE, ORIGIN_KIND};
+use crate::{listen, ANY_LOOPBACK_PORT, TEST_TIMEOUT};
 use serde_json::{json, Value};
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// How often the bus sends a comment where there is no event.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// States of a server in the server list, as they are on the wire.
+pub mod server_state {
+    /// It takes requests.
+    pub const READY: &str = "ready";
+    /// It takes no new requests.
+    pub const DRAINING: &str = "draining";
+    /// It has left the deployment.
+    pub const GONE: &str = "gone";
+}
+
+/// The server list's entry of a cache server in the proxy's zone.
+pub fn cache_entry(server: &FakeCacheServer, state: &str) -> Value {
+    server_entry(server, LOCAL_ZONE, CACHE_KIND, state)
+}
+
+/// The server list's entry of the origin.
+pub fn origin_entry(server: &FakeCacheServer, state: &str) -> Value {
+    server_entry(server, HUB_ZONE, ORIGIN_KIND, state)
+}
+
+fn server_entry(server: &FakeCacheServer, zone: &str, kind: &str, state: &str) -> Value {
+    json!({
+        "uid": server.id,
+        "endpoint": server.address.to_string(),
+        "az": zone,
+        "model": kind,
+        "pod_group": 0,
+        "state": state,
+        "capacity_hint": CAPACITY_HINT,
+        "boot_ms": 0,
+    })
+}
+
 #[derive(Default)]
 struct State {
     events: Vec<Value>,
-    calls: Vec<u64>,
-    ended: usize,
-    cuts: usize,
+    /// The event number behind which each subscription reads on.
+    subscriptions: Vec<u64>,
+    ended_subscriptions: usize,
+    /// How often all subscribers were disconnected.
+    disconnects: usize,
 }
 
-type Shared = Arc<(Mutex<State>, Condvar)>;
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
 
-/// An event bus that numbers events from 1.
+/// An event bus that numbers its events from 1. Clones are handles to the same bus.
 #[derive(Clone)]
-pub struct Bus {
+pub struct FakeEventBus {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Shared,
-}
-
-/// An entry of the list of boxes.
-pub fn entry(stand_in: &StandIn, zone: &str, kind: &str, state: &str) -> Value {
-    json!({
-        "uid": stand_in.uid, "endpoint": stand_in.address.to_string(), "az": zone, "model": kind,
-        "pod_group": 0, "state": state, "capacity_hint": 8, "boot_ms": 0,
-    })
+    shared: Arc<Shared>,
 }
 
-impl Bus {
+impl FakeEventBus {
     /// Starts a bus without events.
     pub fn start() -> io::Result<Self> {
-        let state = Shared::default();
-        let served = state.clone();
-        let address = listen("127.0.0.1:0", move |socket| {
-            let address = socket.local_addr()?;
-            let bus = Bus {
-                address,
-                state: served.clone(),
-            };
-            let end = bus.serve(socket);
-            bus.state().ended += 1;
-            bus.state.1.notify_all();
-            end
+        let shared = Arc::<Shared>::default();
+        let serving = shared.clone();
+        let address = listen(ANY_LOOPBACK_PORT, move |socket| {
+            let served = serving.serve(socket);
+            serving.update(|state| state.ended_subscriptions += 1);
+            served
         })?;
-        Ok(Bus { address, state })
+        Ok(FakeEventBus { address, shared })
+    }
+
+    /// Publishes the complete server list.
+    pub fn publish_server_list(&self, entries: Vec<Value>) {
+        self.publish(json!({"topology": {"rev": 1, "all": true, "targets": entries}}));
+    }
+
+    /// Publishes the entries of servers that have changed.
+    pub fn publish_server_changes(&self, entries: Vec<Value>) {
+        self.publish(json!({"topology": {"rev": 1, "all": false, "targets": entries}}));
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Publishes a purge of the copies of an object that are older than a Unix time in milliseconds.
+    pub fn publish_object_purge(&self, object_key: &str, purged_at_ms: u64) {
+        self.publish(json!({"ban": {"url": object_key, "ts": purged_at_ms}}));
     }
 
-    /// Tells the list of boxes, or changes to it.
-    pub fn list(&self, all: bool, entries: Vec<Value>) {
-        self.push(json!({"topology": {"rev": 1, "all": all, "targets": entries}}));
+    /// Publishes a purge of all copies with a tag that are older than a Unix time in milliseconds.
+    pub fn publish_tag_purge(&self, tag: u64, purged_at_ms: u64) {
+        self.publish(json!({"ban": {"tag": tag, "ts": purged_at_ms}}));
     }
 
-    /// Tells an event, without its number.
-    pub fn push(&self, mut event: Value) {
-        let mut state = self.state();
-        event["offset"] = (state.events.len() + 1).into();
-        state.events.push(event);
-        self.state.1.notify_all();
+    /// Publishes an event, which gets the next number.
+    fn publish(&self, mut event: Value) {
+        self.shared.update(|state| {
+            event["offset"] = (state.events.len() + 1).into();
+            state.events.push(event);
+        });
     }
 
-    /// Ends the connections of all who read.
-    pub fn cut(&self) {
-        self.state().cuts += 1;
-        self.state.1.notify_all();
+    /// Ends the connections of all subscribers.
+    pub fn disconnect_subscribers(&self) {
+        self.shared.update(|state| state.disconnects += 1);
     }
 
-    /// Ends the connections of all who read, and waits until they are closed.
-    pub fn cut_off(&self) {
-        self.cut();
-        let open = |s: &mut State| s.ended < s.calls.len();
-        let waited = self
-            .state
-            .1
-            .wait_timeout_while(self.state(), Duration::from_secs(10), open);
+    /// Ends the connections of all subscribers, and waits until they are closed.
+    pub fn disconnect_subscribers_and_wait(&self) {
+        self.disconnect_subscribers();
+        let shared = &self.shared;
+        let waited = shared
+            .changed
+            .wait_timeout_while(shared.lock(), TEST_TIMEOUT, |state| {
+                state.ended_subscriptions < state.subscriptions.len()
+            });
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// How often it was called.
-    pub fn calls(&self) -> usize {
-        self.state().calls.len()
+    /// Number of subscriptions so far.
+    pub fn subscription_count(&self) -> usize {
+        self.shared.lock().subscriptions.len()
     }
 
-    /// Waits for a call, by its place; gives the number behind which it read on.
-    pub fn call(&self, place: usize) -> Option<u64> {
-        let waited = self
-            .state
-            .1
-            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| {
-                s.calls.len() <= place
+    /// Waits for a subscription, by its index from 0. Returns the number of the event behind which it reads on; the
+    /// subscription has not come within [`TEST_TIMEOUT`] if this returns `None`.
+    pub fn wait_for_subscription(&self, index: usize) -> Option<u64> {
+        let shared = &self.shared;
+        let waited = shared
+            .changed
+            .wait_timeout_while(shared.lock(), TEST_TIMEOUT, |state| {
+                state.subscriptions.len() <= index
             });
-        waited
-            .unwrap_or_else(PoisonError::into_inner)
-            .0
-            .calls
-            .get(place)
-            .copied()
+        let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        state.subscriptions.get(index).copied()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn update(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.lock());
+        self.changed.notify_all();
     }
 
+    /// Streams events to a subscriber until all are disconnected.
     fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            socket.read_exact(&mut byte)?;
-            head.extend(byte);
-        }
-        let head = String::from_utf8_lossy(&head).to_lowercase();
-        let last = head
+        let head = read_head(&mut socket)?.to_lowercase();
+        let mut sent = head
             .lines()
-            .find_map(|l| l.strip_prefix("last-event-id:"))
-            .and_then(|v| v.trim().parse().ok());
-        let mut at = last.unwrap_or(0usize);
-        let cuts = {
-            let mut state = self.state();
-            state.calls.push(at as u64);
-            self.state.1.notify_all();
-            state.cuts
-        };
+            .find_map(|line| line.strip_prefix("last-event-id:"))
+            .and_then(|value| value.trim().parse().ok())
+            .unwrap_or(0usize);
+        let mut disconnects_before = 0;
+        self.update(|state| {
+            state.subscriptions.push(sent as u64);
+            disconnects_before = state.disconnects;
+        });
         socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         loop {
-            let waits = |s: &mut State| s.events.len() <= at && s.cuts == cuts;
             let waited =
-                self.state
-                    .1
-                    .wait_timeout_while(self.state(), Duration::from_secs(1), waits);
+                self.changed
+                    .wait_timeout_while(self.lock(), KEEP_ALIVE_INTERVAL, |state| {
+                        state.events.len() <= sent && state.disconnects == disconnects_before
+                    });
             let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
-            if state.cuts != cuts {
+            if state.disconnects != disconnects_before {
                 return Ok(());
             }
-            let mut out = ":\n\n".to_owned();
-            for (number, event) in state.events.iter().enumerate().skip(at) {
-                out += &format!("id: {}\ndata: {event}\n\n", number + 1);
-            }
-            at = state.events.len();
+            let out = encode_events(&state.events, sent);
+            sent = state.events.len();
             drop(state);
             socket.write_all(out.as_bytes())?;
         }
     }
 }
+
+/// A comment that keeps the connection alive, and all events behind those sent before.
+fn encode_events(events: &[Value], already_sent: usize) -> String {
+    let mut out = ":\n\n".to_owned();
+    for (index, event) in events.iter().enumerate().skip(already_sent) {
+        out += &format!("id: {}\ndata: {event}\n\n", index + 1);
+    }
+    out
+}
--- /dev/null
+++ b/crates/testkit/src/fake_peer_cdn.rs
@@ -0,0 +1,65 @@
+//! A fake peer CDN: accepts what the proxy sends to its interconnect interface.
+
+use crate::http_client::{read_message, ReadUntil, MAX_HEAD_BYTES};
+use crate::{ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, TEST_TIMEOUT};
+use edge_proxy::protocol::http::Messages;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+
+/// A peer CDN that answers every request with 201 and keeps it for the test.
+pub struct FakePeerCdn {
+    /// Where it listens.
+    pub address: SocketAddr,
+    notifications: mpsc::Receiver<PeerNotification>,
+}
+
+/// A request that the peer CDN has received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerNotification {
+    /// Request target.
+    pub target: String,
+    /// Request body.
+    pub body: String,
+}
+
+impl FakePeerCdn {
+    /// Starts a peer CDN on a port of its own.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind(ANY_LOOPBACK_PORT)?;
+        let address = listener.local_addr()?;
+        let (sender, notifications) = mpsc::channel();
+        thread::spawn(move || {
+            for mut socket in listener.incoming().flatten() {
+                let Ok(notification) = accept_notification(&mut socket) else {
+                    continue;
+                };
+                if sender.send(notification).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(FakePeerCdn {
+            address,
+            notifications,
+        })
+    }
+
+    /// Waits for the next notification; none comes within [`TEST_TIMEOUT`] if this returns `None`.
+    pub fn next_notification(&self) -> Option<PeerNotification> {
+        self.notifications.recv_timeout(TEST_TIMEOUT).ok()
+    }
+}
+
+fn accept_notification(socket: &mut TcpStream) -> io::Result<PeerNotification> {
+    let mut parser = Messages::requests(MAX_HEAD_BYTES, MAX_MESSAGE_BYTES);
+    let message = read_message(socket, &mut parser, ReadUntil::MessageEnds)?;
+    // A proxy that is gone by now has still sent its notification.
+    let _ = socket.write_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+    let target = message.head.request().map(|(_, target)| target.to_owned());
+    Ok(PeerNotification {
+        target: target.unwrap_or_default(),
+        body: String::from_utf8_lossy(&message.body).into_owned(),
+    })
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,23 +1,48 @@
-//! A bounded rehearsal on loopback: stand-in boxes, a stand-in event bus and a stand-in CDNI neighbour play a
-//! purge and a drain against a real daemon, and every breach of the rules is reported.
+//! What the tests of the edge proxy run it with.
+//!
+//! - Fakes of its surroundings on loopback: [`fake_cache`], [`scripted_server`], [`fake_event_bus`], [`fake_consul`]
+//!   and [`fake_peer_cdn`].
+//! - Clients: [`fastcgi_client`] for web servers, [`http_client`] for peer CDNs.
+//! - The deployment that all of them belong to: [`sample_deployment`].
+//! - A scenario that runs the real program through a purge, a drain and a shutdown and reports every rule that it
+//!   violates: [`run_scenario`].
 
-pub mod clients;
 pub mod fake_cache;
 pub mod fake_consul;
 pub mod fake_event_bus;
+pub mod fake_peer_cdn;
+pub mod fastcgi_client;
+pub mod http_client;
+mod response;
+pub mod sample_deployment;
 mod scenario;
 pub mod scripted_server;
 
-pub use scenario::{rehearse, sample_settings, Plant};
+pub use response::Response;
+pub use sample_deployment::sample_settings;
+pub use scenario::{
+    run_scenario, InjectedFault, Rule, RuleViolation, ScenarioError, ScenarioReport,
+};
 
-use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Serves each connection on a thread of its own, on a port of its own unless the address names one. What a
-/// connection ends with is its client's to see.
+/// How long a test waits for anything before it fails.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A loopback address with a port that the system chooses.
+pub(crate) const ANY_LOOPBACK_PORT: &str = "127.0.0.1:0";
+
+/// Largest frame or message that a fake reads.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// Size of the pieces in which the fakes and clients read from sockets.
+pub(crate) const READ_CHUNK_BYTES: usize = 4096;
+
+/// Listens at an address and serves each connection on a thread of its own. What `serve` returns is ignored: a
+/// failed connection shows at its client.
 pub(crate) fn listen<T>(
     address: &str,
     serve: impl Fn(TcpStream) -> T + Clone + Send + 'static,
@@ -35,49 +60,10 @@
     Ok(address)
 }
 
-/// Unix time in milliseconds.
+/// The current Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
         .as_millis() as u64
 }
-
-/// A broken rule.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Breach {
-    /// The rule.
-    pub rule: &'static str,
-    /// What broke it.
-    pub what: String,
-}
-
-/// What a rehearsal came to.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// What was played, a line each.
-    pub played: Vec<String>,
-    /// All that broke a rule.
-    pub breaches: Vec<Breach>,
-}
-
-impl Report {
-    /// Notes a breach where something that must hold does not.
-    pub fn hold(&mut self, rule: &'static str, holds: bool, what: impl FnOnce() -> String) {
-        if !holds {
-            self.breaches.push(Breach { rule, what: what() });
-        }
-    }
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for line in &self.played {
-            writeln!(f, "played   {line}")?;
-        }
-        for breach in &self.breaches {
-            writeln!(f, "BREACH   {}: {}", breach.rule, breach.what)?;
-        }
-        writeln!(f, "{} breaches", self.breaches.len())
-    }
-}
--- /dev/null
+++ b/crates/testkit/src/scenario/deployment.rs
@@ -0,0 +1,100 @@
+//! The proxy and the fakes that the scenario runs with.
+
+use super::proxy_process::ProxyProcess;
+use super::ScenarioError;
+use crate::fake_cache::{Behavior, FakeCacheServer, ReceivedCommand};
+use crate::fake_event_bus::{cache_entry, origin_entry, server_state, FakeEventBus};
+use crate::fake_peer_cdn::FakePeerCdn;
+use crate::sample_deployment::READ_CLASS;
+use crate::{http_client, Response, TEST_TIMEOUT};
+use std::io;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A proxy with two caches, an origin, an event bus and a peer CDN.
+pub(super) struct Deployment {
+    pub(super) caches: [FakeCacheServer; 2],
+    pub(super) origin: FakeCacheServer,
+    pub(super) event_bus: FakeEventBus,
+    pub(super) peer_cdn: FakePeerCdn,
+    pub(super) proxy: ProxyProcess,
+}
+
+impl Deployment {
+    /// Starts the fakes, publishes the server list and starts the proxy.
+    pub(super) fn start(proxy_program: &Path) -> Result<Self, ScenarioError> {
+        let caches = [
+            FakeCacheServer::start("s-0000000a")?,
+            FakeCacheServer::start("s-0000000b")?,
+        ];
+        let origin = FakeCacheServer::start("s-0000000f")?;
+        let event_bus = FakeEventBus::start()?;
+        event_bus.publish_server_list(vec![
+            cache_entry(&caches[0], server_state::READY),
+            cache_entry(&caches[1], server_state::READY),
+            origin_entry(&origin, server_state::READY),
+        ]);
+        let peer_cdn = FakePeerCdn::start()?;
+        let proxy = ProxyProcess::start(proxy_program, event_bus.address, peer_cdn.address)?;
+        Ok(Deployment {
+            caches,
+            origin,
+            event_bus,
+            peer_cdn,
+            proxy,
+        })
+    }
+
+    /// Waits until the health check of the interconnect interface succeeds.
+    pub(super) fn wait_until_ready(&self) -> Result<(), ScenarioError> {
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while self.interconnect_request("GET", "/health", "")?.status != 200 {
+            if Instant::now() > deadline {
+                return Err(ScenarioError::NotReady);
+            }
+            thread::sleep(HEALTH_CHECK_INTERVAL);
+        }
+        Ok(())
+    }
+
+    /// Changes how both caches treat the requests to come.
+    pub(super) fn set_cache_behavior(&self, behavior: Behavior) {
+        for cache in &self.caches {
+            cache.set_behavior(behavior);
+        }
+    }
+
+    /// Number of commands that the caches have received.
+    pub(super) fn commands_at_caches(&self) -> usize {
+        self.caches.iter().map(|cache| cache.received().len()).sum()
+    }
+
+    /// The cache that has received a command that matches, if one has.
+    pub(super) fn cache_that_received(
+        &self,
+        matches: impl Fn(&ReceivedCommand) -> bool,
+    ) -> Option<&FakeCacheServer> {
+        self.caches
+            .iter()
+            .find(|cache| cache.received().iter().any(&matches))
+    }
+
+    /// Sends a request to the interconnect interface.
+    pub(super) fn interconnect_request(
+        &self,
+        method: &str,
+        target: &str,
+        body: &str,
+    ) -> io::Result<Response> {
+        http_client::request(self.proxy.interconnect_address, method, target, body)
+    }
+
+    /// Fetches an object by the interconnect interface.
+    pub(super) fn fetch_content(&self, object_key: &str) -> io::Result<Response> {
+        let target = format!("/content/{READ_CLASS}/{object_key}/0?kb=40");
+        self.interconnect_request("GET", &target, "")
+    }
+}
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -1,8 +1,6 @@
-//! A box that does nothing by itself: a test says what it takes, answers, holds back and breaks off, and in which
-//! order.
+//! A cache server that does nothing by itself: a test says what it reads, answers and closes, and in which order.
 
-use crate::clients::PATIENCE;
-use crate::listen;
+use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
 use rustix::net::sockopt;
 use std::io::{self, Read, Write};
@@ -10,111 +8,121 @@
 use std::sync::{mpsc, Mutex};
 use std::time::Duration;
 
-/// A box whose every step is told to it.
-pub struct Puppet {
+/// A server that hands its connections to the test.
+pub struct ScriptedServer {
     /// Where it listens.
     pub address: SocketAddr,
-    taken: Mutex<mpsc::Receiver<TcpStream>>,
+    connections: Mutex<mpsc::Receiver<TcpStream>>,
 }
 
-/// A connection to it.
-pub struct Line {
+/// A connection of the proxy to a [`ScriptedServer`].
+pub struct ScriptedConnection {
     socket: TcpStream,
     arrays: resp::Arrays,
     input: Vec<u8>,
 }
 
-/// A frame that came: its word, its id and its fields.
+/// A frame that the proxy has sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Frame {
-    /// `fetch`, `abort` or a probe's word.
-    pub word: String,
-    /// The request.
-    pub id: String,
-    /// The fields.
+pub struct ReceivedFrame {
+    /// `fetch`, `abort` or the name of a probe.
+    pub command: String,
+    /// Id of the request that it is about.
+    pub request_id: String,
+    /// Fields as they are on the wire.
     pub fields: String,
 }
 
-impl Frame {
-    /// The object that is asked for.
-    pub fn key(&self) -> Option<&str> {
+impl ReceivedFrame {
+    fn from_array(array: &[Vec<u8>]) -> Self {
+        let text = |index: usize| {
+            array
+                .get(index)
+                .map(|bytes| String::from_utf8_lossy(bytes).into_owned())
+                .unwrap_or_default()
+        };
+        ReceivedFrame {
+            command: text(0),
+            request_id: text(1),
+            fields: text(2),
+        }
+    }
+
+    /// Key of the requested object.
+    pub fn object_key(&self) -> Option<&str> {
         resp::field(self.fields.as_bytes(), "key")
     }
 }
 
-fn late<T>(_: T) -> io::Error {
+fn timed_out<T>(_: T) -> io::Error {
     io::ErrorKind::TimedOut.into()
 }
 
-impl Puppet {
-    /// Starts one on a port of its own.
+impl ScriptedServer {
+    /// Starts a server on a port of its own.
     pub fn start() -> io::Result<Self> {
-        let (take, taken) = mpsc::channel();
-        let address = listen("127.0.0.1:0", move |socket| take.send(socket))?;
-        Ok(Puppet {
+        let (sender, connections) = mpsc::channel();
+        let address = listen(ANY_LOOPBACK_PORT, move |socket| sender.send(socket))?;
+        Ok(ScriptedServer {
             address,
-            taken: Mutex::new(taken),
+            connections: Mutex::new(connections),
         })
     }
 
-    /// The next connection that is made to it.
-    pub fn line(&self) -> io::Result<Line> {
-        let taken = self.taken.lock().map_err(late)?;
-        let socket = taken.recv_timeout(PATIENCE).map_err(late)?;
-        socket.set_read_timeout(Some(PATIENCE))?;
-        Ok(Line {
+    /// Waits for the next connection of the proxy.
+    pub fn accept(&self) -> io::Result<ScriptedConnection> {
+        let connections = self.connections.lock().map_err(timed_out)?;
+        let socket = connections.recv_timeout(TEST_TIMEOUT).map_err(timed_out)?;
+        socket.set_read_timeout(Some(TEST_TIMEOUT))?;
+        Ok(ScriptedConnection {
             socket,
-            arrays: resp::Arrays::new(1 << 20),
+            arrays: resp::Arrays::new(MAX_MESSAGE_BYTES),
             input: Vec::new(),
         })
     }
 }
 
-impl Line {
-    /// The next frame.
-    pub fn frame(&mut self) -> io::Result<Frame> {
+impl ScriptedConnection {
+    /// Reads the next frame.
+    pub fn next_frame(&mut self) -> io::Result<ReceivedFrame> {
         loop {
-            let (taken, array) = self.arrays.parse(&self.input).map_err(io::Error::other)?;
-            self.input.drain(..taken);
+            let (consumed, array) = self.arrays.parse(&self.input).map_err(io::Error::other)?;
+            self.input.drain(..consumed);
             if let Some(array) = array {
-                let text = |at: usize| {
-                    array
-                        .get(at)
-                        .map(|b| String::from_utf8_lossy(b).into_owned())
-                        .unwrap_or_default()
-                };
-                return Ok(Frame {
-                    word: text(0),
-                    id: text(1),
-                    fields: text(2),
-                });
+                return Ok(ReceivedFrame::from_array(&array));
             }
-            let mut bytes = [0; 4096];
-            match self.socket.read(&mut bytes)? {
+            let mut chunk = [0; READ_CHUNK_BYTES];
+            match self.socket.read(&mut chunk)? {
                 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-                got => self.input.extend_from_slice(&bytes[..got]),
+                length => self.input.extend_from_slice(&chunk[..length]),
             }
         }
     }
 
-    /// The next request, whatever is given up before it.
-    pub fn fetch(&mut self) -> io::Result<Frame> {
+    /// Reads the next fetch, past all other frames.
+    pub fn next_fetch(&mut self) -> io::Result<ReceivedFrame> {
         loop {
-            let frame = self.frame()?;
-            if frame.word == "fetch" {
+            let frame = self.next_frame()?;
+            if frame.command == "fetch" {
                 return Ok(frame);
             }
         }
     }
 
-    /// Answers under an id.
-    pub fn answer(&mut self, id: &str, word: &str, fields: &str, body: &str) -> io::Result<()> {
+    /// Answers a request.
+    pub fn answer(
+        &mut self,
+        request_id: &str,
+        status: &str,
+        fields: &str,
+        body: &str,
+    ) -> io::Result<()> {
         let mut out = Vec::new();
         resp::write_array(
             &mut out,
             &[
-                id.as_bytes(),
-                word.as_bytes(),
+                request_id.as_bytes(),
+                status.as_bytes(),
                 fields.as_bytes(),
                 body.as_bytes(),
             ],
@@ -122,33 +130,37 @@
         self.send(&out)
     }
 
-    /// Sends bytes.
+    /// Answers a request with 200 and a cached copy.
+    pub fn answer_ok(&mut self, request_id: &str) -> io::Result<()> {
+        self.answer(request_id, "200", "how=local,made=1,etag=t1", "all of it")
+    }
+
+    /// Sends raw bytes.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.socket.write_all(bytes)
     }
 
-    /// Takes what comes until the other side ends the connection.
-    pub fn ends(&mut self) -> io::Result<bool> {
+    /// Discards what the proxy sends until it has closed or reset the connection. It is an error if that takes
+    /// longer than [`TEST_TIMEOUT`].
+    pub fn wait_until_closed(&mut self) -> io::Result<()> {
         loop {
-            match self.socket.read(&mut [0; 4096]) {
-                Ok(0) => return Ok(true),
-                Err(e) if e.kind() == io::ErrorKind::ConnectionReset => return Ok(true),
+            match self.socket.read(&mut [0; READ_CHUNK_BYTES]) {
+                Ok(0) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionReset => return Ok(()),
                 Ok(_) => {}
-                Err(e) => return Err(e),
+                Err(error) => return Err(error),
             }
         }
     }
 
-    /// Ends the connection.
+    /// Closes the connection.
     pub fn close(self) -> io::Result<()> {
         self.socket.shutdown(Shutdown::Both)
     }
 
-    /// Breaks the connection off with a reset.
+    /// Closes the connection with a reset.
     pub fn reset(self) -> io::Result<()> {
-        Ok(sockopt::set_socket_linger(
-            &self.socket,
-            Some(Duration::ZERO),
-        )?)
+        let no_linger = Some(Duration::ZERO);
+        Ok(sockopt::set_socket_linger(&self.socket, no_linger)?)
     }
 }
