--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 //! - Fakes of its surroundings on loopback: [`fake_cache`], [`scripted_server`], [`fake_event_bus`], [`fake_consul`]
 //!   and [`fake_peer_cdn`].
 //! - Clients: [`fastcgi_client`] for web servers, [`http_client`] for peer CDNs.
+//! - [`proxy_fixture`]: the proxy inside a test, with the fakes around it.
 //! - The deployment that all of them belong to: [`sample_deployment`].
 //! - A scenario that runs the real program through a purge, a drain and a shutdown and reports every rule that it
 //!   violates: [`run_scenario`].
@@ -13,6 +14,7 @@
 pub mod fake_peer_cdn;
 pub mod fastcgi_client;
 pub mod http_client;
+pub mod proxy_fixture;
 mod response;
 pub mod sample_deployment;
 mod scenario;
--- /dev/null
+++ b/crates/testkit/src/proxy_fixture.rs
@@ -0,0 +1,327 @@
+//! The proxy's event loop in the process of a test, with fakes around it.
+//!
+//! The functions here panic instead of returning errors: a test has no other use for them. Where the order of events
+//! matters, a test pauses the event loop, arranges what is to happen at once, and resumes it.
+
+use crate::fake_cache::FakeCacheServer;
+use crate::fake_event_bus::{cache_entry, origin_entry, server_state, FakeEventBus};
+use crate::fastcgi_client::FastCgiClient;
+use crate::sample_deployment::{interconnect_config, sample_settings};
+use crate::scripted_server::ScriptedServer;
+use crate::Response;
+use edge_proxy::config::Config;
+use edge_proxy::event_loop::{ControlHandle, EventLoop};
+use edge_proxy::limits::Limits;
+use serde_json::{json, Value};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+
+/// Budget of a request that is answered at once, or after a short delay.
+pub const REQUEST_BUDGET_MS: u64 = 2500;
+/// Budget of a request that must not run out of time during a test.
+pub const LONG_BUDGET_MS: u64 = 60_000;
+/// Budget of a request that is to run out of time.
+pub const SHORT_BUDGET_MS: u64 = 300;
+/// A time limit that must not be reached during a test.
+pub const LONG_TIMEOUT_US: u64 = 60_000_000;
+
+/// A proxy on loopback, and the fakes around it.
+pub struct ProxyFixture {
+    /// Where FastCGI clients connect.
+    pub fastcgi_address: SocketAddr,
+    /// Where peer CDNs connect.
+    pub interconnect_address: SocketAddr,
+    /// Does to the event loop what the signals do.
+    pub control: ControlHandle,
+    /// What the proxy reads as its configuration file when it reloads.
+    pub config_file: Arc<Mutex<Value>>,
+    /// The event bus that the proxy subscribes to.
+    pub event_bus: FakeEventBus,
+    /// The cache servers, in the order of their ids.
+    pub caches: Vec<FakeCacheServer>,
+    /// The origin.
+    pub origin: FakeCacheServer,
+    event_loop: JoinHandle<io::Result<()>>,
+    pause_gate: PauseGate,
+}
+
+impl ProxyFixture {
+    /// Starts a proxy with one cache server and an origin.
+    pub fn start() -> Self {
+        Self::builder().start()
+    }
+
+    /// Describes a proxy that differs from that of [`ProxyFixture::start`].
+    pub fn builder<'a>() -> ProxyFixtureBuilder<'a> {
+        ProxyFixtureBuilder {
+            cache_ids: &["s-0a"],
+            scripted_server: None,
+            change_config: Box::new(|_| {}),
+            change_limits: Box::new(|_| {}),
+        }
+    }
+
+    /// Connects a FastCGI client.
+    pub fn connect(&self) -> FastCgiClient {
+        FastCgiClient::connect(self.fastcgi_address).expect("the proxy accepts connections")
+    }
+
+    /// Pauses the event loop. What happens until it is resumed, the proxy sees at once.
+    pub fn pause(&mut self) -> PausedEventLoop {
+        let (paused, is_paused) = channel();
+        let (resume, resumed) = channel();
+        self.pause_gate
+            .request_pause(PauseRequest { paused, resumed });
+        self.control.reload().expect("the event loop runs");
+        is_paused.recv().expect("the event loop reloads");
+        PausedEventLoop { resume }
+    }
+
+    /// Has the proxy shut down as by SIGTERM, and waits until the grace period is over in which idle clients keep
+    /// their connections.
+    pub fn shut_down_past_grace_period(&mut self) {
+        let mut idle_client = self.connect();
+        health_status(&mut idle_client);
+        self.control.stop().expect("the event loop runs");
+        let end = idle_client.next_response().expect_err("no response is due");
+        assert_eq!(end.kind(), ErrorKind::UnexpectedEof);
+    }
+
+    /// Has the proxy shut down as by SIGTERM, and waits until it has.
+    pub fn shut_down(mut self) {
+        self.control.stop().expect("the event loop runs");
+        self.wait_for_exit();
+    }
+
+    /// Waits until a proxy that shuts down has ended without an error.
+    pub fn wait_for_exit(self) {
+        let result = self.event_loop.join().expect("the event loop panicked");
+        result.expect("the event loop failed");
+    }
+}
+
+/// A paused event loop. It goes on when this is dropped.
+#[must_use = "the event loop goes on when this is dropped"]
+pub struct PausedEventLoop {
+    resume: Sender<()>,
+}
+
+impl PausedEventLoop {
+    /// Has the event loop go on.
+    pub fn resume(self) {
+        drop(self.resume);
+    }
+}
+
+/// Where the event loop is paused: it reads its configuration through this.
+#[derive(Clone, Default)]
+struct PauseGate(Arc<Mutex<Option<PauseRequest>>>);
+
+struct PauseRequest {
+    /// Tells the test that the event loop is paused.
+    paused: Sender<()>,
+    /// Disconnected when the event loop is to go on; nothing is ever sent.
+    resumed: Receiver<()>,
+}
+
+impl PauseGate {
+    fn request_pause(&self, request: PauseRequest) {
+        *self.0.lock().unwrap() = Some(request);
+    }
+
+    fn pause_if_requested(&self) {
+        let request = self.0.lock().unwrap().take();
+        if let Some(request) = request {
+            request.paused.send(()).unwrap();
+            assert!(request.resumed.recv().is_err(), "nothing is ever sent");
+        }
+    }
+}
+
+/// Describes a proxy and its surroundings.
+pub struct ProxyFixtureBuilder<'a> {
+    cache_ids: &'a [&'static str],
+    scripted_server: Option<&'a ScriptedServer>,
+    change_config: Box<dyn FnOnce(&mut Value) + 'a>,
+    change_limits: Box<dyn FnOnce(&mut Limits) + 'a>,
+}
+
+impl<'a> ProxyFixtureBuilder<'a> {
+    /// With a cache server for each id, in place of the one.
+    pub fn caches(mut self, ids: &'a [&'static str]) -> Self {
+        self.cache_ids = ids;
+        self
+    }
+
+    /// With a scripted server at the address of every server in the list.
+    pub fn scripted_server(mut self, server: &'a ScriptedServer) -> Self {
+        self.scripted_server = Some(server);
+        self
+    }
+
+    /// With changes to its configuration file. The keys `consul` and `purges` belong to the file of the interconnect
+    /// and are moved there.
+    pub fn config(mut self, change: impl FnOnce(&mut Value) + 'a) -> Self {
+        self.change_config = Box::new(change);
+        self
+    }
+
+    /// With other limits than those that fit the machine, so that no test waits for a time-out or races with one.
+    pub fn limits(mut self, change: impl FnOnce(&mut Limits) + 'a) -> Self {
+        self.change_limits = Box::new(change);
+        self
+    }
+
+    /// Starts the fakes and the proxy.
+    pub fn start(self) -> ProxyFixture {
+        let event_bus = FakeEventBus::start().unwrap();
+        let caches: Vec<FakeCacheServer> = self
+            .cache_ids
+            .iter()
+            .map(|id| FakeCacheServer::start(id).unwrap())
+            .collect();
+        let origin = FakeCacheServer::start("s-0f").unwrap();
+        let mut config_file = proxy_config(&event_bus, &caches, &origin);
+        if let Some(server) = self.scripted_server {
+            set_server_addresses(&mut config_file, server.address);
+        }
+        (self.change_config)(&mut config_file);
+        let interconnect_file = interconnect_file(&mut config_file);
+        let mut config = Config::from_json(&config_file).unwrap();
+        (self.change_limits)(&mut config.limits);
+        config.apply_interconnect(&interconnect_file).unwrap();
+
+        let config_file = Arc::new(Mutex::new(config_file));
+        let pause_gate = PauseGate::default();
+        let running = spawn_event_loop(config, config_file.clone(), pause_gate.clone());
+        ProxyFixture {
+            fastcgi_address: running.fastcgi_address,
+            interconnect_address: running.interconnect_address,
+            control: running.control,
+            config_file,
+            event_bus,
+            caches,
+            origin,
+            event_loop: running.thread,
+            pause_gate,
+        }
+    }
+}
+
+/// The configuration file of a proxy that knows its servers from the start.
+fn proxy_config(
+    event_bus: &FakeEventBus,
+    caches: &[FakeCacheServer],
+    origin: &FakeCacheServer,
+) -> Value {
+    let mut server_list: Vec<Value> = caches
+        .iter()
+        .map(|cache| cache_entry(cache, server_state::READY))
+        .collect();
+    server_list.push(origin_entry(origin, server_state::READY));
+    let known_events = json!({"offset": 0, "batch": [
+        {"offset": 0, "topology": {"rev": 1, "all": true, "targets": server_list}},
+    ]});
+    json!({
+        "listen": "127.0.0.1:0",
+        "bus": event_bus.address.to_string(),
+        "known": known_events,
+        "settings": sample_settings(),
+        "limits": {"memory_mb": 192, "sockets": 256},
+    })
+}
+
+/// Puts an address in the place of that of every server in the configuration's server list.
+pub fn set_server_addresses(config: &mut Value, address: SocketAddr) {
+    let servers = &mut config["known"]["batch"][0]["topology"]["targets"];
+    for server in servers.as_array_mut().expect("a server list") {
+        server["endpoint"] = address.to_string().into();
+    }
+}
+
+/// The file of the interconnect, with the keys for it that a test has put into the configuration file.
+fn interconnect_file(config_file: &mut Value) -> Value {
+    let mut interconnect = interconnect_config();
+    interconnect["purges"] = config_file["purges"].take();
+    json!({"cdni": interconnect, "consul": config_file["consul"].take()})
+}
+
+/// An event loop on a thread of its own.
+struct RunningEventLoop {
+    fastcgi_address: SocketAddr,
+    interconnect_address: SocketAddr,
+    control: ControlHandle,
+    thread: JoinHandle<io::Result<()>>,
+}
+
+fn spawn_event_loop(
+    config: Config,
+    config_file: Arc<Mutex<Value>>,
+    pause_gate: PauseGate,
+) -> RunningEventLoop {
+    let reload_config = move || {
+        pause_gate.pause_if_requested();
+        Config::from_json(&config_file.lock().unwrap())
+    };
+    let (sender, started) = channel();
+    // An event loop stays on the thread that started it.
+    let thread = thread::spawn(move || {
+        let mut event_loop = EventLoop::start(config, Box::new(reload_config)).unwrap();
+        let addresses = (
+            event_loop.address().unwrap(),
+            event_loop.cdni_address().unwrap(),
+        );
+        let control = event_loop.control().unwrap();
+        sender.send((addresses, control)).unwrap();
+        event_loop.run()
+    });
+    let ((fastcgi_address, interconnect_address), control) =
+        started.recv().expect("the event loop starts");
+    RunningEventLoop {
+        fastcgi_address,
+        interconnect_address,
+        control,
+        thread,
+    }
+}
+
+/// Requests an object and waits for its response. No other request may be open on the connection.
+#[track_caller]
+pub fn fetch_object(client: &mut FastCgiClient, class: &str, object_key: &str) -> Response {
+    let request_id = 1;
+    client
+        .request_object(request_id, class, object_key, REQUEST_BUDGET_MS)
+        .unwrap();
+    next_response(client).1
+}
+
+/// Waits until any request of the connection is answered. Returns its id and its response.
+#[track_caller]
+pub fn next_response(client: &mut FastCgiClient) -> (u16, Response) {
+    let (request_id, response) = client.next_response().unwrap();
+    (request_id, response.expect("a response"))
+}
+
+/// Waits until any request of the connection is answered. Returns its id and the status of its response.
+#[track_caller]
+pub fn next_status(client: &mut FastCgiClient) -> (u16, u16) {
+    let (request_id, response) = next_response(client);
+    (request_id, response.status)
+}
+
+/// Requests a health check and waits for its status. No other request may be open on the connection.
+#[track_caller]
+pub fn health_status(client: &mut FastCgiClient) -> u16 {
+    client.request_health_check(1).unwrap();
+    next_response(client).1.status
+}
+
+/// Whether the next thing that the proxy does to a connection is to close it, without a reset.
+pub fn is_closed(client: &mut FastCgiClient) -> bool {
+    client
+        .next_response()
+        .is_err_and(|error| error.kind() == ErrorKind::UnexpectedEof)
+}
