--- /dev/null
+++ b/crates/proxy/tests/consul_discovery.rs
@@ -0,0 +1,53 @@
+//! Consul as the source of the server list.
+
+use edge_testkit::fake_consul::{ConsulInstance, FakeConsul};
+use edge_testkit::proxy_fixture::{fetch_object, ProxyFixture};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS};
+use serde_json::{json, Value};
+
+const PASSING: &str = "passing";
+const CRITICAL: &str = "critical";
+const FETCHES: u64 = 10;
+
+#[test]
+fn server_list_follows_the_health_checks_of_consul() {
+    let consul = FakeConsul::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .caches(&["s-0a", "s-0b"])
+        .config(|config| {
+            config["known"] = Value::Null;
+            config["consul"] =
+                json!({"address": consul.address.to_string(), "service": "pop-cache"});
+        })
+        .start();
+    let [first, second] = &proxy.caches[..] else {
+        panic!("two caches")
+    };
+    let mut client = proxy.connect();
+    let mut fetch = |number: u64| fetch_object(&mut client, READ_CLASS, &object_key(number)).status;
+
+    consul.register(&[
+        ConsulInstance::for_cache(first, PASSING),
+        ConsulInstance::for_cache(second, CRITICAL),
+    ]);
+    while fetch(1) != 200 {}
+    for number in 0..FETCHES {
+        assert_eq!(fetch(number), 200);
+    }
+    assert_eq!(second.received(), [], "its check is critical");
+
+    consul.register(&[ConsulInstance::for_cache(second, PASSING)]);
+    while second.received().is_empty() {
+        fetch(1);
+    }
+    let commands_before = first.received().len();
+    for number in 0..FETCHES {
+        assert_eq!(fetch(number), 200);
+    }
+    assert_eq!(
+        first.received().len(),
+        commands_before,
+        "it is no longer registered"
+    );
+    proxy.shut_down();
+}
--- /dev/null
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -0,0 +1,163 @@
+//! Shutdown on SIGTERM: what is open is answered, and nothing else is started.
+
+use edge_proxy::config::Config;
+use edge_testkit::fake_cache::Behavior;
+use edge_testkit::fastcgi_client::FastCgiClient;
+use edge_testkit::proxy_fixture::{
+    health_status, is_closed, next_response, next_status, ProxyFixture, LONG_BUDGET_MS,
+    LONG_TIMEOUT_US, REQUEST_BUDGET_MS,
+};
+use edge_testkit::sample_deployment::{object_key, sample_settings, READ_CLASS, WRITE_CLASS};
+use edge_testkit::scripted_server::ScriptedServer;
+use serde_json::json;
+
+#[test]
+fn open_request_is_answered() {
+    const RESPONSE_DELAY_MS: u64 = 150;
+    let mut proxy = ProxyFixture::start();
+    proxy.caches[0].set_behavior(Behavior::delayed(RESPONSE_DELAY_MS));
+    let mut client = proxy.connect();
+    client
+        .request_object(1, READ_CLASS, &object_key(1), REQUEST_BUDGET_MS)
+        .unwrap();
+    proxy.caches[0].wait_for_fetch().unwrap();
+
+    proxy.control.stop().unwrap();
+
+    assert_eq!(next_response(&mut client).1.status, 200);
+    proxy.wait_for_exit();
+}
+
+#[test]
+fn after_the_grace_period_open_requests_are_answered_and_new_ones_refused() {
+    let server = ScriptedServer::start().unwrap();
+    let mut proxy = ProxyFixture::builder()
+        .scripted_server(&server)
+        .limits(|limits| limits.lingering_close_us = LONG_TIMEOUT_US)
+        .start();
+    let mut waiting_client = proxy.connect();
+    let mut idle_client = proxy.connect();
+    health_status(&mut idle_client);
+    waiting_client
+        .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let open_fetch = connection.next_frame().unwrap();
+
+    proxy.shut_down_past_grace_period();
+
+    // The idle client's connection is closed, and nobody reads what crosses the close.
+    assert!(is_closed(&mut idle_client));
+    idle_client
+        .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
+        .unwrap();
+
+    // The waiting client gets a response to all that it sends; a new request would outlive the process.
+    waiting_client
+        .request_object(2, WRITE_CLASS, &object_key(3), LONG_BUDGET_MS)
+        .unwrap();
+    assert_eq!(next_status(&mut waiting_client), (2, 503));
+    connection.answer_ok(&open_fetch.request_id).unwrap();
+    assert_eq!(next_status(&mut waiting_client), (1, 200));
+    assert!(
+        is_closed(&mut waiting_client),
+        "nothing is open on it any more"
+    );
+
+    drop((waiting_client, idle_client));
+    proxy.wait_for_exit();
+    assert!(
+        connection.next_frame().is_err(),
+        "no other request is forwarded"
+    );
+}
+
+#[test]
+fn bytes_that_cross_the_shutdown_reset_no_response() {
+    // More than the sockets hold at once: the rest is on its way when all is written.
+    const BODY_BYTES: usize = 480_000;
+    const REQUESTS: u16 = 8;
+    let mut proxy = ProxyFixture::builder()
+        .limits(|limits| limits.lingering_close_us = LONG_TIMEOUT_US)
+        .start();
+    proxy.origin.set_behavior(Behavior::padded(BODY_BYTES));
+    let mut client = proxy.connect();
+    for request_id in 1..=REQUESTS {
+        let key = object_key(u64::from(request_id));
+        client
+            .request_object(request_id, WRITE_CLASS, &key, LONG_BUDGET_MS)
+            .unwrap();
+    }
+    for request_id in 1..=REQUESTS {
+        let key = object_key(u64::from(request_id));
+        proxy.origin.wait_for_request_of(&key).unwrap();
+    }
+
+    proxy.shut_down_past_grace_period();
+
+    // While it reads, the client sends the first bytes of a request that never becomes complete.
+    let params = [("HTTP_REQUEST_ID", "0a")];
+    let request = FastCgiClient::encode_request(100, "/invoke/photo", &params, b"");
+    for byte in request.chunks(1).take(usize::from(REQUESTS)) {
+        client.send(byte).unwrap();
+        let (request_id, response) = next_response(&mut client);
+        assert_eq!(
+            response.status, 200,
+            "the response to {request_id} is whole"
+        );
+    }
+    drop(client);
+    proxy.wait_for_exit();
+}
+
+#[test]
+fn open_request_is_answered_at_the_shutdown_deadline() {
+    for cancel_allowed in [true, false] {
+        let server = ScriptedServer::start().unwrap();
+        // The deadline comes with SIGTERM itself.
+        let mut proxy = ProxyFixture::builder()
+            .scripted_server(&server)
+            .config(|config| config["settings"]["limits"]["cancel"] = cancel_allowed.into())
+            .limits(|limits| limits.shutdown_deadline_us = 0)
+            .start();
+        let mut client = proxy.connect();
+        client
+            .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+            .unwrap();
+        let mut connection = server.accept().unwrap();
+        connection.next_frame().unwrap();
+
+        proxy.control.stop().unwrap();
+
+        assert_eq!(
+            next_response(&mut client).1.status,
+            502,
+            "the write may have run"
+        );
+        assert!(is_closed(&mut client), "nothing else is due");
+        drop(client);
+        proxy.wait_for_exit();
+    }
+}
+
+#[test]
+fn shutdown_deadline_precedes_the_earliest_kill() {
+    for (request_deadline_us, shutdown_deadline_us) in [
+        (1_500_000, 2_150_000),
+        (3_000_000, 3_650_000),
+        (9_000_000, 3_650_000),
+    ] {
+        let mut settings = sample_settings();
+        for class in settings["categories"].as_array_mut().unwrap() {
+            class["deadline-us"] = request_deadline_us.into();
+        }
+        let config = json!({"listen": "127.0.0.1:0", "settings": settings});
+
+        let limits = Config::from_json(&config).unwrap().limits;
+
+        assert_eq!(
+            limits.shutdown_deadline_us, shutdown_deadline_us,
+            "longest deadline of a request: {request_deadline_us}"
+        );
+    }
+}
