--- a/crates/proxy/tests/client_connections.rs
+++ b/crates/proxy/tests/client_connections.rs
@@ -12,6 +12,26 @@
 /// What is no FastCGI record.
 const MALFORMED_RECORD: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
 
+/// Each makes a valid request a malformed one. `SCRIPT_NAME` stands for its path.
+const MALFORMED_PARAMS: [(&str, &str); 16] = [
+    ("HTTP_REQUEST_ID", "a,b"),
+    ("HTTP_REQUEST_ID", ""),
+    ("HTTP_RESOURCE_KEY", "no such object!!"),
+    ("HTTP_BUDGET_MS", "-5"),
+    ("HTTP_BUDGET_MS", "0"),
+    ("HTTP_BUDGET_MS", "99999999999999999999"),
+    ("HTTP_X_PIECE", "x"),
+    ("HTTP_X_PIECE", "4294967296"),
+    ("HTTP_X_LOT", "256"),
+    ("HTTP_FOOTPRINT_KB", "NaN"),
+    ("HTTP_FOOTPRINT_KB", "-1"),
+    ("HTTP_FOOTPRINT_KB", "1e300"),
+    ("HTTP_ONCE_KEY", "a=b"),
+    ("HTTP_X_VER", "%00"),
+    ("CONTENT_LENGTH", "7"),
+    ("SCRIPT_NAME", "/invoke/a,b"),
+];
+
 #[test]
 fn malformed_requests_get_400_and_malformed_records_close_only_their_connection() {
     let proxy = ProxyFixture::start();
@@ -24,24 +44,7 @@
         ("HTTP_BUDGET_MS", "2000"),
     ];
 
-    for (name, value) in [
-        ("HTTP_REQUEST_ID", "a,b"),
-        ("HTTP_REQUEST_ID", ""),
-        ("HTTP_RESOURCE_KEY", "no such object!!"),
-        ("HTTP_BUDGET_MS", "-5"),
-        ("HTTP_BUDGET_MS", "0"),
-        ("HTTP_BUDGET_MS", "99999999999999999999"),
-        ("HTTP_X_PIECE", "x"),
-        ("HTTP_X_PIECE", "4294967296"),
-        ("HTTP_X_LOT", "256"),
-        ("HTTP_FOOTPRINT_KB", "NaN"),
-        ("HTTP_FOOTPRINT_KB", "-1"),
-        ("HTTP_FOOTPRINT_KB", "1e300"),
-        ("HTTP_ONCE_KEY", "a=b"),
-        ("HTTP_X_VER", "%00"),
-        ("CONTENT_LENGTH", "7"),
-        ("SCRIPT_NAME", "/invoke/a,b"),
-    ] {
+    for (name, value) in MALFORMED_PARAMS {
         let mut params = valid_params.to_vec();
         params.retain(|(valid_name, _)| *valid_name != name);
         params.push((name, value));
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -103,7 +103,7 @@
         let (request_id, response) = next_response(&mut client);
         assert_eq!(
             response.status, 200,
-            "the response to {request_id} is whole"
+            "the response to request {request_id} is complete"
         );
     }
     drop(client);
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -1,7 +1,7 @@
 //! Bounds on connections and memory: who has to leave when they are reached, and who does not.
 
 use edge_testkit::fake_cache::Behavior;
-use edge_testkit::fastcgi_client::{FastCgiClient, HEALTH_CHECK_PATH};
+use edge_testkit::fastcgi_client::{FastCgiClient, END_OF_INPUT_BYTES, HEALTH_CHECK_PATH};
 use edge_testkit::proxy_fixture::{
     fetch_object, is_closed, next_response, ProxyFixture, LONG_BUDGET_MS, LONG_TIMEOUT_US,
     REQUEST_BUDGET_MS,
@@ -13,9 +13,6 @@
 /// With so many sockets there is room for one client.
 const SOCKETS_FOR_ONE_CLIENT: u64 = 3;
 
-/// Length of the record that ends a request's input.
-const EMPTY_RECORD_BYTES: usize = 8;
-
 #[test]
 fn full_connection_table_evicts_an_idle_client_but_not_a_waiting_one() {
     const RESPONSE_DELAY_MS: u64 = 280;
@@ -127,7 +124,7 @@
         &vec![b'.'; body_bytes],
     );
     client
-        .send(&request[..request.len() - EMPTY_RECORD_BYTES])
+        .send(&request[..request.len() - END_OF_INPUT_BYTES])
         .unwrap();
     client.request_health_check(100).unwrap();
     client.next_response()
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -1,7 +1,9 @@
 //! How FastCGI requests are served.
 
 use edge_testkit::fake_event_bus::{origin_entry, server_state};
-use edge_testkit::fastcgi_client::{FastCgiClient, IDEMPOTENCY_KEY, WRITE_BODY};
+use edge_testkit::fastcgi_client::{
+    FastCgiClient, END_OF_INPUT_BYTES, IDEMPOTENCY_KEY, WRITE_BODY,
+};
 use edge_testkit::proxy_fixture::{
     fetch_object, health_status, next_response, next_status, set_server_addresses, ProxyFixture,
     REQUEST_BUDGET_MS,
@@ -11,9 +13,6 @@
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener};
 
-/// Length of the record that ends a request's input.
-const EMPTY_RECORD_BYTES: usize = 8;
-
 /// An address at which nothing listens any more. That a connection is refused proves that no attempt ran.
 fn unused_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0")
@@ -36,7 +35,7 @@
         ],
         b"",
     );
-    let (start_of_first, end_of_first) = first.split_at(first.len() - EMPTY_RECORD_BYTES);
+    let (start_of_first, end_of_first) = first.split_at(first.len() - END_OF_INPUT_BYTES);
 
     // The second request is complete before the first.
     client.send(&start_of_first[..20]).unwrap();
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -278,7 +278,7 @@
     );
     endless
         .wait_until_closed()
-        .expect("nobody waits for the rest of the response");
+        .expect("a response that nobody waits for costs its connection");
 
     client
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
@@ -293,6 +293,6 @@
     connection.send(response_to_nothing).unwrap();
     connection
         .wait_until_closed()
-        .expect("the unfinished response blocks all behind it");
+        .expect("a response that blocks all behind it costs its connection");
     proxy.shut_down();
 }
--- a/crates/testkit/src/scenario/drain.rs
+++ b/crates/testkit/src/scenario/drain.rs
@@ -2,7 +2,7 @@
 //! drain's grace period the server gets no new request.
 
 use super::deployment::Deployment;
-use super::{InjectedFault, Rule, ScenarioError, ScenarioReport};
+use super::{InjectedFault, Rule, ScenarioError, ScenarioReport, MEASUREMENT_TOLERANCE_MS};
 use crate::fake_cache::{Behavior, FakeCacheServer, ReceivedCommand};
 use crate::fake_event_bus::{cache_entry, server_state};
 use crate::sample_deployment::{content_url, interconnect_path, object_key, redirection_request};
@@ -12,8 +12,6 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// What sockets and threads of this program add to a time limit of the proxy.
-const MEASUREMENT_TOLERANCE_MS: u64 = 50;
 /// Time from the publication of a drain until the server may get no new request.
 const DRAIN_GRACE_MS: u64 = 1000 + MEASUREMENT_TOLERANCE_MS;
 /// By this, requests sent after the grace period lie behind it.
--- a/crates/testkit/src/scenario/mod.rs
+++ b/crates/testkit/src/scenario/mod.rs
@@ -17,6 +17,9 @@
 use std::io;
 use std::path::Path;
 
+/// What sockets and threads of this program add to a time limit of the proxy.
+const MEASUREMENT_TOLERANCE_MS: u64 = 50;
+
 /// A fault that the fakes are made to show, to see that the scenario reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum InjectedFault {
--- a/crates/testkit/src/scenario/purge.rs
+++ b/crates/testkit/src/scenario/purge.rs
@@ -1,7 +1,7 @@
 //! A peer CDN purges an object. After the purge's grace period, neither interface serves an older copy.
 
 use super::deployment::Deployment;
-use super::{Rule, ScenarioError, ScenarioReport};
+use super::{Rule, ScenarioError, ScenarioReport, MEASUREMENT_TOLERANCE_MS};
 use crate::fastcgi_client::FastCgiClient;
 use crate::sample_deployment::{interconnect_path, purge_trigger, READ_CLASS};
 use crate::{unix_ms, Response};
@@ -12,8 +12,6 @@
 
 /// The purged object.
 const OBJECT_KEY: &str = "00000000000000a1";
-/// What sockets and threads of this program add to a time limit of the proxy.
-const MEASUREMENT_TOLERANCE_MS: u64 = 50;
 /// Time from the acceptance of a purge until no older copy may be served.
 const PURGE_GRACE_MS: u64 = 300 + MEASUREMENT_TOLERANCE_MS;
 /// How long after the grace period responses are watched.
