--- a/crates/proxy/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -10,7 +10,7 @@
         json!({
             "Node": {"Node": "n1", "Address": "127.0.0.1"},
             "Service": {"ID": id, "Service": "pop-cache", "Address": "", "Port": 7001,
-                "Meta": {"az": "here", "model": "box", "capacity_hint": "8", "pod_group": "2"}},
+                "Meta": {"az": "here", "model": "cache", "capacity_hint": "8", "pod_group": "2"}},
             "Checks": [{"Status": "passing"}, {"Status": status}],
         })
     };
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -32,7 +32,7 @@
 }
 
 fn cache_server(uid: &str, state: EndpointState) -> ListedServer {
-    listed_server(uid, "here", "box", state)
+    listed_server(uid, "here", "cache", state)
 }
 
 /// A table with the cache servers `a` and `b` and the origin `o`, all ready.
--- /dev/null
+++ b/crates/proxy/tests/serving.rs
@@ -0,0 +1,149 @@
+//! How FastCGI requests are served.
+
+use edge_testkit::fake_event_bus::{origin_entry, server_state};
+use edge_testkit::fastcgi_client::{
+    FastCgiClient, END_OF_INPUT_BYTES, IDEMPOTENCY_KEY, WRITE_BODY,
+};
+use edge_testkit::proxy_fixture::{
+    fetch_object, health_status, next_response, next_status, set_server_addresses, ProxyFixture,
+    REQUEST_BUDGET_MS,
+};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
+use edge_testkit::scripted_server::ScriptedServer;
+use serde_json::Value;
+use std::net::{SocketAddr, TcpListener};
+
+/// An address at which nothing listens any more. That a connection is refused proves that no attempt ran.
+fn unused_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+#[test]
+fn requests_on_one_connection_complete_in_any_order() {
+    let proxy = ProxyFixture::start();
+    let mut client = proxy.connect();
+    let first = FastCgiClient::encode_request(
+        7,
+        "/invoke/photo",
+        &[
+            ("HTTP_REQUEST_ID", &object_key(10)),
+            ("HTTP_RESOURCE_KEY", &object_key(11)),
+            ("HTTP_BUDGET_MS", "2000"),
+        ],
+        b"",
+    );
+    let (start_of_first, end_of_first) = first.split_at(first.len() - END_OF_INPUT_BYTES);
+
+    // The second request is complete before the first.
+    client.send(&start_of_first[..20]).unwrap();
+    client.send(&start_of_first[20..]).unwrap();
+    client
+        .request_object(8, READ_CLASS, &object_key(2), REQUEST_BUDGET_MS)
+        .unwrap();
+    assert_eq!(next_status(&mut client), (8, 200));
+
+    client.send(end_of_first).unwrap();
+    let (request_id, response) = next_response(&mut client);
+    assert_eq!((request_id, response.status), (7, 200));
+    assert!(
+        response.body.starts_with(b"000000000000000b/0@"),
+        "the body is that of the cache server"
+    );
+
+    // Many responses in turn: what is counted as waiting to be written must come back to nothing.
+    for number in 0..50 {
+        let response = fetch_object(&mut client, READ_CLASS, &object_key(number));
+        assert_eq!(response.status, 200);
+    }
+    proxy.shut_down();
+}
+
+#[test]
+fn write_is_forwarded_to_the_origin_with_body_and_idempotency_key() {
+    let proxy = ProxyFixture::start();
+
+    let response = fetch_object(&mut proxy.connect(), WRITE_CLASS, &object_key(1));
+    assert_eq!(response.status, 200);
+
+    let command = proxy.origin.wait_for_fetch().unwrap();
+    assert_eq!(command.body, WRITE_BODY);
+    assert_eq!(command.field("once"), Some(IDEMPOTENCY_KEY));
+    assert_eq!(command.field("src"), None);
+    assert_eq!(proxy.caches[0].received(), [], "no cache server is asked");
+    proxy.shut_down();
+}
+
+#[test]
+fn unreachable_servers_yield_503_with_a_retry_delay() {
+    let proxy = ProxyFixture::builder()
+        .config(|config| set_server_addresses(config, unused_address()))
+        .start();
+
+    for class in [READ_CLASS, WRITE_CLASS] {
+        let response = fetch_object(&mut proxy.connect(), class, &object_key(1));
+        assert_eq!(response.status, 503, "{class}");
+        assert_eq!(response.header("back-off-ms"), Some("200"), "{class}");
+    }
+    proxy.shut_down();
+}
+
+#[test]
+fn health_check_fails_until_servers_are_known() {
+    let proxy = ProxyFixture::builder()
+        .caches(&[])
+        .config(|config| config["known"] = Value::Null)
+        .start();
+    let mut client = proxy.connect();
+
+    assert_eq!(health_status(&mut client), 503);
+
+    let origin = origin_entry(&proxy.origin, server_state::READY);
+    proxy.event_bus.publish_server_list(vec![origin]);
+    // Until the event has come: only the test runner bounds this.
+    while health_status(&mut client) != 200 {}
+    proxy.shut_down();
+}
+
+#[test]
+fn client_copy_is_confirmed_only_if_the_server_names_that_copy() {
+    const CLIENT_ETAG: &str = "00000000000000c0";
+    const OTHER_ETAG: &str = "00000000000000c1";
+    for (fields, status) in [
+        (format!("how=local,made=1,etag={CLIENT_ETAG}"), 200),
+        (format!("how=local,made=1,etag={OTHER_ETAG}"), 503),
+        ("-".to_owned(), 503),
+    ] {
+        let server = ScriptedServer::start().unwrap();
+        let proxy = ProxyFixture::builder()
+            .scripted_server(&server)
+            .config(|config| config["settings"]["limits"]["try-limit"] = 1.into())
+            .start();
+        let mut client = proxy.connect();
+        let params = [
+            ("HTTP_REQUEST_ID", object_key(0x70)),
+            ("HTTP_RESOURCE_KEY", object_key(1)),
+            ("HTTP_BUDGET_MS", "60000".to_owned()),
+            ("HTTP_X_VER", CLIENT_ETAG.to_owned()),
+        ];
+        let params = params
+            .each_ref()
+            .map(|(name, value)| (*name, value.as_str()));
+        let request = FastCgiClient::encode_request(1, "/invoke/photo", &params, b"");
+
+        client.send(&request).unwrap();
+        let mut connection = server.accept().unwrap();
+        let fetch = connection.next_frame().unwrap();
+        connection
+            .answer(&fetch.request_id, "304", &fields, "")
+            .unwrap();
+
+        let (_, response) = next_response(&mut client);
+        assert_eq!(response.status, status, "{fields}");
+        let is_confirmed = response.header("x-unchanged").is_some();
+        assert_eq!(is_confirmed, status == 200, "{fields}");
+        proxy.shut_down();
+    }
+}
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -56,12 +56,12 @@
 impl Fixture {
     /// A connection to a cache server that is up.
     pub fn connected() -> Self {
-        Fixture::new("here", "box", true)
+        Fixture::new("here", "cache", true)
     }
 
     /// A connection to a cache server that was begun and is not up yet.
     pub fn connecting() -> Self {
-        Fixture::new("here", "box", false)
+        Fixture::new("here", "cache", false)
     }
 
     /// A connection to a server of this kind in this zone.
--- /dev/null
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -0,0 +1,298 @@
+//! Connections to cache servers: how attempts share them, and what their end means for the attempts on them.
+
+use edge_testkit::fake_cache::Behavior;
+use edge_testkit::fake_event_bus::{cache_entry, server_state};
+use edge_testkit::fastcgi_client::FastCgiClient;
+use edge_testkit::proxy_fixture::{
+    fetch_object, next_response, next_status, ProxyFixture, LONG_BUDGET_MS, LONG_TIMEOUT_US,
+    REQUEST_BUDGET_MS, SHORT_BUDGET_MS,
+};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
+use edge_testkit::scripted_server::{ScriptedConnection, ScriptedServer};
+use serde_json::json;
+
+// Tests with a scripted server send writes: no policy cancels one because it takes long.
+
+#[test]
+fn server_that_takes_over_an_address_gets_connections_of_its_own() {
+    let proxy = ProxyFixture::start();
+    let mut client = proxy.connect();
+    let response = fetch_object(&mut client, READ_CLASS, &object_key(1));
+    assert_eq!(response.status, 200);
+
+    let successor = proxy.caches[0].successor_at_same_address("s-0b");
+    proxy.event_bus.publish_server_changes(vec![
+        cache_entry(&proxy.caches[0], server_state::GONE),
+        cache_entry(&successor, server_state::READY),
+    ]);
+
+    while proxy.caches[0].accepted_connections() < 2 {
+        let response = fetch_object(&mut client, READ_CLASS, &object_key(2));
+        assert_eq!(response.status, 200);
+    }
+    proxy.shut_down();
+}
+
+#[test]
+fn connections_to_a_removed_server_close_once_nothing_is_open_on_them() {
+    const RESPONSE_DELAY_MS: u64 = 250;
+    const REQUESTS: u16 = 6;
+    let proxy = ProxyFixture::builder().caches(&["s-0a", "s-0b"]).start();
+    let removed = &proxy.caches[0];
+    let mut client = proxy.connect();
+    for cache in &proxy.caches {
+        cache.set_behavior(Behavior::delayed(RESPONSE_DELAY_MS));
+    }
+    for request_id in 1..=REQUESTS {
+        let key = object_key(u64::from(request_id));
+        client
+            .request_object(request_id, READ_CLASS, &key, REQUEST_BUDGET_MS)
+            .unwrap();
+    }
+    removed.wait_for_fetch().unwrap();
+
+    let entry = cache_entry(removed, server_state::GONE);
+    proxy.event_bus.publish_server_changes(vec![entry]);
+
+    for _ in 1..=REQUESTS {
+        assert_eq!(
+            next_response(&mut client).1.status,
+            200,
+            "requests in flight are answered"
+        );
+    }
+    while removed.open_connections() > 0 {}
+    proxy.shut_down();
+}
+
+#[test]
+fn concurrent_attempts_are_spread_over_connections() {
+    const RESPONSE_DELAY_MS: u64 = 100;
+    const ROUNDS: u64 = 3;
+    const CONCURRENT_REQUESTS: u16 = 8;
+    let proxy = ProxyFixture::start();
+    let cache = &proxy.caches[0];
+    cache.set_behavior(Behavior::delayed(RESPONSE_DELAY_MS));
+    let mut client = proxy.connect();
+
+    for round in 0..ROUNDS {
+        for request_id in 1..=CONCURRENT_REQUESTS {
+            let number = round * u64::from(CONCURRENT_REQUESTS) + u64::from(request_id);
+            client
+                .request_object(
+                    request_id,
+                    READ_CLASS,
+                    &object_key(number),
+                    REQUEST_BUDGET_MS,
+                )
+                .unwrap();
+        }
+        for _ in 1..=CONCURRENT_REQUESTS {
+            assert_eq!(next_response(&mut client).1.status, 200);
+        }
+    }
+
+    let connections = cache.accepted_connections();
+    assert!(
+        (3..=8).contains(&connections),
+        "one that breaks must fail two or three attempts, not all: {connections}"
+    );
+    proxy.shut_down();
+}
+
+#[test]
+fn response_counts_although_its_connection_is_reset_under_the_next_request() {
+    let server = ScriptedServer::start().unwrap();
+    let mut proxy = ProxyFixture::builder().scripted_server(&server).start();
+    let mut first_client = proxy.connect();
+    let mut second_client = proxy.connect();
+    first_client
+        .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let first_fetch = connection.next_frame().unwrap();
+
+    // The proxy sees the second request, the response and the reset at once.
+    let paused = proxy.pause();
+    second_client
+        .request_object(1, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
+        .unwrap();
+    connection.answer_ok(&first_fetch.request_id).unwrap();
+    connection.reset().unwrap();
+    paused.resume();
+
+    let mut connection = server.accept().unwrap();
+    let second_fetch = connection.next_frame().unwrap();
+    assert_eq!(
+        second_fetch.object_key(),
+        Some(object_key(2).as_str()),
+        "only the second request is sent on another connection"
+    );
+    assert_eq!(next_response(&mut first_client).1.status, 200);
+    connection.answer_ok(&second_fetch.request_id).unwrap();
+    assert_eq!(next_response(&mut second_client).1.status, 200);
+    proxy.shut_down();
+}
+
+#[test]
+fn closed_connection_is_not_reused_for_a_request_that_must_not_be_repeated() {
+    let server = ScriptedServer::start().unwrap();
+    let mut proxy = ProxyFixture::builder()
+        .scripted_server(&server)
+        .config(|config| config["settings"]["categories"][1]["repeat"] = json!("side_effect"))
+        .start();
+    let mut client = proxy.connect();
+    let serve_one = |client: &mut FastCgiClient, connection: &mut ScriptedConnection| {
+        let fetch = connection.next_frame().unwrap();
+        connection.answer_ok(&fetch.request_id).unwrap();
+        next_response(client).1.status
+    };
+    client
+        .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    assert_eq!(serve_one(&mut client, &mut connection), 200);
+
+    // The proxy sees the second request and the end of the connection at once.
+    let paused = proxy.pause();
+    client
+        .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
+        .unwrap();
+    connection.close().unwrap();
+    paused.resume();
+
+    let mut connection = server.accept().unwrap();
+    assert_eq!(
+        serve_one(&mut client, &mut connection),
+        200,
+        "nothing of the request was sent on the closed connection"
+    );
+    proxy.shut_down();
+}
+
+#[test]
+fn unresponsive_connections_do_not_block_their_server() {
+    let server = ScriptedServer::start().unwrap();
+    // The server has one connection, and any silence makes it an unresponsive one.
+    let proxy = ProxyFixture::builder()
+        .scripted_server(&server)
+        .limits(|limits| {
+            limits.connections_per_server = 1;
+            limits.unresponsive_after_us = 0;
+        })
+        .start();
+    let mut client = proxy.connect();
+    client
+        .request_object(1, WRITE_CLASS, &object_key(1), SHORT_BUDGET_MS)
+        .unwrap();
+    let mut unresponsive = server.accept().unwrap();
+    unresponsive.next_frame().unwrap();
+    assert_eq!(
+        next_response(&mut client).1.status,
+        503,
+        "its budget is spent"
+    );
+    assert_eq!(unresponsive.next_frame().unwrap().command, "abort");
+
+    client
+        .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let fetch = connection.next_frame().unwrap();
+    connection.answer_ok(&fetch.request_id).unwrap();
+
+    assert_eq!(next_response(&mut client).1.status, 200);
+    assert!(
+        unresponsive.next_frame().is_err(),
+        "the unresponsive connection made room"
+    );
+    proxy.shut_down();
+}
+
+#[test]
+fn duplicate_response_is_not_taken_for_that_of_a_retry() {
+    let server = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder().scripted_server(&server).start();
+    let mut client = proxy.connect();
+    client
+        .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let fetch = connection.next_frame().unwrap();
+    connection
+        .answer(&fetch.request_id, "503", "-", "")
+        .unwrap();
+
+    // The attempt never ran, so there is a retry. On the same connection nothing would tell the duplicate of the
+    // first response from the response to the retry.
+    let mut retry_connection = server.accept().unwrap();
+    let retry = retry_connection.next_frame().unwrap();
+    assert_eq!(retry.command, "fetch");
+    assert_eq!(retry.request_id, fetch.request_id);
+    connection
+        .answer(&fetch.request_id, "503", "-", "")
+        .unwrap();
+
+    // A response behind the duplicate on its connection shows that the duplicate was read.
+    client
+        .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
+        .unwrap();
+    let next_fetch = connection.next_frame().unwrap();
+    let fields = "how=local,made=1,etag=t2";
+    connection
+        .answer(&next_fetch.request_id, "200", fields, "the second")
+        .unwrap();
+    assert_eq!(next_status(&mut client), (2, 200));
+
+    retry_connection.answer_ok(&retry.request_id).unwrap();
+    assert_eq!(next_status(&mut client), (1, 200));
+    proxy.shut_down();
+}
+
+#[test]
+fn endless_response_fails_its_own_request_and_no_later_one() {
+    let server = ScriptedServer::start().unwrap();
+    // The response never pauses for long enough to be taken for one that has stopped short.
+    let proxy = ProxyFixture::builder()
+        .scripted_server(&server)
+        .limits(|limits| {
+            limits.partial_answer_timeout_us = LONG_TIMEOUT_US;
+            limits.unawaited_answer_timeout_us = 0;
+        })
+        .start();
+    let mut client = proxy.connect();
+    client
+        .request_object(1, WRITE_CLASS, &object_key(1), SHORT_BUDGET_MS)
+        .unwrap();
+    let mut endless = server.accept().unwrap();
+    let fetch = endless.next_frame().unwrap();
+    let start_of_response = format!(
+        "*4\r\n$16\r\n{}\r\n$3\r\n200\r\n$1\r\n-\r\n$9000\r\n...",
+        fetch.request_id
+    );
+    endless.send(start_of_response.as_bytes()).unwrap();
+    assert_eq!(
+        next_response(&mut client).1.status,
+        503,
+        "its budget is spent"
+    );
+    endless
+        .wait_until_closed()
+        .expect("a response that nobody waits for costs its connection");
+
+    client
+        .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let fetch = connection.next_frame().unwrap();
+    connection.answer_ok(&fetch.request_id).unwrap();
+    assert_eq!(next_response(&mut client).1.status, 200);
+
+    // An unfinished response to a request that was never sent is not waited for either.
+    let response_to_nothing = b"*4\r\n$16\r\nffffffffffffffff\r\n$3\r\n200\r\n";
+    connection.send(response_to_nothing).unwrap();
+    connection
+        .wait_until_closed()
+        .expect("a response that blocks all behind it costs its connection");
+    proxy.shut_down();
+}
--- a/crates/sim-adapter/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -27,13 +27,13 @@
  "can-join":true,"mid-kind":1,"source-kind":2,"seats-by-zone":[0,1],"attached-to":[0,0],
  "one-flow-kb-per-s":5000,"zone-link-kb-per-s":[0,90000],"purge-takes-us":6000000,"note-level":"all",
  "parent-cold-from":0.1,"upper-cold-us":9000000,"upper-fall-multiple":2,"new-key":[1,2]},
- "kinds":["box","mid","root"],"localities":["hub","here"],"zone":"here","customers":null,"weights":"nominal",
+ "kinds":["cache","mid","root"],"localities":["hub","here"],"zone":"here","customers":null,"weights":"nominal",
  "limits":{"try-limit":3,"cancel":true,"retry-after":true,"max-retry-after-us":900000},
  "rules":{"cold-share":0.2,"ramp-time-us":9000000,"fall-multiple":2,"tip-after-us":1000000},
  "telemetry":{"source":"inline","fields":["cpu_share"]}}"#;
 
 const LIST: &str = r#"{"event_type":"PeersKnown","i":0,"mode":1,"seq-no":1,"items":[
- {"store":4,"campus":"here","shape":"box","group":0,"weight":9,"state":1,"born-us":null},
+ {"store":4,"campus":"here","shape":"cache","group":0,"weight":9,"state":1,"born-us":null},
  {"store":5,"campus":"hub","shape":"mid","group":1,"weight":30,"state":1},
  {"store":6,"campus":"hub","shape":"root","group":2,"weight":1,"state":1,"note":"unknown fields are skipped"}]}"#;
 
