--- a/crates/proxy/src/frontend/fastcgi/outgoing.rs
+++ b/crates/proxy/src/frontend/fastcgi/outgoing.rs
@@ -1,6 +1,7 @@
 //! The queue of answers of one connection that are on their way out.
 //!
-//! Answers leave one after the other, cut into records as room in the connection's output buffer allows.
+//! Answers leave one after the other, cut into records as room in the connection's output buffer
+//! allows.
 
 use crate::net::RingBuffer;
 use crate::protocol::fastcgi::{self as wire, kind, HEADER_BYTES};
@@ -8,8 +9,8 @@
 
 /// Room for the record that ends the STDOUT stream and the one that ends the request.
 const END_BYTES: usize = HEADER_BYTES + wire::END_RECORD_BYTES;
-/// No STDOUT record has less content than this unless it is the last: a client that reads slowly must not be sent
-/// its answer in fragments of a few bytes each.
+/// No STDOUT record has less content than this unless it is the last: a client that reads slowly
+/// must not be sent its answer in fragments of a few bytes each.
 const MINIMUM_CONTENT_BYTES: usize = 1024;
 
 /// An answer to a request.
--- a/crates/proxy/src/frontend/fastcgi/request.rs
+++ b/crates/proxy/src/frontend/fastcgi/request.rs
@@ -1,8 +1,8 @@
 //! Reads the CGI parameters of a request into a [`ClientRequest`].
 //!
-//! Nothing in a request may be guessed or passed on unread: a cache server closes a connection on fields that it
-//! can't read, with all other requests open on it, and the routing module learns from the figures. So a request with
-//! an unusable parameter is rejected.
+//! Nothing in a request may be guessed or passed on unread: a cache server closes a connection on
+//! fields that it can't read, with all other requests open on it, and the routing module learns
+//! from the figures. So a request with an unusable parameter is rejected.
 
 use crate::limits::Limits;
 use crate::request_table::ClientRequest;
@@ -49,7 +49,8 @@
 }
 
 impl Parameter {
-    /// The name on the wire. CGI names the header `Request-Id` `HTTP_REQUEST_ID` (RFC 3875, section 4.1.18).
+    /// The name on the wire. CGI names the header `Request-Id` `HTTP_REQUEST_ID` (RFC 3875, section
+    /// 4.1.18).
     pub const fn name(self) -> &'static str {
         match self {
             Self::ScriptName => "SCRIPT_NAME",
--- a/crates/proxy/src/frontend/fastcgi/response.rs
+++ b/crates/proxy/src/frontend/fastcgi/response.rs
@@ -1,4 +1,5 @@
-//! Writes answers as CGI responses (RFC 3875, section 6): a `Status` header, further headers, an empty line, the body.
+//! Writes answers as CGI responses (RFC 3875, section 6): a `Status` header, further headers, an
+//! empty line, the body.
 
 use crate::request_table::{Answer, Content};
 use edge_routing::Micros;
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -1,7 +1,7 @@
 //! One connection of a web server: FastCGI records become requests, answers become records.
 //!
-//! Requests are multiplexed on a connection. Each is a stream that is first received, then awaits its answer; after
-//! that it is forgotten here and its answer is in the queue of [`OutgoingQueue`].
+//! Requests are multiplexed on a connection. Each is a stream that is first received, then awaits
+//! its answer; after that it is forgotten here and its answer is in the queue of [`OutgoingQueue`].
 
 use super::outgoing::{OutgoingAnswer, OutgoingQueue};
 use super::request::{Endpoint, Parameters};
@@ -13,7 +13,8 @@
 use crate::request_table::{Answer, ClientRequest, RequestKey};
 use std::collections::HashMap;
 
-/// The variable of GET_VALUES that asks whether connections are multiplexed (FastCGI 1.0, section 4.1).
+/// The variable of GET_VALUES that asks whether connections are multiplexed (FastCGI 1.0, section
+/// 4.1).
 const MULTIPLEXES_CONNECTIONS: &str = "FCGI_MPXS_CONNS";
 
 /// What a connection received. The first field of requests is the FastCGI request id.
@@ -232,7 +233,8 @@
         record: &Record,
         limits: &Limits,
     ) -> Result<(), ProtocolError> {
-        // Records of requests that are over are skipped: they may have been sent before the answer arrived.
+        // Records of requests that are over are skipped: they may have been sent before the answer
+        // arrived.
         let Some(Stream::Receiving(request)) = self.streams.get_mut(&record.id) else {
             return Ok(());
         };
--- a/crates/proxy/src/frontend/interconnect/content.rs
+++ b/crates/proxy/src/frontend/interconnect/content.rs
@@ -1,5 +1,5 @@
-//! Requests for content: URLs `/content/CLASS/OBJECT/PART?kb=SIZE&lot=GROUP`, where the part and the query may be
-//! absent.
+//! Requests for content: URLs `/content/CLASS/OBJECT/PART?kb=SIZE&lot=GROUP`, where the part and
+//! the query may be absent.
 
 use super::Identity;
 use crate::protocol::http::Head;
@@ -8,8 +8,8 @@
 const CONTENT_PREFIX: &str = "/content/";
 /// Digits of an object's key.
 const OBJECT_DIGITS: usize = 16;
-/// An odd multiplier, by which consecutive numbers become ids that never repeat before 2^64 of them (the golden
-/// ratio's fraction, which spreads them well).
+/// An odd multiplier, by which consecutive numbers become ids that never repeat before 2^64 of them
+/// (the golden ratio's fraction, which spreads them well).
 const ID_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// What the path of a content URL names.
@@ -64,7 +64,8 @@
     !text.is_empty() && text.bytes().all(allowed)
 }
 
-/// Numbers the requests for content and gives each an id: 16 hexadecimal digits, as all others have.
+/// Numbers the requests for content and gives each an id: 16 hexadecimal digits, as all others
+/// have.
 pub(super) struct RequestIds {
     seed: u64,
     issued: u64,
@@ -84,8 +85,8 @@
 
 /// The client request for a content URL; none if it names no content of this network.
 ///
-/// Parts of the query and tags that can't be used count as absent: clients were redirected here with a URL that
-/// another network wrote.
+/// Parts of the query and tags that can't be used count as absent: clients were redirected here
+/// with a URL that another network wrote.
 pub(super) fn client_request(
     identity: &Identity,
     ids: &mut RequestIds,
@@ -127,7 +128,8 @@
         .unwrap_or(0.0)
 }
 
-/// The tag of the copy that the client holds (RFC 9110, section 13.1.2). Weak tags are compared as strong ones.
+/// The tag of the copy that the client holds (RFC 9110, section 13.1.2). Weak tags are compared as
+/// strong ones.
 fn held_tag(head: &Head) -> Option<String> {
     let tag = head
         .header("if-none-match")?
--- a/crates/proxy/src/frontend/interconnect/footprint.rs
+++ b/crates/proxy/src/frontend/interconnect/footprint.rs
@@ -104,8 +104,8 @@
     notifications.collect()
 }
 
-/// The networks whose clients a peer serves by HTTP, by its advertisement; none if that is malformed. Footprints of
-/// types that are not known here reach no client.
+/// The networks whose clients a peer serves by HTTP, by its advertisement; none if that is
+/// malformed. Footprints of types that are not known here reach no client.
 pub(super) fn read_advertisement(payload: &Value) -> Option<Vec<Network>> {
     let mut networks = Vec::new();
     for capability in payload["capabilities"].as_array()? {
--- a/crates/proxy/src/frontend/interconnect/frontend.rs
+++ b/crates/proxy/src/frontend/interconnect/frontend.rs
@@ -50,8 +50,8 @@
         }
     }
 
-    /// Handles a request. `ready` tells whether content can be served, `purge_capacity` how many more purges can be
-    /// remembered, and `now` is Unix time in microseconds.
+    /// Handles a request. `ready` tells whether content can be served, `purge_capacity` how many
+    /// more purges can be remembered, and `now` is Unix time in microseconds.
     pub fn handle(
         &mut self,
         now: Micros,
--- a/crates/proxy/src/frontend/interconnect/identity.rs
+++ b/crates/proxy/src/frontend/interconnect/identity.rs
@@ -31,8 +31,8 @@
     pub footprint: Vec<Network>,
     /// The peers that we exchange messages with.
     pub peers: Vec<PeerCdn>,
-    /// The classes whose objects may be requested here, with the time in microseconds after which their clients give
-    /// up.
+    /// The classes whose objects may be requested here, with the time in microseconds after which
+    /// their clients give up.
     pub classes: Vec<(String, Micros)>,
 }
 
@@ -48,7 +48,8 @@
         Some(*timeout_us)
     }
 
-    /// Loop detection: whether a message has come through this network before (RFC 8007, section 4.6).
+    /// Loop detection: whether a message has come through this network before (RFC 8007, section
+    /// 4.6).
     pub(super) fn is_loop(&self, cdn_path: &[Value]) -> bool {
         has_passed(cdn_path, &self.provider)
     }
--- a/crates/proxy/src/frontend/interconnect/mod.rs
+++ b/crates/proxy/src/frontend/interconnect/mod.rs
@@ -1,9 +1,10 @@
 //! The CDNI front: interconnection with peer CDNs over HTTP/1.1.
 //!
-//! Terms are those of RFC 7336: an upstream CDN (uCDN) delegates delivery to a downstream CDN (dCDN). This network is
-//! either to its peers. [`InterconnectFrontend`] answers what needs no cache server: trigger commands (RFC 8007),
-//! footprint and capabilities advertisements (RFC 8008) and redirection requests (RFC 7975). Requests for content
-//! become the request table's and go through the same decisions as all others.
+//! Terms are those of RFC 7336: an upstream CDN (uCDN) delegates delivery to a downstream CDN
+//! (dCDN). This network is either to its peers. [`InterconnectFrontend`] answers what needs no
+//! cache server: trigger commands (RFC 8007), footprint and capabilities advertisements (RFC 8008)
+//! and redirection requests (RFC 7975). Requests for content become the request table's and go
+//! through the same decisions as all others.
 //!
 //! - `frontend`: the state of the interconnection; what a message leads to.
 //! - `route`: which interface a request is for.
--- a/crates/proxy/src/frontend/interconnect/redirect.rs
+++ b/crates/proxy/src/frontend/interconnect/redirect.rs
@@ -53,8 +53,8 @@
     scope: Network,
 }
 
-/// Responds to a redirection request: with our own content where the client lies in our footprint and we can serve,
-/// else with that of a peer that has advertised that it reaches the client.
+/// Responds to a redirection request: with our own content where the client lies in our footprint
+/// and we can serve, else with that of a peer that has advertised that it reaches the client.
 pub(super) fn respond(
     identity: &Identity,
     peer_footprints: &[PeerFootprint],
@@ -65,7 +65,8 @@
         .ok_or(NOT_JSON)
         .and_then(|payload| read_request(identity, payload))
         .and_then(|request| redirect(identity, peer_footprints, ready, &request));
-    // Also where there is no redirection the exchange itself went well: what went wrong stands in the payload.
+    // Also where there is no redirection the exchange itself went well: what went wrong stands in
+    // the payload.
     let payload = redirection.unwrap_or_else(
         |error| json!({"error": {"error-code": error.code, "reason": error.reason}}),
     );
@@ -101,7 +102,8 @@
     })
 }
 
-/// The networks that a request has passed, if it may be passed on (RFC 7975, "Loop Detection and Prevention").
+/// The networks that a request has passed, if it may be passed on (RFC 7975, "Loop Detection and
+/// Prevention").
 fn read_cdn_path<'a>(
     identity: &Identity,
     payload: &'a Value,
--- a/crates/proxy/src/frontend/interconnect/response.rs
+++ b/crates/proxy/src/frontend/interconnect/response.rs
@@ -47,7 +47,8 @@
     }
 }
 
-/// The response for an answer of the request table; `late` means that the client has given up by now.
+/// The response for an answer of the request table; `late` means that the client has given up by
+/// now.
 pub fn response(answer: Answer, late: bool) -> Response {
     match answer {
         Answer::Served(Content::Object { bytes, tag }) => object(bytes, tag),
@@ -71,7 +72,8 @@
     }
 }
 
-/// A rejection. `Retry-After` counts whole seconds (RFC 9110, section 10.2.3), and 0 would ask for a retry at once.
+/// A rejection. `Retry-After` counts whole seconds (RFC 9110, section 10.2.3), and 0 would ask for
+/// a retry at once.
 fn rejection(retry_after_us: Option<Micros>) -> Response {
     let wait_us = retry_after_us.unwrap_or(0);
     let wait_s = wait_us.div_ceil(MICROS_PER_SECOND).max(1);
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -6,7 +6,8 @@
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::RequestKey;
 
-/// A connection. Its requests are answered one after the other: while one waits, the next stays in the input buffer.
+/// A connection. Its requests are answered one after the other: while one waits, the next stays in
+/// the input buffer.
 pub struct Session {
     messages: Messages,
     /// The head of the request whose body is being received.
--- a/crates/proxy/src/frontend/interconnect/triggers/mod.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/mod.rs
@@ -1,7 +1,7 @@
 //! Control Interface / Triggers (RFC 8007): commands of a uCDN, and our own for peers.
 //!
-//! A command to purge takes effect before its response is written, so every trigger is complete or has failed as soon
-//! as its status resource exists.
+//! A command to purge takes effect before its response is written, so every trigger is complete or
+//! has failed as soon as its status resource exists.
 //!
 //! - `resources`: executes commands and keeps the trigger status resources.
 //! - `specification`: which purges a trigger specification stands for.
--- a/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
@@ -16,7 +16,8 @@
     propagate(identity, &specification, &[])
 }
 
-/// The URL of an object. One class will do: objects are known by their keys, whatever the class in the URL.
+/// The URL of an object. One class will do: objects are known by their keys, whatever the class in
+/// the URL.
 fn content_urls(identity: &Identity, object: &str) -> Vec<String> {
     let first_class = identity.classes.iter().take(1);
     first_class
@@ -24,8 +25,8 @@
         .collect()
 }
 
-/// A trigger command for every peer that has not seen it: our CDN Provider ID is added to the path of those that
-/// have (RFC 8007, section 4.6).
+/// A trigger command for every peer that has not seen it: our CDN Provider ID is added to the path
+/// of those that have (RFC 8007, section 4.6).
 pub(super) fn propagate(
     identity: &Identity,
     specification: &Value,
--- a/crates/proxy/src/frontend/interconnect/triggers/resources.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/resources.rs
@@ -10,9 +10,11 @@
 const STATUS_PTYPE: &str = "ci-trigger-status";
 /// The type of a trigger collection payload (RFC 8007, section 5.1.3).
 const COLLECTION_PTYPE: &str = "ci-trigger-collection";
-/// The error code of a command that this network is not willing to carry out (RFC 8007, section 5.2.7).
+/// The error code of a command that this network is not willing to carry out (RFC 8007, section
+/// 5.2.7).
 const REJECTED: &str = "ereject";
-/// Seconds after which the status resource of a trigger that is over may be removed (RFC 8007, section 4.5).
+/// Seconds after which the status resource of a trigger that is over may be removed (RFC 8007,
+/// section 4.5).
 const STALE_RESOURCE_TIME_S: u64 = 3600;
 
 /// A trigger command, and what its execution depends on.
@@ -126,7 +128,8 @@
         }
         match (payload["trigger"].as_object(), payload["cancel"].as_array()) {
             (Some(properties), None) => self.create(&command, properties, cdn_path),
-            // All triggers are over before a cancellation can come: there is nothing to stop, which is no error.
+            // All triggers are over before a cancellation can come: there is nothing to stop, which
+            // is no error.
             (None, Some(urls)) if urls.iter().all(Value::is_string) => CommandOutcome::bare(200),
             _ => CommandOutcome::bare(400),
         }
@@ -261,7 +264,8 @@
     Value::Object(selectors)
 }
 
-/// The purges that can be carried out, also if others can't, and the commands that pass the trigger on to peers.
+/// The purges that can be carried out, also if others can't, and the commands that pass the trigger
+/// on to peers.
 fn effects(
     command: &Command,
     specification: Specification,
--- a/crates/proxy/src/frontend/interconnect/triggers/specification.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/specification.rs
@@ -17,8 +17,8 @@
 pub(super) enum TriggerType {
     /// Content is to be fetched.
     Preposition,
-    /// Content is to be deleted, or to be validated before it is used again. Copies are not validated here: they are
-    /// purged, which is stricter.
+    /// Content is to be deleted, or to be validated before it is used again. Copies are not
+    /// validated here: they are purged, which is stricter.
     PurgeOrInvalidate,
     /// Not of the standard.
     Unknown,
@@ -112,8 +112,8 @@
     Ok(match selector {
         CONTENT_URLS => object_target(text()?),
         CONTENT_COLLECTIONS => group_target(text()?),
-        // Metadata is not held here, and objects are known by their keys alone, so that no pattern can be matched
-        // against them.
+        // Metadata is not held here, and objects are known by their keys alone, so that no pattern
+        // can be matched against them.
         _ => None,
     })
 }
--- a/crates/proxy/src/net/clock.rs
+++ b/crates/proxy/src/net/clock.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// The system's Unix clock at the start, advanced by its monotonic clock. Deadlines and the ages of purges share
-/// this scale, and a step of the system's clock moves neither.
+/// The system's Unix clock at the start, advanced by its monotonic clock. Deadlines and the ages of
+/// purges share this scale, and a step of the system's clock moves neither.
 #[derive(Clone, Copy)]
 pub struct Clock {
     unix_us: u64,
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -54,7 +54,8 @@
 ///
 /// # Errors
 ///
-/// Any error of the system calls; [`BufferedSocket::finish_connect`] tells how the connection came out.
+/// Any error of the system calls; [`BufferedSocket::finish_connect`] tells how the connection came
+/// out.
 pub fn connect(to: SocketAddr) -> io::Result<TcpStream> {
     let family = if to.is_ipv4() {
         AddressFamily::INET
@@ -70,8 +71,8 @@
 }
 
 impl BufferedSocket {
-    /// Takes over a socket. One that [`connect`] opened is not `connected` yet. `input` and `output` bound
-    /// the buffers, in bytes.
+    /// Takes over a socket. One that [`connect`] opened is not `connected` yet. `input` and
+    /// `output` bound the buffers, in bytes.
     pub fn new(
         socket: TcpStream,
         connected: bool,
@@ -108,12 +109,12 @@
         Ok(())
     }
 
-    /// Reads once. A full buffer reads nothing, so that the peer has to wait. `broken`: epoll has reported
-    /// the connection as broken.
+    /// Reads once. A full buffer reads nothing, so that the peer has to wait. `broken`: epoll has
+    /// reported the connection as broken.
     pub fn read(&mut self, broken: bool) -> IoProgress {
         if self.input.free_space() == 0 {
-            // epoll goes on reporting a broken connection whatever the interest: the loop would spin for as
-            // long as the buffer stays full, and there is no peer left to answer.
+            // epoll goes on reporting a broken connection whatever the interest: the loop would
+            // spin for as long as the buffer stays full, and there is no peer left to answer.
             return if broken {
                 IoProgress::Broken
             } else {
@@ -141,7 +142,8 @@
         progress
     }
 
-    /// Closes the writing half: the peer sees the end after all that was written. Unsent bytes are dropped.
+    /// Closes the writing half: the peer sees the end after all that was written. Unsent bytes are
+    /// dropped.
     pub fn shut_down_writes(&mut self) -> io::Result<()> {
         self.output.clear();
         self.socket.shutdown(Shutdown::Write)
--- a/crates/proxy/src/net/ring_buffer.rs
+++ b/crates/proxy/src/net/ring_buffer.rs
@@ -4,8 +4,8 @@
 
 /// A bounded ring of bytes.
 ///
-/// Memory is allocated with the first byte and grows with what is stored: hundreds of connections that send
-/// little may each be allowed much.
+/// Memory is allocated with the first byte and grows with what is stored: hundreds of connections
+/// that send little may each be allowed much.
 pub struct RingBuffer {
     bytes: Vec<u8>,
     capacity: usize,
--- a/crates/proxy/src/net/slab.rs
+++ b/crates/proxy/src/net/slab.rs
@@ -12,7 +12,8 @@
         self.0.data().as_ffi()
     }
 
-    /// The key of a number from [`to_u64`](Self::to_u64). Of any other number: a key that finds nothing.
+    /// The key of a number from [`to_u64`](Self::to_u64). Of any other number: a key that finds
+    /// nothing.
     pub fn from_u64(number: u64) -> Self {
         SlabKey(KeyData::from_ffi(number).into())
     }
--- a/crates/proxy/src/net/timer_queue.rs
+++ b/crates/proxy/src/net/timer_queue.rs
@@ -10,8 +10,8 @@
     sequence: u64,
 }
 
-/// Timers by the time at which they come due, in microseconds. Timers of one time come due in the order in
-/// which they were set.
+/// Timers by the time at which they come due, in microseconds. Timers of one time come due in the
+/// order in which they were set.
 pub struct TimerQueue<T> {
     timers: BTreeMap<TimerKey, T>,
     last_sequence: u64,
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -1,7 +1,8 @@
 //! FastCGI 1.0, the side of an application in the Responder role.
 //!
-//! Sections are those of the FastCGI specification 1.0. A connection carries records in both directions; the records
-//! of one request share a request id, and those of id 0 concern the connection.
+//! Sections are those of the FastCGI specification 1.0. A connection carries records in both
+//! directions; the records of one request share a request id, and those of id 0 concern the
+//! connection.
 
 use super::{Parser, ProtocolError};
 
@@ -29,7 +30,8 @@
     pub const UNKNOWN_TYPE: u8 = 11;
 }
 
-/// The request id of management records, which concern the connection (section 3.3, `FCGI_NULL_REQUEST_ID`).
+/// The request id of management records, which concern the connection (section 3.3,
+/// `FCGI_NULL_REQUEST_ID`).
 pub const MANAGEMENT_ID: u16 = 0;
 
 /// The protocol status of a request that is complete (section 5.5).
@@ -175,7 +177,8 @@
     })
 }
 
-/// Writes a record without padding. Longer content than [`MOST_CONTENT`] is cut, which callers prevent.
+/// Writes a record without padding. Longer content than [`MOST_CONTENT`] is cut, which callers
+/// prevent.
 pub fn write_record(out: &mut Vec<u8>, kind: u8, id: u16, content: &[u8]) {
     let length = content.len().min(MOST_CONTENT);
     let [id_high, id_low] = id.to_be_bytes();
@@ -193,7 +196,8 @@
     out.extend_from_slice(&content[..length]);
 }
 
-/// Writes the record that ends a request with a protocol status, and with 0 as the status of the application.
+/// Writes the record that ends a request with a protocol status, and with 0 as the status of the
+/// application.
 pub fn write_end(out: &mut Vec<u8>, id: u16, status: u8) {
     write_record(out, kind::END, id, &[0, 0, 0, 0, status, 0, 0, 0]);
 }
--- a/crates/proxy/src/protocol/http/messages.rs
+++ b/crates/proxy/src/protocol/http/messages.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// A reader of responses: lines and bodies have so many bytes at most. The limit of bodies is `usize::MAX` for
-    /// streams.
+    /// A reader of responses: lines and bodies have so many bytes at most. The limit of bodies is
+    /// `usize::MAX` for streams.
     pub fn responses(line_limit: usize, body_limit: usize) -> Self {
         Messages {
             reads_responses: true,
@@ -77,7 +77,8 @@
         }
     }
 
-    /// Whether the end of the connection would now be the end of a message, or come between two messages.
+    /// Whether the end of the connection would now be the end of a message, or come between two
+    /// messages.
     pub fn may_end(&self) -> bool {
         match self.state {
             State::UntilClose => true,
@@ -93,7 +94,8 @@
         Piece::End
     }
 
-    /// Takes bytes of the body: how many, and the piece of the body. None if the state awaits a line.
+    /// Takes bytes of the body: how many, and the piece of the body. None if the state awaits a
+    /// line.
     fn take_body(&mut self, input: &[u8]) -> Option<(usize, Piece)> {
         let consumed = match self.state {
             State::Sized(remaining) | State::ChunkData(remaining) => remaining.min(input.len()),
@@ -214,7 +216,8 @@
         }
     }
 
-    /// The state that follows the line with the size of a chunk. Extensions of the chunk are skipped.
+    /// The state that follows the line with the size of a chunk. Extensions of the chunk are
+    /// skipped.
     fn chunk_state(&mut self, line: &[u8]) -> Result<State, ProtocolError> {
         let line = std::str::from_utf8(line).unwrap_or("");
         let digits = line.split(';').next().unwrap_or("").trim();
--- a/crates/proxy/src/protocol/http/mod.rs
+++ b/crates/proxy/src/protocol/http/mod.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 messages (RFC 9112): a head, then a body that ends by its length, by its last chunk or with the connection.
+//! HTTP/1.1 messages (RFC 9112): a head, then a body that ends by its length, by its last chunk or
+//! with the connection.
 
 mod head;
 mod messages;
@@ -6,7 +7,8 @@
 pub use head::Head;
 pub use messages::{Messages, Piece};
 
-/// Writes a message: `start` is its start line without the line end, and `Content-Length` is added to the headers.
+/// Writes a message: `start` is its start line without the line end, and `Content-Length` is added
+/// to the headers.
 pub fn write_message(out: &mut Vec<u8>, start: &str, headers: &[(&str, &str)], body: &[u8]) {
     out.extend_from_slice(start.as_bytes());
     out.extend_from_slice(b"\r\n");
--- a/crates/proxy/src/protocol/mod.rs
+++ b/crates/proxy/src/protocol/mod.rs
@@ -1,7 +1,8 @@
 //! Codecs: incremental parsers and writers of protocols, without any I/O.
 //!
-//! Every parser takes bytes as they arrive, cut anywhere, and is bounded by limits that are checked before memory is
-//! taken for what a peer announces. Unusable input is a typed error, never a panic.
+//! Every parser takes bytes as they arrive, cut anywhere, and is bounded by limits that are checked
+//! before memory is taken for what a peer announces. Unusable input is a typed error, never a
+//! panic.
 //!
 //! - [`fastcgi`]: FastCGI 1.0 records and parameters.
 //! - [`http`]: HTTP/1.1 messages (RFC 9112).
@@ -18,7 +19,8 @@
 
 /// Why input can't be read. It ends the connection that the input came by.
 ///
-/// The text names the part of the input that is at fault and, where it isn't plain, what was expected.
+/// The text names the part of the input that is at fault and, where it isn't plain, what was
+/// expected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ProtocolError {
     /// Longer than the limits allow.
@@ -34,7 +36,8 @@
     /// What the parser yields.
     type Item;
 
-    /// Parses up to the end of the next item: how many bytes of `input` are consumed, and the item if it is whole.
+    /// Parses up to the end of the next item: how many bytes of `input` are consumed, and the item
+    /// if it is whole.
     ///
     /// Bytes behind the item are left to the next call. Without an item all of `input` is consumed.
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError>;
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -1,7 +1,7 @@
 //! RESP arrays of bulk strings, the protocol of the cache servers.
 //!
-//! An array is `*COUNT`, CR LF, then its strings; a string is `$LENGTH`, CR LF, its bytes, CR LF. Other RESP types are
-//! not used.
+//! An array is `*COUNT`, CR LF, then its strings; a string is `$LENGTH`, CR LF, its bytes, CR LF.
+//! Other RESP types are not used.
 
 use super::line::LineBuffer;
 use super::{Parser, ProtocolError};
@@ -22,7 +22,8 @@
     ArrayHeader,
     /// The line that announces the next string of an array, which lacks so many strings.
     StringHeader { missing: usize },
-    /// The bytes of a string and its line end, in an array that lacks so many strings, this one among them.
+    /// The bytes of a string and its line end, in an array that lacks so many strings, this one
+    /// among them.
     StringContent { missing: usize, length: usize },
 }
 
--- a/crates/proxy/src/protocol/sse.rs
+++ b/crates/proxy/src/protocol/sse.rs
@@ -1,7 +1,7 @@
 //! Server-sent events (HTML Standard, section 9.2).
 //!
-//! A stream is made of lines `name: value`. The `data` lines up to an empty line make up an event; an `id` line names
-//! the id of all events from there on. Comments and other fields are skipped.
+//! A stream is made of lines `name: value`. The `data` lines up to an empty line make up an event;
+//! an `id` line names the id of all events from there on. Comments and other fields are skipped.
 
 use super::line::LineBuffer;
 use super::{Parser, ProtocolError};
--- a/crates/proxy/src/request_table/admission.rs
+++ b/crates/proxy/src/request_table/admission.rs
@@ -5,8 +5,8 @@
 use std::error::Error;
 use std::fmt;
 
-/// Why a request is not admitted. Nothing of it ran and nothing of it is kept, so the frontend can reject it as safe to
-/// retry.
+/// Why a request is not admitted. Nothing of it ran and nothing of it is kept, so the frontend can
+/// reject it as safe to retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionError {
     /// The bodies of all pending requests would be more bytes than allowed.
--- a/crates/proxy/src/request_table/attempt.rs
+++ b/crates/proxy/src/request_table/attempt.rs
@@ -1,4 +1,5 @@
-//! One attempt: a request sent to one cache server, with its limits in time and the way in which it ended.
+//! One attempt: a request sent to one cache server, with its limits in time and the way in which it
+//! ended.
 
 use super::request::{Content, RequestKey};
 use super::trace::TraceEvent;
@@ -20,8 +21,8 @@
     pub server: ServerId,
     /// How a miss is filled; none: only what the server has cached.
     pub fill: Option<Fill>,
-    /// The oldest copy that will do, as an age in microseconds: the router's bound, or that of a purge that came since,
-    /// as long as nothing of the attempt is written.
+    /// The oldest copy that will do, as an age in microseconds: the router's bound, or that of a
+    /// purge that came since, as long as nothing of the attempt is written.
     pub max_age_us: Option<Micros>,
     /// When the attempt is cancelled at the latest.
     pub deadline: Micros,
@@ -98,7 +99,8 @@
         self.cancelled_as.is_some()
     }
 
-    /// Marks the attempt as cancelled, to be reported with this outcome. False: it was cancelled before.
+    /// Marks the attempt as cancelled, to be reported with this outcome. False: it was cancelled
+    /// before.
     pub(super) fn cancel(&mut self, outcome: Outcome) -> bool {
         if self.is_cancelled() {
             return false;
@@ -116,8 +118,8 @@
         self.spec.max_age_us = Some(bound);
     }
 
-    /// The outcome that counts. An answer that was in transit when the attempt was cancelled is still how it ended;
-    /// only a confirmed cancellation is reported as what it was cancelled for.
+    /// The outcome that counts. An answer that was in transit when the attempt was cancelled is
+    /// still how it ended; only a confirmed cancellation is reported as what it was cancelled for.
     pub(super) fn effective_outcome(&self, reported: Outcome) -> Outcome {
         match reported {
             Outcome::Cancelled => self.cancelled_as.unwrap_or(reported),
--- a/crates/proxy/src/request_table/command.rs
+++ b/crates/proxy/src/request_table/command.rs
@@ -4,8 +4,8 @@
 use super::request::{Answer, RequestKey, ResponseTarget};
 use edge_routing::{Micros, ServerId};
 
-/// A timer of the request table. The event loop hands it back unchanged when it fires; there is no way to stop one, so
-/// what a timer is for may be over by then.
+/// A timer of the request table. The event loop hands it back unchanged when it fires; there is no
+/// way to stop one, so what a timer is for may be over by then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestTimer {
     /// The deadline of a request, or a sweep on the way to it.
@@ -21,16 +21,19 @@
 pub enum Command {
     /// Send an attempt; `RequestTable::attempt_spec` tells how.
     SendAttempt(AttemptId),
-    /// Cancel an attempt, and report it ended once the server can no longer mistake it for one in flight.
+    /// Cancel an attempt, and report it ended once the server can no longer mistake it for one in
+    /// flight.
     CancelAttempt(AttemptId, ServerId),
     /// Take back an attempt of which nothing is written yet; one that is under way goes on.
     DequeueAttempt(AttemptId, ServerId),
     /// Give a client its final answer.
     Respond(ResponseTarget, Answer),
-    /// Call `RequestTable::timer_fired` with this timer at this time, in microseconds of the loop's clock.
+    /// Call `RequestTable::timer_fired` with this timer at this time, in microseconds of the loop's
+    /// clock.
     SetTimer(Micros, RequestTimer),
     /// Ask a server for its load, and report by `RequestTable::probe_ended`.
     Probe(ServerId),
-    /// A server is draining or gone: take back what is not written yet to it, or would be filled from it.
+    /// A server is draining or gone: take back what is not written yet to it, or would be filled
+    /// from it.
     DrainServer(ServerId),
 }
--- a/crates/proxy/src/request_table/counters.rs
+++ b/crates/proxy/src/request_table/counters.rs
@@ -2,8 +2,8 @@
 
 use super::request::Answer;
 
-/// Totals since the start. Each admitted request ends up in exactly one of `served`, `rejected`, `failed` and
-/// `disconnected`.
+/// Totals since the start. Each admitted request ends up in exactly one of `served`, `rejected`,
+/// `failed` and `disconnected`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestCounters {
     /// Requests admitted.
--- a/crates/proxy/src/request_table/log_rate.rs
+++ b/crates/proxy/src/request_table/log_rate.rs
@@ -5,7 +5,8 @@
 
 const MICROS_PER_SECOND: Micros = 1_000_000;
 
-/// Lets so many lines through in each whole second of the clock, and counts those that it suppresses.
+/// Lets so many lines through in each whole second of the clock, and counts those that it
+/// suppresses.
 #[derive(Clone, Debug)]
 pub struct LogRateLimiter {
     lines_per_second: u32,
@@ -14,8 +15,8 @@
     suppressed: u32,
 }
 
-/// How many lines were suppressed since the last one that was let through. Shown as a remark to add to a line; empty
-/// for none.
+/// How many lines were suppressed since the last one that was let through. Shown as a remark to add
+/// to a line; empty for none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuppressedLines(pub u32);
 
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -1,9 +1,9 @@
 //! Requests, their attempts, and exactly one final answer for each request.
 //!
-//! The table does no I/O. The event loop tells it what frontends, upstream connections, discovery and timers bring,
-//! through the methods of [`RequestTable`]; it drives the router and leaves [`Command`]s, which the event loop carries
-//! out. Upstream connections look up the requests that they send. The table knows no wire: frontends and upstream
-//! connections translate.
+//! The table does no I/O. The event loop tells it what frontends, upstream connections, discovery
+//! and timers bring, through the methods of [`RequestTable`]; it drives the router and leaves
+//! [`Command`]s, which the event loop carries out. Upstream connections look up the requests that
+//! they send. The table knows no wire: frontends and upstream connections translate.
 //!
 //! All times are microseconds of the event loop's clock, passed in as `now`.
 
@@ -44,11 +44,12 @@
 };
 use std::net::SocketAddr;
 
-/// The pending requests, the servers that take their attempts, and the router that decides about both.
+/// The pending requests, the servers that take their attempts, and the router that decides about
+/// both.
 ///
 /// Invariants:
-/// - Exactly one final answer: an admitted request gets one [`Command::Respond`], at its deadline at the latest, unless
-///   its client disconnects before; then it gets none.
+/// - Exactly one final answer: an admitted request gets one [`Command::Respond`], at its deadline
+///   at the latest, unless its client disconnects before; then it gets none.
 /// - At most one attempt of a request is in flight.
 /// - Reports on attempts, timers and requests that are over change nothing.
 pub struct RequestTable {
@@ -93,8 +94,8 @@
         })
     }
 
-    /// The commands since the last call, in the order in which they are to be carried out. The event loop calls this
-    /// after each other call, until nothing comes.
+    /// The commands since the last call, in the order in which they are to be carried out. The
+    /// event loop calls this after each other call, until nothing comes.
     pub fn take_commands(&mut self) -> Vec<Command> {
         std::mem::take(&mut self.commands)
     }
@@ -145,7 +146,8 @@
         self.handle_event(now, Event::EndpointList { mode, endpoints });
     }
 
-    /// An object was purged at `at`, or with none a whole group. The cache servers hear of it by themselves.
+    /// An object was purged at `at`, or with none a whole group. The cache servers hear of it by
+    /// themselves.
     pub fn purged(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
         match &object {
             Some(object) => log::debug!("object {object} was purged"),
@@ -159,8 +161,8 @@
         self.apply_purge(now, purge);
     }
 
-    /// As `purged`, but only this proxy and its peers are told, so the purge is enforced for as long as the proxy runs.
-    /// False: there is no room for it, and it is not in force.
+    /// As `purged`, but only this proxy and its peers are told, so the purge is enforced for as
+    /// long as the proxy runs. False: there is no room for it, and it is not in force.
     pub fn purge_permanently(
         &mut self,
         now: Micros,
@@ -191,7 +193,8 @@
         self.handle_event(now, purge.into_event(now));
     }
 
-    /// A frontend has a request. On an error nothing is kept of it, and the frontend has to reject it.
+    /// A frontend has a request. On an error nothing is kept of it, and the frontend has to reject
+    /// it.
     pub fn admit(
         &mut self,
         now: Micros,
@@ -237,8 +240,8 @@
         self.release_if_complete(now, request_key);
     }
 
-    /// An upstream connection reports how an attempt ended. One that is no longer in flight is ignored: late answers
-    /// change nothing.
+    /// An upstream connection reports how an attempt ended. One that is no longer in flight is
+    /// ignored: late answers change nothing.
     pub fn attempt_ended(&mut self, now: Micros, attempt: AttemptId, mut result: AttemptResult) {
         let request_key = attempt.request_key;
         let Some(pending) = self.requests.get_mut(request_key) else {
@@ -259,7 +262,8 @@
         self.release_if_complete(now, request_key);
     }
 
-    /// An upstream connection reports how a probe of a server ended, and how long it took in microseconds.
+    /// An upstream connection reports how a probe of a server ended, and how long it took in
+    /// microseconds.
     pub fn probe_ended(
         &mut self,
         now: Micros,
@@ -286,8 +290,8 @@
         }
     }
 
-    /// Fails every request that is still owed an answer. For a shutdown, when the process may be killed at any moment:
-    /// `Failed` is the answer that claims nothing about what ran.
+    /// Fails every request that is still owed an answer. For a shutdown, when the process may be
+    /// killed at any moment: `Failed` is the answer that claims nothing about what ran.
     pub fn fail_all_pending(&mut self, now: Micros) {
         for request_key in self.requests.keys() {
             self.fail_if_unsettled(now, request_key);
--- a/crates/proxy/src/request_table/pending_requests.rs
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -9,8 +9,8 @@
 
 /// The pending requests by their keys.
 ///
-/// Invariants: `ids` holds the id of every request in the slab, no two of which are the same; `body_bytes` is the sum
-/// of the lengths of their bodies.
+/// Invariants: `ids` holds the id of every request in the slab, no two of which are the same;
+/// `body_bytes` is the sum of the lengths of their bodies.
 pub(super) struct PendingRequests {
     slab: Slab<PendingRequest>,
     ids: HashSet<String>,
@@ -47,7 +47,8 @@
         Ok(request_key)
     }
 
-    /// Takes out a request that is settled and has no attempt in flight. None: it is not there, or not complete.
+    /// Takes out a request that is settled and has no attempt in flight. None: it is not there, or
+    /// not complete.
     pub(super) fn remove_if_complete(&mut self, request_key: RequestKey) -> Option<PendingRequest> {
         if !self.get(request_key)?.is_complete() {
             return None;
@@ -72,8 +73,9 @@
             .is_some_and(|pending| !pending.is_settled())
     }
 
-    /// Makes the attempts in flight accept no copy from before a purge. One that waits for its connection was decided
-    /// on before the purge, and may begin after the grace that the router allows for.
+    /// Makes the attempts in flight accept no copy from before a purge. One that waits for its
+    /// connection was decided on before the purge, and may begin after the grace that the router
+    /// allows for.
     pub(super) fn tighten_max_age(&mut self, now: Micros, purge: &Purge) {
         let max_age_us = purge.max_age_us(now);
         for request_key in self.slab.keys() {
--- a/crates/proxy/src/request_table/purges.rs
+++ b/crates/proxy/src/request_table/purges.rs
@@ -30,7 +30,8 @@
 }
 
 impl Purge {
-    /// The oldest copy that this purge leaves valid, as an age; never 0, which would ask for a copy from the future.
+    /// The oldest copy that this purge leaves valid, as an age; never 0, which would ask for a copy
+    /// from the future.
     pub(super) fn max_age_us(&self, now: Micros) -> Micros {
         now.saturating_sub(self.purged_at).max(1)
     }
@@ -45,7 +46,8 @@
     }
 }
 
-/// The targets of all permanent purges, up to a capacity. A purge of the same target takes no further room.
+/// The targets of all permanent purges, up to a capacity. A purge of the same target takes no
+/// further room.
 pub(super) struct PermanentPurges {
     targets: BTreeSet<PurgeTarget>,
     capacity: usize,
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -5,11 +5,12 @@
 use crate::net::SlabKey;
 use edge_routing::{Micros, Request};
 
-/// The key of a pending request. A later request in the same slot has another key, so what comes late for the one does
-/// not reach the other.
+/// The key of a pending request. A later request in the same slot has another key, so what comes
+/// late for the one does not reach the other.
 pub type RequestKey = SlabKey;
 
-/// Where the final answer of a request goes: a client connection of some frontend, and the request's number on it.
+/// Where the final answer of a request goes: a client connection of some frontend, and the
+/// request's number on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseTarget {
     /// The client connection.
@@ -33,11 +34,13 @@
     pub group: u64,
     /// Size of the part in KB; 0: unknown.
     pub size_kb: f64,
-    /// How much longer the client waits, in microseconds. The table subtracts the lead that an answer needs.
+    /// How much longer the client waits, in microseconds. The table subtracts the lead that an
+    /// answer needs.
     pub remaining_us: Micros,
     /// The client's idempotency key, for classes that are retried under one.
     pub idempotency_key: Option<String>,
-    /// Tag of the copy that the client holds, if any: the server may then answer `Content::Unchanged`.
+    /// Tag of the copy that the client holds, if any: the server may then answer
+    /// `Content::Unchanged`.
     pub client_copy_tag: Option<String>,
     /// Payload of a write; empty for a read.
     pub body: Vec<u8>,
@@ -91,8 +94,9 @@
 /// A request from its admission until it is settled and has no attempt in flight.
 ///
 /// Invariants:
-/// - Exactly one final answer: the response target is held from the admission on and given out by `settle` alone, once.
-///   Without it no answer can be given, so nothing that comes later can cause a second one.
+/// - Exactly one final answer: the response target is held from the admission on and given out by
+///   `settle` alone, once. Without it no answer can be given, so nothing that comes later can cause
+///   a second one.
 /// - At most one attempt is in flight.
 pub(super) struct PendingRequest {
     /// Where the final answer goes; none once the request is settled.
--- a/crates/proxy/src/request_table/router_actions.rs
+++ b/crates/proxy/src/request_table/router_actions.rs
@@ -1,4 +1,5 @@
-//! Drives the router: each event goes in, and the actions that come out become changes of the table and commands.
+//! Drives the router: each event goes in, and the actions that come out become changes of the table
+//! and commands.
 
 use super::attempt::{AttemptId, AttemptOrder};
 use super::command::{Command, RequestTimer};
@@ -8,8 +9,8 @@
 use edge_routing::{Action, Event, Micros, Outcome};
 
 impl RequestTable {
-    /// Tells the router of an event, and carries out its actions in order. No action leads to a further event at once,
-    /// so this never calls itself.
+    /// Tells the router of an event, and carries out its actions in order. No action leads to a
+    /// further event at once, so this never calls itself.
     pub(super) fn handle_event(&mut self, now: Micros, event: Event) {
         let mut actions = std::mem::take(&mut self.action_buffer);
         self.router.handle(now, event, &mut actions);
--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -15,8 +15,8 @@
     pub address: SocketAddr,
 }
 
-/// The number of a server, from its id on the wire (FNV-1a, 64 bits). It is the same at every proxy: the router's order
-/// of servers is hashed from it.
+/// The number of a server, from its id on the wire (FNV-1a, 64 bits). It is the same at every
+/// proxy: the router's order of servers is hashed from it.
 pub fn server_id(wire_id: &str) -> ServerId {
     const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x100_0000_01b3;
@@ -31,15 +31,17 @@
     state: EndpointState,
 }
 
-/// The servers that are ready or draining. One that is gone is forgotten: new servers come under new ids all day long.
+/// The servers that are ready or draining. One that is gone is forgotten: new servers come under
+/// new ids all day long.
 #[derive(Default)]
 pub(super) struct ServerDirectory {
     servers: BTreeMap<ServerId, KnownServer>,
 }
 
 impl ServerDirectory {
-    /// Applies a snapshot of the list or a change to it. Returns the servers that accept no more work from here on, in
-    /// the order of the change; a server that a snapshot does not name is gone.
+    /// Applies a snapshot of the list or a change to it. Returns the servers that accept no more
+    /// work from here on, in the order of the change; a server that a snapshot does not name is
+    /// gone.
     pub(super) fn update(
         &mut self,
         mode: EndpointListMode,
@@ -74,8 +76,8 @@
             .collect()
     }
 
-    /// Takes over one entry. A server new to the directory counts as ready before, so that it is withdrawn too if its
-    /// first entry says draining.
+    /// Takes over one entry. A server new to the directory counts as ready before, so that it is
+    /// withdrawn too if its first entry says draining.
     fn list(&mut self, entry: &ListedServer) -> Option<ServerId> {
         let id = entry.endpoint.id;
         let server = self.servers.entry(id).or_insert_with(|| KnownServer {
--- a/crates/proxy/src/request_table/settlement.rs
+++ b/crates/proxy/src/request_table/settlement.rs
@@ -1,4 +1,5 @@
-//! How requests and attempts come to their end: the final answer, deadlines, cancellation, and the release of the slot.
+//! How requests and attempts come to their end: the final answer, deadlines, cancellation, and the
+//! release of the slot.
 
 use super::attempt::AttemptId;
 use super::command::{Command, RequestTimer};
@@ -8,7 +9,8 @@
 use edge_routing::{Event, Micros, Outcome};
 
 impl RequestTable {
-    /// Gives a request its final answer. The one place where answers are given; a settled request gets none.
+    /// Gives a request its final answer. The one place where answers are given; a settled request
+    /// gets none.
     pub(super) fn give_answer(&mut self, now: Micros, request_key: RequestKey, answer: Answer) {
         let Some(pending) = self.requests.get_mut(request_key) else {
             return;
@@ -27,8 +29,9 @@
         }
     }
 
-    /// Asks for an attempt to be cancelled, unless it was cancelled before. It stays in flight until the upstream
-    /// connection reports it ended; a report of `Cancelled` then counts as `outcome`.
+    /// Asks for an attempt to be cancelled, unless it was cancelled before. It stays in flight
+    /// until the upstream connection reports it ended; a report of `Cancelled` then counts as
+    /// `outcome`.
     pub(super) fn cancel_attempt(&mut self, attempt: AttemptId, outcome: Outcome) {
         let Some(pending) = self.requests.get_mut(attempt.request_key) else {
             return;
@@ -42,8 +45,9 @@
         }
     }
 
-    /// Takes back an attempt that the router left in flight when its client disconnected. It may go on where the
-    /// settings don't allow cancellation, but what is not written yet must not begin in any case.
+    /// Takes back an attempt that the router left in flight when its client disconnected. It may go
+    /// on where the settings don't allow cancellation, but what is not written yet must not begin
+    /// in any case.
     pub(super) fn dequeue_abandoned_attempt(&mut self, request_key: RequestKey) {
         let Some(pending) = self.requests.get(request_key) else {
             return;
@@ -62,8 +66,8 @@
         self.commands.push(Command::DequeueAttempt(attempt, server));
     }
 
-    /// Sets the timer for a request's deadline, or for the next sweep on the way there: timers can't be stopped, and
-    /// those of a flood of short requests with long deadlines would add up.
+    /// Sets the timer for a request's deadline, or for the next sweep on the way there: timers
+    /// can't be stopped, and those of a flood of short requests with long deadlines would add up.
     pub(super) fn set_deadline_timer(&mut self, now: Micros, request_key: RequestKey) {
         if let Some(pending) = self.requests.get(request_key) {
             let at = pending.deadline.min(now + self.deadlines.sweep_interval_us);
@@ -72,9 +76,10 @@
         }
     }
 
-    /// Ends a request at its deadline; before it, sets the next timer. The attempt in flight has timed out, and the
-    /// router has the last word, which can't be a retry. The same holds for an attempt that a disconnected client left
-    /// behind where the settings don't allow cancellation: its answer may never come.
+    /// Ends a request at its deadline; before it, sets the next timer. The attempt in flight has
+    /// timed out, and the router has the last word, which can't be a retry. The same holds for an
+    /// attempt that a disconnected client left behind where the settings don't allow cancellation:
+    /// its answer may never come.
     pub(super) fn check_deadline(&mut self, now: Micros, request_key: RequestKey) {
         let Some(pending) = self.requests.get(request_key) else {
             return;
@@ -91,7 +96,8 @@
             self.attempt_ended(now, attempt, Outcome::Timeout.into());
         }
         if self.requests.is_unsettled(request_key) {
-            // Keeps the promise of one answer against a router that holds a request past its deadline.
+            // Keeps the promise of one answer against a router that holds a request past its
+            // deadline.
             log::warn!("a request was still unanswered at its deadline");
             self.fail_if_unsettled(now, request_key);
         }
--- a/crates/proxy/src/request_table/tests.rs
+++ b/crates/proxy/src/request_table/tests.rs
@@ -1,4 +1,5 @@
-//! Parts of the request table, each alone: the request trace, the log's rate limit, permanent purges.
+//! Parts of the request table, each alone: the request trace, the log's rate limit, permanent
+//! purges.
 
 use super::purges::{PermanentPurges, PurgeTarget};
 use super::{LogRateLimiter, RequestEnding, RequestTrace, SuppressedLines, TraceEvent};
--- a/crates/proxy/src/request_table/trace.rs
+++ b/crates/proxy/src/request_table/trace.rs
@@ -65,7 +65,8 @@
     ending: RequestEnding,
 }
 
-/// The ended attempts of a request and how the request ended. The router's limit on attempts bounds its length.
+/// The ended attempts of a request and how the request ended. The router's limit on attempts bounds
+/// its length.
 #[derive(Clone, Debug)]
 pub struct RequestTrace {
     admitted_at: Micros,
@@ -93,7 +94,8 @@
         self.end = Some(TraceEnd { at: now, ending });
     }
 
-    /// Whether the request was served by its first attempt, in the first half of its time: nothing worth a log line.
+    /// Whether the request was served by its first attempt, in the first half of its time: nothing
+    /// worth a log line.
     pub fn is_smooth(&self, deadline: Micros) -> bool {
         let half_time = self.admitted_at + deadline.saturating_sub(self.admitted_at) / 2;
         let served_in_half_time = self
@@ -102,8 +104,8 @@
         self.attempts.len() == 1 && served_in_half_time
     }
 
-    /// The whole trace in one line, times in milliseconds since the admission. `wire_id_of` gives the id of a server
-    /// that is still listed; any other is shown by its number.
+    /// The whole trace in one line, times in milliseconds since the admission. `wire_id_of` gives
+    /// the id of a server that is still listed; any other is shown by its number.
     pub fn line<'a>(&self, wire_id_of: impl Fn(ServerId) -> Option<&'a str>) -> String {
         let mut line = String::new();
         if let Some(end) = self.end {
@@ -162,7 +164,8 @@
         }
     }
 
-    /// Logs a request that is complete, unless it went smoothly or too many lines were written this second.
+    /// Logs a request that is complete, unless it went smoothly or too many lines were written this
+    /// second.
     pub(super) fn write(
         &mut self,
         now: Micros,
--- a/crates/proxy/tests/cancellation.rs
+++ b/crates/proxy/tests/cancellation.rs
@@ -95,8 +95,8 @@
     client.abort(1).unwrap();
     assert_eq!(client.next_response().unwrap(), (1, None));
 
-    // The table has room for one request: until the first one's deadline, others are refused. The response to the
-    // health check comes first if the second request is not refused.
+    // The table has room for one request: until the first one's deadline, others are refused. The
+    // response to the health check comes first if the second request is not refused.
     let deadline = Instant::now() + TEST_TIMEOUT;
     let fetch = loop {
         client
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -52,7 +52,8 @@
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
         .unwrap();
 
-    // The waiting client gets a response to all that it sends; a new request would outlive the process.
+    // The waiting client gets a response to all that it sends; a new request would outlive the
+    // process.
     waiting_client
         .request_object(2, WRITE_CLASS, &object_key(3), LONG_BUDGET_MS)
         .unwrap();
--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -1,4 +1,5 @@
-//! The codecs against valid input that is split at random places, against random garbage, and at their limits.
+//! The codecs against valid input that is split at random places, against random garbage, and at
+//! their limits.
 
 mod support;
 
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -98,7 +98,8 @@
     (request_key, attempt)
 }
 
-/// Admits a request and returns its first attempt, and its deadline timer with the time for which it is set.
+/// Admits a request and returns its first attempt, and its deadline timer with the time for which
+/// it is set.
 fn admit_until_deadline(request_table: &mut RequestTable) -> (AttemptId, u64, RequestTimer) {
     admit(request_table, 1, read_request()).unwrap();
     let commands = request_table.take_commands();
--- a/crates/proxy/tests/scenario.rs
+++ b/crates/proxy/tests/scenario.rs
@@ -1,4 +1,5 @@
-//! The loopback scenario against the real program: it finds no violation, and finds the injected ones.
+//! The loopback scenario against the real program: it finds no violation, and finds the injected
+//! ones.
 
 use edge_testkit::{run_scenario, InjectedFault, Rule};
 use std::path::Path;
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -13,7 +13,8 @@
 use serde_json::Value;
 use std::net::{SocketAddr, TcpListener};
 
-/// An address at which nothing listens any more. That a connection is refused proves that no attempt ran.
+/// An address at which nothing listens any more. That a connection is refused proves that no
+/// attempt ran.
 fn unused_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0")
         .unwrap()
--- a/crates/proxy/tests/support/parsing.rs
+++ b/crates/proxy/tests/support/parsing.rs
@@ -15,7 +15,8 @@
     }
 }
 
-/// All items that a parser yields for input that arrives split at these places, or the error that ends them.
+/// All items that a parser yields for input that arrives split at these places, or the error that
+/// ends them.
 ///
 /// A place beyond the input counts modulo its length, so that any number will do.
 pub fn parse_all<P: Parser>(
@@ -53,8 +54,8 @@
     split % (input.len() + 1)
 }
 
-/// Asserts that valid input yields the same items whole and split, and that garbage, alone or in the midst of valid
-/// input, yields items or an error, never a panic.
+/// Asserts that valid input yields the same items whole and split, and that garbage, alone or in
+/// the midst of valid input, yields items or an error, never a panic.
 ///
 /// `normalize` removes differences between the items that may come from the splits alone.
 pub fn assert_robust<P: Parser>(
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -1,4 +1,5 @@
-//! Connections to cache servers: how attempts share them, and what their end means for the attempts on them.
+//! Connections to cache servers: how attempts share them, and what their end means for the attempts
+//! on them.
 
 use edge_testkit::fake_cache::Behavior;
 use edge_testkit::fake_event_bus::{cache_entry, server_state};
@@ -223,8 +224,8 @@
         .answer(&fetch.request_id, "503", "-", "")
         .unwrap();
 
-    // The attempt never ran, so there is a retry. On the same connection nothing would tell the duplicate of the
-    // first response from the response to the retry.
+    // The attempt never ran, so there is a retry. On the same connection nothing would tell the
+    // duplicate of the first response from the response to the retry.
     let mut retry_connection = server.accept().unwrap();
     let retry = retry_connection.next_frame().unwrap();
     assert_eq!(retry.command, "fetch");
--- a/crates/testkit/examples/fake_caches.rs
+++ b/crates/testkit/examples/fake_caches.rs
@@ -1,5 +1,5 @@
-//! The servers of `examples/config.json`, for a first try of the proxy: two caches and an origin, until this program is
-//! stopped.
+//! The servers of `examples/config.json`, for a first try of the proxy: two caches and an origin,
+//! until this program is stopped.
 
 use edge_testkit::fake_cache::FakeCacheServer;
 
--- a/crates/testkit/src/fake_cache.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -1,4 +1,5 @@
-//! Fake cache servers: they keep copies, honour the age limit of a request, and record every command.
+//! Fake cache servers: they keep copies, honour the age limit of a request, and record every
+//! command.
 
 use crate::{
     listen, unix_ms, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT,
@@ -194,8 +195,8 @@
         self.state().received.clone()
     }
 
-    /// Waits until it has received a command that matches; none has come within [`TEST_TIMEOUT`] if this returns
-    /// `None`.
+    /// Waits until it has received a command that matches; none has come within [`TEST_TIMEOUT`] if
+    /// this returns `None`.
     pub fn wait_for_command(
         &self,
         matches: impl Fn(&ReceivedCommand) -> bool,
--- a/crates/testkit/src/fake_event_bus.rs
+++ b/crates/testkit/src/fake_event_bus.rs
@@ -93,7 +93,8 @@
         self.publish(json!({"topology": {"rev": 1, "all": false, "targets": entries}}));
     }
 
-    /// Publishes a purge of the copies of an object that are older than a Unix time in milliseconds.
+    /// Publishes a purge of the copies of an object that are older than a Unix time in
+    /// milliseconds.
     pub fn publish_object_purge(&self, object_key: &str, purged_at_ms: u64) {
         self.publish(json!({"ban": {"url": object_key, "ts": purged_at_ms}}));
     }
@@ -133,8 +134,8 @@
         self.shared.lock().subscriptions.len()
     }
 
-    /// Waits for a subscription, by its index from 0. Returns the number of the event behind which it reads on; the
-    /// subscription has not come within [`TEST_TIMEOUT`] if this returns `None`.
+    /// Waits for a subscription, by its index from 0. Returns the number of the event behind which
+    /// it reads on; the subscription has not come within [`TEST_TIMEOUT`] if this returns `None`.
     pub fn wait_for_subscription(&self, index: usize) -> Option<u64> {
         let shared = &self.shared;
         let waited = shared
--- a/crates/testkit/src/fastcgi_client.rs
+++ b/crates/testkit/src/fastcgi_client.rs
@@ -18,7 +18,8 @@
 /// Idempotency key of the writes that [`FastCgiClient::request_object`] sends.
 pub const IDEMPOTENCY_KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 
-/// Length of the empty record with which an encoded request ends. Without it the request is not complete.
+/// Length of the empty record with which an encoded request ends. Without it the request is not
+/// complete.
 pub const END_OF_INPUT_BYTES: usize = 8;
 
 /// One FastCGI connection to the proxy.
--- a/crates/testkit/src/http_client.rs
+++ b/crates/testkit/src/http_client.rs
@@ -18,7 +18,8 @@
     exchange(server, &out)
 }
 
-/// Sends raw bytes on a connection of its own and reads the one response to them, until the server closes.
+/// Sends raw bytes on a connection of its own and reads the one response to them, until the server
+/// closes.
 pub fn exchange(server: SocketAddr, bytes: &[u8]) -> io::Result<Response> {
     let mut socket = TcpStream::connect(server)?;
     socket.set_read_timeout(Some(TEST_TIMEOUT))?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,12 +1,12 @@
 //! What the tests of the edge proxy run it with.
 //!
-//! - Fakes of its surroundings on loopback: [`fake_cache`], [`scripted_server`], [`fake_event_bus`], [`fake_consul`]
-//!   and [`fake_peer_cdn`].
+//! - Fakes of its surroundings on loopback: [`fake_cache`], [`scripted_server`],
+//!   [`fake_event_bus`], [`fake_consul`] and [`fake_peer_cdn`].
 //! - Clients: [`fastcgi_client`] for web servers, [`http_client`] for peer CDNs.
 //! - [`proxy_fixture`]: the proxy inside a test, with the fakes around it.
 //! - The deployment that all of them belong to: [`sample_deployment`].
-//! - A scenario that runs the real program through a purge, a drain and a shutdown and reports every rule that it
-//!   violates: [`run_scenario`].
+//! - A scenario that runs the real program through a purge, a drain and a shutdown and reports
+//!   every rule that it violates: [`run_scenario`].
 
 pub mod fake_cache;
 pub mod fake_consul;
@@ -43,8 +43,8 @@
 /// Size of the pieces in which the fakes and clients read from sockets.
 pub(crate) const READ_CHUNK_BYTES: usize = 4096;
 
-/// Listens at an address and serves each connection on a thread of its own. What `serve` returns is ignored: a
-/// failed connection shows at its client.
+/// Listens at an address and serves each connection on a thread of its own. What `serve` returns is
+/// ignored: a failed connection shows at its client.
 pub(crate) fn listen<T>(
     address: &str,
     serve: impl Fn(TcpStream) -> T + Clone + Send + 'static,
--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -1,5 +1,6 @@
-//! Runs the loopback scenario against the proxy: the program given as the first argument, or `edge-proxy` beside this
-//! program. Exits with 0 if every rule was kept, with 1 if one was violated, and with 2 if the scenario could not be run.
+//! Runs the loopback scenario against the proxy: the program given as the first argument, or
+//! `edge-proxy` beside this program. Exits with 0 if every rule was kept, with 1 if one was
+//! violated, and with 2 if the scenario could not be run.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/testkit/src/proxy_fixture.rs
+++ b/crates/testkit/src/proxy_fixture.rs
@@ -1,7 +1,8 @@
 //! The proxy's event loop in the process of a test, with fakes around it.
 //!
-//! The functions here panic instead of returning errors: a test has no other use for them. Where the order of events
-//! matters, a test pauses the event loop, arranges what is to happen at once, and resumes it.
+//! The functions here panic instead of returning errors: a test has no other use for them. Where
+//! the order of events matters, a test pauses the event loop, arranges what is to happen at once,
+//! and resumes it.
 
 use crate::fake_cache::FakeCacheServer;
 use crate::fake_event_bus::{cache_entry, origin_entry, server_state, FakeEventBus};
@@ -80,8 +81,8 @@
         PausedEventLoop { resume }
     }
 
-    /// Has the proxy shut down as by SIGTERM, and waits until the grace period is over in which idle clients keep
-    /// their connections.
+    /// Has the proxy shut down as by SIGTERM, and waits until the grace period is over in which
+    /// idle clients keep their connections.
     pub fn shut_down_past_grace_period(&mut self) {
         let mut idle_client = self.connect();
         health_status(&mut idle_client);
@@ -162,14 +163,15 @@
         self
     }
 
-    /// With changes to its configuration file. The keys `consul` and `purges` belong to the file of the interconnect
-    /// and are moved there.
+    /// With changes to its configuration file. The keys `consul` and `purges` belong to the file of
+    /// the interconnect and are moved there.
     pub fn config(mut self, change: impl FnOnce(&mut Value) + 'a) -> Self {
         self.change_config = Box::new(change);
         self
     }
 
-    /// With other limits than those that fit the machine, so that no test waits for a time-out or races with one.
+    /// With other limits than those that fit the machine, so that no test waits for a time-out or
+    /// races with one.
     pub fn limits(mut self, change: impl FnOnce(&mut Limits) + 'a) -> Self {
         self.change_limits = Box::new(change);
         self
@@ -242,7 +244,8 @@
     }
 }
 
-/// The file of the interconnect, with the keys for it that a test has put into the configuration file.
+/// The file of the interconnect, with the keys for it that a test has put into the configuration
+/// file.
 fn interconnect_file(config_file: &mut Value) -> Value {
     let mut interconnect = interconnect_config();
     interconnect["purges"] = config_file["purges"].take();
@@ -305,14 +308,16 @@
     (request_id, response.expect("a response"))
 }
 
-/// Waits until any request of the connection is answered. Returns its id and the status of its response.
+/// Waits until any request of the connection is answered. Returns its id and the status of its
+/// response.
 #[track_caller]
 pub fn next_status(client: &mut FastCgiClient) -> (u16, u16) {
     let (request_id, response) = next_response(client);
     (request_id, response.status)
 }
 
-/// Requests a health check and waits for its status. No other request may be open on the connection.
+/// Requests a health check and waits for its status. No other request may be open on the
+/// connection.
 #[track_caller]
 pub fn health_status(client: &mut FastCgiClient) -> u16 {
     client.request_health_check(1).unwrap();
--- a/crates/testkit/src/sample_deployment.rs
+++ b/crates/testkit/src/sample_deployment.rs
@@ -1,5 +1,5 @@
-//! The deployment that the fakes belong to: one location with cache servers and a hub with the origin, as in
-//! `examples/config.json`, and a peer CDN.
+//! The deployment that the fakes belong to: one location with cache servers and a hub with the
+//! origin, as in `examples/config.json`, and a peer CDN.
 
 use serde_json::{json, Value};
 use std::net::SocketAddr;
--- a/crates/testkit/src/scenario/drain.rs
+++ b/crates/testkit/src/scenario/drain.rs
@@ -1,5 +1,5 @@
-//! A cache server drains while redirected requests wait for it. Each of them gets exactly one response, and after the
-//! drain's grace period the server gets no new request.
+//! A cache server drains while redirected requests wait for it. Each of them gets exactly one
+//! response, and after the drain's grace period the server gets no new request.
 
 use super::deployment::Deployment;
 use super::{InjectedFault, Rule, ScenarioError, ScenarioReport, MEASUREMENT_TOLERANCE_MS};
--- a/crates/testkit/src/scenario/mod.rs
+++ b/crates/testkit/src/scenario/mod.rs
@@ -1,5 +1,5 @@
-//! The loopback scenario: the proxy's program, with fakes around it, goes through a purge, a drain and a shutdown.
-//! Every violation of the rules is reported, not only the first.
+//! The loopback scenario: the proxy's program, with fakes around it, goes through a purge, a drain
+//! and a shutdown. Every violation of the rules is reported, not only the first.
 
 mod attempt_limit;
 mod deployment;
@@ -29,7 +29,8 @@
     UnannouncedDrain,
 }
 
-/// Why the scenario could not be run to its end. What the proxy does wrong is in the [`ScenarioReport`].
+/// Why the scenario could not be run to its end. What the proxy does wrong is in the
+/// [`ScenarioReport`].
 #[derive(Debug, thiserror::Error)]
 pub enum ScenarioError {
     /// A fake or the proxy's process failed, or the proxy did not answer.
--- a/crates/testkit/src/scenario/purge.rs
+++ b/crates/testkit/src/scenario/purge.rs
@@ -1,4 +1,5 @@
-//! A peer CDN purges an object. After the purge's grace period, neither interface serves an older copy.
+//! A peer CDN purges an object. After the purge's grace period, neither interface serves an older
+//! copy.
 
 use super::deployment::Deployment;
 use super::{Rule, ScenarioError, ScenarioReport, MEASUREMENT_TOLERANCE_MS};
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -1,4 +1,5 @@
-//! A cache server that does nothing by itself: a test says what it reads, answers and closes, and in which order.
+//! A cache server that does nothing by itself: a test says what it reads, answers and closes, and
+//! in which order.
 
 use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
@@ -140,8 +141,8 @@
         self.socket.write_all(bytes)
     }
 
-    /// Discards what the proxy sends until it has closed or reset the connection. It is an error if that takes
-    /// longer than [`TEST_TIMEOUT`].
+    /// Discards what the proxy sends until it has closed or reset the connection. It is an error if
+    /// that takes longer than [`TEST_TIMEOUT`].
     pub fn wait_until_closed(&mut self) -> io::Result<()> {
         loop {
             match self.socket.read(&mut [0; READ_CHUNK_BYTES]) {
