Proxy: structs for what tuples held; lists are read where they stand

Configuration of gossip and Consul, HTTP messages, server addresses and what a request of a peer leads to are types.

--- a/crates/proxy/src/config/document.rs
+++ b/crates/proxy/src/config/document.rs
@@ -2,6 +2,7 @@
 //! if its type is an `Option`. Keys that are not listed are ignored.
 
 use edge_settings::json::{Object, WholeNumber};
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -17,8 +18,11 @@
     pub limits: Option<Object<MachineLimits>>,
     pub bus: Option<SocketAddr>,
     pub known: Option<Object<KnownEventsDocument>>,
-    /// Read by `edge_settings`.
-    pub settings: Value,
+    #[expect(
+        dead_code,
+        reason = "checked to be present; edge_settings reads it where it stands"
+    )]
+    pub settings: IgnoredAny,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Option<Vec<SocketAddr>>,
 }
@@ -36,8 +40,11 @@
 pub(super) struct KnownEventsDocument {
     /// Number of the last event.
     pub offset: Option<WholeNumber>,
-    /// Read by `event_bus::read_event`.
-    pub batch: Option<Vec<Value>>,
+    #[expect(
+        dead_code,
+        reason = "checked to be a list; event_bus::read_event reads its events where they stand"
+    )]
+    pub batch: Option<Vec<IgnoredAny>>,
 }
 
 /// The deployment's own file: `deploy/interconnect.json`.
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::discovery::event_bus::{read_event, EventBusMessage};
 use crate::frontend::interconnect::footprint::Network;
-use crate::frontend::interconnect::{Identity, PeerCdn};
+use crate::frontend::interconnect::{Identity, PeerCdn, ServedClass};
 use crate::limits::Limits;
 use document::{
     ConfigDocument, InterconnectDocument, InterconnectFields, InterconnectListen,
@@ -40,12 +40,12 @@
     pub known_events: KnownEvents,
     /// The settings of the routing module.
     pub settings: Settings,
-    /// Where purge gossip is received, and the peers it is sent to.
-    pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// Gossip of purges between the proxies of one installation; none: it is off.
+    pub purge_gossip: Option<PurgeGossipConfig>,
     /// The interconnect; none: it is off.
     pub interconnect: Option<InterconnectConfig>,
-    /// Consul as the source of the endpoint list: its address and the name of the service.
-    pub consul: Option<(SocketAddr, String)>,
+    /// Consul as the source of the endpoint list; none: the list comes from the event bus.
+    pub consul: Option<ConsulConfig>,
 }
 
 /// The events of the event bus before the start.
@@ -57,6 +57,24 @@
     pub events: Vec<EventBusMessage>,
 }
 
+/// The configuration of the gossip of purges.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PurgeGossipConfig {
+    /// Where datagrams are received.
+    pub listen: SocketAddr,
+    /// All proxies of the installation; may contain this one.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// The configuration of Consul as the source of the endpoint list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConsulConfig {
+    /// Where its HTTP API listens.
+    pub address: SocketAddr,
+    /// Name of the service whose instances are the cache servers.
+    pub service: String,
+}
+
 /// The configuration of the interconnect with peer CDNs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InterconnectConfig {
@@ -109,7 +127,7 @@
     /// Reads a configuration.
     pub fn from_json(value: &Value) -> Result<Self, ConfigError> {
         let Object(document): Object<ConfigDocument> = read(value)?;
-        let settings = read_settings(&document.settings)?;
+        let settings = read_settings(&value["settings"])?;
         let Object(machine) = document.limits.unwrap_or_default();
         let Object(known) = document.known.unwrap_or_default();
         let peers = document.peers.unwrap_or_default();
@@ -119,9 +137,11 @@
             seed: read_seed(document.seed.as_deref().unwrap_or(DEFAULT_SEED))?,
             limits: limits(&machine, &settings)?,
             event_bus: document.bus,
-            known_events: known_events(known)?,
+            known_events: known_events(&known, &value["known"]["batch"])?,
             settings,
-            peers: document.peer_listen.map(|own| (own, peers)),
+            purge_gossip: document
+                .peer_listen
+                .map(|listen| PurgeGossipConfig { listen, peers }),
             interconnect: None,
             consul: None,
         })
@@ -137,7 +157,9 @@
         if let Some(Object(consul)) = document.consul {
             let service = consul.service;
             let service = service.unwrap_or_else(|| DEFAULT_CONSUL_SERVICE.to_owned());
-            self.consul = consul.address.map(|address| (address, service));
+            self.consul = consul
+                .address
+                .map(|address| ConsulConfig { address, service });
         }
         Ok(())
     }
@@ -146,7 +168,7 @@
     /// there: sockets, tables and the routing module are built from them at the start. `seed` and
     /// `known` differ with every start and mean nothing to a proxy that runs.
     pub fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
-        let peer_listen = |config: &Config| config.peers.as_ref().map(|(own, _)| *own);
+        let peer_listen = |config: &Config| Some(config.purge_gossip.as_ref()?.listen);
         let changes = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
@@ -236,11 +258,11 @@
         })
 }
 
-fn known_events(document: KnownEventsDocument) -> Result<KnownEvents, ConfigError> {
-    let events = document
-        .batch
-        .unwrap_or_default()
-        .iter()
+fn known_events(document: &KnownEventsDocument, batch: &Value) -> Result<KnownEvents, ConfigError> {
+    let events = batch
+        .as_array()
+        .into_iter()
+        .flatten()
         .enumerate()
         .map(|(index, event)| {
             read_event(event).map_err(|source| ConfigError::KnownEvent { index, source })
@@ -274,7 +296,10 @@
             .map(|Object(peer)| peer_cdn(peer))
             .collect(),
         classes: readable
-            .map(|class| (class.name.clone(), class.deadline_us))
+            .map(|class| ServedClass {
+                name: class.name.clone(),
+                client_timeout_us: class.deadline_us,
+            })
             .collect(),
     };
     Ok(Some(InterconnectConfig {
--- a/crates/proxy/src/discovery/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -3,7 +3,7 @@
 
 use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
-use crate::protocol::http::{Head, Messages, Piece};
+use crate::protocol::http::{Head, Message, Messages, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::ListedServer;
 use edge_routing::EndpointState;
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Reads bytes that have arrived. Gives head and body of the response once it is complete.
-    pub fn read(&mut self, mut input: &[u8]) -> Result<Option<(Head, Vec<u8>)>, ProtocolError> {
+    /// Reads bytes that have arrived. Gives the response once it is complete.
+    pub fn read(&mut self, mut input: &[u8]) -> Result<Option<Message>, ProtocolError> {
         loop {
             let (taken, piece) = self.messages.parse(input)?;
             input = &input[taken..];
@@ -94,7 +94,7 @@
                 Some(Piece::Body(bytes)) => self.body.extend(bytes),
                 Some(Piece::End) => {
                     let body = std::mem::take(&mut self.body);
-                    return Ok(self.head.take().map(|head| (head, body)));
+                    return Ok(self.head.take().map(|head| Message { head, body }));
                 }
             }
         }
@@ -143,9 +143,9 @@
     /// Handles the response to the last query. Gives the whole list where it has changed.
     pub fn response(
         &mut self,
-        head: &Head,
-        body: &[u8],
+        message: &Message,
     ) -> Result<Option<Vec<ListedServer>>, ConsulError> {
+        let Message { head, body } = message;
         if head.status() != Some(200) {
             return Err(ConsulError::Status {
                 status_line: head.start.clone(),
--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -7,6 +7,7 @@
 use crate::request_table::ListedServer;
 use edge_routing::{EndpointListMode, Micros};
 use edge_settings::json::{read, Object, ReadError, Tolerant, WholeNumber};
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -54,8 +55,8 @@
 struct RawEvent {
     offset: WholeNumber,
     topology: Option<Object<RawEndpointList>>,
-    /// A [`RawPurge`].
-    ban: Option<Value>,
+    /// Read as a [`RawPurge`] once it is known that there is no list.
+    ban: Option<IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -63,9 +64,12 @@
     /// The entries are the whole list; otherwise they are changes.
     #[serde(rename = "all")]
     is_snapshot: Option<bool>,
-    /// An [`EndpointEntry`] each.
     #[serde(rename = "targets")]
-    entries: Option<Vec<Value>>,
+    #[expect(
+        dead_code,
+        reason = "checked to be a list; read_entry reads its entries where they stand"
+    )]
+    entries: Option<Vec<IgnoredAny>>,
 }
 
 #[derive(Deserialize)]
@@ -84,8 +88,8 @@
 pub fn read_event(value: &Value) -> Result<EventBusMessage, EventReadError> {
     let Object(raw): Object<RawEvent> = read(value)?;
     let event = match (raw.topology, raw.ban) {
-        (Some(Object(list)), _) => Some(endpoint_list(list)),
-        (None, Some(purge)) => Some(read_purge(&purge)?),
+        (Some(Object(list)), _) => Some(endpoint_list(&list, &value["topology"]["targets"])),
+        (None, Some(IgnoredAny)) => Some(read_purge(&value["ban"])?),
         (None, None) => None,
     };
     Ok(EventBusMessage {
@@ -94,13 +98,13 @@
     })
 }
 
-fn endpoint_list(list: RawEndpointList) -> DiscoveryEvent {
+fn endpoint_list(list: &RawEndpointList, entries: &Value) -> DiscoveryEvent {
     let mode = match list.is_snapshot {
         Some(true) => EndpointListMode::Snapshot,
         _ => EndpointListMode::Delta,
     };
-    let entries = list.entries.unwrap_or_default();
-    DiscoveryEvent::List(mode, entries.iter().filter_map(read_entry).collect())
+    let entries = entries.as_array().into_iter().flatten();
+    DiscoveryEvent::List(mode, entries.filter_map(read_entry).collect())
 }
 
 /// Reads an entry of the endpoint list. One that cannot be read is skipped, so that the drains of
--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -74,7 +74,9 @@
     fn unanswered_requests(&self) -> usize {
         match &self.role {
             ConnectionRole::FastCgiClient(session) => session.unanswered(),
-            ConnectionRole::InterconnectClient(session) => usize::from(session.waiting.is_some()),
+            ConnectionRole::InterconnectClient(session) => {
+                usize::from(session.pending_request.is_some())
+            }
             _ => 0,
         }
     }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -258,7 +258,9 @@
     fn abandon_requests(&mut self, now: Micros, role: ConnectionRole) {
         let request_keys = match role {
             ConnectionRole::FastCgiClient(session) => session.request_keys(),
-            ConnectionRole::InterconnectClient(session) => session.waiting.into_iter().collect(),
+            ConnectionRole::InterconnectClient(session) => {
+                session.pending_request.into_iter().collect()
+            }
             _ => return,
         };
         for request_key in request_keys {
--- a/crates/proxy/src/event_loop/consul.rs
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -6,7 +6,8 @@
 use super::EventLoop;
 use crate::discovery::consul::{Consul, ConsulError, ConsulQuery};
 use crate::net::SlabKey;
-use crate::protocol::{http, ProtocolError};
+use crate::protocol::http::Message;
+use crate::protocol::ProtocolError;
 use edge_routing::{EndpointListMode, Micros};
 use std::net::SocketAddr;
 
@@ -73,17 +74,13 @@
 
     /// Takes in the response to the last query; none where it failed. The next query follows at
     /// once, or after a pause where this one failed.
-    pub(super) fn handle_consul_response(
-        &mut self,
-        now: Micros,
-        response: Option<(http::Head, Vec<u8>)>,
-    ) {
+    pub(super) fn handle_consul_response(&mut self, now: Micros, response: Option<Message>) {
         let Some(ConsulPoller { consul, .. }) = &mut self.consul else {
             return;
         };
         let update = response
             .ok_or(ConsulError::NoAnswer)
-            .and_then(|(head, body)| consul.response(&head, &body));
+            .and_then(|message| consul.response(&message));
         let next_query = match update {
             Ok(servers) => {
                 if let Some(servers) = servers {
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -10,7 +10,7 @@
     self as frontend, Effect, InterconnectFrontend, InterconnectReply,
 };
 use crate::net::{IoProgress, SlabKey};
-use crate::protocol::http::Head;
+use crate::protocol::http::Message;
 use crate::protocol::ProtocolError;
 use crate::request_table::{Answer, ClientRequest, ResponseTarget};
 use edge_routing::Micros;
@@ -56,18 +56,18 @@
             else {
                 return Ok(());
             };
-            let (head, body) = match session.read(&mut transport.input) {
-                Ok(Some(request)) => request,
+            let message = match session.read(&mut transport.input) {
+                Ok(Some(message)) => message,
                 Ok(None) => return Ok(()),
                 Err(e) => {
                     // Answered by a status before the connection ends, so that the sender learns
                     // what it did.
                     log::warn!("a peer CDN sent what can't be read: {e}");
-                    session.refuse();
+                    session.reject_input();
                     return Ok(());
                 }
             };
-            self.handle_interconnect_request(now, key, &head, &body);
+            self.handle_interconnect_request(now, key, &message);
             self.execute_commands(now);
             if !self.write_interconnect_client(key) {
                 return Ok(());
@@ -76,7 +76,7 @@
     }
 
     /// Answers a request, or hands it to the request table.
-    fn handle_interconnect_request(&mut self, now: Micros, key: SlabKey, head: &Head, body: &[u8]) {
+    fn handle_interconnect_request(&mut self, now: Micros, key: SlabKey, message: &Message) {
         let is_ready = self.is_ready();
         let Some((_, session)) = self
             .connections
@@ -89,15 +89,14 @@
             return;
         };
         let purge_capacity = self.request_table.permanent_purge_capacity();
-        let (reply, effects) =
-            interconnect
-                .frontend
-                .handle(now, is_ready, purge_capacity, head, body);
-        match reply {
+        let handled = interconnect
+            .frontend
+            .handle(now, is_ready, purge_capacity, message);
+        match handled.reply {
             InterconnectReply::Now(response) => session.respond(&response),
             InterconnectReply::Admit(request) => self.admit_interconnect_request(now, key, request),
         }
-        for effect in effects {
+        for effect in handled.effects {
             self.apply_effect(now, effect);
         }
     }
@@ -110,7 +109,7 @@
         else {
             return;
         };
-        session.until = now + request.remaining_us;
+        session.deadline = now + request.remaining_us;
         let target = ResponseTarget {
             connection: key,
             stream: ONLY_STREAM,
@@ -121,7 +120,7 @@
             self.request_table.admit(now, target, request).ok()
         };
         if request_key.is_some() {
-            session.waiting = request_key;
+            session.pending_request = request_key;
         } else {
             let rejected = Answer::Rejected {
                 retry_after_us: Some(self.limits.retry_after_us),
@@ -162,7 +161,7 @@
         else {
             return;
         };
-        let is_late = now + self.limits.answer_lead_us >= session.until;
+        let is_late = now + self.limits.answer_lead_us >= session.deadline;
         session.respond(&frontend::response(answer, is_late));
         // The next request may have arrived meanwhile. It is read from the loop, not from here, so
         // that a peer CDN that sends many at once can't nest them.
--- a/crates/proxy/src/event_loop/reload.rs
+++ b/crates/proxy/src/event_loop/reload.rs
@@ -29,13 +29,13 @@
     /// Takes over the addresses of the event bus and of the peer proxies; everything else is fixed
     /// at the start.
     fn apply_configuration(&mut self, now: Micros, mut new: Config) {
-        if let (Some(gossip), Some((_, peers))) = (&mut self.purge_gossip, &new.peers) {
-            gossip.peers.clone_from(peers);
+        if let (Some(gossip), Some(config)) = (&mut self.purge_gossip, &new.purge_gossip) {
+            gossip.peers.clone_from(&config.peers);
         }
         let current = &mut self.reload.config;
         let event_bus_moved = current.event_bus != new.event_bus;
         current.event_bus = new.event_bus;
-        current.peers = new.peers.take().or(current.peers.take());
+        current.purge_gossip = new.purge_gossip.take().or(current.purge_gossip.take());
         let also = if event_bus_moved {
             "; the event bus has moved"
         } else {
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -12,7 +12,7 @@
 use super::signals::Signals;
 use super::upstreams::UpstreamConnections;
 use super::EventLoop;
-use crate::config::{Config, InterconnectConfig, Source};
+use crate::config::{Config, ConsulConfig, InterconnectConfig, Source};
 use crate::discovery::event_bus::EventBusMessage;
 use crate::discovery::purge_log::PurgeLog;
 use crate::frontend::interconnect::InterconnectFrontend;
@@ -176,15 +176,15 @@
 /// Peer proxies are sent only the purges that come by the interconnect, so that there is no gossip
 /// without one.
 fn start_purge_gossip(config: &Config, poller: &Poller) -> Result<Option<PurgeGossip>, StartError> {
-    let (Some(_), Some((own, peers))) = (&config.interconnect, &config.peers) else {
+    let (Some(_), Some(gossip)) = (&config.interconnect, &config.purge_gossip) else {
         return Ok(None);
     };
-    let gossip = PurgeGossip::bind(*own, peers.clone(), poller)
-        .map_err(StartError::listen("peer_listen", *own))?;
-    Ok(Some(gossip))
+    let socket = PurgeGossip::bind(gossip.listen, gossip.peers.clone(), poller)
+        .map_err(StartError::listen("peer_listen", gossip.listen))?;
+    Ok(Some(socket))
 }
 
 fn start_consul(config: &Config) -> Option<ConsulPoller> {
-    let (address, service) = config.consul.clone()?;
+    let ConsulConfig { address, service } = config.consul.clone()?;
     Some(ConsulPoller::new(address, service))
 }
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -137,7 +137,7 @@
         if !self.has_free_connection_slot() {
             return None;
         }
-        let (_, address) = self.request_table.address_of(server)?;
+        let address = self.request_table.address_of(server)?.address;
         let upstream = UpstreamConnection::new(server, &self.limits, now);
         let key = self.connect_to(now, address, ConnectionRole::Upstream(upstream))?;
         self.upstream_connections.add(server, key);
--- a/crates/proxy/src/frontend/interconnect/frontend.rs
+++ b/crates/proxy/src/frontend/interconnect/frontend.rs
@@ -5,7 +5,7 @@
 use super::route::Route;
 use super::triggers::{self, Command, TriggerResources};
 use super::{redirect, Identity, Notification, Response};
-use crate::protocol::http::Head;
+use crate::protocol::http::{Head, Message};
 use crate::request_table::ClientRequest;
 use edge_routing::Micros;
 use serde_json::Value;
@@ -30,6 +30,24 @@
     Admit(ClientRequest),
 }
 
+/// What a request leads to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HandledRequest {
+    /// How it is answered.
+    pub reply: InterconnectReply,
+    /// What follows besides, in order.
+    pub effects: Vec<Effect>,
+}
+
+impl From<InterconnectReply> for HandledRequest {
+    fn from(reply: InterconnectReply) -> Self {
+        HandledRequest {
+            reply,
+            effects: Vec::new(),
+        }
+    }
+}
+
 /// The state of the interconnection.
 pub struct InterconnectFrontend {
     identity: Identity,
@@ -57,9 +75,9 @@
         now: Micros,
         ready: bool,
         purge_capacity: usize,
-        head: &Head,
-        body: &[u8],
-    ) -> (InterconnectReply, Vec<Effect>) {
+        message: &Message,
+    ) -> HandledRequest {
+        let Message { head, body } = message;
         let Some((method, target)) = head.request() else {
             return respond(Response::bare(400));
         };
@@ -98,9 +116,9 @@
         triggers::purge_commands(&self.identity, object, group)
     }
 
-    fn handle_content(&mut self, head: &Head, target: &str) -> (InterconnectReply, Vec<Effect>) {
+    fn handle_content(&mut self, head: &Head, target: &str) -> HandledRequest {
         match content::client_request(&self.identity, &mut self.request_ids, head, target) {
-            Some(request) => (InterconnectReply::Admit(request), Vec::new()),
+            Some(request) => HandledRequest::from(InterconnectReply::Admit(request)),
             None => respond(Response::bare(404)),
         }
     }
@@ -110,7 +128,7 @@
         now: Micros,
         purge_capacity: usize,
         payload: Option<&Value>,
-    ) -> (InterconnectReply, Vec<Effect>) {
+    ) -> HandledRequest {
         let Some(payload) = payload else {
             return respond(Response::bare(400));
         };
@@ -120,7 +138,10 @@
             purge_capacity,
             payload,
         });
-        (InterconnectReply::Now(outcome.response), outcome.effects)
+        HandledRequest {
+            reply: InterconnectReply::Now(outcome.response),
+            effects: outcome.effects,
+        }
     }
 
     /// A peer advertises its footprint.
@@ -141,6 +162,6 @@
     }
 }
 
-fn respond(response: Response) -> (InterconnectReply, Vec<Effect>) {
-    (InterconnectReply::Now(response), Vec::new())
+fn respond(response: Response) -> HandledRequest {
+    HandledRequest::from(InterconnectReply::Now(response))
 }
--- a/crates/proxy/src/frontend/interconnect/identity.rs
+++ b/crates/proxy/src/frontend/interconnect/identity.rs
@@ -20,6 +20,15 @@
     pub content_base_url: String,
 }
 
+/// A class whose objects may be requested over the interconnect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServedClass {
+    /// Its name.
+    pub name: String,
+    /// When clients of its requests give up, in microseconds.
+    pub client_timeout_us: Micros,
+}
+
 /// How this network presents itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Identity {
@@ -31,9 +40,8 @@
     pub footprint: Vec<Network>,
     /// The peers that we exchange messages with.
     pub peers: Vec<PeerCdn>,
-    /// The classes whose objects may be requested here, with the time in microseconds after which
-    /// their clients give up.
-    pub classes: Vec<(String, Micros)>,
+    /// The classes whose objects may be requested here.
+    pub classes: Vec<ServedClass>,
 }
 
 impl Identity {
@@ -44,8 +52,8 @@
 
     /// How long clients wait for objects of a class; none if its objects may not be requested here.
     pub(super) fn client_timeout(&self, class: &str) -> Option<Micros> {
-        let (_, timeout_us) = self.classes.iter().find(|(name, _)| name == class)?;
-        Some(*timeout_us)
+        let served = self.classes.iter().find(|served| served.name == class)?;
+        Some(served.client_timeout_us)
     }
 
     /// Loop detection: whether a message has come through this network before (RFC 8007, section
--- a/crates/proxy/src/frontend/interconnect/mod.rs
+++ b/crates/proxy/src/frontend/interconnect/mod.rs
@@ -28,8 +28,8 @@
 mod triggers;
 
 pub use content::ContentPath;
-pub use frontend::{Effect, InterconnectFrontend, InterconnectReply};
-pub use identity::{Identity, PeerCdn};
+pub use frontend::{Effect, HandledRequest, InterconnectFrontend, InterconnectReply};
+pub use identity::{Identity, PeerCdn, ServedClass};
 pub use notification::Notification;
 pub use response::{response, Response, MEDIA};
 pub use session::Session;
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -2,9 +2,10 @@
 
 use super::Response;
 use crate::net::RingBuffer;
-use crate::protocol::http::{self, Head, Messages, Piece};
+use crate::protocol::http::{self, Head, Message, Messages, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::RequestKey;
+use edge_routing::Micros;
 
 /// A connection. Its requests are answered one after the other: while one waits, the next stays in
 /// the input buffer.
@@ -17,9 +18,9 @@
     /// Whether the connection stays open after the response.
     keep_open: bool,
     /// The key of the request that the request table has admitted.
-    pub waiting: Option<RequestKey>,
+    pub pending_request: Option<RequestKey>,
     /// When the client of that request gives up, in Unix microseconds.
-    pub until: u64,
+    pub deadline: Micros,
     outgoing: Vec<u8>,
     /// Bytes of `outgoing` that are written.
     written: usize,
@@ -54,8 +55,8 @@
             head: None,
             body: Vec::new(),
             keep_open: true,
-            waiting: None,
-            until: 0,
+            pending_request: None,
+            deadline: 0,
             outgoing: Vec::new(),
             written: 0,
             has_received_request: false,
@@ -65,7 +66,7 @@
 
     /// Whether no request waits and no response is on its way out.
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_none() && self.outgoing.is_empty()
+        self.pending_request.is_none() && self.outgoing.is_empty()
     }
 
     /// Whether a request is partially received.
@@ -89,10 +90,7 @@
     }
 
     /// Reads up to the end of the next request, once the one before has its response.
-    pub fn read(
-        &mut self,
-        input: &mut RingBuffer,
-    ) -> Result<Option<(Head, Vec<u8>)>, ProtocolError> {
+    pub fn read(&mut self, input: &mut RingBuffer) -> Result<Option<Message>, ProtocolError> {
         while self.keep_open && self.is_idle() {
             let (consumed, piece) = self.messages.parse(input.readable())?;
             input.consume(consumed);
@@ -114,7 +112,7 @@
 
     /// The response to the request that was read last.
     pub fn respond(&mut self, response: &Response) {
-        self.waiting = None;
+        self.pending_request = None;
         let status_line = format!(
             "HTTP/1.1 {} {}",
             response.status,
@@ -135,7 +133,7 @@
     }
 
     /// Rejects input that can't be read: the last response says so.
-    pub fn refuse(&mut self) {
+    pub fn reject_input(&mut self) {
         self.keep_open = false;
         self.respond(&Response::bare(400));
     }
@@ -149,10 +147,13 @@
         }
     }
 
-    fn finish_request(&mut self, head: Head) -> (Head, Vec<u8>) {
+    fn finish_request(&mut self, head: Head) -> Message {
         self.has_received_request = true;
         self.has_partial_input = false;
         self.keep_open = head.keeps_open();
-        (head, std::mem::take(&mut self.body))
+        Message {
+            head,
+            body: std::mem::take(&mut self.body),
+        }
     }
 }
--- a/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
@@ -21,7 +21,7 @@
 fn content_urls(identity: &Identity, object: &str) -> Vec<String> {
     let first_class = identity.classes.iter().take(1);
     first_class
-        .map(|(class, _)| format!("{}/content/{class}/{object}", identity.base_url))
+        .map(|class| format!("{}/content/{}/{object}", identity.base_url, class.name))
         .collect()
 }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,7 +1,9 @@
 //! The edge proxy's program: reads the configuration, runs the event loop, turns errors into a log
 //! line and an exit code.
 
-use edge_proxy::{config::Config, event_loop::EventLoop};
+use edge_proxy::config::{Config, ConfigError};
+use edge_proxy::event_loop::{EventLoop, StartError};
+use std::io;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -9,19 +11,27 @@
     env_logger::Builder::from_env(log_level).init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            log::error!("{message}");
+        Err(error) => {
+            log::error!("{error}");
             ExitCode::FAILURE
         }
     }
 }
 
-/// Runs the proxy until it is shut down. The error is the line to be logged.
-fn run() -> Result<(), String> {
-    let config = Config::from_env().map_err(|e| e.to_string())?;
-    let mut event_loop = EventLoop::start(config, Box::new(Config::from_env))
-        .map_err(|e| format!("could not start: {e}"))?;
-    event_loop
-        .run()
-        .map_err(|e| format!("the event loop failed: {e}"))
+/// Why the program ends with a failure.
+#[derive(Debug, thiserror::Error)]
+enum ProgramError {
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error("could not start: {0}")]
+    Start(#[from] StartError),
+    #[error("the event loop failed: {0}")]
+    EventLoop(#[from] io::Error),
+}
+
+/// Runs the proxy until it is shut down.
+fn run() -> Result<(), ProgramError> {
+    let config = Config::from_env()?;
+    let mut event_loop = EventLoop::start(config, Box::new(Config::from_env))?;
+    Ok(event_loop.run()?)
 }
--- a/crates/proxy/src/protocol/http/mod.rs
+++ b/crates/proxy/src/protocol/http/mod.rs
@@ -7,6 +7,15 @@
 pub use head::Head;
 pub use messages::{Messages, Piece};
 
+/// A complete message.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Message {
+    /// Its start line and headers.
+    pub head: Head,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
 /// Writes a message: `start` is its start line without the line end, and `Content-Length` is added
 /// to the headers.
 pub fn write_message(out: &mut Vec<u8>, start: &str, headers: &[(&str, &str)], body: &[u8]) {
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -28,7 +28,7 @@
 pub use self::counters::RequestCounters;
 pub use self::log_rate::{LogRateLimiter, SuppressedLines};
 pub use self::request::{Answer, ClientRequest, Content, RequestKey, ResponseTarget};
-pub use self::servers::{server_id, ListedServer};
+pub use self::servers::{server_id, ListedServer, ServerAddress};
 pub use self::trace::{RequestEnding, RequestTrace, TraceEvent};
 
 use self::admission::IdempotencyKeyClasses;
@@ -42,7 +42,6 @@
     Action, EndpointListMode, Event, LoadReport, Micros, Outcome, Router, ServerId, Settings,
     SettingsError,
 };
-use std::net::SocketAddr;
 
 /// The pending requests, the servers that take their attempts, and the router that decides about
 /// both.
@@ -128,7 +127,7 @@
     }
 
     /// Id on the wire and address of a server that is ready or draining.
-    pub fn address_of(&self, id: ServerId) -> Option<(&str, SocketAddr)> {
+    pub fn address_of(&self, id: ServerId) -> Option<ServerAddress<'_>> {
         self.servers.address_of(id)
     }
 
--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -25,6 +25,15 @@
     })
 }
 
+/// How a server is named on the wire, and where it is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerAddress<'a> {
+    /// Its id on the wire.
+    pub wire_id: &'a str,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 struct KnownServer {
     wire_id: String,
     address: SocketAddr,
@@ -112,9 +121,12 @@
     }
 
     /// Id on the wire and address of a server that is not gone.
-    pub(super) fn address_of(&self, id: ServerId) -> Option<(&str, SocketAddr)> {
+    pub(super) fn address_of(&self, id: ServerId) -> Option<ServerAddress<'_>> {
         let server = self.servers.get(&id)?;
-        Some((server.wire_id.as_str(), server.address))
+        Some(ServerAddress {
+            wire_id: &server.wire_id,
+            address: server.address,
+        })
     }
 
     /// Id on the wire of a server that is not gone.
--- a/crates/proxy/src/upstream/command.rs
+++ b/crates/proxy/src/upstream/command.rs
@@ -62,7 +62,7 @@
     }
     if let Some(fill) = &spec.fill {
         if fill.source != spec.server {
-            let (source, _) = request_table.address_of(fill.source)?;
+            let source = request_table.address_of(fill.source)?.wire_id;
             fields.add(wire::FILL_SOURCE, source);
         }
         add_fill(&mut fields, fill, spec.max_age_us);
--- a/crates/proxy/tests/config.rs
+++ b/crates/proxy/tests/config.rs
@@ -23,7 +23,9 @@
         ),
         (None, 0, 1024)
     );
-    assert!(config.interconnect.is_none() && config.consul.is_none() && config.peers.is_none());
+    assert!(
+        config.interconnect.is_none() && config.consul.is_none() && config.purge_gossip.is_none()
+    );
     // 50 ms later than the settings say: cache servers complete a purge later on real sockets.
     assert_eq!(config.settings.rules.purge_completion_us, 6_050_000);
 }
--- a/crates/proxy/tests/consul.rs
+++ b/crates/proxy/tests/consul.rs
@@ -1,7 +1,7 @@
 //! Consul as the source of the endpoint list: what its responses give.
 
 use edge_proxy::discovery::consul::Consul;
-use edge_proxy::protocol::http::Head;
+use edge_proxy::protocol::http::{Head, Message};
 use edge_routing::EndpointState;
 use serde_json::{json, Value};
 
@@ -23,6 +23,13 @@
         .collect()
 }
 
+fn message(head: &Head, body: &[u8]) -> Message {
+    Message {
+        head: head.clone(),
+        body: body.to_vec(),
+    }
+}
+
 fn answer(consul: &mut Consul, index: u64, body: &Value) -> Option<Vec<(String, EndpointState)>> {
     let headers = vec![("x-consul-index".to_owned(), index.to_string())];
     let head = Head {
@@ -30,7 +37,7 @@
         headers,
     };
     let entries = consul
-        .response(&head, body.to_string().as_bytes())
+        .response(&message(&head, body.to_string().as_bytes()))
         .unwrap()?;
     Some(
         entries
@@ -120,7 +127,7 @@
         headers: vec![],
     };
     assert!(consul
-        .response(&head, b"rpc error")
+        .response(&message(&head, b"rpc error"))
         .unwrap_err()
         .to_string()
         .contains("500"));
@@ -130,7 +137,7 @@
     };
     let text = |consul: &mut Consul, body: Value| {
         consul
-            .response(&head, body.to_string().as_bytes())
+            .response(&message(&head, body.to_string().as_bytes()))
             .unwrap_err()
             .to_string()
     };
--- a/crates/settings/src/json.rs
+++ b/crates/settings/src/json.rs
@@ -37,7 +37,8 @@
 
 /// Reads a JSON value.
 pub fn read<'de, T: Deserialize<'de>>(value: &'de Value) -> Result<T, ReadError> {
-    Ok(serde_path_to_error::deserialize(value)?)
+    // Keeping track of the path costs time, so it is done for values with an error only.
+    T::deserialize(value).or_else(|_| Ok(serde_path_to_error::deserialize(value)?))
 }
 
 /// A number from 0 that counts whole units. `300000.0` is read as 300000, a fraction is dropped,
@@ -143,7 +144,7 @@
 
 /// Reads a JSON text.
 pub fn read_str<'de, T: Deserialize<'de>>(text: &'de str) -> Result<T, ReadError> {
-    // Keeping track of the path costs time, so it is done for texts with an error only.
+    // As in `read`, the path is kept track of for texts with an error only.
     serde_json::from_str(text).or_else(|_| {
         let mut deserializer = serde_json::Deserializer::from_str(text);
         let value = serde_path_to_error::deserialize(&mut deserializer)?;
