--- a/crates/proxy/src/upstream/command.rs
+++ b/crates/proxy/src/upstream/command.rs
@@ -29,13 +29,23 @@
     pub(super) const BACKGROUND_REFRESH: &str = "background";
 }
 
+/// Usual length of the fields of a command, to allocate once.
+const USUAL_FIELDS_BYTES: usize = 128;
+/// Bytes that a string takes in a command besides its own, to allocate once.
+const STRING_OVERHEAD_BYTES: usize = 16;
+
 /// A list `name=value,name=value`.
-#[derive(Default)]
 struct Fields {
     text: String,
 }
 
 impl Fields {
+    fn new() -> Self {
+        Fields {
+            text: String::with_capacity(USUAL_FIELDS_BYTES),
+        }
+    }
+
     fn add(&mut self, name: &str, value: &str) {
         if !self.text.is_empty() {
             self.text.push(',');
@@ -52,7 +62,7 @@
     spec: &AttemptSpec,
     request_table: &RequestTable,
 ) -> Option<Vec<u8>> {
-    let mut fields = Fields::default();
+    let mut fields = Fields::new();
     fields.add(wire::CLASS, &request.class);
     fields.add(wire::OBJECT, &request.object);
     fields.add(wire::PART, &request.part.to_string());
@@ -123,7 +133,9 @@
 }
 
 fn encode(items: &[&[u8]]) -> Vec<u8> {
-    let mut command = Vec::new();
+    let content_bytes: usize = items.iter().map(|item| item.len()).sum();
+    let overhead_bytes = (items.len() + 1) * STRING_OVERHEAD_BYTES;
+    let mut command = Vec::with_capacity(content_bytes + overhead_bytes);
     resp::write_array(&mut command, items);
     command
 }
