--- a/crates/routing/src/estimate/decay.rs
+++ b/crates/routing/src/estimate/decay.rs
@@ -30,19 +30,19 @@
 pub(crate) struct DecayedCounterTable {
     half_life_s: f64,
     capacity: usize,
+    first_floor: f64,
     entries: HashMap<u64, DecayedCount>,
     total: DecayedCount,
 }
 
 impl DecayedCounterTable {
-    /// Counts below this are the first to be dropped from a full table; doubled until it fits.
-    const FIRST_FLOOR: f64 = 0.25;
-
-    /// An empty table for at most `capacity` keys.
-    pub(crate) fn new(half_life_s: f64, capacity: usize) -> Self {
+    /// An empty table for at most `capacity` keys. Counts below `first_floor` are the first to be
+    /// dropped when it is full; the floor is doubled until it fits.
+    pub(crate) fn new(half_life_s: f64, capacity: usize, first_floor: f64) -> Self {
         DecayedCounterTable {
             half_life_s,
             capacity,
+            first_floor,
             entries: HashMap::new(),
             total: DecayedCount::default(),
         }
@@ -55,7 +55,7 @@
         let entry = self.entries.entry(key).or_default();
         entry.add_one(now, half_life_s);
         let count = entry.count;
-        let mut floor = Self::FIRST_FLOOR;
+        let mut floor = self.first_floor;
         while self.entries.len() > self.capacity {
             // Whether an entry stays depends on it alone, never on the order of the table.
             self.entries
--- a/crates/routing/src/estimate/tests.rs
+++ b/crates/routing/src/estimate/tests.rs
@@ -11,7 +11,7 @@
 
 #[test]
 fn a_count_halves_in_its_half_life() {
-    let mut table = DecayedCounterTable::new(10.0, 8);
+    let mut table = DecayedCounterTable::new(10.0, 8, 0.25);
     assert_eq!(table.add(1, 0), 1.0);
     assert_eq!(table.add(1, 10 * SECOND_US), 1.5);
     assert_eq!(table.total(20 * SECOND_US), 0.75);
@@ -19,7 +19,7 @@
 
 #[test]
 fn a_full_table_drops_the_lowest_counts_and_keeps_the_total() {
-    let mut table = DecayedCounterTable::new(10.0, 8);
+    let mut table = DecayedCounterTable::new(10.0, 8, 0.25);
     for _ in 0..4 {
         table.add(0, 0);
     }
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -21,6 +21,7 @@
 
 const HALF_LIFE_S: f64 = 10.0; // Seconds: of request counts, from the design, and of pace.
 const COUNTED_KEYS: usize = 20_000; // Objects, and parts of objects, whose requests are counted.
+const DROPPED_COUNT: f64 = 0.25; // Counts below this go first when that table is full.
 const REMEMBERED_PURGES: usize = 40_000; // Purges that are remembered.
 const ENOUGH_TRANSFERS: f64 = 2.0; // Decayed number of transfers from which their pace is known.
 const SWEEP_INTERVAL_US: Micros = 50_000; // Microseconds between two looks at what is in flight.
@@ -65,7 +66,7 @@
             servers: ServerTable::new(pace, in_flight),
             requests: RequestTable::default(),
             purges: PurgeTable::new(REMEMBERED_PURGES),
-            popularity: Popularity::new(HALF_LIFE_S, COUNTED_KEYS),
+            popularity: Popularity::new(HALF_LIFE_S, COUNTED_KEYS, DROPPED_COUNT),
             link: LinkState::new(pace, in_flight, miss_share),
             origin_share: AdaptiveShare::new(admission::MIN_ADMITTED),
             started: false,
--- a/crates/routing/src/state/popularity.rs
+++ b/crates/routing/src/state/popularity.rs
@@ -11,11 +11,12 @@
 }
 
 impl Popularity {
-    /// No requests yet; at most `capacity` objects, and as many parts, are counted.
-    pub(crate) fn new(half_life_s: f64, capacity: usize) -> Self {
+    /// No requests yet; at most `capacity` objects, and as many parts, are counted. See
+    /// [`DecayedCounterTable::new`].
+    pub(crate) fn new(half_life_s: f64, capacity: usize, first_floor: f64) -> Self {
         Popularity {
-            objects: DecayedCounterTable::new(half_life_s, capacity),
-            parts: DecayedCounterTable::new(half_life_s, capacity),
+            objects: DecayedCounterTable::new(half_life_s, capacity, first_floor),
+            parts: DecayedCounterTable::new(half_life_s, capacity, first_floor),
         }
     }
 
--- a/crates/routing/src/state/tests.rs
+++ b/crates/routing/src/state/tests.rs
@@ -342,7 +342,7 @@
 
 #[test]
 fn popularity_counts_objects_and_parts() {
-    let mut popularity = Popularity::new(10.0, 100);
+    let mut popularity = Popularity::new(10.0, 100, 0.25);
     let (mut first, mut second) = (request(0), request(0));
     second.part += 1;
     popularity.count(0, &mut first);
