--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -7,7 +7,7 @@
 use crate::discovery::consul::ConsulQuery;
 use crate::discovery::event_bus::EventStreamClient;
 use crate::frontend::{fastcgi, interconnect};
-use crate::net::{connect, BufferedSocket, SlabKey};
+use crate::net::{connect, BufferedSocket, Slab, SlabKey};
 use crate::upstream::UpstreamConnection;
 use edge_routing::Micros;
 use std::net::SocketAddr;
@@ -62,31 +62,38 @@
     pub(super) activity: ClientActivity,
 }
 
-impl Connection {
+impl Slab<Connection> {
     /// The transport and the protocol state of a connection to a cache server.
-    pub(super) fn as_upstream(&self) -> Option<(&BufferedSocket, &UpstreamConnection)> {
-        match &self.role {
-            ConnectionRole::Upstream(upstream) => Some((&self.transport, upstream)),
+    pub(super) fn upstream(&self, key: SlabKey) -> Option<(&BufferedSocket, &UpstreamConnection)> {
+        let connection = self.get(key)?;
+        match &connection.role {
+            ConnectionRole::Upstream(upstream) => Some((&connection.transport, upstream)),
             _ => None,
         }
     }
 
-    /// As `as_upstream`, to change them.
-    pub(super) fn as_upstream_mut(
+    /// As `upstream`, to change them.
+    pub(super) fn upstream_mut(
         &mut self,
+        key: SlabKey,
     ) -> Option<(&mut BufferedSocket, &mut UpstreamConnection)> {
-        match &mut self.role {
-            ConnectionRole::Upstream(upstream) => Some((&mut self.transport, upstream)),
+        let connection = self.get_mut(key)?;
+        match &mut connection.role {
+            ConnectionRole::Upstream(upstream) => Some((&mut connection.transport, upstream)),
             _ => None,
         }
     }
 
     /// The transport and the session of an interconnect client.
-    pub(super) fn as_interconnect_client_mut(
+    pub(super) fn interconnect_client_mut(
         &mut self,
+        key: SlabKey,
     ) -> Option<(&mut BufferedSocket, &mut interconnect::Session)> {
-        match &mut self.role {
-            ConnectionRole::InterconnectClient(session) => Some((&mut self.transport, session)),
+        let connection = self.get_mut(key)?;
+        match &mut connection.role {
+            ConnectionRole::InterconnectClient(session) => {
+                Some((&mut connection.transport, session))
+            }
             _ => None,
         }
     }
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,7 +1,6 @@
 //! Interconnect clients: requests of peer CDNs and of the clients that they redirect, and what
 //! follows from them.
 
-use super::connections::Connection;
 use super::timer::TimerEvent;
 use super::{purge_gossip, EventLoop};
 use crate::discovery::purge_gossip::{self as gossip, Purge};
@@ -49,11 +48,7 @@
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
         loop {
-            let Some((transport, session)) = self
-                .connections
-                .get_mut(key)
-                .and_then(Connection::as_interconnect_client_mut)
-            else {
+            let Some((transport, session)) = self.connections.interconnect_client_mut(key) else {
                 return Ok(());
             };
             let message = match session.read(&mut transport.input) {
@@ -78,11 +73,7 @@
     /// Answers a request, or hands it to the request table.
     fn handle_interconnect_request(&mut self, now: Micros, key: SlabKey, message: &Message) {
         let is_ready = self.is_ready();
-        let Some((_, session)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_interconnect_client_mut)
-        else {
+        let Some((_, session)) = self.connections.interconnect_client_mut(key) else {
             return;
         };
         let Some(interconnect) = &mut self.interconnect else {
@@ -102,11 +93,7 @@
     }
 
     fn admit_interconnect_request(&mut self, now: Micros, key: SlabKey, request: ClientRequest) {
-        let Some((_, session)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_interconnect_client_mut)
-        else {
+        let Some((_, session)) = self.connections.interconnect_client_mut(key) else {
             return;
         };
         session.deadline = now + request.remaining_us;
@@ -154,11 +141,7 @@
         key: SlabKey,
         answer: Answer,
     ) {
-        let Some((_, session)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_interconnect_client_mut)
-        else {
+        let Some((_, session)) = self.connections.interconnect_client_mut(key) else {
             return;
         };
         let is_late = now + self.limits.answer_lead_us >= session.deadline;
@@ -180,11 +163,7 @@
     /// Writes as much of an interconnect connection's answer as its client takes. False where the
     /// connection is broken.
     pub(super) fn write_interconnect_client(&mut self, key: SlabKey) -> bool {
-        let Some((transport, session)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_interconnect_client_mut)
-        else {
+        let Some((transport, session)) = self.connections.interconnect_client_mut(key) else {
             return true;
         };
         loop {
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts: which connection one takes, when a connection is opened for it, and how it is taken
 //! back.
 
-use crate::event_loop::connections::{Connection, ConnectionRole};
+use crate::event_loop::connections::ConnectionRole;
 use crate::event_loop::timer::TimerEvent;
 use crate::event_loop::EventLoop;
 use crate::net::{Readiness, SlabKey};
@@ -43,7 +43,7 @@
             }
             None => self.connect_for_attempt(now, server),
         };
-        match key.and_then(|key| Some((key, self.upstream_mut(key)?.1))) {
+        match key.and_then(|key| Some((key, self.connections.upstream_mut(key)?.1))) {
             Some((key, upstream)) => {
                 upstream.enqueue(attempt);
                 if !self.flush_upstream(now, key) {
@@ -83,7 +83,7 @@
         let (request, spec) = self.request_table.attempt_spec(attempt)?;
         let request_id = request.id.as_str();
         let candidate = |key: &SlabKey| {
-            let (transport, upstream) = self.upstream(*key)?;
+            let (transport, upstream) = self.connections.upstream(*key)?;
             let attempts_in_flight =
                 upstream.load_if_available(request_id, &self.request_table, &self.limits)?;
             Some(Candidate {
@@ -123,7 +123,7 @@
         let keys = self.upstream_connections.of(server);
         if keys.len() >= self.limits.connections_per_server {
             let is_unresponsive = |key: &SlabKey| {
-                let upstream = self.upstream(*key);
+                let upstream = self.connections.upstream(*key);
                 upstream.is_some_and(|(_, upstream)| upstream.is_unresponsive())
             };
             let unresponsive = keys.iter().copied().find(is_unresponsive)?;
@@ -152,7 +152,7 @@
         server: ServerId,
     ) {
         for key in self.upstream_connections.of(server).to_vec() {
-            let Some((transport, upstream)) = self.upstream_mut(key) else {
+            let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
                 continue;
             };
             let mut events = Vec::new();
@@ -177,7 +177,7 @@
         server: ServerId,
     ) {
         for key in self.upstream_connections.of(server).to_vec() {
-            let Some((transport, upstream)) = self.upstream_mut(key) else {
+            let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
                 continue;
             };
             let mut events = Vec::new();
@@ -191,11 +191,7 @@
     /// that another server would fill from it.
     pub(in crate::event_loop) fn drain_server(&mut self, now: Micros, server: ServerId) {
         for key in self.upstream_connections.all() {
-            let Some((transport, upstream)) = self
-                .connections
-                .get_mut(key)
-                .and_then(Connection::as_upstream_mut)
-            else {
+            let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
                 continue;
             };
             let connected_to = upstream.server;
@@ -215,7 +211,8 @@
     pub(in crate::event_loop) fn probe(&mut self, now: Micros, server: ServerId) {
         let key = self.upstream_connections.of(server).first().copied();
         let probed = key.filter(|key| {
-            self.upstream_mut(*key)
+            self.connections
+                .upstream_mut(*key)
                 .is_some_and(|(transport, upstream)| upstream.probe(now, transport))
         });
         match probed {
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -2,7 +2,6 @@
 
 mod attempts;
 
-use super::connections::Connection;
 use super::timer::TimerEvent;
 use super::EventLoop;
 use crate::net::{BufferedSocket, IoProgress, SlabKey};
@@ -42,28 +41,13 @@
 }
 
 impl EventLoop {
-    fn upstream(&self, key: SlabKey) -> Option<(&BufferedSocket, &UpstreamConnection)> {
-        self.connections.get(key)?.as_upstream()
-    }
-
-    fn upstream_mut(
-        &mut self,
-        key: SlabKey,
-    ) -> Option<(&mut BufferedSocket, &mut UpstreamConnection)> {
-        self.connections.get_mut(key)?.as_upstream_mut()
-    }
-
     /// Handles what a cache server has sent.
     pub(in crate::event_loop) fn read_upstream(
         &mut self,
         now: Micros,
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
-        let Some((transport, upstream)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_upstream_mut)
-        else {
+        let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
             return Ok(());
         };
         let server = upstream.server;
@@ -83,10 +67,14 @@
     /// Reads what a server had sent before its connection broke: those answers still count.
     pub(in crate::event_loop) fn read_remaining_answers(&mut self, now: Micros, key: SlabKey) {
         for _ in 0..self.limits.reads_after_close {
-            let is_readable = self.upstream(key).is_some_and(|(transport, upstream)| {
-                transport.connected && upstream.is_readable(now, &self.limits)
-            });
-            let Some((transport, _)) = self.upstream_mut(key).filter(|_| is_readable) else {
+            let is_readable =
+                self.connections
+                    .upstream(key)
+                    .is_some_and(|(transport, upstream)| {
+                        transport.connected && upstream.is_readable(now, &self.limits)
+                    });
+            let Some((transport, _)) = self.connections.upstream_mut(key).filter(|_| is_readable)
+            else {
                 return;
             };
             if transport.read(false) != IoProgress::Advanced || self.read(now, key).is_err() {
@@ -98,11 +86,7 @@
     /// Writes queued attempts and sets the timers that follow. False where the connection is to be
     /// closed.
     pub(in crate::event_loop) fn flush_upstream(&mut self, now: Micros, key: SlabKey) -> bool {
-        let Some((transport, upstream)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_upstream_mut)
-        else {
+        let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
             return true;
         };
         let server = upstream.server;
@@ -139,11 +123,7 @@
             self.close(now, key);
         }
         self.update_poll_interest(key);
-        if let Some((_, upstream)) = self
-            .connections
-            .get_mut(key)
-            .and_then(Connection::as_upstream_mut)
-        {
+        if let Some((_, upstream)) = self.connections.upstream_mut(key) {
             upstream.forget_old_streams(now, &self.limits);
         }
     }
