--- a/crates/proxy/src/discovery/consul.rs
+++ b/crates/proxy/src/discovery/consul.rs
@@ -3,7 +3,7 @@
 
 use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
-use crate::protocol::http::{Head, Message, Messages, Piece};
+use crate::protocol::http::{Head, Message, MessageParser, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::ListedServer;
 use edge_routing::EndpointState;
@@ -68,7 +68,7 @@
 
 /// The client's side of one query: collects the response.
 pub struct ConsulQuery {
-    messages: Messages,
+    messages: MessageParser,
     head: Option<Head>,
     body: Vec<u8>,
 }
@@ -77,7 +77,7 @@
     /// A query that begins now.
     pub fn new(limits: &Limits) -> Self {
         ConsulQuery {
-            messages: Messages::responses(limits.line_bytes, limits.endpoint_list_bytes),
+            messages: MessageParser::responses(limits.line_bytes, limits.endpoint_list_bytes),
             head: None,
             body: Vec::new(),
         }
--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -145,8 +145,8 @@
 /// The client's side of one connection to the event bus: reads the response, which goes on until
 /// the connection ends.
 pub struct EventStreamClient {
-    http: http::Messages,
-    events: sse::Events,
+    http: http::MessageParser,
+    events: sse::EventParser,
     last_read: Micros,
 }
 
@@ -154,8 +154,8 @@
     /// The client of a connection that begins now.
     pub fn new(limits: &Limits, now: Micros) -> Self {
         EventStreamClient {
-            http: http::Messages::responses(limits.line_bytes, usize::MAX),
-            events: sse::Events::new(limits.endpoint_list_bytes),
+            http: http::MessageParser::responses(limits.line_bytes, usize::MAX),
+            events: sse::EventParser::new(limits.endpoint_list_bytes),
             last_read: now,
         }
     }
--- a/crates/proxy/src/event_loop/notifications.rs
+++ b/crates/proxy/src/event_loop/notifications.rs
@@ -6,7 +6,7 @@
 use super::EventLoop;
 use crate::frontend::interconnect::{Notification, MEDIA};
 use crate::limits::Limits;
-use crate::protocol::http::{self, Messages, Piece};
+use crate::protocol::http::{self, MessageParser, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use edge_routing::Micros;
 
@@ -23,11 +23,11 @@
     attempts: u32,
     /// The status that the peer CDN answered the present attempt with.
     status: Option<u16>,
-    response: Messages,
+    response: MessageParser,
 }
 
 impl NotificationDelivery {
-    fn new(notification: Notification, response: Messages) -> Self {
+    fn new(notification: Notification, response: MessageParser) -> Self {
         NotificationDelivery {
             notification,
             attempts: 0,
@@ -69,15 +69,15 @@
         self.status.is_some()
     }
 
-    fn prepare_retry(&mut self, response: Messages) {
+    fn prepare_retry(&mut self, response: MessageParser) {
         self.status = None;
         self.response = response;
     }
 }
 
 /// A parser of responses whose body is not looked at.
-fn response_parser(limits: &Limits) -> Messages {
-    Messages::responses(limits.line_bytes, usize::MAX)
+fn response_parser(limits: &Limits) -> MessageParser {
+    MessageParser::responses(limits.line_bytes, usize::MAX)
 }
 
 impl EventLoop {
--- a/crates/proxy/src/event_loop/notifications/tests.rs
+++ b/crates/proxy/src/event_loop/notifications/tests.rs
@@ -8,7 +8,7 @@
         ptype: "x",
         body: "{}".into(),
     };
-    let mut delivery = NotificationDelivery::new(notification, Messages::responses(512, 512));
+    let mut delivery = NotificationDelivery::new(notification, MessageParser::responses(512, 512));
     let text = String::from_utf8(delivery.request()).unwrap();
     assert!(
         text.starts_with("POST /t HTTP/1.1\r\n") && text.ends_with("Content-Length: 2\r\n\r\n{}")
--- a/crates/proxy/src/frontend/fastcgi/outgoing.rs
+++ b/crates/proxy/src/frontend/fastcgi/outgoing.rs
@@ -4,7 +4,7 @@
 //! allows.
 
 use crate::net::RingBuffer;
-use crate::protocol::fastcgi::{self as wire, kind, HEADER_BYTES};
+use crate::protocol::fastcgi::{self as wire, record_type, HEADER_BYTES};
 use std::collections::VecDeque;
 
 /// Room for the record that ends the STDOUT stream and the one that ends the request.
@@ -80,9 +80,9 @@
     }
 
     /// Adds the answer to a management record.
-    pub(super) fn push_management(&mut self, kind: u8, content: &[u8]) {
+    pub(super) fn push_management(&mut self, record_type: u8, content: &[u8]) {
         let mut record = Vec::new();
-        wire::write_record(&mut record, kind, wire::MANAGEMENT_ID, content);
+        wire::write_record(&mut record, record_type, wire::MANAGEMENT_ID, content);
         self.unsent_bytes += record.len();
         self.queue.push_back(Outgoing::Management(record));
     }
@@ -140,14 +140,14 @@
 fn write_content(answer: &OutgoingAnswer, written: usize, output: &mut RingBuffer) -> Progress {
     let unsent = &answer.response[written..];
     let room = output.free_space().saturating_sub(HEADER_BYTES);
-    let length = room.min(unsent.len()).min(wire::MOST_CONTENT);
+    let length = room.min(unsent.len()).min(wire::MAX_CONTENT_BYTES);
     if length < unsent.len().min(MINIMUM_CONTENT_BYTES) {
         return Progress::OutputFull;
     }
     let mut record = Vec::with_capacity(HEADER_BYTES + length);
     wire::write_record(
         &mut record,
-        kind::STDOUT,
+        record_type::STDOUT,
         answer.request_id,
         &unsent[..length],
     );
@@ -162,7 +162,7 @@
     let mut records = Vec::with_capacity(END_BYTES);
     // A stream that was never begun needs no end.
     if !answer.response.is_empty() {
-        wire::write_record(&mut records, kind::STDOUT, answer.request_id, &[]);
+        wire::write_record(&mut records, record_type::STDOUT, answer.request_id, &[]);
     }
     wire::write_end(&mut records, answer.request_id, answer.protocol_status);
     output.push(&records);
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -8,7 +8,7 @@
 use super::response;
 use crate::limits::Limits;
 use crate::net::RingBuffer;
-use crate::protocol::fastcgi::{self as wire, kind, Record, Records};
+use crate::protocol::fastcgi::{self as wire, record_type, Record, RecordParser};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::{Answer, ClientRequest, RequestKey};
 use std::collections::HashMap;
@@ -52,7 +52,7 @@
 /// One connection of a web server.
 #[derive(Default)]
 pub struct Session {
-    records: Records,
+    records: RecordParser,
     /// The open requests, by their FastCGI request ids.
     streams: HashMap<u16, Stream>,
     outgoing: OutgoingQueue,
@@ -179,11 +179,11 @@
             self.answer_management(&record)?;
             return Ok(None);
         }
-        match record.kind {
-            kind::BEGIN => self.begin_request(&record, limits)?,
-            kind::ABORT => return Ok(self.abort_request(record.id)),
-            kind::PARAMS => self.receive_parameters(&record, limits)?,
-            kind::STDIN => return self.receive_body(&record, limits),
+        match record.record_type {
+            record_type::BEGIN_REQUEST => self.begin_request(&record, limits)?,
+            record_type::ABORT_REQUEST => return Ok(self.abort_request(record.id)),
+            record_type::PARAMS => self.receive_parameters(&record, limits)?,
+            record_type::STDIN => return self.receive_body(&record, limits),
             // Streams that are not used here.
             _ => {}
         }
@@ -192,9 +192,10 @@
 
     /// Answers GET_VALUES, and any other management record as one of an unknown type.
     fn answer_management(&mut self, record: &Record) -> Result<(), ProtocolError> {
-        if record.kind != kind::GET_VALUES {
-            let content = [record.kind, 0, 0, 0, 0, 0, 0, 0];
-            self.outgoing.push_management(kind::UNKNOWN_TYPE, &content);
+        if record.record_type != record_type::GET_VALUES {
+            let content = [record.record_type, 0, 0, 0, 0, 0, 0, 0];
+            self.outgoing
+                .push_management(record_type::UNKNOWN_TYPE, &content);
             return Ok(());
         }
         let mut values = Vec::new();
@@ -204,7 +205,7 @@
             }
         }
         self.outgoing
-            .push_management(kind::GET_VALUES_RESULT, &values);
+            .push_management(record_type::GET_VALUES_RESULT, &values);
         Ok(())
     }
 
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -2,7 +2,7 @@
 
 use super::Response;
 use crate::net::RingBuffer;
-use crate::protocol::http::{self, Head, Message, Messages, Piece};
+use crate::protocol::http::{self, Head, Message, MessageParser, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::RequestKey;
 use edge_routing::Micros;
@@ -10,7 +10,7 @@
 /// A connection. Its requests are answered one after the other: while one waits, the next stays in
 /// the input buffer.
 pub struct Session {
-    messages: Messages,
+    messages: MessageParser,
     /// The head of the request whose body is being received.
     head: Option<Head>,
     /// The body, as far as it was received.
@@ -51,7 +51,7 @@
     /// A connection just accepted: lines and bodies of its requests have so many bytes at most.
     pub fn new(line_limit: usize, body_limit: usize) -> Self {
         Session {
-            messages: Messages::requests(line_limit, body_limit),
+            messages: MessageParser::requests(line_limit, body_limit),
             head: None,
             body: Vec::new(),
             keep_open: true,
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -7,13 +7,13 @@
 use super::{Parser, ProtocolError};
 
 /// Record types (section 8, `FCGI_BEGIN_REQUEST` and following).
-pub mod kind {
+pub mod record_type {
     /// Begins a request: its role and flags.
-    pub const BEGIN: u8 = 1;
+    pub const BEGIN_REQUEST: u8 = 1;
     /// The web server no longer waits for a request.
-    pub const ABORT: u8 = 2;
+    pub const ABORT_REQUEST: u8 = 2;
     /// Ends a request: its protocol status.
-    pub const END: u8 = 3;
+    pub const END_REQUEST: u8 = 3;
     /// The stream of a request's CGI parameters.
     pub const PARAMS: u8 = 4;
     /// The stream of a request's body.
@@ -47,7 +47,7 @@
 pub const KEEP_CONN: u8 = 1;
 
 /// The longest content of a record, in bytes (section 3.3).
-pub const MOST_CONTENT: usize = 65_535;
+pub const MAX_CONTENT_BYTES: usize = 65_535;
 /// Bytes of a record's header (section 3.3).
 pub const HEADER_BYTES: usize = 8;
 /// Bytes of the record that ends a request, its header with them (section 5.5).
@@ -61,8 +61,8 @@
 /// One record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// Its type, one of [`kind`] or unknown.
-    pub kind: u8,
+    /// Its type, one of [`record_type`] or unknown.
+    pub record_type: u8,
     /// The request it belongs to, or [`MANAGEMENT_ID`].
     pub id: u16,
     /// Its content without the padding.
@@ -72,7 +72,7 @@
 /// What a record's header tells.
 #[derive(Clone, Copy)]
 struct Header {
-    kind: u8,
+    record_type: u8,
     id: u16,
     content_bytes: usize,
     padding_bytes: usize,
@@ -92,20 +92,20 @@
 
 /// Reads records. A record's length is bounded by its form, so it needs no limit of its own.
 #[derive(Default)]
-pub struct Records {
+pub struct RecordParser {
     state: State,
     /// Bytes of the header that is being received.
     header: Vec<u8>,
 }
 
-impl Records {
+impl RecordParser {
     /// Whether a record is partially received.
     pub fn has_partial_input(&self) -> bool {
         !matches!(self.state, State::Header) || !self.header.is_empty()
     }
 }
 
-impl Parser for Records {
+impl Parser for RecordParser {
     type Item = Record;
 
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Record>), ProtocolError> {
@@ -131,7 +131,7 @@
                     self.state = State::Padding {
                         remaining: header.padding_bytes,
                         record: Record {
-                            kind: header.kind,
+                            record_type: header.record_type,
                             id: header.id,
                             content: std::mem::take(content),
                         },
@@ -167,25 +167,27 @@
         ));
     }
     Ok(match received {
-        [_, kind, id_high, id_low, length_high, length_low, padding, _reserved] => Some(Header {
-            kind: *kind,
-            id: u16::from_be_bytes([*id_high, *id_low]),
-            content_bytes: usize::from(u16::from_be_bytes([*length_high, *length_low])),
-            padding_bytes: usize::from(*padding),
-        }),
+        [_, record_type, id_high, id_low, length_high, length_low, padding, _reserved] => {
+            Some(Header {
+                record_type: *record_type,
+                id: u16::from_be_bytes([*id_high, *id_low]),
+                content_bytes: usize::from(u16::from_be_bytes([*length_high, *length_low])),
+                padding_bytes: usize::from(*padding),
+            })
+        }
         _ => None,
     })
 }
 
-/// Writes a record without padding. Longer content than [`MOST_CONTENT`] is cut, which callers
+/// Writes a record without padding. Longer content than [`MAX_CONTENT_BYTES`] is cut, which callers
 /// prevent.
-pub fn write_record(out: &mut Vec<u8>, kind: u8, id: u16, content: &[u8]) {
-    let length = content.len().min(MOST_CONTENT);
+pub fn write_record(out: &mut Vec<u8>, record_type: u8, id: u16, content: &[u8]) {
+    let length = content.len().min(MAX_CONTENT_BYTES);
     let [id_high, id_low] = id.to_be_bytes();
     let [length_high, length_low] = (length as u16).to_be_bytes();
     out.extend([
         VERSION,
-        kind,
+        record_type,
         id_high,
         id_low,
         length_high,
@@ -199,7 +201,12 @@
 /// Writes the record that ends a request with a protocol status, and with 0 as the status of the
 /// application.
 pub fn write_end(out: &mut Vec<u8>, id: u16, status: u8) {
-    write_record(out, kind::END, id, &[0, 0, 0, 0, status, 0, 0, 0]);
+    write_record(
+        out,
+        record_type::END_REQUEST,
+        id,
+        &[0, 0, 0, 0, status, 0, 0, 0],
+    );
 }
 
 /// The content of a BEGIN_REQUEST record (section 5.1).
--- a/crates/proxy/src/protocol/http/messages.rs
+++ b/crates/proxy/src/protocol/http/messages.rs
@@ -44,7 +44,7 @@
 
 /// Reads messages.
 #[derive(Clone, Debug)]
-pub struct Messages {
+pub struct MessageParser {
     reads_responses: bool,
     body_limit: usize,
     state: State,
@@ -55,10 +55,10 @@
     chunked_bytes: usize,
 }
 
-impl Messages {
+impl MessageParser {
     /// A reader of requests: lines and bodies have so many bytes at most.
     pub fn requests(line_limit: usize, body_limit: usize) -> Self {
-        Messages {
+        MessageParser {
             reads_responses: false,
             body_limit,
             state: State::Head,
@@ -71,7 +71,7 @@
     /// A reader of responses: lines and bodies have so many bytes at most. The limit of bodies is
     /// `usize::MAX` for streams.
     pub fn responses(line_limit: usize, body_limit: usize) -> Self {
-        Messages {
+        MessageParser {
             reads_responses: true,
             ..Self::requests(line_limit, body_limit)
         }
@@ -250,7 +250,7 @@
     }
 }
 
-impl Parser for Messages {
+impl Parser for MessageParser {
     type Item = Piece;
 
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Piece>), ProtocolError> {
--- a/crates/proxy/src/protocol/http/mod.rs
+++ b/crates/proxy/src/protocol/http/mod.rs
@@ -5,7 +5,7 @@
 mod messages;
 
 pub use head::Head;
-pub use messages::{Messages, Piece};
+pub use messages::{MessageParser, Piece};
 
 /// A complete message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -28,7 +28,7 @@
 }
 
 /// Reads arrays of bulk strings.
-pub struct Arrays {
+pub struct ArrayParser {
     string_limit: usize,
     state: State,
     line: LineBuffer,
@@ -38,10 +38,10 @@
     partial_string: Vec<u8>,
 }
 
-impl Arrays {
+impl ArrayParser {
     /// A reader of arrays whose strings have so many bytes at most.
     pub fn new(string_limit: usize) -> Self {
-        Arrays {
+        ArrayParser {
             string_limit,
             state: State::ArrayHeader,
             line: LineBuffer::new(LINE_LIMIT),
@@ -116,7 +116,7 @@
     }
 }
 
-impl Parser for Arrays {
+impl Parser for ArrayParser {
     type Item = Array;
 
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError> {
--- a/crates/proxy/src/protocol/sse.rs
+++ b/crates/proxy/src/protocol/sse.rs
@@ -16,7 +16,7 @@
 }
 
 /// Reads events out of a stream's bytes.
-pub struct Events {
+pub struct EventParser {
     event_limit: usize,
     line: LineBuffer,
     last_id: String,
@@ -24,10 +24,10 @@
     data: Option<String>,
 }
 
-impl Events {
+impl EventParser {
     /// A reader of events whose data, and of lines that, have so many bytes at most.
     pub fn new(event_limit: usize) -> Self {
-        Events {
+        EventParser {
             event_limit,
             line: LineBuffer::new(event_limit),
             last_id: String::new(),
@@ -74,7 +74,7 @@
     }
 }
 
-impl Parser for Events {
+impl Parser for EventParser {
     type Item = Event;
 
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Event>), ProtocolError> {
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -19,7 +19,7 @@
     /// The server at the other end.
     pub server: ServerId,
     /// Collects the bytes of answers.
-    pub(super) answers: resp::Arrays,
+    pub(super) answers: resp::ArrayParser,
     /// Attempts of which nothing has reached the output buffer, oldest first.
     pub(super) queue: VecDeque<AttemptId>,
     /// What is open or remembered, by id.
@@ -33,7 +33,7 @@
     pub fn new(server: ServerId, limits: &Limits, now: Micros) -> Self {
         UpstreamConnection {
             server,
-            answers: resp::Arrays::new(limits.object_bytes),
+            answers: resp::ArrayParser::new(limits.object_bytes),
             queue: VecDeque::new(),
             streams: HashMap::new(),
             liveness: Liveness::new(limits, now),
--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -64,7 +64,7 @@
 fn write_padded_record(out: &mut Vec<u8>, record: &fastcgi::Record, padding: u8) {
     const PADDING_LENGTH_OFFSET: usize = 6;
     let start = out.len();
-    fastcgi::write_record(out, record.kind, record.id, &record.content);
+    fastcgi::write_record(out, record.record_type, record.id, &record.content);
     out[start + PADDING_LENGTH_OFFSET] = padding;
     out.extend(vec![0; usize::from(padding)]);
 }
@@ -84,13 +84,13 @@
     ) {
         let mut input = Vec::new();
         let mut written = Vec::new();
-        for (kind, id, content, padding) in padded_records {
-            let record = fastcgi::Record { kind, id, content };
+        for (record_type, id, content, padding) in padded_records {
+            let record = fastcgi::Record { record_type, id, content };
             write_padded_record(&mut input, &record, padding);
             written.push(record);
         }
-        assert_robust(fastcgi::Records::default, &input, &splits, &garbage, |records| records);
-        let read = parse_all(fastcgi::Records::default(), &input, &splits).unwrap();
+        assert_robust(fastcgi::RecordParser::default, &input, &splits, &garbage, |records| records);
+        let read = parse_all(fastcgi::RecordParser::default(), &input, &splits).unwrap();
         prop_assert_eq!(read, written);
     }
 
@@ -114,7 +114,7 @@
         splits in splits(),
         garbage in garbage(),
     ) {
-        let new_parser = || resp::Arrays::new(200);
+        let new_parser = || resp::ArrayParser::new(200);
         let mut input = Vec::new();
         for array in &arrays {
             let strings: Vec<&[u8]> = array.iter().map(Vec::as_slice).collect();
@@ -134,7 +134,7 @@
         splits in splits(),
         garbage in garbage(),
     ) {
-        let new_parser = || http::Messages::requests(512, 512);
+        let new_parser = || http::MessageParser::requests(512, 512);
         let input = if is_chunked {
             chunked_http_request(&body, chunk_length)
         } else {
@@ -152,7 +152,7 @@
         splits in splits(),
         garbage in garbage(),
     ) {
-        let new_parser = || sse::Events::new(128);
+        let new_parser = || sse::EventParser::new(128);
         let mut input = String::new();
         let mut written = Vec::new();
         for (id, data) in id_and_data {
@@ -168,20 +168,20 @@
 #[test]
 fn announced_lengths_are_checked_against_the_limits_at_once() {
     assert_eq!(
-        parse_all(resp::Arrays::new(9), b"*1\r\n$10\r\n", &[]),
+        parse_all(resp::ArrayParser::new(9), b"*1\r\n$10\r\n", &[]),
         Err(ProtocolError::TooLong("a RESP string"))
     );
     assert_eq!(
-        parse_all(resp::Arrays::new(9), b"*99999999999999\r\n", &[]),
+        parse_all(resp::ArrayParser::new(9), b"*99999999999999\r\n", &[]),
         Err(ProtocolError::TooLong("a RESP array"))
     );
     let head = b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n";
     assert_eq!(
-        parse_all(http::Messages::requests(99, 99), head, &[]),
+        parse_all(http::MessageParser::requests(99, 99), head, &[]),
         Err(ProtocolError::TooLong("an HTTP body"))
     );
     assert_eq!(
-        parse_all(sse::Events::new(9), b"data: 0123456789\n\n", &[]),
+        parse_all(sse::EventParser::new(9), b"data: 0123456789\n\n", &[]),
         Err(ProtocolError::TooLong("a line"))
     );
 }
@@ -190,7 +190,11 @@
 fn an_http_body_with_two_length_indications_is_rejected() {
     for second in ["Content-Length: 1", "Transfer-Encoding: chunked"] {
         let request = format!("POST / HTTP/1.1\r\nContent-Length: 2\r\n{second}\r\n\r\n");
-        let result = parse_all(http::Messages::requests(99, 99), request.as_bytes(), &[]);
+        let result = parse_all(
+            http::MessageParser::requests(99, 99),
+            request.as_bytes(),
+            &[],
+        );
         assert_eq!(
             result,
             Err(ProtocolError::Malformed("an HTTP body's length"))
--- a/crates/testkit/src/fake_cache.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -229,7 +229,7 @@
 
     /// Serves a connection until it closes or sends what is no command.
     fn serve(&self, mut socket: TcpStream) -> Option<()> {
-        let mut arrays = resp::Arrays::new(MAX_MESSAGE_BYTES);
+        let mut arrays = resp::ArrayParser::new(MAX_MESSAGE_BYTES);
         let mut chunk = [0; READ_CHUNK_BYTES];
         loop {
             let length = socket.read(&mut chunk).ok().filter(|length| *length > 0)?;
--- a/crates/testkit/src/fake_peer_cdn.rs
+++ b/crates/testkit/src/fake_peer_cdn.rs
@@ -2,7 +2,7 @@
 
 use crate::http_client::{read_message, ReadUntil, MAX_HEAD_BYTES};
 use crate::{ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, TEST_TIMEOUT};
-use edge_proxy::protocol::http::Messages;
+use edge_proxy::protocol::http::MessageParser;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
@@ -53,7 +53,7 @@
 }
 
 fn accept_notification(socket: &mut TcpStream) -> io::Result<PeerNotification> {
-    let mut parser = Messages::requests(MAX_HEAD_BYTES, MAX_MESSAGE_BYTES);
+    let mut parser = MessageParser::requests(MAX_HEAD_BYTES, MAX_MESSAGE_BYTES);
     let message = read_message(socket, &mut parser, ReadUntil::MessageEnds)?;
     // A proxy that is gone by now has still sent its notification.
     let _ = socket.write_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
--- a/crates/testkit/src/fastcgi_client.rs
+++ b/crates/testkit/src/fastcgi_client.rs
@@ -2,7 +2,7 @@
 
 use crate::sample_deployment::WRITE_CLASS;
 use crate::{Response, READ_CHUNK_BYTES, TEST_TIMEOUT};
-use edge_proxy::protocol::fastcgi::{self, kind, Records};
+use edge_proxy::protocol::fastcgi::{self, record_type, RecordParser};
 use edge_proxy::protocol::Parser;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -25,7 +25,7 @@
 /// One FastCGI connection to the proxy.
 pub struct FastCgiClient {
     socket: TcpStream,
-    records: Records,
+    records: RecordParser,
     input: Vec<u8>,
     /// Output received so far, by request id.
     partial_responses: HashMap<u16, Vec<u8>>,
@@ -38,7 +38,7 @@
         socket.set_read_timeout(Some(TEST_TIMEOUT))?;
         Ok(FastCgiClient {
             socket,
-            records: Records::default(),
+            records: RecordParser::default(),
             input: Vec::new(),
             partial_responses: HashMap::new(),
         })
@@ -70,13 +70,13 @@
         let [role_high, role_low] = fastcgi::RESPONDER.to_be_bytes();
         let begin = [role_high, role_low, flags, 0, 0, 0, 0, 0];
         let mut out = Vec::new();
-        fastcgi::write_record(&mut out, kind::BEGIN, request_id, &begin);
-        fastcgi::write_record(&mut out, kind::PARAMS, request_id, &encoded_params);
-        fastcgi::write_record(&mut out, kind::PARAMS, request_id, &[]);
+        fastcgi::write_record(&mut out, record_type::BEGIN_REQUEST, request_id, &begin);
+        fastcgi::write_record(&mut out, record_type::PARAMS, request_id, &encoded_params);
+        fastcgi::write_record(&mut out, record_type::PARAMS, request_id, &[]);
         if !body.is_empty() {
-            fastcgi::write_record(&mut out, kind::STDIN, request_id, body);
+            fastcgi::write_record(&mut out, record_type::STDIN, request_id, body);
         }
-        fastcgi::write_record(&mut out, kind::STDIN, request_id, &[]);
+        fastcgi::write_record(&mut out, record_type::STDIN, request_id, &[]);
         out
     }
 
@@ -125,7 +125,7 @@
     /// Aborts a request.
     pub fn abort(&mut self, request_id: u16) -> io::Result<()> {
         let mut out = Vec::new();
-        fastcgi::write_record(&mut out, kind::ABORT, request_id, &[]);
+        fastcgi::write_record(&mut out, record_type::ABORT_REQUEST, request_id, &[]);
         self.send(&out)
     }
 
@@ -138,12 +138,12 @@
                 .map_err(|error| invalid_data(error.to_string()))?;
             self.input.drain(..consumed);
             match record {
-                Some(record) if record.kind == kind::STDOUT => self
+                Some(record) if record.record_type == record_type::STDOUT => self
                     .partial_responses
                     .entry(record.id)
                     .or_default()
                     .extend(record.content),
-                Some(record) if record.kind == kind::END => {
+                Some(record) if record.record_type == record_type::END_REQUEST => {
                     let output = self.partial_responses.remove(&record.id);
                     let response = output.map(|bytes| parse_cgi_response(&bytes)).transpose()?;
                     return Ok((record.id, response));
--- a/crates/testkit/src/http_client.rs
+++ b/crates/testkit/src/http_client.rs
@@ -1,7 +1,7 @@
 //! A client of the proxy's HTTP interface, as a peer CDN is one.
 
 use crate::{Response, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
-use edge_proxy::protocol::http::{write_message, Head, Messages, Piece};
+use edge_proxy::protocol::http::{write_message, Head, MessageParser, Piece};
 use edge_proxy::protocol::Parser;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -24,7 +24,7 @@
     let mut socket = TcpStream::connect(server)?;
     socket.set_read_timeout(Some(TEST_TIMEOUT))?;
     socket.write_all(bytes)?;
-    let mut parser = Messages::responses(MAX_HEAD_BYTES, MAX_MESSAGE_BYTES);
+    let mut parser = MessageParser::responses(MAX_HEAD_BYTES, MAX_MESSAGE_BYTES);
     let message = read_message(&mut socket, &mut parser, ReadUntil::ConnectionCloses)?;
     let status = message
         .head
@@ -58,7 +58,7 @@
 /// Reads one message. It is an error if the connection closes before the message is complete.
 pub(crate) fn read_message(
     socket: &mut TcpStream,
-    parser: &mut Messages,
+    parser: &mut MessageParser,
     until: ReadUntil,
 ) -> io::Result<Message> {
     let mut message = PartialMessage::default();
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -19,7 +19,7 @@
 /// A connection of the proxy to a [`ScriptedServer`].
 pub struct ScriptedConnection {
     socket: TcpStream,
-    arrays: resp::Arrays,
+    arrays: resp::ArrayParser,
     input: Vec<u8>,
 }
 
@@ -77,7 +77,7 @@
         socket.set_read_timeout(Some(TEST_TIMEOUT))?;
         Ok(ScriptedConnection {
             socket,
-            arrays: resp::Arrays::new(MAX_MESSAGE_BYTES),
+            arrays: resp::ArrayParser::new(MAX_MESSAGE_BYTES),
             input: Vec::new(),
         })
     }
