--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -15,7 +15,7 @@
     pub(super) connection: Option<SlabKey>,
     /// When the next check is due: there is one at a time.
     timer: Option<TimerKey>,
-    /// The last event taken in, behind which the stream goes on after a reconnection.
+    /// The last event taken in: the stream goes on after it when it is connected again.
     pub(super) last_event_id: u64,
 }
 
@@ -45,7 +45,7 @@
         self.schedule_event_bus_check(now + next_check_us);
     }
 
-    /// The bus has moved to another address: events behind the last one are requested there at
+    /// The bus has moved to another address: events after the last one are requested there at
     /// once.
     pub(super) fn follow_moved_event_bus(&mut self, now: Micros) {
         if let Some(old) = self.event_bus.connection.take() {
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -152,7 +152,7 @@
             .set(now, TimerEvent::ResumeInterconnectClient(key));
     }
 
-    /// Reads on behind an answer.
+    /// Reads the next request after an answer.
     pub(super) fn resume_interconnect_client(&mut self, now: Micros, key: SlabKey) {
         let result = self.read_interconnect_client(now, key);
         if result.is_err() || !self.write(now, key) {
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -108,7 +108,7 @@
                 *discarded_bytes += connection.transport.input.len();
                 connection.transport.input.clear();
                 if *discarded_bytes > self.limits.lingering_close_bytes {
-                    return Err(ProtocolError::TooLong("what comes behind the end"));
+                    return Err(ProtocolError::TooLong("the input after the end"));
                 }
                 Ok(())
             }
--- a/crates/proxy/src/frontend/fastcgi/outgoing.rs
+++ b/crates/proxy/src/frontend/fastcgi/outgoing.rs
@@ -39,9 +39,9 @@
 enum Progress {
     /// The output buffer has too little room.
     OutputFull,
-    /// So many bytes of the response are written.
+    /// This many bytes of the response were written.
     Partial(usize),
-    /// It is written to its end, the last step with so many bytes of the response.
+    /// It is written to its end, the last step with this many bytes of the response.
     Complete(usize),
 }
 
@@ -136,7 +136,7 @@
     Progress::Complete(record.len())
 }
 
-/// Writes the next STDOUT record of a response of which so many bytes are written.
+/// Writes the next STDOUT record of a response of which `written` bytes are written.
 fn write_content(answer: &OutgoingAnswer, written: usize, output: &mut RingBuffer) -> Progress {
     let unsent = &answer.response[written..];
     let room = output.free_space().saturating_sub(HEADER_BYTES);
@@ -160,7 +160,7 @@
         return Progress::OutputFull;
     }
     let mut records = Vec::with_capacity(END_BYTES);
-    // A stream that was never begun needs no end.
+    // A stream that was never started needs no end.
     if !answer.response.is_empty() {
         wire::write_record(&mut records, record_type::STDOUT, answer.request_id, &[]);
     }
--- a/crates/proxy/src/frontend/fastcgi/request.rs
+++ b/crates/proxy/src/frontend/fastcgi/request.rs
@@ -260,7 +260,7 @@
     }
 }
 
-/// Whether a text is so many hexadecimal digits, as ids, keys and tags are.
+/// Whether a text is `digits` hexadecimal digits, as ids, keys and tags are.
 fn is_hexadecimal(text: &str, digits: usize) -> bool {
     text.len() == digits && text.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
--- a/crates/proxy/src/frontend/interconnect/frontend.rs
+++ b/crates/proxy/src/frontend/interconnect/frontend.rs
@@ -58,7 +58,7 @@
 }
 
 impl InterconnectFrontend {
-    /// An interconnection that keeps so many trigger status resources at most.
+    /// An interconnection that keeps at most `trigger_limit` trigger status resources.
     pub fn new(identity: Identity, seed: u64, trigger_limit: usize) -> Self {
         InterconnectFrontend {
             identity,
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -48,7 +48,7 @@
 }
 
 impl Session {
-    /// A connection just accepted: lines and bodies of its requests have so many bytes at most.
+    /// A connection just accepted: the limits on lines and bodies of its requests are in bytes.
     pub fn new(line_limit: usize, body_limit: usize) -> Self {
         Session {
             messages: MessageParser::requests(line_limit, body_limit),
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -252,7 +252,7 @@
 };
 
 impl Limits {
-    /// The bounds that fit a machine with so many descriptors and MB of memory.
+    /// The bounds that fit a machine with this many descriptors and MB of memory.
     pub fn for_machine(descriptors: usize, memory_mb: usize) -> Self {
         let client_connections = (descriptors.saturating_mul(3) / 5).max(1);
         let memory_bytes = memory_mb.max(MIN_MEMORY_MB).saturating_mul(MIB);
@@ -276,14 +276,14 @@
         longest_deadline_us.min(MAX_RESTART_DEADLINE_US) + RESTART_GRACE_US - KILL_LEAD_US
     }
 
-    /// Whether a client connection may open one more request, where it is owed this many answers,
-    /// the new one included. `crowded` says that half of the request table is taken.
-    pub fn admits(&self, owed: usize, crowded: bool) -> bool {
+    /// Whether a client connection may open one more request, where it has this many unanswered
+    /// ones, the new one included. `crowded` says that half of the request table is taken.
+    pub fn admits(&self, unanswered: usize, crowded: bool) -> bool {
         let most = if crowded {
             self.requests_per_client_when_crowded
         } else {
             self.requests_per_client
         };
-        owed <= most
+        unanswered <= most
     }
 }
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -86,7 +86,7 @@
     Header,
     /// The content, of which these bytes have come.
     Content(Header, Vec<u8>),
-    /// The padding, of which so many bytes are still to come.
+    /// The padding, by the bytes that are still to come.
     Padding { record: Record, remaining: usize },
 }
 
@@ -152,9 +152,9 @@
     }
 }
 
-/// Takes so many bytes from the front of `rest`, or all if it has fewer.
-fn take_up_to<'a>(rest: &mut &'a [u8], bytes: usize) -> &'a [u8] {
-    let (taken, left) = rest.split_at(bytes.min(rest.len()));
+/// Takes `count` bytes from the front of `rest`, or all if it has fewer.
+fn take_up_to<'a>(rest: &mut &'a [u8], count: usize) -> &'a [u8] {
+    let (taken, left) = rest.split_at(count.min(rest.len()));
     *rest = left;
     taken
 }
--- a/crates/proxy/src/protocol/http/messages.rs
+++ b/crates/proxy/src/protocol/http/messages.rs
@@ -26,15 +26,15 @@
 enum State {
     /// The start line or the headers, up to the empty line.
     Head,
-    /// A body of a known length, of which so many bytes are still to come.
+    /// A body of a known length, by the bytes that are still to come.
     Sized(usize),
     /// The line with the size of a chunk (RFC 9112, section 7.1).
     ChunkSize,
-    /// A chunk, of which so many bytes are still to come.
+    /// A chunk, by the bytes that are still to come.
     ChunkData(usize),
-    /// The line end behind a chunk.
+    /// The line end after a chunk.
     ChunkEnd,
-    /// The trailers behind the last chunk, up to the empty line.
+    /// The trailers after the last chunk, up to the empty line.
     Trailers,
     /// A body that ends with the connection.
     UntilClose,
@@ -56,7 +56,7 @@
 }
 
 impl MessageParser {
-    /// A reader of requests: lines and bodies have so many bytes at most.
+    /// A reader of requests: limits on lines and bodies are in bytes.
     pub fn requests(line_limit: usize, body_limit: usize) -> Self {
         MessageParser {
             reads_responses: false,
@@ -68,7 +68,7 @@
         }
     }
 
-    /// A reader of responses: lines and bodies have so many bytes at most. The limit of bodies is
+    /// A reader of responses: limits on lines and bodies are in bytes. The limit of bodies is
     /// `usize::MAX` for streams.
     pub fn responses(line_limit: usize, body_limit: usize) -> Self {
         MessageParser {
@@ -174,7 +174,7 @@
         Ok(head)
     }
 
-    /// How the body behind a head ends (RFC 9112, section 6.3).
+    /// How the body after a head ends (RFC 9112, section 6.3).
     fn body_state(&self, head: &Head) -> Result<State, ProtocolError> {
         let length = head.header("content-length");
         let coding = head.header("transfer-encoding");
--- a/crates/proxy/src/protocol/line.rs
+++ b/crates/proxy/src/protocol/line.rs
@@ -18,7 +18,7 @@
 }
 
 impl LineBuffer {
-    /// A buffer for lines of so many bytes at most, their line feed with them.
+    /// A buffer for lines of at most `limit` bytes, their line feed with them.
     pub(super) fn new(limit: usize) -> Self {
         LineBuffer {
             partial: Vec::new(),
--- a/crates/proxy/src/protocol/mod.rs
+++ b/crates/proxy/src/protocol/mod.rs
@@ -39,6 +39,6 @@
     /// Parses up to the end of the next item: how many bytes of `input` are consumed, and the item
     /// if it is whole.
     ///
-    /// Bytes behind the item are left to the next call. Without an item all of `input` is consumed.
+    /// Bytes after the item are left to the next call. Without an item all of `input` is consumed.
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Self::Item>), ProtocolError>;
 }
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -20,9 +20,9 @@
 enum State {
     /// The line that announces an array.
     ArrayHeader,
-    /// The line that announces the next string of an array, which lacks so many strings.
+    /// The line that announces the next string of an array that lacks `missing` strings.
     StringHeader { missing: usize },
-    /// The bytes of a string and its line end, in an array that lacks so many strings, this one
+    /// The bytes of a string and its line end, in an array that lacks `missing` strings, this one
     /// among them.
     StringContent { missing: usize, length: usize },
 }
@@ -39,7 +39,7 @@
 }
 
 impl ArrayParser {
-    /// A reader of arrays whose strings have so many bytes at most.
+    /// A reader of arrays. The limit on each string is in bytes.
     pub fn new(string_limit: usize) -> Self {
         ArrayParser {
             string_limit,
--- a/crates/proxy/src/protocol/sse.rs
+++ b/crates/proxy/src/protocol/sse.rs
@@ -25,7 +25,7 @@
 }
 
 impl EventParser {
-    /// A reader of events whose data, and of lines that, have so many bytes at most.
+    /// A reader of events. The limit, in bytes, holds for each line and for the data of an event.
     pub fn new(event_limit: usize) -> Self {
         EventParser {
             event_limit,
--- a/crates/proxy/src/request_table/log_rate.rs
+++ b/crates/proxy/src/request_table/log_rate.rs
@@ -5,7 +5,7 @@
 
 const MICROS_PER_SECOND: Micros = 1_000_000;
 
-/// Lets so many lines through in each whole second of the clock, and counts those that it
+/// Lets a fixed number of lines through in each whole second of the clock, and counts those that it
 /// suppresses.
 #[derive(Clone, Debug)]
 pub struct LogRateLimiter {
@@ -30,7 +30,7 @@
 }
 
 impl LogRateLimiter {
-    /// A limiter for so many lines per second.
+    /// A limiter for this many lines per second.
     pub fn new(lines_per_second: u32) -> Self {
         LogRateLimiter {
             lines_per_second,
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -47,7 +47,7 @@
 }
 
 impl ClientRequest {
-    /// What the router is told of the request under this key.
+    /// The request as the router gets it, under this key.
     pub(super) fn to_routing_request(&self, request_key: RequestKey) -> Request {
         Request {
             id: request_key.to_u64(),
--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -7,7 +7,7 @@
 /// An entry of the endpoint list, as discovery gives it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedServer {
-    /// What the router is told.
+    /// The entry that the router gets.
     pub endpoint: Endpoint,
     /// The server's id on the wire.
     pub wire_id: String,
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -29,7 +29,7 @@
 }
 
 impl UpstreamConnection {
-    /// A connection that was just begun.
+    /// A connection that was just opened.
     pub fn new(server: ServerId, limits: &Limits, now: Micros) -> Self {
         UpstreamConnection {
             server,
--- a/crates/proxy/src/upstream/timeouts.rs
+++ b/crates/proxy/src/upstream/timeouts.rs
@@ -8,7 +8,7 @@
 
 /// What a connection has seen of how its server keeps up. Times in microseconds.
 pub(super) struct Liveness {
-    /// When something that can be read last arrived; at first, when the connection was begun.
+    /// When something that can be read last arrived; at first, when the connection was opened.
     last_received: Micros,
     /// When the answer that has arrived in part began.
     partial_answer_since: Option<Micros>,
@@ -31,7 +31,7 @@
 }
 
 impl Liveness {
-    /// The state of a connection that was just begun.
+    /// The state of a connection that was just opened.
     pub(super) fn new(limits: &Limits, now: Micros) -> Self {
         Liveness {
             last_received: now,
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -1,4 +1,4 @@
-//! What a router is told while it runs.
+//! The events that a router handles.
 
 use crate::settings::Micros;
 
@@ -155,7 +155,7 @@
     pub link_utilization: Option<f64>,
 }
 
-/// What a router is told.
+/// What happened, as a router is notified of it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// The endpoint list, or changes to it.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,5 +1,6 @@
-//! edge_routing decides for a front of caches of large objects behind thin links: which cache a
-//! request goes to, where a miss is filled from, what is kept, and what happens when things fail.
+//! The decisions of an edge proxy in front of cache servers for large objects behind narrow links:
+//! which cache server a request goes to, where a miss is filled from, what is cached, and what
+//! happens when things fail.
 //!
 //! The library is sans-IO. A proxy feeds a [`Router`] with events and carries out the actions that
 //! come back; time is the `now` of each call, and randomness comes from the seed alone.
--- a/crates/routing/src/policy/admission.rs
+++ b/crates/routing/src/policy/admission.rs
@@ -77,7 +77,7 @@
     }
 
     /// Capacity of the location's link in transfers. If its rate is unknown, recent fills show it:
-    /// without a bound, fills that come too late are begun anew and keep the link congested.
+    /// without a bound, fills that come too late are restarted and keep the link congested.
     fn link_capacity(&self) -> Option<f64> {
         let (settings, pace) = (&self.router.settings, &self.router.link.pace);
         let rate_kb_per_s = settings.own_zone().link_kb_per_s;
--- a/crates/routing/src/policy/attempt_end.rs
+++ b/crates/routing/src/policy/attempt_end.rs
@@ -174,7 +174,7 @@
         if end.report.outcome == Outcome::Cancelled && end.answer_lost {
             // It counts as slow as well: if only answers counted, cancelling the slow ones would
             // lower the bound further, and a slow origin would have all its work cancelled and
-            // begun anew.
+            // restarted.
             self.latency[end.request.class].learn_slow(true);
         }
         let (server_weight, source_weight) = self.failure_weights(now, end);
--- a/crates/routing/src/settings/mod.rs
+++ b/crates/routing/src/settings/mod.rs
@@ -1,4 +1,5 @@
-//! What a router is told when it starts: classes, tenants, zones and the limits of the deployment.
+//! The settings that a router starts with: classes, tenants, zones and the limits of the
+//! deployment.
 //!
 //! Plain data. [`Settings::validate`] tells whether a router can work with it.
 
@@ -6,7 +7,7 @@
 
 pub use validation::SettingsError;
 
-/// A time or a duration in microseconds, on the clock of whoever feeds the router.
+/// A time or a duration in microseconds, on the clock of the router's caller.
 pub type Micros = u64;
 
 /// How often a request may take effect.
@@ -150,7 +151,7 @@
     pub poll_within_us: Micros,
 }
 
-/// Everything that a router is told when it starts.
+/// Everything that a router starts with.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Classes of requests.
@@ -189,7 +190,7 @@
     pub cancellation: bool,
     /// Servers may be probed.
     pub probing: bool,
-    /// Clients are told when to retry.
+    /// Rejections tell clients when to retry.
     pub retry_after: bool,
     /// The longest such advice that clients follow.
     pub max_retry_after_us: Micros,
