--- a/crates/proxy/tests/cancellation.rs
+++ b/crates/proxy/tests/cancellation.rs
@@ -66,7 +66,7 @@
         paused.resume();
 
         let mut connection = server.accept().unwrap();
-        let fetch = connection.next_frame().unwrap();
+        let fetch = connection.next_command().unwrap();
         assert_eq!(
             fetch.object_key(),
             Some(object_key(3).as_str()),
@@ -91,7 +91,7 @@
         .request_object(1, WRITE_CLASS, &object_key(1), SHORT_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    connection.next_frame().unwrap();
+    connection.next_command().unwrap();
     client.abort(1).unwrap();
     assert_eq!(client.next_response().unwrap(), (1, None));
 
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -42,7 +42,7 @@
         .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let open_fetch = connection.next_frame().unwrap();
+    let open_fetch = connection.next_command().unwrap();
 
     proxy.shut_down_past_grace_period();
 
@@ -68,7 +68,7 @@
     drop((waiting_client, idle_client));
     proxy.wait_for_exit();
     assert!(
-        connection.next_frame().is_err(),
+        connection.next_command().is_err(),
         "no other request is forwarded"
     );
 }
@@ -126,7 +126,7 @@
             .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
             .unwrap();
         let mut connection = server.accept().unwrap();
-        connection.next_frame().unwrap();
+        connection.next_command().unwrap();
 
         proxy.control.stop().unwrap();
 
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -136,7 +136,7 @@
 
         client.send(&request).unwrap();
         let mut connection = server.accept().unwrap();
-        let fetch = connection.next_frame().unwrap();
+        let fetch = connection.next_command().unwrap();
         connection
             .answer(&fetch.request_id, "304", &fields, "")
             .unwrap();
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -111,7 +111,7 @@
         .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let first_fetch = connection.next_frame().unwrap();
+    let first_fetch = connection.next_command().unwrap();
 
     // The proxy sees the second request, the response and the reset at once.
     let paused = proxy.pause();
@@ -123,7 +123,7 @@
     paused.resume();
 
     let mut connection = server.accept().unwrap();
-    let second_fetch = connection.next_frame().unwrap();
+    let second_fetch = connection.next_command().unwrap();
     assert_eq!(
         second_fetch.object_key(),
         Some(object_key(2).as_str()),
@@ -144,7 +144,7 @@
         .start();
     let mut client = proxy.connect();
     let serve_one = |client: &mut FastCgiClient, connection: &mut ScriptedConnection| {
-        let fetch = connection.next_frame().unwrap();
+        let fetch = connection.next_command().unwrap();
         connection.answer_ok(&fetch.request_id).unwrap();
         next_response(client).1.status
     };
@@ -187,24 +187,24 @@
         .request_object(1, WRITE_CLASS, &object_key(1), SHORT_BUDGET_MS)
         .unwrap();
     let mut unresponsive = server.accept().unwrap();
-    unresponsive.next_frame().unwrap();
+    unresponsive.next_command().unwrap();
     assert_eq!(
         next_response(&mut client).1.status,
         503,
         "its budget is spent"
     );
-    assert_eq!(unresponsive.next_frame().unwrap().command, "abort");
+    assert_eq!(unresponsive.next_command().unwrap().name, "abort");
 
     client
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let fetch = connection.next_frame().unwrap();
+    let fetch = connection.next_command().unwrap();
     connection.answer_ok(&fetch.request_id).unwrap();
 
     assert_eq!(next_response(&mut client).1.status, 200);
     assert!(
-        unresponsive.next_frame().is_err(),
+        unresponsive.next_command().is_err(),
         "the unresponsive connection made room"
     );
     proxy.shut_down();
@@ -219,7 +219,7 @@
         .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let fetch = connection.next_frame().unwrap();
+    let fetch = connection.next_command().unwrap();
     connection
         .answer(&fetch.request_id, "503", "-", "")
         .unwrap();
@@ -227,8 +227,8 @@
     // The attempt never ran, so there is a retry. On the same connection nothing would tell the
     // duplicate of the first response from the response to the retry.
     let mut retry_connection = server.accept().unwrap();
-    let retry = retry_connection.next_frame().unwrap();
-    assert_eq!(retry.command, "fetch");
+    let retry = retry_connection.next_command().unwrap();
+    assert_eq!(retry.name, "fetch");
     assert_eq!(retry.request_id, fetch.request_id);
     connection
         .answer(&fetch.request_id, "503", "-", "")
@@ -238,7 +238,7 @@
     client
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
         .unwrap();
-    let next_fetch = connection.next_frame().unwrap();
+    let next_fetch = connection.next_command().unwrap();
     let fields = "how=local,made=1,etag=t2";
     connection
         .answer(&next_fetch.request_id, "200", fields, "the second")
@@ -266,7 +266,7 @@
         .request_object(1, WRITE_CLASS, &object_key(1), SHORT_BUDGET_MS)
         .unwrap();
     let mut endless = server.accept().unwrap();
-    let fetch = endless.next_frame().unwrap();
+    let fetch = endless.next_command().unwrap();
     let start_of_response = format!(
         "*4\r\n$16\r\n{}\r\n$3\r\n200\r\n$1\r\n-\r\n$9000\r\n...",
         fetch.request_id
@@ -285,7 +285,7 @@
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let fetch = connection.next_frame().unwrap();
+    let fetch = connection.next_command().unwrap();
     connection.answer_ok(&fetch.request_id).unwrap();
     assert_eq!(next_response(&mut client).1.status, 200);
 
--- a/crates/testkit/src/fake_cache.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -1,9 +1,8 @@
 //! Fake cache servers: they keep copies, honour the age limit of a request, and record every
 //! command.
 
-use crate::{
-    listen, unix_ms, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT,
-};
+use crate::received_command::ReceivedCommand;
+use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -59,62 +58,6 @@
     }
 }
 
-/// A command that a cache server has received.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ReceivedCommand {
-    /// Unix time in milliseconds.
-    pub received_at_ms: u64,
-    /// `fetch`, `abort` or the name of a probe.
-    pub name: String,
-    /// Id of the request that it is about.
-    pub request_id: String,
-    /// Fields as they are on the wire.
-    pub fields: String,
-    /// Body of a write.
-    pub body: Vec<u8>,
-}
-
-impl ReceivedCommand {
-    fn from_array(array: &[Vec<u8>]) -> Self {
-        let text = |index: usize| {
-            array
-                .get(index)
-                .map(|bytes| String::from_utf8_lossy(bytes).into_owned())
-                .unwrap_or_default()
-        };
-        ReceivedCommand {
-            received_at_ms: unix_ms(),
-            name: text(0),
-            request_id: text(1),
-            fields: text(2),
-            body: array.get(3).cloned().unwrap_or_default(),
-        }
-    }
-
-    /// The value of a field.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        resp::field(self.fields.as_bytes(), name)
-    }
-
-    /// Whether it requests an object.
-    pub fn is_fetch(&self) -> bool {
-        self.name == "fetch"
-    }
-
-    /// The name under which a copy of the requested part is kept.
-    fn part_name(&self) -> String {
-        let key = self.field("key").unwrap_or("");
-        let part = self.field("part").unwrap_or("");
-        format!("{key}/{part}")
-    }
-
-    /// Largest age of a copy that may serve the request. Zero means no limit.
-    fn max_age_ms(&self) -> Option<u64> {
-        let max_age_ms = self.field("maxage")?.parse().ok()?;
-        Some(max_age_ms).filter(|max_age_ms| *max_age_ms > 0)
-    }
-}
-
 #[derive(Default)]
 struct State {
     behavior: Behavior,
@@ -219,7 +162,7 @@
 
     /// Waits until it has received a command for an object, like [`Self::wait_for_command`].
     pub fn wait_for_request_of(&self, object_key: &str) -> Option<ReceivedCommand> {
-        self.wait_for_command(|command| command.field("key") == Some(object_key))
+        self.wait_for_command(|command| command.object_key() == Some(object_key))
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -15,11 +15,13 @@
 pub mod fastcgi_client;
 pub mod http_client;
 pub mod proxy_fixture;
+mod received_command;
 mod response;
 pub mod sample_deployment;
 mod scenario;
 pub mod scripted_server;
 
+pub use received_command::ReceivedCommand;
 pub use response::Response;
 pub use sample_deployment::sample_settings;
 pub use scenario::{
--- a/crates/testkit/src/scenario/deployment.rs
+++ b/crates/testkit/src/scenario/deployment.rs
@@ -2,10 +2,11 @@
 
 use super::proxy_process::ProxyProcess;
 use super::ScenarioError;
-use crate::fake_cache::{Behavior, FakeCacheServer, ReceivedCommand};
+use crate::fake_cache::{Behavior, FakeCacheServer};
 use crate::fake_event_bus::{cache_entry, origin_entry, server_state, FakeEventBus};
 use crate::fake_peer_cdn::FakePeerCdn;
 use crate::sample_deployment::READ_CLASS;
+use crate::ReceivedCommand;
 use crate::{http_client, Response, TEST_TIMEOUT};
 use std::io;
 use std::path::Path;
--- a/crates/testkit/src/scenario/drain.rs
+++ b/crates/testkit/src/scenario/drain.rs
@@ -3,10 +3,10 @@
 
 use super::deployment::Deployment;
 use super::{InjectedFault, Rule, ScenarioError, ScenarioReport, MEASUREMENT_TOLERANCE_MS};
-use crate::fake_cache::{Behavior, FakeCacheServer, ReceivedCommand};
+use crate::fake_cache::{Behavior, FakeCacheServer};
 use crate::fake_event_bus::{cache_entry, server_state};
 use crate::sample_deployment::{content_url, interconnect_path, object_key, redirection_request};
-use crate::{http_client, unix_ms, Response, TEST_TIMEOUT};
+use crate::{http_client, unix_ms, ReceivedCommand, Response, TEST_TIMEOUT};
 use serde_json::Value;
 use std::io;
 use std::thread::{self, JoinHandle};
@@ -95,7 +95,7 @@
         .map(|number| object_key(REDIRECTED_OBJECTS + number))
         .collect();
     let is_redirected = |command: &ReceivedCommand| {
-        let key = command.field("key");
+        let key = command.object_key();
         key.is_some_and(|key| redirected_keys.iter().any(|redirected| redirected == key))
     };
     let deadline = Instant::now() + TEST_TIMEOUT;
--- a/crates/testkit/src/scenario/shutdown.rs
+++ b/crates/testkit/src/scenario/shutdown.rs
@@ -2,10 +2,10 @@
 
 use super::deployment::Deployment;
 use super::{Rule, ScenarioError, ScenarioReport};
-use crate::fake_cache::{Behavior, ReceivedCommand};
+use crate::fake_cache::Behavior;
 use crate::fastcgi_client::FastCgiClient;
 use crate::sample_deployment::READ_CLASS;
-use crate::TEST_TIMEOUT;
+use crate::{ReceivedCommand, TEST_TIMEOUT};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -46,7 +46,7 @@
     while deployment.commands_at_caches() == commands_before && Instant::now() < deadline {
         thread::sleep(POLL_INTERVAL);
     }
-    let is_open_request = |command: &ReceivedCommand| command.field("key") == Some(OBJECT_KEY);
+    let is_open_request = |command: &ReceivedCommand| command.object_key() == Some(OBJECT_KEY);
     let has_arrived = deployment.cache_that_received(is_open_request).is_some();
     report.check(Rule::SingleResponse, has_arrived, || {
         "the last request did not reach a cache server".to_owned()
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -1,6 +1,7 @@
 //! A cache server that does nothing by itself: a test says what it reads, answers and closes, and
 //! in which order.
 
+use crate::received_command::ReceivedCommand;
 use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
 use rustix::net::sockopt;
@@ -23,38 +24,6 @@
     input: Vec<u8>,
 }
 
-/// A frame that the proxy has sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReceivedFrame {
-    /// `fetch`, `abort` or the name of a probe.
-    pub command: String,
-    /// Id of the request that it is about.
-    pub request_id: String,
-    /// Fields as they are on the wire.
-    pub fields: String,
-}
-
-impl ReceivedFrame {
-    fn from_array(array: &[Vec<u8>]) -> Self {
-        let text = |index: usize| {
-            array
-                .get(index)
-                .map(|bytes| String::from_utf8_lossy(bytes).into_owned())
-                .unwrap_or_default()
-        };
-        ReceivedFrame {
-            command: text(0),
-            request_id: text(1),
-            fields: text(2),
-        }
-    }
-
-    /// Key of the requested object.
-    pub fn object_key(&self) -> Option<&str> {
-        resp::field(self.fields.as_bytes(), "key")
-    }
-}
-
 fn timed_out<T>(_: T) -> io::Error {
     io::ErrorKind::TimedOut.into()
 }
@@ -84,13 +53,13 @@
 }
 
 impl ScriptedConnection {
-    /// Reads the next frame.
-    pub fn next_frame(&mut self) -> io::Result<ReceivedFrame> {
+    /// Reads the next command.
+    pub fn next_command(&mut self) -> io::Result<ReceivedCommand> {
         loop {
             let (consumed, array) = self.arrays.parse(&self.input).map_err(io::Error::other)?;
             self.input.drain(..consumed);
             if let Some(array) = array {
-                return Ok(ReceivedFrame::from_array(&array));
+                return Ok(ReceivedCommand::from_array(&array));
             }
             let mut chunk = [0; READ_CHUNK_BYTES];
             match self.socket.read(&mut chunk)? {
@@ -100,12 +69,12 @@
         }
     }
 
-    /// Reads the next fetch, past all other frames.
-    pub fn next_fetch(&mut self) -> io::Result<ReceivedFrame> {
+    /// Reads the next fetch, past all other commands.
+    pub fn next_fetch(&mut self) -> io::Result<ReceivedCommand> {
         loop {
-            let frame = self.next_frame()?;
-            if frame.command == "fetch" {
-                return Ok(frame);
+            let command = self.next_command()?;
+            if command.is_fetch() {
+                return Ok(command);
             }
         }
     }
