Event loop: one trait for what it asks of the sessions of both front ends

Eviction, the end of a connection and abandoned requests each had an arm for FastCGI and one for the interconnect that read the same; health checks asked for readiness a second way. Session::pending had no caller and is gone.

--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -46,46 +46,28 @@
 impl Connection {
     /// The class of a client connection; none for the others.
     pub(super) fn eviction_class(&self) -> Option<EvictionClass> {
-        let (awaits_answer, has_partial_request, has_received_request) = match &self.role {
-            ConnectionRole::FastCgiClient(session) => (
-                session.is_busy(),
-                session.has_partial_input(),
-                session.has_received_request(),
-            ),
-            ConnectionRole::InterconnectClient(session) => (
-                !session.is_idle(),
-                session.has_partial_input(),
-                session.has_received_request(),
-            ),
-            ConnectionRole::Lingering { .. } => return Some(EvictionClass::Lingering),
-            _ => return None,
-        };
-        Some(if awaits_answer || !self.transport.output.is_empty() {
+        if matches!(self.role, ConnectionRole::Lingering { .. }) {
+            return Some(EvictionClass::Lingering);
+        }
+        let session = self.role.client_session()?;
+        Some(if session.is_busy() || !self.transport.output.is_empty() {
             EvictionClass::Busy
-        } else if has_partial_request || !self.transport.input.is_empty() {
+        } else if session.has_partial_input() || !self.transport.input.is_empty() {
             EvictionClass::PartialRequest
-        } else if has_received_request {
+        } else if session.has_received_request() {
             EvictionClass::Idle
         } else {
             EvictionClass::NoRequest
         })
     }
 
-    fn unanswered_requests(&self) -> usize {
-        match &self.role {
-            ConnectionRole::FastCgiClient(session) => session.unanswered(),
-            ConnectionRole::InterconnectClient(session) => {
-                usize::from(session.pending_request.is_some())
-            }
-            _ => 0,
-        }
-    }
-
     /// When a client connection that stays as it is will be ended.
     pub(super) fn idle_deadline(&self, limits: &Limits) -> Option<Micros> {
+        let session = self.role.client_session();
+        let unanswered = session.map_or(0, |session| session.unanswered());
         idle_deadline(
             self.eviction_class()?,
-            self.unanswered_requests(),
+            unanswered,
             self.activity.since,
             limits,
         )
--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -3,6 +3,7 @@
 use crate::event_loop::connections::{Connection, ConnectionRole};
 use crate::event_loop::EventLoop;
 use crate::frontend::fastcgi::SessionEvent;
+use crate::frontend::ClientSession;
 use crate::net::{IoProgress, SlabKey};
 use crate::protocol::ProtocolError;
 use crate::request_table::{Answer, ClientRequest, ResponseTarget};
@@ -25,12 +26,7 @@
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
         loop {
-            let Some(Connection {
-                transport,
-                role: ConnectionRole::FastCgiClient(session),
-                ..
-            }) = self.connections.get_mut(key)
-            else {
+            let Some((transport, session)) = self.connections.fastcgi_client_mut(key) else {
                 return Ok(());
             };
             let Some(event) = session.read(&mut transport.input, &self.limits)? else {
@@ -40,10 +36,7 @@
                 SessionEvent::Abort(request_key) => {
                     self.request_table.client_disconnected(now, request_key);
                 }
-                SessionEvent::HealthCheck(stream) => {
-                    let is_ready = self.request_table.is_ready() && !self.shutdown.is_requested();
-                    session.respond_with_status(stream, health_status(is_ready));
-                }
+                SessionEvent::HealthCheck(stream) => self.answer_health_check(key, stream),
                 SessionEvent::Request(stream, request) => {
                     self.admit_fastcgi_request(now, key, stream, request);
                 }
@@ -53,6 +46,13 @@
         }
     }
 
+    fn answer_health_check(&mut self, key: SlabKey, stream: u16) {
+        let status = health_status(self.is_ready());
+        if let Some((_, session)) = self.connections.fastcgi_client_mut(key) {
+            session.respond_with_status(stream, status);
+        }
+    }
+
     /// Hands a request to the request table, or rejects it.
     fn admit_fastcgi_request(
         &mut self,
@@ -61,11 +61,7 @@
         stream: u16,
         request: ClientRequest,
     ) {
-        let Some(Connection {
-            role: ConnectionRole::FastCgiClient(session),
-            ..
-        }) = self.connections.get_mut(key)
-        else {
+        let Some((_, session)) = self.connections.fastcgi_client_mut(key) else {
             return;
         };
         let clients_are_slow = self.clients.unsent_answer_bytes > self.limits.unsent_answer_bytes;
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -6,7 +6,7 @@
 use super::EventLoop;
 use crate::discovery::consul::ConsulQuery;
 use crate::discovery::event_bus::EventStreamClient;
-use crate::frontend::{fastcgi, interconnect};
+use crate::frontend::{fastcgi, interconnect, ClientSession};
 use crate::net::{connect, BufferedSocket, Slab, SlabKey};
 use crate::upstream::UpstreamConnection;
 use edge_routing::Micros;
@@ -37,20 +37,17 @@
 impl ConnectionRole {
     /// Whether the connection was accepted from a client.
     pub(super) fn is_client(&self) -> bool {
-        matches!(
-            self,
-            ConnectionRole::FastCgiClient(_)
-                | ConnectionRole::InterconnectClient(_)
-                | ConnectionRole::Lingering { .. }
-        )
+        let is_lingering = matches!(self, ConnectionRole::Lingering { .. });
+        is_lingering || self.client_session().is_some()
     }
 
-    /// Whether a client may still be sent something.
-    fn is_open_client(&self) -> bool {
-        matches!(
-            self,
-            ConnectionRole::FastCgiClient(_) | ConnectionRole::InterconnectClient(_)
-        )
+    /// The session of a client that may still be sent something.
+    pub(super) fn client_session(&self) -> Option<&dyn ClientSession> {
+        match self {
+            ConnectionRole::FastCgiClient(session) => Some(session),
+            ConnectionRole::InterconnectClient(session) => Some(session.as_ref()),
+            _ => None,
+        }
     }
 }
 
@@ -84,6 +81,18 @@
         }
     }
 
+    /// The transport and the session of a FastCGI client.
+    pub(super) fn fastcgi_client_mut(
+        &mut self,
+        key: SlabKey,
+    ) -> Option<(&mut BufferedSocket, &mut fastcgi::Session)> {
+        let connection = self.get_mut(key)?;
+        match &mut connection.role {
+            ConnectionRole::FastCgiClient(session) => Some((&mut connection.transport, session)),
+            _ => None,
+        }
+    }
+
     /// The transport and the session of an interconnect client.
     pub(super) fn interconnect_client_mut(
         &mut self,
@@ -217,7 +226,9 @@
             return;
         };
         connection.transport.write();
-        if !connection.role.is_open_client() || connection.transport.shut_down_writes().is_err() {
+        if connection.role.client_session().is_none()
+            || connection.transport.shut_down_writes().is_err()
+        {
             return self.close(now, key);
         }
         connection.transport.input.clear();
@@ -225,7 +236,7 @@
         connection.activity.since = now;
         let lingering = ConnectionRole::Lingering { discarded_bytes: 0 };
         let role = std::mem::replace(&mut connection.role, lingering);
-        self.abandon_requests(now, role);
+        self.abandon_requests(now, &role);
         self.timers.set(
             now + self.limits.lingering_close_us,
             TimerEvent::CheckClient(key),
@@ -250,7 +261,7 @@
             | ConnectionRole::Lingering { .. } => {
                 self.clients.connections -= 1;
                 self.clients.release(&mut activity);
-                self.abandon_requests(now, role);
+                self.abandon_requests(now, &role);
             }
             ConnectionRole::Upstream(upstream) => {
                 self.upstream_closed(now, key, &transport, upstream)
@@ -262,15 +273,11 @@
     }
 
     /// Tells the request table that the client of a connection waits for no answer any more.
-    fn abandon_requests(&mut self, now: Micros, role: ConnectionRole) {
-        let request_keys = match role {
-            ConnectionRole::FastCgiClient(session) => session.request_keys(),
-            ConnectionRole::InterconnectClient(session) => {
-                session.pending_request.into_iter().collect()
-            }
-            _ => return,
+    fn abandon_requests(&mut self, now: Micros, role: &ConnectionRole) {
+        let Some(session) = role.client_session() else {
+            return;
         };
-        for request_key in request_keys {
+        for request_key in session.request_keys() {
             self.request_table.client_disconnected(now, request_key);
         }
     }
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -158,18 +158,11 @@
         let Some(connection) = self.connections.get(key) else {
             return false;
         };
-        let grace_over = self.shutdown.is_grace_over();
-        let ends_now = match &connection.role {
-            ConnectionRole::FastCgiClient(session) => {
-                session.is_finished()
-                    || grace_over && session.is_idle() && !session.has_partial_input()
-            }
-            ConnectionRole::InterconnectClient(session) => {
-                session.is_finished()
-                    || grace_over && session.is_idle() && !session.has_partial_input()
-            }
-            _ => false,
+        let Some(session) = connection.role.client_session() else {
+            return false;
         };
+        let is_nothing_open = || session.is_idle() && !session.has_partial_input();
+        let ends_now = session.is_finished() || self.shutdown.is_grace_over() && is_nothing_open();
         ends_now && connection.transport.output.is_empty()
     }
 }
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -6,6 +6,7 @@
 use super::outgoing::{OutgoingAnswer, OutgoingQueue};
 use super::request::{Endpoint, Parameters};
 use super::response;
+use crate::frontend::ClientSession;
 use crate::limits::Limits;
 use crate::net::RingBuffer;
 use crate::protocol::fastcgi::{self as wire, record_type, Record, RecordParser};
@@ -59,27 +60,39 @@
     has_received_request: bool,
 }
 
-impl Session {
-    /// Whether no request is open and no answer on its way out.
-    pub fn is_idle(&self) -> bool {
+impl ClientSession for Session {
+    fn is_idle(&self) -> bool {
         self.streams.is_empty() && self.outgoing.is_empty()
     }
 
-    /// Whether an answer is owed or on its way out.
-    pub fn is_busy(&self) -> bool {
+    fn is_busy(&self) -> bool {
         !self.outgoing.is_empty() || self.unanswered() > 0
     }
 
-    /// How many answers are owed.
-    pub fn unanswered(&self) -> usize {
+    fn unanswered(&self) -> usize {
         self.pending_requests().count()
     }
 
-    /// Whether a record or a request is partially received.
-    pub fn has_partial_input(&self) -> bool {
+    fn has_partial_input(&self) -> bool {
         self.records.has_partial_input() || self.partial_requests().next().is_some()
     }
 
+    fn has_received_request(&self) -> bool {
+        self.has_received_request
+    }
+
+    fn is_finished(&self) -> bool {
+        self.outgoing.close_requested() && self.is_idle()
+    }
+
+    fn request_keys(&self) -> Vec<RequestKey> {
+        self.pending_requests()
+            .filter_map(|request| request.request_key)
+            .collect()
+    }
+}
+
+impl Session {
     /// Bytes held of partially received requests.
     pub fn partial_request_bytes(&self) -> usize {
         self.partial_requests()
@@ -87,28 +100,11 @@
             .sum()
     }
 
-    /// Whether any request was received whole.
-    pub fn has_received_request(&self) -> bool {
-        self.has_received_request
-    }
-
-    /// Whether the client wants the connection closed by now and nothing is left to write.
-    pub fn is_finished(&self) -> bool {
-        self.outgoing.close_requested() && self.is_idle()
-    }
-
     /// Bytes of answers that wait to be written.
     pub fn unsent_bytes(&self) -> usize {
         self.outgoing.unsent_bytes()
     }
 
-    /// Keys of the admitted requests that await their answers.
-    pub fn request_keys(&self) -> Vec<RequestKey> {
-        self.pending_requests()
-            .filter_map(|request| request.request_key)
-            .collect()
-    }
-
     /// Reads from the input buffer up to the next event. An error ends the connection.
     pub fn read(
         &mut self,
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -1,6 +1,7 @@
 //! One HTTP connection of a peer or of a client that was redirected here.
 
 use super::Response;
+use crate::frontend::ClientSession;
 use crate::net::RingBuffer;
 use crate::protocol::http::{self, Head, Message, MessageParser, Piece};
 use crate::protocol::{Parser, ProtocolError};
@@ -47,6 +48,36 @@
     }
 }
 
+impl ClientSession for Session {
+    fn is_idle(&self) -> bool {
+        self.pending_request.is_none() && self.outgoing.is_empty()
+    }
+
+    fn has_partial_input(&self) -> bool {
+        self.has_partial_input
+    }
+
+    fn has_received_request(&self) -> bool {
+        self.has_received_request
+    }
+
+    fn is_finished(&self) -> bool {
+        !self.keep_open && self.is_idle()
+    }
+
+    fn is_busy(&self) -> bool {
+        !self.is_idle()
+    }
+
+    fn unanswered(&self) -> usize {
+        usize::from(self.pending_request.is_some())
+    }
+
+    fn request_keys(&self) -> Vec<RequestKey> {
+        self.pending_request.into_iter().collect()
+    }
+}
+
 impl Session {
     /// A connection just accepted: the limits on lines and bodies of its requests are in bytes.
     pub fn new(line_limit: usize, body_limit: usize) -> Self {
@@ -64,31 +95,6 @@
         }
     }
 
-    /// Whether no request waits and no response is on its way out.
-    pub fn is_idle(&self) -> bool {
-        self.pending_request.is_none() && self.outgoing.is_empty()
-    }
-
-    /// Whether a request is partially received.
-    pub fn has_partial_input(&self) -> bool {
-        self.has_partial_input
-    }
-
-    /// Whether any request was received whole.
-    pub fn has_received_request(&self) -> bool {
-        self.has_received_request
-    }
-
-    /// Whether the connection is to be closed and nothing is left to write.
-    pub fn is_finished(&self) -> bool {
-        !self.keep_open && self.is_idle()
-    }
-
-    /// Bytes of the response that wait to be written.
-    pub fn pending(&self) -> usize {
-        self.outgoing.len() - self.written
-    }
-
     /// Reads up to the end of the next request, once the one before has its response.
     pub fn read(&mut self, input: &mut RingBuffer) -> Result<Option<Message>, ProtocolError> {
         while self.keep_open && self.is_idle() {
