--- a/crates/proxy/src/request_table/pending_requests.rs
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -30,14 +30,14 @@
 
     /// Adds a request, unless a limit or the id of another one forbids it.
     pub(super) fn insert(&mut self, pending: PendingRequest) -> Result<RequestKey, AdmissionError> {
-        let id = pending.request.id.clone();
         let body_bytes = self.body_bytes + pending.request.body.len();
         if body_bytes > self.body_bytes_limit {
             return Err(AdmissionError::BodyBytesExhausted);
         }
-        if self.ids.contains(&id) {
+        if self.ids.contains(&pending.request.id) {
             return Err(AdmissionError::DuplicateId);
         }
+        let id = pending.request.id.clone();
         let request_key = self
             .slab
             .insert(pending)
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -69,9 +69,9 @@
         })
     }
 
-    /// The id of the stream that it answers; none: no id that this proxy could have given.
-    pub(super) fn id(&self) -> Option<&str> {
-        std::str::from_utf8(&self.id).ok()
+    /// Takes out the id of the stream that it answers; none: no id that this proxy could have given.
+    pub(super) fn take_id(&mut self) -> Option<String> {
+        String::from_utf8(std::mem::take(&mut self.id)).ok()
     }
 
     /// The Unix millisecond at which the origin gave out the copy.
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -51,11 +51,11 @@
     fn handle_answer(
         &mut self,
         now: Micros,
-        answer: ServerAnswer,
+        mut answer: ServerAnswer,
         request_table: &RequestTable,
         events: &mut Vec<UpstreamEvent>,
     ) {
-        let Some(id) = answer.id().map(str::to_owned) else {
+        let Some(id) = answer.take_id() else {
             return;
         };
         match self.streams.remove(&id) {
