Hash ids and objects with the fnv crate

The FNV-1a hash stood twice, by hand: for the numbers of servers in the proxy and for texts in the routing module.

--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -1,7 +1,9 @@
 //! The servers that discovery lists: wire id, address and lifecycle state of each.
 
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, ServerId};
+use fnv::FnvHasher;
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 
 /// An entry of the endpoint list, as discovery gives it.
@@ -18,11 +20,9 @@
 /// The number of a server, from its id on the wire (FNV-1a, 64 bits). It is the same at every
 /// proxy: the router's order of servers is hashed from it.
 pub fn server_id(wire_id: &str) -> ServerId {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x100_0000_01b3;
-    wire_id.bytes().fold(OFFSET_BASIS, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
+    let mut hasher = FnvHasher::default();
+    hasher.write(wire_id.as_bytes());
+    hasher.finish()
 }
 
 /// How a server is named on the wire, and where it is reached.
--- a/crates/proxy/src/request_table/tests.rs
+++ b/crates/proxy/src/request_table/tests.rs
@@ -1,7 +1,8 @@
-//! Parts of the request table, each alone: the request trace, the log's rate limit, permanent
+//! Parts of the request table, each alone: server numbers, the trace, the log rate limit, permanent
 //! purges.
 
 use super::purges::{PermanentPurges, PurgeTarget};
+use super::servers::server_id;
 use super::{LogRateLimiter, RequestEnding, RequestTrace, SuppressedLines, TraceEvent};
 use edge_routing::{FillResult, Outcome};
 
@@ -99,3 +100,10 @@
     assert!(purges.insert(group(1)));
     assert!(!purges.insert(group(2)));
 }
+
+#[test]
+fn the_number_of_a_server_is_the_published_fnv_1a_hash_of_its_id() {
+    assert_eq!(server_id(""), 0xcbf2_9ce4_8422_2325);
+    assert_eq!(server_id("a"), 0xaf63_dc4c_8601_ec8c);
+    assert_eq!(server_id("foobar"), 0x8594_4171_f739_67e8);
+}
--- a/crates/routing/src/estimate/hash.rs
+++ b/crates/routing/src/estimate/hash.rs
@@ -1,12 +1,11 @@
 //! Hashes that all routers share, and the pseudo-random numbers derived from a seed.
 
+use fnv::FnvHasher;
+use std::hash::Hasher;
+
 /// Step of a Weyl sequence: 2^64 divided by the golden ratio.
 const GOLDEN_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// Offset basis and prime of the 64-bit FNV-1a hash.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x100_0000_01b3;
-
 /// Spreads an integer evenly over all 64 bits (the finalizer of SplitMix64).
 pub(crate) fn finalize(mut value: u64) -> u64 {
     value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -16,8 +15,9 @@
 
 /// Hash of a text.
 pub(crate) fn text(text: &str) -> u64 {
-    let fnv = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-    finalize(text.bytes().fold(FNV_OFFSET, fnv))
+    let mut hasher = FnvHasher::default();
+    hasher.write(text.as_bytes());
+    finalize(hasher.finish())
 }
 
 /// Hash of the part of an object, given the object's hash.
