--- a/crates/proxy/tests/client_connections.rs
+++ b/crates/proxy/tests/client_connections.rs
@@ -132,8 +132,7 @@
 
     client.send(&request).unwrap();
     let mut connection = server.accept().unwrap();
-    let fetch = connection.next_command().unwrap();
-    connection.answer_ok(&fetch.request_id).unwrap();
+    connection.serve_next().unwrap();
 
     assert_eq!(next_response(&mut client).1.status, 200);
     assert!(is_closed(&mut client), "no idle time-out is waited for");
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -144,8 +144,7 @@
         .start();
     let mut client = proxy.connect();
     let serve_one = |client: &mut FastCgiClient, connection: &mut ScriptedConnection| {
-        let fetch = connection.next_command().unwrap();
-        connection.answer_ok(&fetch.request_id).unwrap();
+        connection.serve_next().unwrap();
         next_response(client).1.status
     };
     client
@@ -199,8 +198,7 @@
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let fetch = connection.next_command().unwrap();
-    connection.answer_ok(&fetch.request_id).unwrap();
+    connection.serve_next().unwrap();
 
     assert_eq!(next_response(&mut client).1.status, 200);
     assert!(
@@ -285,8 +283,7 @@
         .request_object(2, WRITE_CLASS, &object_key(2), LONG_BUDGET_MS)
         .unwrap();
     let mut connection = server.accept().unwrap();
-    let fetch = connection.next_command().unwrap();
-    connection.answer_ok(&fetch.request_id).unwrap();
+    connection.serve_next().unwrap();
     assert_eq!(next_response(&mut client).1.status, 200);
 
     // An unfinished response to a request that was never sent is not waited for either.
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -105,6 +105,12 @@
         self.answer(request_id, "200", "how=local,made=1,etag=t1", "all of it")
     }
 
+    /// Reads the next command and answers it with 200 and a cached copy.
+    pub fn serve_next(&mut self) -> io::Result<()> {
+        let command = self.next_command()?;
+        self.answer_ok(&command.request_id)
+    }
+
     /// Sends raw bytes.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.socket.write_all(bytes)
