--- a/crates/routing/src/policy/attempt_end.rs
+++ b/crates/routing/src/policy/attempt_end.rs
@@ -102,8 +102,9 @@
         if end.request.size_known && attempt.source.is_some() && used_link {
             let moving_s = report.took_us.saturating_sub(report.fill_ttfb_us) as f64 / 1e6;
             let in_flight = (attempt.link_in_flight + self.link.in_flight.total()) / 2.0;
-            let pace = &mut self.link.pace;
-            pace.add(now, moving_s, end.expected_s(), in_flight);
+            self.link
+                .pace
+                .add(now, moving_s, end.expected_s(), in_flight);
         }
         // A fill after a purge that never came, its own or one that it joined, was late at the
         // origin.
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -1,7 +1,7 @@
 //! Every decision of the router, and every threshold and tuning constant.
 //!
 //! [`Router`] dispatches events. The ordinary path of a request is in [`replication`], which
-//! follows `docs/DESIGN-rosegauge.md`; the other modules decide what that design leaves open.
+//! follows the design that `docs/architecture.md` names; the other modules decide what that design leaves open.
 
 mod admission;
 mod attempt_end;
@@ -102,8 +102,8 @@
                 permanent,
             } => {
                 let at = now.saturating_sub(age_us);
-                let object = object.as_deref();
-                self.purges.record(now, object, group, at, permanent);
+                self.purges
+                    .record(now, object.as_deref(), group, at, permanent);
             }
         }
     }
--- a/crates/routing/src/policy/outlier.rs
+++ b/crates/routing/src/policy/outlier.rs
@@ -16,6 +16,14 @@
 const UNRESPONSIVE_CHANCE: f64 = 0.16 + 1e-9;
 const MIN_FILL_CHANCE: f64 = 0.4; // That an attempt waits for a fill: a single late one won't do.
 
+impl ServerState {
+    /// Whether it is not ejected. After an ejection it is available for one request at a time.
+    pub(crate) fn is_available(&self, now: Micros) -> bool {
+        let half_open = now >= self.ejected_until && !self.half_open_probe_in_flight;
+        self.consecutive_ejections == 0 || half_open
+    }
+}
+
 /// Ejects a server, if it is not ejected already.
 fn eject(now: Micros, server: &mut ServerState) {
     if now >= server.ejected_until {
@@ -43,8 +51,7 @@
         });
     }
 
-    /// A server failed a request or a fill; the weight is below 1 if that may not have been its
-    /// fault.
+    /// A server failed a request or a fill; a weight below 1: perhaps not by its fault.
     pub(super) fn server_failed(&mut self, now: Micros, id: ServerId, weight: f64) {
         self.servers.change(id, |server| {
             server.half_open_probe_in_flight = false;
--- a/crates/routing/src/policy/retry.rs
+++ b/crates/routing/src/policy/retry.rs
@@ -19,8 +19,7 @@
 const SLOW_SHARE: f64 = 0.02; // Share of a class's answers that are slow.
 const SLOW_STEP: f64 = 0.2; // Weight of one answer in the estimate of what is slow.
 const INITIAL_SLOW_RATIO: f64 = 4.0; // What is slow over the baseline, before any answer was seen.
-/// An attempt stalls after this many times what is slow; doubled with each one of the request that
-/// did.
+/// An attempt stalls after this many times what is slow; each stall of its request doubles it.
 const STALL_MULTIPLE: f64 = 2.2;
 const MAX_STALL_DOUBLINGS: u32 = 4; // How often that is doubled at most.
 const EXPECTED_S: f64 = 0.25; // Seconds that an attempt may be expected to take besides transfers.
--- a/crates/routing/src/state/servers.rs
+++ b/crates/routing/src/state/servers.rs
@@ -20,10 +20,10 @@
 impl Role {
     /// The role of a server by its kind and the index of its zone. A cache of another location has
     /// none: it takes no requests of this one.
-    fn of(kind: &String, zone: Option<usize>, settings: &Settings) -> Option<Role> {
-        if settings.parent_kind.as_ref() == Some(kind) {
+    fn of(kind: &str, zone: Option<usize>, settings: &Settings) -> Option<Role> {
+        if settings.parent_kind.as_deref() == Some(kind) {
             Some(Role::Parent)
-        } else if settings.origin_kind == *kind {
+        } else if settings.origin_kind == kind {
             Some(Role::Origin)
         } else {
             (zone == Some(settings.zone)).then_some(Role::Cache)
@@ -88,12 +88,6 @@
 }
 
 impl ServerState {
-    /// Whether it is not ejected. After an ejection it is available for one request at a time.
-    pub(crate) fn is_available(&self, now: Micros) -> bool {
-        let half_open = now >= self.ejected_until && !self.half_open_probe_in_flight;
-        self.consecutive_ejections == 0 || half_open
-    }
-
     /// Share of its capacity, from 0 to 1, that it is sure to have at a time: it grows in a line
     /// from its start, or from its recovery if it was unreachable.
     pub(crate) fn warm_up_fraction(&self, at: Micros) -> f64 {
