Proxy: one seam for the system calls that may fail for a moment

Sockets, epoll, files and the wall clock are used through the module sys. Built with the feature fault-injection, each call first asks a seeded plan of its thread, which may have it fail with an error number, move a few bytes only, or end the process; the wall clock may be stepped. No behaviour changes.

--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -10,6 +10,7 @@
 use crate::frontend::interconnect::footprint::Network;
 use crate::frontend::interconnect::{Identity, PeerCdn, ServedClass};
 use crate::limits::Limits;
+use crate::sys;
 use document::{
     ConfigDocument, InterconnectDocument, InterconnectFields, InterconnectListen,
     KnownEventsDocument, MachineLimits, PeerCdnFields,
@@ -188,11 +189,11 @@
 
 /// Reads a file as JSON.
 fn read_file(path: &str) -> Result<Value, ConfigError> {
-    let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable {
+    let bytes = sys::read_file(Path::new(path)).map_err(|source| ConfigError::Unreadable {
         path: path.to_owned(),
         source,
     })?;
-    serde_json::from_str(&text).map_err(|source| ConfigError::NotJson {
+    serde_json::from_slice(&bytes).map_err(|source| ConfigError::NotJson {
         path: path.to_owned(),
         source,
     })
--- a/crates/proxy/src/discovery/purge_log.rs
+++ b/crates/proxy/src/discovery/purge_log.rs
@@ -4,10 +4,11 @@
 //! Each line is a purge as [`purge_gossip`](super::purge_gossip) encodes it.
 
 use crate::discovery::purge_gossip::{decode, encode, Purge};
+use crate::sys;
 use edge_routing::Micros;
 use std::collections::BTreeMap;
-use std::fs::{self, File};
-use std::io::{self, Write};
+use std::fs::File;
+use std::io;
 use std::path::{Path, PathBuf};
 
 /// The file is rewritten once it has more lines than two for each purge plus this many.
@@ -31,7 +32,7 @@
     /// into the next one. Fails where the file cannot be read or written; a line that is not a
     /// purge is skipped.
     pub fn open(path: &Path) -> io::Result<Self> {
-        let text = match fs::read(path) {
+        let text = match sys::read_file(path) {
             Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
             Err(error) if error.kind() == io::ErrorKind::NotFound => String::new(),
             Err(error) => return Err(error),
@@ -80,7 +81,7 @@
             self.lines = self.last_purges.len();
             return Ok(());
         }
-        self.file.write_all((line + "\n").as_bytes())
+        sys::write_file(&self.file, (line + "\n").as_bytes())
     }
 }
 
@@ -101,13 +102,13 @@
 fn rewrite(path: &Path, last_purges: &BTreeMap<PurgeTarget, Micros>) -> io::Result<File> {
     let mut new_path = path.as_os_str().to_owned();
     new_path.push(".new");
-    let mut file = File::create(&new_path)?;
+    let file = sys::create_file(Path::new(&new_path))?;
     let lines: String = last_purges
         .iter()
         .filter_map(|entry| encode(&to_purge(entry)))
         .map(|line| line + "\n")
         .collect();
-    file.write_all(lines.as_bytes())?;
-    fs::rename(&new_path, path)?;
+    sys::write_file(&file, lines.as_bytes())?;
+    sys::rename(Path::new(&new_path), path)?;
     Ok(file)
 }
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -5,6 +5,7 @@
 use super::{tokens, EventLoop};
 use crate::discovery::purge_gossip::{self as gossip, Purge};
 use crate::net::{Interest, Poller};
+use crate::sys;
 use edge_routing::Micros;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -28,8 +29,7 @@
         peers: Vec<SocketAddr>,
         poller: &Poller,
     ) -> io::Result<Self> {
-        let socket = UdpSocket::bind(address)?;
-        socket.set_nonblocking(true)?;
+        let socket = sys::bind_udp(address)?;
         poller.add(&socket, tokens::PURGE_GOSSIP, Interest::READ)?;
         Ok(PurgeGossip { socket, peers })
     }
--- a/crates/proxy/src/event_loop/signals.rs
+++ b/crates/proxy/src/event_loop/signals.rs
@@ -2,6 +2,7 @@
 
 use super::tokens;
 use crate::net::{Interest, Poller};
+use crate::sys;
 use std::io::{self, Read, Write};
 use std::os::unix::net::UnixStream;
 
@@ -38,7 +39,7 @@
 
 impl SignalPipe {
     fn register(signal: i32) -> io::Result<Self> {
-        let (receiver, sender) = UnixStream::pair()?;
+        let (receiver, sender) = sys::pair()?;
         receiver.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
         Ok(SignalPipe { receiver, sender })
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `frontend` and `upstream` translate between the request table and the protocols of clients
 //!   and cache servers.
 //! - `discovery` reads the endpoint list and the purges.
-//! - `protocol` holds the codecs, `net` sockets, buffers and timers.
+//! - `protocol` holds the codecs, `net` sockets, buffers and timers, `sys` the system calls.
 //! - `config` reads the configuration, `limits` derives every bound from it.
 
 pub mod config;
@@ -17,4 +17,5 @@
 pub mod net;
 pub mod protocol;
 pub mod request_table;
+pub mod sys;
 pub mod upstream;
--- a/crates/proxy/src/net/clock.rs
+++ b/crates/proxy/src/net/clock.rs
@@ -1,6 +1,7 @@
 //! Unix time in microseconds that never steps back.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use crate::sys;
+use std::time::Instant;
 
 /// The system's Unix clock at the start, advanced by its monotonic clock. Deadlines and the ages of
 /// purges share this scale, and a step of the system's clock moves neither.
@@ -13,11 +14,8 @@
 impl Clock {
     /// A clock that starts at the system's Unix time.
     pub fn start() -> Self {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Clock {
-            unix_us: unix.as_micros() as u64,
+            unix_us: sys::unix_time_us(),
             start: Instant::now(),
         }
     }
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -2,9 +2,9 @@
 
 use super::poll::Interest;
 use super::ring_buffer::RingBuffer;
-use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
+use crate::sys;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 
 /// A non-blocking socket with what was received and what is still to be sent.
 pub struct BufferedSocket {
@@ -57,17 +57,9 @@
 /// Any error of the system calls; [`BufferedSocket::finish_connect`] tells how the connection came
 /// out.
 pub fn connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let family = if to.is_ipv4() {
-        AddressFamily::INET
-    } else {
-        AddressFamily::INET6
-    };
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    let socket = net::socket_with(family, SocketType::STREAM, flags, None)?;
-    match net::connect(&socket, &to) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Ok(TcpStream::from(socket)),
-        Err(e) => Err(e.into()),
-    }
+    let socket = sys::new_tcp_socket(to)?;
+    sys::connect(&socket, to)?;
+    Ok(socket)
 }
 
 impl BufferedSocket {
@@ -104,7 +96,7 @@
 
     /// How opening a connection came out, once the socket is writable.
     pub fn finish_connect(&mut self) -> io::Result<()> {
-        sockopt::socket_error(&self.socket)??;
+        sys::socket_error(&self.socket)?;
         self.connected = true;
         Ok(())
     }
@@ -122,7 +114,7 @@
             };
         }
         classify(
-            self.input.read_from(&mut self.socket),
+            self.input.read_from(&mut sys::Stream(&self.socket)),
             IoProgress::PeerClosed,
         )
     }
@@ -131,7 +123,7 @@
     pub fn write(&mut self) -> IoProgress {
         let mut progress = IoProgress::WouldBlock;
         while self.connected && !self.output.is_empty() {
-            let result = self.output.write_to(&mut self.socket);
+            let result = self.output.write_to(&mut sys::Stream(&self.socket));
             self.bytes_written += *result.as_ref().unwrap_or(&0) as u64;
             match classify(result, IoProgress::WouldBlock) {
                 IoProgress::Advanced => progress = IoProgress::Advanced,
@@ -146,7 +138,7 @@
     /// dropped.
     pub fn shut_down_writes(&mut self) -> io::Result<()> {
         self.output.clear();
-        self.socket.shutdown(Shutdown::Write)
+        sys::shut_down_writes(&self.socket)
     }
 
     /// What the socket is to be watched for from now on, if that has changed since the last call.
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -1,5 +1,6 @@
 //! Readiness of sockets, by epoll.
 
+use crate::sys;
 use rustix::event::{epoll, Timespec};
 use rustix::fd::{AsFd, OwnedFd};
 use std::io;
@@ -71,29 +72,19 @@
     /// An instance that reports at most `events` events per wait.
     pub fn new(events: usize) -> io::Result<Self> {
         Ok(Poller {
-            fd: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            fd: sys::epoll_create()?,
             events: Vec::with_capacity(events),
         })
     }
 
     /// Registers a socket. It stays registered until it is closed.
     pub fn add(&self, socket: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
-        Ok(epoll::add(
-            &self.fd,
-            socket,
-            epoll::EventData::new_u64(token),
-            interest.event_flags(),
-        )?)
+        sys::epoll_add(&self.fd, socket, token, interest.event_flags())
     }
 
     /// Changes the interest in a registered socket.
     pub fn change(&self, socket: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
-        Ok(epoll::modify(
-            &self.fd,
-            socket,
-            epoll::EventData::new_u64(token),
-            interest.event_flags(),
-        )?)
+        sys::epoll_modify(&self.fd, socket, token, interest.event_flags())
     }
 
     /// Waits for events, at most `timeout_us` microseconds, and appends them to `ready`.
@@ -103,14 +94,7 @@
             tv_sec: (timeout_us / 1_000_000) as i64,
             tv_nsec: (timeout_us % 1_000_000 * 1_000) as i64,
         };
-        match epoll::wait(
-            &self.fd,
-            rustix::buffer::spare_capacity(&mut self.events),
-            Some(&timeout),
-        ) {
-            Ok(_) | Err(rustix::io::Errno::INTR) => {}
-            Err(e) => return Err(e.into()),
-        }
+        sys::epoll_wait(&self.fd, &mut self.events, &timeout)?;
         let broken = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
         ready.extend(self.events.iter().map(|event| {
             let flags = event.flags;
--- a/crates/proxy/src/net/slab.rs
+++ b/crates/proxy/src/net/slab.rs
@@ -81,6 +81,11 @@
         self.entries.remove(key.0)
     }
 
+    /// All entries, in the order of their slots.
+    pub fn values(&self) -> impl Iterator<Item = &T> {
+        self.entries.values()
+    }
+
     /// The keys of all entries, in the order of their slots.
     pub fn keys(&self) -> Vec<SlabKey> {
         self.entries.keys().map(SlabKey).collect()
--- /dev/null
+++ b/crates/proxy/src/sys/poll.rs
@@ -0,0 +1,60 @@
+//! epoll.
+
+use super::{intercept, SystemCall};
+use rustix::event::{epoll, Timespec};
+use rustix::fd::{AsFd, OwnedFd};
+use std::io;
+
+/// Creates an epoll instance.
+pub fn epoll_create() -> io::Result<OwnedFd> {
+    intercept(SystemCall::EpollCreate)?;
+    Ok(epoll::create(epoll::CreateFlags::CLOEXEC)?)
+}
+
+/// Registers a socket under a token.
+pub fn epoll_add(
+    epoll_fd: &OwnedFd,
+    socket: impl AsFd,
+    token: u64,
+    flags: epoll::EventFlags,
+) -> io::Result<()> {
+    intercept(SystemCall::EpollAdd)?;
+    let data = epoll::EventData::new_u64(token);
+    Ok(epoll::add(epoll_fd, socket, data, flags)?)
+}
+
+/// Changes what a registered socket is watched for.
+pub fn epoll_modify(
+    epoll_fd: &OwnedFd,
+    socket: impl AsFd,
+    token: u64,
+    flags: epoll::EventFlags,
+) -> io::Result<()> {
+    intercept(SystemCall::EpollModify)?;
+    let data = epoll::EventData::new_u64(token);
+    Ok(epoll::modify(epoll_fd, socket, data, flags)?)
+}
+
+/// Waits until something is ready or the time is over, and appends what is ready, as far as there
+/// is capacity. A signal that interrupts it ends the wait with nothing ready.
+pub fn epoll_wait(
+    epoll_fd: &OwnedFd,
+    events: &mut Vec<epoll::Event>,
+    timeout: &Timespec,
+) -> io::Result<()> {
+    if let Err(error) = intercept(SystemCall::EpollWait) {
+        return ignore_interruption(error);
+    }
+    let spare = rustix::buffer::spare_capacity(events);
+    match epoll::wait(epoll_fd, spare, Some(timeout)) {
+        Ok(_) => Ok(()),
+        Err(error) => ignore_interruption(error.into()),
+    }
+}
+
+fn ignore_interruption(error: io::Error) -> io::Result<()> {
+    match error.kind() {
+        io::ErrorKind::Interrupted => Ok(()),
+        _ => Err(error),
+    }
+}
