Proxy: invariants that are checked at every step, and the reason of every close

Every attempt passes one guard before its first byte is written (RequestTable::clear_to_send), every repeat, answer, close, admission and end another. Twelve invariants are checked there, and counted with their violations; a violation is logged with the request it concerns and held back where that is possible. The counts are logged on SIGTERM and at the end. Connections are closed with a reason, which is logged, and tells whether the client itself has ended it. At the level debug, all steps of a request are found by its id.

--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -1,11 +1,14 @@
 //! Where client connections are accepted, of FastCGI clients and of peer CDNs, and when accepting
 //! pauses.
 
+use super::close_reason::CloseReason;
 use super::connections::ConnectionRole;
 use super::timer::TimerEvent;
 use super::{tokens, EventLoop};
 use crate::frontend::interconnect;
+use crate::invariants::Invariant;
 use crate::net::{BufferedSocket, Interest, Poller, SlabKey};
+use crate::sys;
 use edge_routing::Micros;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -43,8 +46,7 @@
         address: SocketAddr,
         poller: &Poller,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+        let listener = sys::listen(address)?;
         poller.add(&listener, kind.token(), Interest::READ)?;
         Ok(Acceptor {
             listener,
@@ -136,7 +138,7 @@
             let Some(acceptor) = self.acceptors.get(kind) else {
                 return;
             };
-            let accepted = room.and_then(|evicted| Ok((acceptor.listener.accept()?.0, evicted)));
+            let accepted = room.and_then(|evicted| Ok((sys::accept(&acceptor.listener)?, evicted)));
             match accepted {
                 Ok((socket, evicted)) => self.add_client(now, kind, socket, evicted),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
@@ -188,8 +190,11 @@
         ) else {
             return;
         };
+        let may_accept = !self.shutdown.is_grace_over();
+        let invariants = &self.request_table.invariants;
+        invariants.check(Invariant::AcceptOnlyBeforeGraceEnds, may_accept, "a client");
         if let Some(evicted) = evicted {
-            self.close(now, evicted);
+            self.close(now, evicted, CloseReason::MakesRoom);
         }
         let role = self.client_role(kind);
         if let Some(key) = self.open_connection(now, transport, role) {
--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -4,9 +4,10 @@
 use crate::event_loop::EventLoop;
 use crate::frontend::fastcgi::SessionEvent;
 use crate::frontend::ClientSession;
+use crate::invariants::Invariant;
 use crate::net::{IoProgress, SlabKey};
 use crate::protocol::ProtocolError;
-use crate::request_table::{Answer, ClientRequest, ResponseTarget};
+use crate::request_table::{Answer, ClientRequest, RequestKey, ResponseTarget};
 use edge_routing::Micros;
 
 /// The status by which a load balancer is told whether to send requests here.
@@ -46,6 +47,19 @@
         }
     }
 
+    /// Admits a request, if there is room for it and the proxy is not about to end.
+    pub(in crate::event_loop) fn admit(
+        &mut self,
+        now: Micros,
+        target: ResponseTarget,
+        request: ClientRequest,
+    ) -> Option<RequestKey> {
+        let may_admit = !self.shutdown.is_grace_over();
+        let invariants = &self.request_table.invariants;
+        invariants.check(Invariant::AdmitOnlyBeforeGraceEnds, may_admit, &request.id);
+        self.request_table.admit(now, target, request).ok()
+    }
+
     fn answer_health_check(&mut self, key: SlabKey, stream: u16) {
         let status = health_status(self.is_ready());
         if let Some((_, session)) = self.connections.fastcgi_client_mut(key) {
@@ -75,9 +89,18 @@
             stream: u32::from(stream),
         };
         let request_key = if rejected {
+            log::debug!(
+                "request {}: refused: clients are slow: {clients_are_slow}, over its share: \
+                 {exceeds_share}, shutting down: {}",
+                request.id,
+                self.shutdown.is_grace_over()
+            );
             None
         } else {
-            self.request_table.admit(now, target, request).ok()
+            self.admit(now, target, request)
+        };
+        let Some((_, session)) = self.connections.fastcgi_client_mut(key) else {
+            return;
         };
         match request_key {
             Some(request_key) => session.request_admitted(stream, request_key),
--- a/crates/proxy/src/event_loop/clients/mod.rs
+++ b/crates/proxy/src/event_loop/clients/mod.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::close_reason::CloseReason;
 use super::connections::{Connection, ConnectionRole};
 use super::timer::TimerEvent;
 use super::EventLoop;
@@ -117,7 +118,7 @@
             log::info!(
                 "a connection is ended: it holds the most of too many partially received requests"
             );
-            self.close_gracefully(now, largest);
+            self.close_gracefully(now, largest, CloseReason::PartialRequests);
         }
     }
 
@@ -147,9 +148,9 @@
         } else if matches!(class, EvictionClass::Busy | EvictionClass::Lingering) {
             // It takes neither its answer nor the end of the connection, and is waited for no
             // longer.
-            self.close(now, key);
+            self.close(now, key, CloseReason::NotRead);
         } else {
-            self.close_gracefully(now, key);
+            self.close_gracefully(now, key, CloseReason::Idle);
         }
     }
 }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -1,12 +1,14 @@
 //! The connection table: what each connection is for, and how connections are opened and closed.
 
 use super::clients::ClientActivity;
+use super::close_reason::CloseReason;
 use super::notifications::NotificationDelivery;
 use super::timer::TimerEvent;
 use super::EventLoop;
 use crate::discovery::consul::ConsulQuery;
 use crate::discovery::event_bus::EventStreamClient;
 use crate::frontend::{fastcgi, interconnect, ClientSession};
+use crate::invariants::Invariant;
 use crate::net::{connect, BufferedSocket, Slab, SlabKey};
 use crate::upstream::UpstreamConnection;
 use edge_routing::Micros;
@@ -41,6 +43,19 @@
         is_lingering || self.client_session().is_some()
     }
 
+    /// What the connection is called in the log.
+    fn name(&self) -> &'static str {
+        match self {
+            ConnectionRole::FastCgiClient(_) => "client connection",
+            ConnectionRole::InterconnectClient(_) => "interconnect connection",
+            ConnectionRole::Lingering { .. } => "lingering connection",
+            ConnectionRole::Upstream(_) => "cache server connection",
+            ConnectionRole::EventBus(_) => "event bus connection",
+            ConnectionRole::Consul(_) => "Consul connection",
+            ConnectionRole::Notification(_) => "notification connection",
+        }
+    }
+
     /// The session of a client that may still be sent something.
     pub(super) fn client_session(&self) -> Option<&dyn ClientSession> {
         match self {
@@ -175,7 +190,7 @@
             .get(key)
             .is_some_and(|connection| !connection.transport.connected)
         {
-            self.close(now, key);
+            self.close(now, key, CloseReason::ConnectTimeout);
         }
     }
 
@@ -188,7 +203,7 @@
             )
         });
         if awaits_response {
-            self.close(now, key);
+            self.close(now, key, CloseReason::ResponseTimeout);
         }
     }
 
@@ -218,7 +233,7 @@
     /// Ends a connection from this side. A client connection lingers: closing it over bytes that
     /// are unread, or that cross the close, would reset it, and output that was written before
     /// would be lost on its way.
-    pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey) {
+    pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey, reason: CloseReason) {
         // Answers that are ready are still owed; a client that does not take them is not waited
         // for.
         self.write_fastcgi_client(key);
@@ -229,13 +244,14 @@
         if connection.role.client_session().is_none()
             || connection.transport.shut_down_writes().is_err()
         {
-            return self.close(now, key);
+            return self.close(now, key, reason);
         }
         connection.transport.input.clear();
         self.clients.release(&mut connection.activity);
         connection.activity.since = now;
         let lingering = ConnectionRole::Lingering { discarded_bytes: 0 };
         let role = std::mem::replace(&mut connection.role, lingering);
+        self.log_close(key, &role, reason);
         self.abandon_requests(now, &role);
         self.timers.set(
             now + self.limits.lingering_close_us,
@@ -245,7 +261,7 @@
     }
 
     /// Closes a connection at once.
-    pub(super) fn close(&mut self, now: Micros, key: SlabKey) {
+    pub(super) fn close(&mut self, now: Micros, key: SlabKey, reason: CloseReason) {
         self.read_remaining_answers(now, key);
         let Some(Connection {
             transport,
@@ -255,6 +271,7 @@
         else {
             return;
         };
+        self.log_close(key, &role, reason);
         match role {
             ConnectionRole::FastCgiClient(_)
             | ConnectionRole::InterconnectClient(_)
@@ -272,6 +289,30 @@
         }
     }
 
+    /// Logs why a connection is closed, and checks that no answer is owed on it unless its own
+    /// client has ended it.
+    fn log_close(&self, key: SlabKey, role: &ConnectionRole, reason: CloseReason) {
+        log::debug!("{} {:x} is closed: {reason}", role.name(), key.to_u64());
+        let Some(session) = role.client_session() else {
+            return;
+        };
+        let is_answered = session.unanswered() == 0 || reason.is_of_peers_making();
+        self.request_table.invariants.check(
+            Invariant::CloseOnlyIfAnswered,
+            is_answered,
+            format_args!("{}: {reason}", self.request_ids(session)),
+        );
+    }
+
+    /// The ids of the requests that a client waits for.
+    fn request_ids(&self, session: &dyn ClientSession) -> String {
+        let keys = session.request_keys();
+        let ids = keys
+            .iter()
+            .filter_map(|key| self.request_table.request_id(*key));
+        ids.collect::<Vec<_>>().join(", ")
+    }
+
     /// Tells the request table that the client of a connection waits for no answer any more.
     fn abandon_requests(&mut self, now: Micros, role: &ConnectionRole) {
         let Some(session) = role.client_session() else {
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -1,5 +1,6 @@
 //! The subscription to the event bus: the stream of purges and endpoint list updates.
 
+use super::close_reason::CloseReason;
 use super::connections::{Connection, ConnectionRole};
 use super::timer::TimerEvent;
 use super::EventLoop;
@@ -49,7 +50,7 @@
     /// once.
     pub(super) fn follow_moved_event_bus(&mut self, now: Micros) {
         if let Some(old) = self.event_bus.connection.take() {
-            self.close(now, old);
+            self.close(now, old, CloseReason::Moved);
         }
         self.connect_event_bus(now);
     }
@@ -74,7 +75,7 @@
         }
         log::warn!("the event bus is silent and connected to again");
         self.event_bus.connection = None;
-        self.close(now, key);
+        self.close(now, key, CloseReason::Silent);
         self.connect_event_bus(now);
     }
 
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -1,6 +1,7 @@
 //! Interconnect clients: requests of peer CDNs and of the clients that they redirect, and what
 //! follows from them.
 
+use super::close_reason::CloseReason;
 use super::timer::TimerEvent;
 use super::{purge_gossip, EventLoop};
 use crate::discovery::purge_gossip::{self as gossip, Purge};
@@ -104,7 +105,10 @@
         let request_key = if self.shutdown.is_grace_over() {
             None
         } else {
-            self.request_table.admit(now, target, request).ok()
+            self.admit(now, target, request)
+        };
+        let Some((_, session)) = self.connections.interconnect_client_mut(key) else {
+            return;
         };
         if request_key.is_some() {
             session.pending_request = request_key;
@@ -155,8 +159,12 @@
     /// Reads the next request after an answer.
     pub(super) fn resume_interconnect_client(&mut self, now: Micros, key: SlabKey) {
         let result = self.read_interconnect_client(now, key);
-        if result.is_err() || !self.write(now, key) {
-            self.close_gracefully(now, key);
+        let written = match result {
+            Ok(()) => self.write(now, key),
+            Err(_) => Err(CloseReason::ProtocolError),
+        };
+        if let Err(reason) = written {
+            self.close_gracefully(now, key, reason);
         }
     }
 
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -20,6 +20,7 @@
 
 mod acceptor;
 mod clients;
+mod close_reason;
 mod connections;
 mod consul;
 mod event_bus;
@@ -38,6 +39,7 @@
 pub use signals::ControlHandle;
 pub use startup::StartError;
 
+use crate::invariants::Invariant;
 use crate::limits::Limits;
 use crate::net::{Clock, Poller, Readiness, Slab, SlabKey, TimerQueue};
 use crate::request_table::{Answer, Command, RequestTable, ResponseTarget};
@@ -109,6 +111,7 @@
             }
             self.handle_due_timers();
         }
+        self.check_nothing_is_open();
         self.log_summary();
         Ok(())
     }
@@ -176,8 +179,8 @@
     /// Gives a client its final answer, and ends its connection where that was the last one.
     fn deliver_answer(&mut self, now: Micros, target: ResponseTarget, answer: Answer) {
         self.respond(now, target, answer);
-        if !self.write(now, target.connection) {
-            self.close_gracefully(now, target.connection);
+        if let Err(reason) = self.write(now, target.connection) {
+            self.close_gracefully(now, target.connection, reason);
         }
         self.update_client_activity(now, target.connection);
     }
@@ -187,6 +190,16 @@
         self.request_table.is_ready() && !self.shutdown.is_requested()
     }
 
+    /// Every request that was admitted has its answer, or lost its client, when the program ends.
+    fn check_nothing_is_open(&self) {
+        let invariants = &self.request_table.invariants;
+        for id in self.request_table.unsettled_ids() {
+            invariants.check(Invariant::EndOnlyIfAnswered, false, id);
+        }
+        let is_settled = self.request_table.unsettled_ids().next().is_none();
+        invariants.check(Invariant::EndOnlyIfAnswered, is_settled, "all requests");
+    }
+
     fn log_summary(&self) {
         let counters = self.request_table.counters;
         log::info!(
@@ -199,5 +212,6 @@
             counters.disconnected,
             counters.attempts
         );
+        log::info!("{}", self.request_table.invariants);
     }
 }
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -1,5 +1,6 @@
 //! Readiness of a connection: finishing connects, reading, writing, by the role of the connection.
 
+use super::close_reason::CloseReason;
 use super::connections::ConnectionRole;
 use super::EventLoop;
 use crate::discovery::event_bus;
@@ -16,21 +17,23 @@
             return;
         };
         if readiness.write && !connection.transport.connected && !self.finish_connect(key) {
-            return self.close(now, key);
+            return self.close(now, key, CloseReason::ConnectFailed);
         }
-        let mut is_over = false;
+        let mut end = Ok(());
         if readiness.read {
             let (progress, result) = self.receive(now, key, readiness.broken);
             if let Err(e) = result {
                 self.log_protocol_error(key, &e);
-                is_over = true;
+                end = Err(CloseReason::ProtocolError);
             }
-            if matches!(progress, IoProgress::PeerClosed | IoProgress::Broken) {
-                return self.close(now, key);
+            match progress {
+                IoProgress::PeerClosed => return self.close(now, key, CloseReason::PeerClosed),
+                IoProgress::Broken => return self.close(now, key, CloseReason::Broken),
+                IoProgress::Advanced | IoProgress::WouldBlock => {}
             }
         }
-        if is_over || !self.write(now, key) {
-            return self.close_gracefully(now, key);
+        if let Err(reason) = end.and_then(|()| self.write(now, key)) {
+            return self.close_gracefully(now, key, reason);
         }
         self.update_client_activity(now, key);
         self.enforce_partial_request_limit(now, key);
@@ -125,44 +128,62 @@
         }
     }
 
-    /// Writes what a connection has to send. False where the connection is over, and is to be
-    /// closed.
-    pub(super) fn write(&mut self, now: Micros, key: SlabKey) -> bool {
+    /// Writes what a connection has to send.
+    ///
+    /// # Errors
+    ///
+    /// The connection is over, and is to be closed for this reason.
+    pub(super) fn write(&mut self, now: Micros, key: SlabKey) -> Result<(), CloseReason> {
         let Some(connection) = self.connections.get_mut(key) else {
-            return true;
+            return Ok(());
+        };
+        let unless_broken = |is_broken: bool| match is_broken {
+            true => Err(CloseReason::Broken),
+            false => Ok(()),
         };
-        let stays_open = match &connection.role {
+        let written = match &connection.role {
             ConnectionRole::FastCgiClient(_) => {
                 self.write_fastcgi_client(key);
-                !self.is_client_finished(key)
+                self.check_client_is_unfinished(key)
             }
             ConnectionRole::InterconnectClient(_) => {
-                self.write_interconnect_client(key) && !self.is_client_finished(key)
+                let is_broken = !self.write_interconnect_client(key);
+                unless_broken(is_broken).and_then(|()| self.check_client_is_unfinished(key))
             }
-            ConnectionRole::Lingering { .. } => true,
+            ConnectionRole::Lingering { .. } => Ok(()),
             ConnectionRole::Upstream(_) => self.flush_upstream(now, key),
-            ConnectionRole::EventBus(_) | ConnectionRole::Consul(_) => {
-                connection.transport.write() != IoProgress::Broken
+            ConnectionRole::Notification(delivery) if delivery.has_response() => {
+                Err(CloseReason::Finished)
             }
-            ConnectionRole::Notification(delivery) => {
-                !delivery.has_response() && connection.transport.write() != IoProgress::Broken
+            ConnectionRole::EventBus(_)
+            | ConnectionRole::Consul(_)
+            | ConnectionRole::Notification(_) => {
+                unless_broken(connection.transport.write() == IoProgress::Broken)
             }
         };
         self.update_poll_interest(key);
-        stays_open
+        written
     }
 
-    /// Whether nothing more will be sent on a client connection: its client asked for it to end, or
-    /// the grace period of a shutdown is over and no request is open or partially received.
-    fn is_client_finished(&self, key: SlabKey) -> bool {
+    /// An error once nothing more will be sent on a client connection: its client asked for it to
+    /// end, or the grace period of a shutdown is over and no request is open or partially received.
+    fn check_client_is_unfinished(&self, key: SlabKey) -> Result<(), CloseReason> {
         let Some(connection) = self.connections.get(key) else {
-            return false;
+            return Ok(());
         };
         let Some(session) = connection.role.client_session() else {
-            return false;
+            return Ok(());
         };
-        let is_nothing_open = || session.is_idle() && !session.has_partial_input();
-        let ends_now = session.is_finished() || self.shutdown.is_grace_over() && is_nothing_open();
-        ends_now && connection.transport.output.is_empty()
+        if !connection.transport.output.is_empty() {
+            return Ok(());
+        }
+        if session.is_finished() {
+            return Err(CloseReason::Finished);
+        }
+        let is_nothing_open = session.is_idle() && !session.has_partial_input();
+        if self.shutdown.is_grace_over() && is_nothing_open {
+            return Err(CloseReason::ShuttingDown);
+        }
+        Ok(())
     }
 }
--- a/crates/proxy/src/event_loop/shutdown.rs
+++ b/crates/proxy/src/event_loop/shutdown.rs
@@ -48,6 +48,7 @@
         }
         self.shutdown = Shutdown::Grace;
         log::info!("SIGTERM: shutting down once all open requests are answered");
+        log::info!("{}", self.request_table.invariants);
         self.timers.set(
             now + self.limits.shutdown_grace_us,
             TimerEvent::EndShutdownGrace,
@@ -75,10 +76,11 @@
             self.read_pending_input(now, *key);
         }
         self.shutdown = Shutdown::GraceOver;
+        log::info!("the grace period is over: nothing more is admitted");
         self.acceptors.close(&self.poller);
         for key in clients {
-            if !self.write(now, key) {
-                self.close_gracefully(now, key);
+            if let Err(reason) = self.write(now, key) {
+                self.close_gracefully(now, key, reason);
             }
         }
     }
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts: which connection one takes, when a connection is opened for it, and how it is taken
 //! back.
 
+use crate::event_loop::close_reason::CloseReason;
 use crate::event_loop::connections::ConnectionRole;
 use crate::event_loop::timer::TimerEvent;
 use crate::event_loop::EventLoop;
@@ -46,8 +47,8 @@
         match key.and_then(|key| Some((key, self.connections.upstream_mut(key)?.1))) {
             Some((key, upstream)) => {
                 upstream.enqueue(attempt);
-                if !self.flush_upstream(now, key) {
-                    self.close(now, key);
+                if let Err(reason) = self.flush_upstream(now, key) {
+                    self.close(now, key, reason);
                 }
                 self.update_poll_interest(key);
             }
@@ -127,7 +128,7 @@
                 upstream.is_some_and(|(_, upstream)| upstream.is_unresponsive())
             };
             let unresponsive = keys.iter().copied().find(is_unresponsive)?;
-            self.close(now, unresponsive);
+            self.close(now, unresponsive, CloseReason::Unresponsive);
         }
         self.connect_upstream(now, server)
     }
@@ -162,8 +163,13 @@
                 now + self.limits.stream_memory_us,
                 TimerEvent::CheckUpstream(key),
             );
-            if !is_usable || !self.flush_upstream(now, key) {
-                self.close(now, key);
+            let flushed = if is_usable {
+                self.flush_upstream(now, key)
+            } else {
+                Err(CloseReason::UpstreamUnusable)
+            };
+            if let Err(reason) = flushed {
+                self.close(now, key, reason);
             }
             self.update_poll_interest(key);
         }
@@ -202,7 +208,7 @@
             self.report_upstream_events(now, connected_to, events);
             if !is_usable || is_drained {
                 // The server's address may be given to another one.
-                self.close(now, key);
+                self.close(now, key, CloseReason::ServerDrained);
             }
         }
     }
@@ -217,7 +223,8 @@
         });
         match probed {
             Some(key) => {
-                self.write(now, key);
+                // A connection that can't be written shows as broken by itself.
+                let _ = self.write(now, key);
             }
             None => {
                 self.request_table
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 
+use super::close_reason::CloseReason;
 use super::timer::TimerEvent;
 use super::EventLoop;
 use crate::net::{BufferedSocket, IoProgress, SlabKey};
@@ -83,11 +84,18 @@
         }
     }
 
-    /// Writes queued attempts and sets the timers that follow. False where the connection is to be
-    /// closed.
-    pub(in crate::event_loop) fn flush_upstream(&mut self, now: Micros, key: SlabKey) -> bool {
+    /// Writes queued attempts and sets the timers that follow.
+    ///
+    /// # Errors
+    ///
+    /// The connection is to be closed, for this reason.
+    pub(in crate::event_loop) fn flush_upstream(
+        &mut self,
+        now: Micros,
+        key: SlabKey,
+    ) -> Result<(), CloseReason> {
         let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
-            return true;
+            return Ok(());
         };
         let server = upstream.server;
         let mut events = Vec::new();
@@ -114,13 +122,19 @@
         // connections are of no use, and where its machine has vanished nobody else would end them.
         let is_drained = upstream.is_idle() && !self.request_table.accepts_work(server);
         self.report_upstream_events(now, server, events);
-        is_usable && !is_drained
+        if !is_usable {
+            return Err(CloseReason::UpstreamUnusable);
+        }
+        if is_drained {
+            return Err(CloseReason::ServerDrained);
+        }
+        Ok(())
     }
 
     /// Checks a connection at the time of one of its timers.
     pub(in crate::event_loop) fn check_upstream(&mut self, now: Micros, key: SlabKey) {
-        if !self.flush_upstream(now, key) {
-            self.close(now, key);
+        if let Err(reason) = self.flush_upstream(now, key) {
+            self.close(now, key, reason);
         }
         self.update_poll_interest(key);
         if let Some((_, upstream)) = self.connections.upstream_mut(key) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,11 +8,13 @@
 //! - `discovery` reads the endpoint list and the purges.
 //! - `protocol` holds the codecs, `net` sockets, buffers and timers, `sys` the system calls.
 //! - `config` reads the configuration, `limits` derives every bound from it.
+//! - `invariants` counts what must hold at every step, and the violations.
 
 pub mod config;
 pub mod discovery;
 pub mod event_loop;
 pub mod frontend;
+pub mod invariants;
 pub mod limits;
 pub mod net;
 pub mod protocol;
--- a/crates/proxy/src/request_table/admission.rs
+++ b/crates/proxy/src/request_table/admission.rs
@@ -1,7 +1,5 @@
-//! Why a request is not admitted, and the rule on idempotency keys.
+//! Why a request is not admitted.
 
-use super::request::ClientRequest;
-use edge_routing::{Idempotency, Settings};
 use std::error::Error;
 use std::fmt;
 
@@ -33,25 +31,3 @@
 }
 
 impl Error for AdmissionError {}
-
-/// The classes whose requests must have an idempotency key, by name.
-pub(super) struct IdempotencyKeyClasses {
-    names: Vec<String>,
-}
-
-impl IdempotencyKeyClasses {
-    pub(super) fn from_settings(settings: &Settings) -> Self {
-        let names = settings
-            .classes
-            .iter()
-            .filter(|class| class.idempotency == Idempotency::IdempotencyKey)
-            .map(|class| class.name.clone())
-            .collect();
-        IdempotencyKeyClasses { names }
-    }
-
-    /// Whether a request lacks the idempotency key that its class needs.
-    pub(super) fn lacks_key(&self, request: &ClientRequest) -> bool {
-        request.idempotency_key.is_none() && self.names.contains(&request.class)
-    }
-}
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod command;
 mod counters;
+mod guard;
 mod log_rate;
 mod pending_requests;
 mod purges;
@@ -31,12 +32,13 @@
 pub use self::servers::{server_id, ListedServer, ServerAddress};
 pub use self::trace::{RequestEnding, RequestTrace, TraceEvent};
 
-use self::admission::IdempotencyKeyClasses;
+use self::guard::ClassRules;
 use self::pending_requests::PendingRequests;
 use self::purges::{PermanentPurges, Purge, PurgeTarget};
 use self::request::PendingRequest;
 use self::servers::ServerDirectory;
 use self::trace::TraceLog;
+use crate::invariants::InvariantMonitor;
 use crate::limits::Limits;
 use edge_routing::{
     Action, EndpointListMode, Event, LoadReport, Micros, Outcome, Router, ServerId, Settings,
@@ -56,7 +58,7 @@
     /// Empty between events; kept for its allocation.
     action_buffer: Vec<Action>,
     requests: PendingRequests,
-    idempotency_key_classes: IdempotencyKeyClasses,
+    class_rules: ClassRules,
     deadlines: DeadlineLimits,
     servers: ServerDirectory,
     permanent_purges: PermanentPurges,
@@ -64,6 +66,8 @@
     commands: Vec<Command>,
     /// Totals since the start.
     pub counters: RequestCounters,
+    /// What must hold at every step, and how often it did not.
+    pub invariants: InvariantMonitor,
 }
 
 struct DeadlineLimits {
@@ -77,7 +81,7 @@
     /// A table without servers. Fails if the router does not accept the settings.
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Result<Self, SettingsError> {
         Ok(RequestTable {
-            idempotency_key_classes: IdempotencyKeyClasses::from_settings(&settings),
+            class_rules: ClassRules::from_settings(&settings),
             router: Router::new(settings, seed)?,
             action_buffer: Vec::new(),
             requests: PendingRequests::new(limits.open_requests, limits.total_body_bytes),
@@ -90,6 +94,7 @@
             trace_log: TraceLog::new(limits.log_lines_per_s),
             commands: Vec::new(),
             counters: RequestCounters::default(),
+            invariants: InvariantMonitor::default(),
         })
     }
 
@@ -104,6 +109,11 @@
         self.requests.is_empty()
     }
 
+    /// The ids of the requests that are still owed an answer.
+    pub fn unsettled_ids(&self) -> impl Iterator<Item = &str> {
+        self.requests.unsettled_ids()
+    }
+
     /// Whether at least one server is ready.
     pub fn is_ready(&self) -> bool {
         self.servers.has_ready_server()
@@ -121,6 +131,11 @@
         Some((&pending.request, &in_flight.spec))
     }
 
+    /// The id of a request that is pending.
+    pub fn request_id(&self, request_key: RequestKey) -> Option<&str> {
+        Some(self.requests.get(request_key)?.request.id.as_str())
+    }
+
     /// Whether a server is ready, so far as the endpoint list tells.
     pub fn accepts_work(&self, id: ServerId) -> bool {
         self.servers.is_ready(id)
@@ -195,12 +210,26 @@
     /// A frontend has a request. On an error nothing is kept of it, and the frontend has to reject
     /// it.
     pub fn admit(
+        &mut self,
+        now: Micros,
+        response_target: ResponseTarget,
+        request: ClientRequest,
+    ) -> Result<RequestKey, AdmissionError> {
+        let id = request.id.clone();
+        let admitted = self.admit_unlogged(now, response_target, request);
+        if let Err(reason) = &admitted {
+            log::debug!("request {id}: not admitted: {reason}");
+        }
+        admitted
+    }
+
+    fn admit_unlogged(
         &mut self,
         now: Micros,
         response_target: ResponseTarget,
         mut request: ClientRequest,
     ) -> Result<RequestKey, AdmissionError> {
-        if self.idempotency_key_classes.lacks_key(&request) {
+        if self.class_rules.lacks_key(&request) {
             return Err(AdmissionError::MissingIdempotencyKey);
         }
         request.remaining_us = request
@@ -228,6 +257,7 @@
         {
             return;
         }
+        log::debug!("request {}: its client left", pending.request.id);
         self.counters.disconnected += 1;
         self.handle_event(
             now,
@@ -250,6 +280,13 @@
             return;
         };
         result.outcome = ended.effective_outcome(result.outcome);
+        pending.note_outcome(result.outcome);
+        log::debug!(
+            "request {}: attempt {} ended: {:?}",
+            pending.request.id,
+            attempt.number,
+            result.outcome
+        );
         pending.trace.attempt_ended(ended.trace_event(now, &result));
         let content = result.content.take();
         if let Some(content) = content.filter(|_| result.outcome == Outcome::Ok) {
--- a/crates/proxy/src/request_table/pending_requests.rs
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// The ids of the requests that are still owed an answer.
+    pub(super) fn unsettled_ids(&self) -> impl Iterator<Item = &str> {
+        let pending = self.slab.values().filter(|pending| !pending.is_settled());
+        pending.map(|pending| pending.request.id.as_str())
+    }
+
     /// The keys of all requests, in the order of their slots.
     pub(super) fn keys(&self) -> Vec<RequestKey> {
         self.slab.keys()
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -3,7 +3,7 @@
 use super::attempt::{AttemptOrder, InFlightAttempt};
 use super::trace::{RequestEnding, RequestTrace};
 use crate::net::SlabKey;
-use edge_routing::{Micros, Request};
+use edge_routing::{Micros, Outcome, Request};
 
 /// The key of a pending request. A later request in the same slot has another key, so what comes
 /// late for the one does not reach the other.
@@ -106,6 +106,8 @@
     pub(super) deadline: Micros,
     /// How many attempts were started so far: the number of the next one.
     attempts_started: u32,
+    /// An attempt ended in a way that does not prove that it never ran.
+    may_have_run: bool,
     pub(super) in_flight: Option<InFlightAttempt>,
     pub(super) trace: RequestTrace,
 }
@@ -121,6 +123,7 @@
             deadline: now + request.remaining_us,
             request,
             attempts_started: 0,
+            may_have_run: false,
             in_flight: None,
             trace: RequestTrace::new(now),
         }
@@ -143,9 +146,14 @@
         Some(target)
     }
 
-    /// Whether an attempt may be started: two of one request must never be in flight at once.
-    pub(super) fn may_start_attempt(&self) -> bool {
-        !self.is_settled() && self.in_flight.is_none()
+    /// Records how an attempt ended, for whether the request may be repeated.
+    pub(super) fn note_outcome(&mut self, outcome: Outcome) {
+        self.may_have_run |= !outcome.never_ran();
+    }
+
+    /// Whether the request may have taken effect, or may do so yet.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run || self.in_flight.is_some()
     }
 
     /// Takes the next attempt as in flight. Its deadline is never behind the request's.
--- a/crates/proxy/src/request_table/router_actions.rs
+++ b/crates/proxy/src/request_table/router_actions.rs
@@ -66,16 +66,23 @@
     }
 
     fn start_attempt(&mut self, now: Micros, request_key: RequestKey, order: AttemptOrder) {
-        let Some(pending) = self
-            .requests
-            .get_mut(request_key)
-            .filter(|pending| pending.may_start_attempt())
-        else {
-            log::error!("the router started an attempt for a request that can't have one");
+        let Some(pending) = self.requests.get(request_key) else {
+            return;
+        };
+        if !self.may_start_attempt(pending) {
+            return self.fail_if_unsettled(now, request_key);
+        }
+        let Some(pending) = self.requests.get_mut(request_key) else {
             return;
         };
         let in_flight = pending.start_attempt(now, order);
         let request_deadline = pending.deadline;
+        log::debug!(
+            "request {}: attempt {} at #{:016x}",
+            pending.request.id,
+            in_flight.number,
+            in_flight.spec.server
+        );
         let attempt = AttemptId {
             request_key,
             number: in_flight.number,
--- a/crates/proxy/src/request_table/settlement.rs
+++ b/crates/proxy/src/request_table/settlement.rs
@@ -12,12 +12,24 @@
     /// Gives a request its final answer. The one place where answers are given; a settled request
     /// gets none.
     pub(super) fn give_answer(&mut self, now: Micros, request_key: RequestKey, answer: Answer) {
+        let Some(pending) = self.requests.get(request_key) else {
+            return;
+        };
+        if pending.is_settled() {
+            return;
+        }
+        let answer = self.honest_answer(now, pending, answer);
         let Some(pending) = self.requests.get_mut(request_key) else {
             return;
         };
         let Some(target) = pending.settle(now, RequestEnding::from(&answer)) else {
             return;
         };
+        log::debug!(
+            "request {}: {}",
+            pending.request.id,
+            RequestEnding::from(&answer)
+        );
         self.counters.count_answer(&answer);
         self.commands.push(Command::Respond(target, answer));
     }
--- a/crates/proxy/src/upstream/write.rs
+++ b/crates/proxy/src/upstream/write.rs
@@ -84,12 +84,10 @@
         attempt: AttemptId,
         conn: &mut BufferedSocket,
     ) -> bool {
-        let Some((request, spec)) = context.request_table.attempt_spec(attempt) else {
+        let clear = context.request_table.clear_to_send(context.now, attempt);
+        let Some((request, spec)) = clear else {
             return false;
         };
-        if spec.send_by.is_some_and(|send_by| context.now >= send_by) {
-            return false;
-        }
         let command = command::encode_fetch(context.now, request, spec, context.request_table);
         let Some(command) = command else {
             return false;
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -97,7 +97,7 @@
 
 impl Outcome {
     /// The request surely had no effect.
-    pub(crate) fn never_ran(self) -> bool {
+    pub fn never_ran(self) -> bool {
         matches!(
             self,
             Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss
