edge-soak: a randomized fault soak with real edge proxies on loopback

A seed draws a plan: 10 to 12 proxies, 3 to 5 cache servers, an event bus of each proxy, and two to four crossings of two or three troubles at one proxy or server: restarts, kills, reloads (also of a half-written file), failing system calls, clock steps, disk errors, hanging, full, garbling, replaced and crashing servers, links that reset, fall silent or pass bytes in pieces, discovery that is down, silent or slow, bad clients and clients that leave.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod invariants;
 pub mod limits;
 pub mod net;
+pub mod program;
 pub mod protocol;
 pub mod request_table;
 pub mod sys;
--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,509 @@
+//! Ordinary clients of one proxy: web servers that keep a few connections, send requests on them,
+//! and sometimes leave.
+
+use crate::cache_server::copy_body;
+use crate::deployment::{self, class, SIZE_KB};
+use crate::violation::Rule;
+use crate::world::{object_key, RequestRecord, SharedWorld};
+use edge_proxy::protocol::fastcgi::{self, record_type, RecordParser};
+use edge_proxy::protocol::Parser;
+use edge_testkit::fastcgi_client::FastCgiClient;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Mutex};
+use tokio::time::{sleep, timeout};
+
+/// Connections that the clients of one proxy keep.
+const KEPT_CONNECTIONS: usize = 3;
+/// A connection is closed after it has rested so long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// The time between two requests, in the mean.
+const MEAN_GAP_MS: f64 = 60.0;
+/// After its time is over, a client still takes an answer for so long.
+const LATE_ANSWER: Duration = Duration::from_millis(1_500);
+/// A request that crosses the end of a resting connection within this is sent again, once.
+const CROSSING: Duration = Duration::from_millis(50);
+/// How long a connection may take to come up at a proxy that accepts.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Objects that are asked for, and their groups.
+const OBJECTS: u64 = 24;
+const GROUPS: u64 = 4;
+const CHUNK_BYTES: usize = 16 * 1024;
+const JUNK_RECORD_BYTES: usize = 2_000;
+
+/// What the proxy's process is doing, as far as its clients know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProxyPhase {
+    /// It is not up, or not ready yet: no requests.
+    Down,
+    /// It serves.
+    Up,
+    /// It got SIGTERM: connections and requests go on for a while.
+    Ending,
+    /// A little later: requests go on where a connection is free.
+    EndingKept,
+    /// It got SIGTERM, and nothing more is sent.
+    Quiet,
+}
+
+/// The state that the clients of a proxy share with the director.
+pub struct ClientControl {
+    /// What the process is doing.
+    pub phase: Cell<ProxyPhase>,
+    /// Most clients leave early.
+    pub leaving: Cell<bool>,
+    /// The run is over.
+    pub stopped: Cell<bool>,
+}
+
+impl Default for ClientControl {
+    fn default() -> Self {
+        ClientControl {
+            phase: Cell::new(ProxyPhase::Down),
+            leaving: Cell::new(false),
+            stopped: Cell::new(false),
+        }
+    }
+}
+
+/// The clients of one proxy.
+pub struct Clients {
+    proxy: usize,
+    address: SocketAddr,
+    world: SharedWorld,
+    control: Rc<ClientControl>,
+    connections: RefCell<Vec<Rc<Connection>>>,
+    random: RefCell<fastrand::Rng>,
+    next_id: Cell<u64>,
+}
+
+/// How an answer came out.
+struct Response {
+    status: u16,
+    body: Vec<u8>,
+}
+
+enum Ending {
+    Answered(Response),
+    /// The connection ended.
+    Closed,
+}
+
+struct Connection {
+    writer: Mutex<OwnedWriteHalf>,
+    open: RefCell<HashMap<u16, oneshot::Sender<Ending>>>,
+    next_stream: Cell<u16>,
+    closed: Cell<bool>,
+    answered: Cell<u64>,
+    last_used: Cell<Instant>,
+    /// Streams whose request has ended.
+    ended: RefCell<HashSet<u16>>,
+    world: SharedWorld,
+    proxy: usize,
+}
+
+/// A request that is to be sent.
+struct Order {
+    id: String,
+    class: &'static str,
+    object: u64,
+    group: u64,
+    budget_ms: u64,
+    /// The client leaves after so long, by a cancellation or by closing its connection.
+    leaves: Option<(Duration, bool)>,
+    on_new_connection: bool,
+}
+
+impl Clients {
+    /// The clients of a proxy. They send nothing before they are told that it is up.
+    pub fn new(world: &SharedWorld, proxy: usize, control: Rc<ClientControl>) -> Rc<Self> {
+        let (slot, seed) = {
+            let world = world.borrow();
+            (world.slot, world.plan.seed)
+        };
+        Rc::new(Clients {
+            proxy,
+            address: deployment::proxy_address(slot, proxy),
+            world: world.clone(),
+            control,
+            connections: RefCell::default(),
+            random: RefCell::new(fastrand::Rng::with_seed(
+                seed.wrapping_mul(31).wrapping_add(proxy as u64),
+            )),
+            next_id: Cell::new(1),
+        })
+    }
+
+    /// Sends requests until the run is over.
+    pub async fn run(self: Rc<Self>) {
+        while !self.control.stopped.get() {
+            let gap_ms = -MEAN_GAP_MS * (1.0 - self.random.borrow_mut().f64()).ln();
+            sleep(Duration::from_millis(gap_ms as u64)).await;
+            let phase = self.control.phase.get();
+            if matches!(
+                phase,
+                ProxyPhase::Up | ProxyPhase::Ending | ProxyPhase::EndingKept
+            ) {
+                let mut order = self.draw_order();
+                if phase == ProxyPhase::EndingKept {
+                    order.on_new_connection = false;
+                    order.leaves = None;
+                }
+                let clients = self.clone();
+                tokio::task::spawn_local(async move { clients.request(order).await });
+            }
+            self.close_idle();
+        }
+    }
+
+    /// The status of the proxy's health check.
+    pub async fn health(&self) -> io::Result<u16> {
+        let socket = TcpStream::connect(self.address).await?;
+        let connection = Connection::start(socket, &self.world, self.proxy);
+        let request = FastCgiClient::encode_request(1, "/_health", &[], b"");
+        let answer = connection.send(1, &request).await?;
+        match timeout(Duration::from_millis(500), answer).await {
+            Ok(Ok(Ending::Answered(response))) => Ok(response.status),
+            _ => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    fn draw_order(&self) -> Order {
+        let mut random = self.random.borrow_mut();
+        let number = self.next_id.replace(self.next_id.get() + 1);
+        let object = random.u64(1..=OBJECTS);
+        let class = match random.u32(0..10) {
+            0 => class::KEYED,
+            1 => class::ONCE,
+            _ => class::READ,
+        };
+        let leave_chance = if self.control.leaving.get() { 8 } else { 1 };
+        let leaves = (random.u32(0..10) < leave_chance)
+            .then(|| (Duration::from_millis(random.u64(0..150)), random.bool()));
+        let budget_ms = match random.u32(0..10) {
+            0 => random.u64(20..150),
+            1..=3 => random.u64(300..800),
+            _ => random.u64(800..1_500),
+        };
+        let on_new_connection =
+            random.u32(0..5) == 0 || leaves.is_some_and(|(_, by_closing)| by_closing);
+        Order {
+            id: format!("{:08x}{number:08x}", self.proxy + 1),
+            class,
+            object,
+            group: object % GROUPS,
+            budget_ms,
+            leaves,
+            on_new_connection,
+        }
+    }
+
+    async fn request(self: Rc<Self>, order: Order) {
+        for attempt in 0..2 {
+            let Ok(connection) = self
+                .connection(order.on_new_connection || attempt > 0)
+                .await
+            else {
+                return;
+            };
+            if self.control.phase.get() == ProxyPhase::Quiet {
+                return;
+            }
+            let (stream, bytes) = connection.encode(&order);
+            let was_resting = connection.answered.get() > 0;
+            self.record(&order);
+            let sent = connection.send(stream, &bytes).await;
+            let sent_at = Instant::now();
+            let Ok(answer) = sent else {
+                self.world.borrow_mut().requests.remove(&order.id);
+                continue;
+            };
+            let ending = self.wait(&order, &connection, stream, answer).await;
+            let crossed = was_resting && sent_at.elapsed() < CROSSING;
+            match ending {
+                Some(Ending::Closed) if crossed && attempt == 0 => {
+                    self.world.borrow_mut().requests.remove(&order.id);
+                }
+                ending => return self.settle(&order, ending),
+            }
+        }
+    }
+
+    /// A kept connection that has room, or a new one.
+    async fn connection(&self, new: bool) -> io::Result<Rc<Connection>> {
+        self.connections
+            .borrow_mut()
+            .retain(|connection| !connection.closed.get());
+        let kept = {
+            let connections = self.connections.borrow();
+            let free = connections
+                .iter()
+                .filter(|connection| connection.open.borrow().len() < 4);
+            free.min_by_key(|connection| connection.open.borrow().len())
+                .cloned()
+        };
+        if let Some(connection) = kept.filter(|_| !new) {
+            return Ok(connection);
+        }
+        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connection = Connection::start(connect.await??, &self.world, self.proxy);
+        if !new && self.connections.borrow().len() < KEPT_CONNECTIONS {
+            self.connections.borrow_mut().push(connection.clone());
+        }
+        Ok(connection)
+    }
+
+    fn record(&self, order: &Order) {
+        let mut world = self.world.borrow_mut();
+        let record = RequestRecord {
+            proxy: self.proxy,
+            class: order.class,
+            object: order.object,
+            group: order.group,
+            sent_ms: world.now_ms(),
+            budget_ms: order.budget_ms,
+            left_ms: None,
+            answer: None,
+            copy_made_unix_ms: None,
+            closed_ms: None,
+            gave_up: false,
+        };
+        world.requests.insert(order.id.clone(), record);
+    }
+
+    /// Waits for the answer, or leaves. None: the client has left, or waits no longer.
+    async fn wait(
+        &self,
+        order: &Order,
+        connection: &Connection,
+        stream: u16,
+        answer: oneshot::Receiver<Ending>,
+    ) -> Option<Ending> {
+        let patience = Duration::from_millis(order.budget_ms) + LATE_ANSWER;
+        let (leave_after, by_closing) = order.leaves.unwrap_or((patience, false));
+        match timeout(leave_after.min(patience), answer).await {
+            Ok(ending) => return Some(ending.unwrap_or(Ending::Closed)),
+            Err(_) if order.leaves.is_none() => return None,
+            Err(_) => {}
+        }
+        if by_closing {
+            connection.close().await;
+        } else {
+            let junk_records = order.object as usize % 3 * 20;
+            connection.abort(stream, junk_records).await;
+        }
+        let mut world = self.world.borrow_mut();
+        let now_ms = world.now_ms();
+        if let Some(request) = world.requests.get_mut(&order.id) {
+            request.left_ms = Some(now_ms);
+        }
+        None
+    }
+
+    fn settle(&self, order: &Order, ending: Option<Ending>) {
+        let mut world = self.world.borrow_mut();
+        let now_ms = world.now_ms();
+        let Some(request) = world.requests.get_mut(&order.id) else {
+            return;
+        };
+        match ending {
+            Some(Ending::Answered(response)) => {
+                request.answer = Some((response.status, now_ms));
+                if response.status != 200 {
+                    return;
+                }
+                match made_by_a_server(order.object, &response.body) {
+                    Some(made_unix_ms) => request.copy_made_unix_ms = Some(made_unix_ms),
+                    None => {
+                        let detail = format!("{}: {} bytes", order.id, response.body.len());
+                        world.report(Rule::TrueAnswer, Some(self.proxy), detail);
+                    }
+                }
+            }
+            Some(Ending::Closed) => request.closed_ms = Some(now_ms),
+            None => request.gave_up = request.left_ms.is_none(),
+        }
+    }
+
+    fn close_idle(&self) {
+        let is_idle = |connection: &Rc<Connection>| {
+            connection.open.borrow().is_empty()
+                && connection.last_used.get().elapsed() > IDLE_TIMEOUT
+        };
+        self.connections
+            .borrow_mut()
+            .retain(|connection| !is_idle(connection));
+    }
+}
+
+/// When the copy in an answer was made, if a cache server made it for this object.
+fn made_by_a_server(object: u64, body: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(body).ok()?;
+    let (_, rest) = text.split_once('@')?;
+    let made_unix_ms = rest.trim_end_matches('.').parse().ok()?;
+    (copy_body(object, made_unix_ms) == text).then_some(made_unix_ms)
+}
+
+impl Connection {
+    fn start(socket: TcpStream, world: &SharedWorld, proxy: usize) -> Rc<Self> {
+        // Small requests must not wait for the acknowledgement of earlier ones.
+        let _ = socket.set_nodelay(true);
+        let (reader, writer) = socket.into_split();
+        let connection = Rc::new(Connection {
+            writer: Mutex::new(writer),
+            open: RefCell::default(),
+            next_stream: Cell::new(1),
+            closed: Cell::new(false),
+            answered: Cell::new(0),
+            last_used: Cell::new(Instant::now()),
+            ended: RefCell::default(),
+            world: world.clone(),
+            proxy,
+        });
+        let reading = Rc::downgrade(&connection);
+        tokio::task::spawn_local(async move {
+            // However it ends, nothing more comes on it.
+            let _ = read_answers(reader, &reading).await;
+            if let Some(connection) = reading.upgrade() {
+                connection.closed.set(true);
+                for (_, waiting) in connection.open.borrow_mut().drain() {
+                    let _ = waiting.send(Ending::Closed);
+                }
+            }
+        });
+        connection
+    }
+
+    fn encode(&self, order: &Order) -> (u16, Vec<u8>) {
+        let stream = self.next_stream.get();
+        self.next_stream.set(stream.checked_add(1).unwrap_or(1));
+        let budget = order.budget_ms.to_string();
+        let (size, group) = (SIZE_KB.to_string(), order.group.to_string());
+        let (key, once) = (object_key(order.object), order.id.repeat(2));
+        let mut params = vec![
+            ("HTTP_REQUEST_ID", order.id.as_str()),
+            ("HTTP_BUDGET_MS", &budget),
+            ("HTTP_RESOURCE_KEY", &key),
+            ("HTTP_X_LOT", &group),
+            ("HTTP_FOOTPRINT_KB", &size),
+        ];
+        if order.class == class::KEYED {
+            params.push(("HTTP_ONCE_KEY", &once));
+        }
+        let path = format!("/invoke/{}", order.class);
+        let bytes = FastCgiClient::encode_request(stream, &path, &params, b"");
+        (stream, bytes)
+    }
+
+    async fn send(&self, stream: u16, bytes: &[u8]) -> io::Result<oneshot::Receiver<Ending>> {
+        let (sender, answer) = oneshot::channel();
+        if self.closed.get() {
+            return Err(io::ErrorKind::NotConnected.into());
+        }
+        self.open.borrow_mut().insert(stream, sender);
+        self.last_used.set(Instant::now());
+        self.writer.lock().await.write_all(bytes).await?;
+        Ok(answer)
+    }
+
+    async fn abort(&self, stream: u16, junk_records: usize) {
+        let mut bytes = Vec::new();
+        // Other input may stand before the cancellation.
+        let junk = [0; JUNK_RECORD_BYTES];
+        for _ in 0..junk_records {
+            fastcgi::write_record(&mut bytes, record_type::DATA, stream, &junk);
+        }
+        fastcgi::write_record(&mut bytes, record_type::ABORT_REQUEST, stream, &[]);
+        // A connection that is over has nothing to cancel.
+        let _ = self.writer.lock().await.write_all(&bytes).await;
+    }
+
+    async fn close(&self) {
+        self.closed.set(true);
+        let _ = self.writer.lock().await.shutdown().await;
+    }
+}
+
+async fn read_answers(
+    mut reader: OwnedReadHalf,
+    connection: &std::rc::Weak<Connection>,
+) -> io::Result<()> {
+    let mut records = RecordParser::default();
+    let mut partial: HashMap<u16, Vec<u8>> = HashMap::new();
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let length = reader.read(&mut chunk).await?;
+        let Some(connection) = connection.upgrade().filter(|_| length > 0) else {
+            return Ok(());
+        };
+        let mut input = &chunk[..length];
+        while !input.is_empty() {
+            let (taken, record) = records.parse(input).map_err(io::Error::other)?;
+            input = &input[taken..];
+            let Some(record) = record else { continue };
+            match record.record_type {
+                record_type::STDOUT => partial.entry(record.id).or_default().extend(record.content),
+                record_type::END_REQUEST => {
+                    let bytes = partial.remove(&record.id).unwrap_or_default();
+                    connection.take_answer(record.id, record.content.get(4).copied(), &bytes);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Connection {
+    fn take_answer(&self, stream: u16, protocol_status: Option<u8>, bytes: &[u8]) {
+        if !self.ended.borrow_mut().insert(stream) {
+            let detail = format!("stream {stream} of a connection");
+            let mut world = self.world.borrow_mut();
+            world.report(Rule::OneAnswer, Some(self.proxy), detail);
+        }
+        let Some(waiting) = self.open.borrow_mut().remove(&stream) else {
+            return;
+        };
+        self.answered.set(self.answered.get() + 1);
+        self.last_used.set(Instant::now());
+        let response = if protocol_status == Some(fastcgi::OVERLOADED) {
+            Response {
+                status: 503,
+                body: Vec::new(),
+            }
+        } else {
+            parse_response(bytes)
+        };
+        // The client may have left.
+        let _ = waiting.send(Ending::Answered(response));
+    }
+}
+
+/// The status and the body of a CGI response; status 0 where it can't be read.
+fn parse_response(bytes: &[u8]) -> Response {
+    let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n");
+    let Some(head_end) = head_end else {
+        return Response {
+            status: 0,
+            body: Vec::new(),
+        };
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]);
+    let status = head.lines().find_map(|line| {
+        line.strip_prefix("Status: ")?
+            .split(' ')
+            .next()?
+            .parse()
+            .ok()
+    });
+    Response {
+        status: status.unwrap_or(200),
+        body: bytes[head_end + 4..].to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,461 @@
+//! What goes wrong in one run: drawn from its seed alone, so that a seed gives the same plan on every
+//! machine.
+
+use edge_proxy::sys::fault::Effect;
+use edge_proxy::sys::SystemCall;
+use fastrand::Rng;
+use serde::Serialize;
+
+/// Error numbers of Linux, as the system calls document them.
+pub mod errno {
+    /// Interrupted by a signal.
+    pub const EINTR: i32 = 4;
+    /// An error of the device.
+    pub const EIO: i32 = 5;
+    /// No memory.
+    pub const ENOMEM: i32 = 12;
+    /// No descriptor is left in the system.
+    pub const ENFILE: i32 = 23;
+    /// No descriptor is left in the process.
+    pub const EMFILE: i32 = 24;
+    /// The device is full.
+    pub const ENOSPC: i32 = 28;
+    /// No port is left.
+    pub const EADDRNOTAVAIL: i32 = 99;
+    /// No route.
+    pub const ENETUNREACH: i32 = 101;
+    /// A connection was ended before it was accepted.
+    pub const ECONNABORTED: i32 = 103;
+    /// No buffer is left.
+    pub const ENOBUFS: i32 = 105;
+    /// The peer does not acknowledge.
+    pub const ETIMEDOUT: i32 = 110;
+    /// No way to the peer.
+    pub const EHOSTUNREACH: i32 = 113;
+}
+
+/// One run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Plan {
+    /// The seed, which also draws the requests.
+    pub seed: u64,
+    /// How many edge proxies there are.
+    pub proxies: usize,
+    /// How many cache servers there are besides the origin.
+    pub caches: usize,
+    /// When the last request is sent, in milliseconds from the start of the run.
+    pub duration_ms: u64,
+    /// The troubles, by the time at which they begin.
+    pub troubles: Vec<Trouble>,
+}
+
+/// Something that goes wrong for a while.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Trouble {
+    /// When it begins, in milliseconds from the start of the run.
+    pub from_ms: u64,
+    /// When it ends.
+    pub until_ms: u64,
+    /// What it is.
+    pub kind: TroubleKind,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum TroubleKind {
+    /// An edge proxy gets SIGTERM, ends, and is started again.
+    Restart {
+        /// Which one.
+        proxy: usize,
+    },
+    /// An edge proxy gets SIGKILL, and is started again.
+    Kill {
+        /// Which one.
+        proxy: usize,
+    },
+    /// An edge proxy gets a new configuration with SIGHUP: its event bus moves.
+    Reload {
+        /// Which one.
+        proxy: usize,
+        /// The file is half written when the signal comes, and whole so much later.
+        torn_for_ms: Option<u64>,
+    },
+    /// System calls of an edge proxy fail.
+    SystemCalls {
+        /// Which one.
+        proxy: usize,
+        /// Which calls.
+        call: SystemCall,
+        /// How.
+        effect: Effect,
+        /// One in so many calls.
+        one_in: u32,
+    },
+    /// The wall clock of an edge proxy's machine is stepped.
+    ClockStep {
+        /// Which one.
+        proxy: usize,
+        /// By how much, in milliseconds.
+        by_ms: i64,
+    },
+    /// A cache server takes requests and answers none.
+    CacheHang {
+        /// Which one.
+        cache: usize,
+    },
+    /// A cache server turns requests away.
+    CacheFull {
+        /// Which one.
+        cache: usize,
+    },
+    /// Some answers of a cache server are garbled, cut short, given twice or never end.
+    CacheSpoils {
+        /// Which one.
+        cache: usize,
+    },
+    /// A cache server drains, is gone after a while, and another takes its address.
+    CacheReplaced {
+        /// Which one.
+        cache: usize,
+    },
+    /// A cache server's process dies, and starts again.
+    CacheCrash {
+        /// Which one.
+        cache: usize,
+    },
+    /// Connections to a cache server are reset.
+    LinkResets {
+        /// Which one.
+        cache: usize,
+    },
+    /// Nothing passes on connections to a cache server, and new ones never come up.
+    LinkSilent {
+        /// Which one.
+        cache: usize,
+    },
+    /// Bytes pass in small pieces, late.
+    LinkInPieces {
+        /// Which one.
+        cache: usize,
+    },
+    /// The event bus refuses connections and ends those that are open.
+    BusDown,
+    /// The event bus says nothing.
+    BusSilent,
+    /// The event bus takes so long until its first byte.
+    BusSlow {
+        /// How long, in milliseconds.
+        first_byte_ms: u64,
+    },
+    /// Clients that send garbage, half requests or floods.
+    BadClients {
+        /// At which proxy.
+        proxy: usize,
+    },
+    /// Most clients leave before they have their answer.
+    ClientsLeave {
+        /// At which proxy.
+        proxy: usize,
+    },
+}
+
+impl TroubleKind {
+    /// The name under which the campaign counts it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            TroubleKind::Restart { .. } => "restart",
+            TroubleKind::Kill { .. } => "kill",
+            TroubleKind::Reload { torn_for_ms, .. } => match torn_for_ms {
+                None => "reload",
+                Some(_) => "reload-torn",
+            },
+            TroubleKind::SystemCalls { .. } => "system-calls",
+            TroubleKind::ClockStep { .. } => "clock-step",
+            TroubleKind::CacheHang { .. } => "cache-hang",
+            TroubleKind::CacheFull { .. } => "cache-full",
+            TroubleKind::CacheSpoils { .. } => "cache-spoils",
+            TroubleKind::CacheReplaced { .. } => "cache-replaced",
+            TroubleKind::CacheCrash { .. } => "cache-crash",
+            TroubleKind::LinkResets { .. } => "link-resets",
+            TroubleKind::LinkSilent { .. } => "link-silent",
+            TroubleKind::LinkInPieces { .. } => "link-pieces",
+            TroubleKind::BusDown => "bus-down",
+            TroubleKind::BusSilent => "bus-silent",
+            TroubleKind::BusSlow { .. } => "bus-slow",
+            TroubleKind::BadClients { .. } => "bad-clients",
+            TroubleKind::ClientsLeave { .. } => "clients-leave",
+        }
+    }
+
+    /// For system calls that a proxy makes only when it starts or reads its configuration: what has
+    /// it do that.
+    fn provocation(&self, random: &mut Rng) -> Option<TroubleKind> {
+        let TroubleKind::SystemCalls { proxy, call, .. } = *self else {
+            return None;
+        };
+        match call {
+            SystemCall::EpollCreate
+            | SystemCall::SocketPair
+            | SystemCall::ListenerSocket
+            | SystemCall::Bind => Some(match random.bool() {
+                true => TroubleKind::Restart { proxy },
+                false => TroubleKind::Kill { proxy },
+            }),
+            SystemCall::FileRead => Some(match random.bool() {
+                true => TroubleKind::Reload {
+                    proxy,
+                    torn_for_ms: None,
+                },
+                false => TroubleKind::Kill { proxy },
+            }),
+            _ => None,
+        }
+    }
+
+    /// The proxy that it concerns alone.
+    pub fn proxy(&self) -> Option<usize> {
+        match self {
+            TroubleKind::Restart { proxy }
+            | TroubleKind::Kill { proxy }
+            | TroubleKind::Reload { proxy, .. }
+            | TroubleKind::SystemCalls { proxy, .. }
+            | TroubleKind::ClockStep { proxy, .. }
+            | TroubleKind::BadClients { proxy }
+            | TroubleKind::ClientsLeave { proxy } => Some(*proxy),
+            _ => None,
+        }
+    }
+}
+
+impl Trouble {
+    /// Whether two troubles are there at the same time.
+    pub fn overlaps(&self, other: &Trouble) -> bool {
+        self.from_ms < other.until_ms && other.from_ms < self.until_ms
+    }
+}
+
+/// When the last request is sent: the processes take a moment to start.
+const DURATION_MS: u64 = 5_500;
+/// When the first trouble may begin.
+const FIRST_TROUBLE_MS: u64 = 1_000;
+/// When the last crossing begins at the latest.
+const LAST_TROUBLE_MS: u64 = 4_000;
+/// Edge proxies of one run, at least and at most.
+const PROXIES: std::ops::RangeInclusive<usize> = 10..=12;
+/// Cache servers of one run, at least and at most.
+const CACHES: std::ops::RangeInclusive<usize> = 3..=5;
+/// Crossings of two or three troubles in one run, at least and at most.
+const CROSSINGS: std::ops::RangeInclusive<usize> = 2..=4;
+
+impl Plan {
+    /// The plan of a seed.
+    pub fn of_seed(seed: u64) -> Self {
+        let mut random = Rng::with_seed(seed);
+        let proxies = random.usize(PROXIES);
+        let caches = random.usize(CACHES);
+        let mut troubles = Vec::new();
+        let scope = match random.u32(0..3) {
+            0 => Scope::ProxiesAlone,
+            _ => Scope::Everything,
+        };
+        for _ in 0..random.usize(CROSSINGS) {
+            let crossing = Crossing::draw(&mut random, scope, proxies, caches);
+            troubles.extend(crossing.troubles);
+        }
+        troubles.sort_by_key(|trouble| trouble.from_ms);
+        Plan {
+            seed,
+            proxies,
+            caches,
+            duration_ms: DURATION_MS,
+            troubles,
+        }
+    }
+
+    /// The names of the pairs of troubles that overlap in time, each pair in alphabetical order.
+    pub fn overlapping_pairs(&self) -> Vec<(&'static str, &'static str)> {
+        let mut pairs = Vec::new();
+        for (index, trouble) in self.troubles.iter().enumerate() {
+            for other in &self.troubles[index + 1..] {
+                if trouble.overlaps(other) {
+                    let (a, b) = (trouble.kind.name(), other.kind.name());
+                    pairs.push((a.min(b), a.max(b)));
+                }
+            }
+        }
+        pairs
+    }
+}
+
+/// Where a run has its troubles.
+#[derive(Clone, Copy)]
+enum Scope {
+    /// Anywhere.
+    Everything,
+    /// At proxies and the event bus: the servers are well all along, so that a request that is not
+    /// served can be laid at a proxy's door.
+    ProxiesAlone,
+}
+
+/// Two or three troubles that meet at one proxy and one cache server.
+struct Crossing {
+    troubles: Vec<Trouble>,
+}
+
+impl Crossing {
+    fn draw(random: &mut Rng, scope: Scope, proxies: usize, caches: usize) -> Self {
+        let (proxy, cache) = (random.usize(..proxies), random.usize(..caches));
+        let at_ms = random.u64(FIRST_TROUBLE_MS..LAST_TROUBLE_MS);
+        let mut troubles = Vec::new();
+        for _ in 0..random.usize(2..=3) {
+            let from_ms = at_ms + random.u64(0..500);
+            let kind = match scope {
+                Scope::Everything => draw_kind(random, proxy, cache),
+                Scope::ProxiesAlone => draw_kind_of_proxy(random, proxy),
+            };
+            let until_ms = from_ms + length_ms(random, &kind);
+            if let Some(start) = kind.provocation(random) {
+                troubles.push(Trouble {
+                    from_ms: from_ms + random.u64(0..200),
+                    until_ms,
+                    kind: start,
+                });
+            }
+            troubles.push(Trouble {
+                from_ms,
+                until_ms,
+                kind,
+            });
+        }
+        Crossing { troubles }
+    }
+}
+
+fn draw_kind(random: &mut Rng, proxy: usize, cache: usize) -> TroubleKind {
+    match random.u32(0..24) {
+        0..=2 => TroubleKind::Restart { proxy },
+        3..=4 => TroubleKind::Kill { proxy },
+        5 => TroubleKind::Reload {
+            proxy,
+            torn_for_ms: None,
+        },
+        6 => TroubleKind::Reload {
+            proxy,
+            torn_for_ms: Some(random.u64(50..400)),
+        },
+        7..=10 => draw_system_calls(random, proxy),
+        11 => TroubleKind::ClockStep {
+            proxy,
+            by_ms: *pick(random, &[3_600_000, -3_600_000, 5_000, -5_000]),
+        },
+        12 => TroubleKind::CacheHang { cache },
+        13 => TroubleKind::CacheFull { cache },
+        14 => TroubleKind::CacheSpoils { cache },
+        15 => TroubleKind::CacheReplaced { cache },
+        16 => TroubleKind::CacheCrash { cache },
+        17 => TroubleKind::LinkResets { cache },
+        18 => TroubleKind::LinkSilent { cache },
+        19 => TroubleKind::LinkInPieces { cache },
+        20 => *pick_bus(random),
+        21 => TroubleKind::BusSlow {
+            first_byte_ms: random.u64(1_000..3_000),
+        },
+        22 => TroubleKind::BadClients { proxy },
+        _ => TroubleKind::ClientsLeave { proxy },
+    }
+}
+
+fn draw_kind_of_proxy(random: &mut Rng, proxy: usize) -> TroubleKind {
+    loop {
+        let kind = draw_kind(random, proxy, 0);
+        let is_bus = matches!(
+            kind,
+            TroubleKind::BusDown | TroubleKind::BusSilent | TroubleKind::BusSlow { .. }
+        );
+        if is_bus || kind.proxy().is_some() {
+            return kind;
+        }
+    }
+}
+
+fn pick_bus(random: &mut Rng) -> Box<TroubleKind> {
+    Box::new(if random.bool() {
+        TroubleKind::BusDown
+    } else {
+        TroubleKind::BusSilent
+    })
+}
+
+fn pick<'a, T>(random: &mut Rng, choices: &'a [T]) -> &'a T {
+    &choices[random.usize(..choices.len())]
+}
+
+/// How long a trouble of a kind lasts. Restarts are over once the process is back.
+fn length_ms(random: &mut Rng, kind: &TroubleKind) -> u64 {
+    match kind {
+        TroubleKind::Restart { .. } | TroubleKind::Kill { .. } => 700,
+        TroubleKind::Reload { .. } => 1_500,
+        TroubleKind::ClockStep { .. } => 3_000,
+        TroubleKind::BusSlow { .. } => 10_000,
+        TroubleKind::BusDown | TroubleKind::BusSilent => random.u64(500..3_500),
+        TroubleKind::CacheReplaced { .. } => random.u64(600..1_500),
+        _ => random.u64(100..1_500),
+    }
+}
+
+/// A kind of system call, with the ways in which Linux says that it may fail.
+fn draw_system_calls(random: &mut Rng, proxy: usize) -> TroubleKind {
+    use errno::*;
+    const CALLS: [(SystemCall, &[i32]); 15] = [
+        (
+            SystemCall::Accept,
+            &[ECONNABORTED, ENFILE, EMFILE, ENOBUFS, EINTR],
+        ),
+        (SystemCall::Socket, &[ENFILE, EMFILE, ENOBUFS, ENOMEM]),
+        (
+            SystemCall::Connect,
+            &[EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR],
+        ),
+        (
+            SystemCall::ConnectResult,
+            &[ETIMEDOUT, EHOSTUNREACH, ENETUNREACH],
+        ),
+        (SystemCall::Read, &[EINTR, ENOBUFS, ENOMEM]),
+        (SystemCall::Write, &[EINTR, ENOBUFS, ENOMEM]),
+        (SystemCall::EpollAdd, &[ENOMEM, ENOSPC]),
+        (SystemCall::EpollModify, &[ENOMEM]),
+        (SystemCall::EpollWait, &[EINTR]),
+        (SystemCall::EpollCreate, &[ENFILE, EMFILE, ENOMEM]),
+        (SystemCall::SocketPair, &[ENFILE, EMFILE, ENOBUFS]),
+        (SystemCall::ListenerSocket, &[ENFILE, ENOBUFS]),
+        (SystemCall::FileRead, &[ENFILE, EIO]),
+        (SystemCall::FileWrite, &[ENOSPC, EIO]),
+        (SystemCall::FileSync, &[EIO]),
+    ];
+    let (call, errnos) = *pick(random, &CALLS);
+    let may_be_short = matches!(
+        call,
+        SystemCall::Read | SystemCall::Write | SystemCall::FileWrite
+    );
+    let effect = match call {
+        SystemCall::FileWrite if random.u32(0..3) == 0 => {
+            Effect::ShortThenAbort(random.usize(1..20))
+        }
+        _ if may_be_short && random.bool() => Effect::Short(random.usize(1..40)),
+        _ => Effect::Error(*pick(random, errnos)),
+    };
+    TroubleKind::SystemCalls {
+        proxy,
+        call,
+        effect,
+        one_in: match call {
+            // Not all of them: these fail once for each signal or client, not without end.
+            SystemCall::Accept | SystemCall::EpollWait
+                if matches!(effect, Effect::Error(EINTR | ECONNABORTED)) =>
+            {
+                2
+            }
+            _ => *pick(random, &[1, 2, 5]),
+        },
+    }
+}
