--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -4,7 +4,7 @@
 use edge_testkit::fake_event_bus::FakeEventBus;
 use edge_testkit::proxy_fixture::{fetch_object, next_response, ProxyFixture, REQUEST_BUDGET_MS};
 use edge_testkit::sample_deployment::{object_key, READ_CLASS};
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// Long enough for a reload while a request is open.
 const RESPONSE_DELAY_MS: u64 = 300;
@@ -49,3 +49,24 @@
     assert_eq!(response.status, 200, "the client's connection is kept");
     proxy.shut_down();
 }
+
+#[test]
+fn a_configuration_that_could_not_be_read_is_read_again() {
+    let mut proxy = ProxyFixture::start();
+    assert_eq!(proxy.event_bus.wait_for_subscription(0), Some(0));
+    let new_event_bus = FakeEventBus::start().unwrap();
+    let mut whole = proxy.config_file.lock().unwrap().clone();
+    whole["bus"] = json!(new_event_bus.address.to_string());
+
+    // The signal comes while the file is half written. Whole, it is there without another signal.
+    *proxy.config_file.lock().unwrap() = Value::Null;
+    proxy.control.reload().unwrap();
+    let mut client = proxy.connect();
+    let response = fetch_object(&mut client, READ_CLASS, &object_key(1));
+    assert_eq!(response.status, 200, "the old configuration stays in force");
+    *proxy.config_file.lock().unwrap() = whole;
+
+    assert_eq!(new_event_bus.wait_for_subscription(0), Some(0));
+    drop(client);
+    proxy.shut_down();
+}
--- a/crates/testkit/src/proxy_fixture.rs
+++ b/crates/testkit/src/proxy_fixture.rs
@@ -13,6 +13,8 @@
 use edge_proxy::config::Config;
 use edge_proxy::event_loop::{ControlHandle, EventLoop};
 use edge_proxy::limits::Limits;
+#[cfg(feature = "fault-injection")]
+use edge_proxy::sys::fault::FaultInjector;
 use serde_json::{json, Value};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -62,6 +64,8 @@
             scripted_server: None,
             change_config: Box::new(|_| {}),
             change_limits: Box::new(|_| {}),
+            #[cfg(feature = "fault-injection")]
+            faults: None,
         }
     }
 
@@ -148,6 +152,8 @@
     scripted_server: Option<&'a ScriptedServer>,
     change_config: Box<dyn FnOnce(&mut Value) + 'a>,
     change_limits: Box<dyn FnOnce(&mut Limits) + 'a>,
+    #[cfg(feature = "fault-injection")]
+    faults: Option<FaultInjector>,
 }
 
 impl<'a> ProxyFixtureBuilder<'a> {
@@ -177,8 +183,25 @@
         self
     }
 
+    /// With system calls that fail by a plan, from the start of the proxy on.
+    #[cfg(feature = "fault-injection")]
+    pub fn faults(mut self, injector: &FaultInjector) -> Self {
+        self.faults = Some(injector.clone());
+        self
+    }
+
+    /// What the thread of the event loop does first.
+    fn prepare_thread(&self) -> Box<dyn FnOnce() + Send> {
+        #[cfg(feature = "fault-injection")]
+        if let Some(injector) = self.faults.clone() {
+            return Box::new(move || injector.install());
+        }
+        Box::new(|| {})
+    }
+
     /// Starts the fakes and the proxy.
     pub fn start(self) -> ProxyFixture {
+        let prepare_thread = self.prepare_thread();
         let event_bus = FakeEventBus::start().unwrap();
         let caches: Vec<FakeCacheServer> = self
             .cache_ids
@@ -198,7 +221,12 @@
 
         let config_file = Arc::new(Mutex::new(config_file));
         let pause_gate = PauseGate::default();
-        let running = spawn_event_loop(config, config_file.clone(), pause_gate.clone());
+        let running = spawn_event_loop(
+            config,
+            config_file.clone(),
+            pause_gate.clone(),
+            prepare_thread,
+        );
         ProxyFixture {
             fastcgi_address: running.fastcgi_address,
             interconnect_address: running.interconnect_address,
@@ -264,6 +292,7 @@
     config: Config,
     config_file: Arc<Mutex<Value>>,
     pause_gate: PauseGate,
+    prepare_thread: Box<dyn FnOnce() + Send>,
 ) -> RunningEventLoop {
     let reload_config = move || {
         pause_gate.pause_if_requested();
@@ -272,6 +301,7 @@
     let (sender, started) = channel();
     // An event loop stays on the thread that started it.
     let thread = thread::spawn(move || {
+        prepare_thread();
         let mut event_loop = EventLoop::start(config, Box::new(reload_config)).unwrap();
         let addresses = (
             event_loop.address().unwrap(),
