A connection that fails on this machine waits, and blames no cache server

Cause: socket, connect or epoll_ctl without a descriptor, memory, port or route for the moment gave no connection, as a refused one does; the attempt ended as ConnectFailed, which takes the server for down, ejects it and treats it as warming up. A connect interrupted by a signal did too, though it goes on by itself. Now these errors are told apart (sys::errors::is_local): the attempt waits for 10 ms at a time, up to 0.5 s, and then ends as never sent, without blame. A cancelled or withdrawn one is taken back from there.

--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -197,7 +197,7 @@
             self.close(now, evicted, CloseReason::MakesRoom);
         }
         let role = self.client_role(kind);
-        if let Some(key) = self.open_connection(now, transport, role) {
+        if let Ok(key) = self.open_connection(now, transport, role) {
             self.clients.connections += 1;
             self.timers.set(
                 now + self.limits.client_request_timeout_us,
--- a/crates/proxy/src/event_loop/close_reason.rs
+++ b/crates/proxy/src/event_loop/close_reason.rs
@@ -13,6 +13,8 @@
     ProtocolError,
     /// A connection that was opened from here could not be established.
     ConnectFailed,
+    /// It could not be established for want of something on this machine.
+    LocalFailure,
     /// It was not established in time.
     ConnectTimeout,
     /// Everything is answered, and the client asked for the connection to end then.
@@ -63,6 +65,7 @@
             CloseReason::Broken => "it is broken",
             CloseReason::ProtocolError => "the peer sent what can't be read",
             CloseReason::ConnectFailed => "it could not be established",
+            CloseReason::LocalFailure => "it failed on this machine",
             CloseReason::ConnectTimeout => "it was not established in time",
             CloseReason::Finished => "all is answered and the client wants it closed",
             CloseReason::ShuttingDown => "all is answered and the proxy is shutting down",
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -10,8 +10,10 @@
 use crate::frontend::{fastcgi, interconnect, ClientSession};
 use crate::invariants::Invariant;
 use crate::net::{connect, BufferedSocket, Slab, SlabKey};
+use crate::sys::errors;
 use crate::upstream::UpstreamConnection;
 use edge_routing::Micros;
+use std::io;
 use std::net::SocketAddr;
 
 /// What a connection is for, with the state of its protocol.
@@ -66,6 +68,37 @@
     }
 }
 
+/// Why a connection could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ConnectError {
+    /// The connection table is full.
+    #[error("the connection table is full")]
+    TableFull,
+    /// The server has as many connections as it may.
+    #[error("the server has as many connections as it may")]
+    ServerFull,
+    /// The server is not in the endpoint list any more.
+    #[error("the server is gone")]
+    ServerGone,
+    /// This machine has no descriptor, memory, port or route for it now. It tells nothing of the
+    /// peer.
+    #[error("failed on this machine: {0}")]
+    Local(io::Error),
+    /// The peer can't be reached.
+    #[error(transparent)]
+    Peer(io::Error),
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        if errors::is_local(&error) {
+            ConnectError::Local(error)
+        } else {
+            ConnectError::Peer(error)
+        }
+    }
+}
+
 /// An entry of the connection table.
 pub(super) struct Connection {
     pub(super) transport: BufferedSocket,
@@ -124,29 +157,29 @@
 }
 
 impl EventLoop {
-    /// Adds a connection to the table and has the poller watch it. None where the table is full.
+    /// Adds a connection to the table and has the poller watch it.
     pub(super) fn open_connection(
         &mut self,
         now: Micros,
         transport: BufferedSocket,
         role: ConnectionRole,
-    ) -> Option<SlabKey> {
+    ) -> Result<SlabKey, ConnectError> {
         let interest = transport.interest();
-        let key = self
-            .connections
-            .insert(Connection {
-                transport,
-                role,
-                activity: ClientActivity::since(now),
-            })
-            .ok()?;
-        let socket = self.connections.get(key)?.transport.socket();
+        let connection = Connection {
+            transport,
+            role,
+            activity: ClientActivity::since(now),
+        };
+        let key = self.connections.insert(connection);
+        let key = key.map_err(|_| ConnectError::TableFull)?;
+        let connection = self.connections.get(key).ok_or(ConnectError::TableFull)?;
+        let socket = connection.transport.socket();
         if let Err(e) = self.poller.add(socket, key.to_u64(), interest) {
             log::warn!("a connection can't be watched: {e}");
             self.connections.remove(key);
-            return None;
+            return Err(ConnectError::Local(e));
         }
-        Some(key)
+        Ok(key)
     }
 
     /// Whether the table has a free slot besides the one kept for the event bus, whose connection
@@ -164,23 +197,25 @@
         now: Micros,
         address: SocketAddr,
         role: ConnectionRole,
-    ) -> Option<SlabKey> {
-        let socket = connect(address)
-            .map_err(|e| log::warn!("no connection to {address}: {e}"))
-            .ok()?;
-        let transport = BufferedSocket::new(
-            socket,
-            false,
-            self.limits.input_buffer_bytes,
-            self.limits.output_buffer_bytes,
-        )
-        .ok()?;
+    ) -> Result<SlabKey, ConnectError> {
+        let connected = connect(address).and_then(|socket| {
+            BufferedSocket::new(
+                socket,
+                false,
+                self.limits.input_buffer_bytes,
+                self.limits.output_buffer_bytes,
+            )
+        });
+        let transport = connected.map_err(|e| {
+            log::warn!("no connection to {address}: {e}");
+            ConnectError::from(e)
+        })?;
         let key = self.open_connection(now, transport, role)?;
         self.timers.set(
             now + self.limits.connect_timeout_us,
             TimerEvent::ConnectTimeout(key),
         );
-        Some(key)
+        Ok(key)
     }
 
     /// Closes an outgoing connection that was not established in time.
@@ -281,7 +316,7 @@
                 self.abandon_requests(now, &role);
             }
             ConnectionRole::Upstream(upstream) => {
-                self.upstream_closed(now, key, &transport, upstream)
+                self.upstream_closed(now, key, &transport, upstream, reason)
             }
             ConnectionRole::Notification(delivery) => self.notification_attempted(now, delivery),
             ConnectionRole::Consul(_) => self.handle_consul_response(now, None),
--- a/crates/proxy/src/event_loop/consul.rs
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -38,11 +38,11 @@
         let address = poller.address;
         let query = ConsulQuery::new(&self.limits);
         match self.connect_to(now, address, ConnectionRole::Consul(query)) {
-            Some(key) => self.timers.set(
+            Ok(key) => self.timers.set(
                 now + self.limits.consul_timeout_us,
                 TimerEvent::ResponseTimeout(key),
             ),
-            None => self.timers.set(
+            Err(_) => self.timers.set(
                 now + self.limits.reconnect_delay_us,
                 TimerEvent::QueryConsul,
             ),
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -37,7 +37,8 @@
             return;
         };
         let stream = EventStreamClient::new(&self.limits, now);
-        self.event_bus.connection = self.connect_to(now, address, ConnectionRole::EventBus(stream));
+        let connected = self.connect_to(now, address, ConnectionRole::EventBus(stream));
+        self.event_bus.connection = connected.ok();
         let next_check_us = if self.event_bus.connection.is_some() {
             self.limits.event_bus_silence_us
         } else {
--- a/crates/proxy/src/event_loop/notifications.rs
+++ b/crates/proxy/src/event_loop/notifications.rs
@@ -133,13 +133,13 @@
         let address = delivery.notification.address;
         let unsent = delivery.clone();
         match self.connect_to(now, address, ConnectionRole::Notification(delivery)) {
-            Some(key) => {
+            Ok(key) => {
                 self.timers.set(
                     now + self.limits.notification_timeout_us,
                     TimerEvent::ResponseTimeout(key),
                 );
             }
-            None => self.notification_attempted(now, unsent),
+            Err(_) => self.notification_attempted(now, unsent),
         }
     }
 
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -6,6 +6,7 @@
 use crate::discovery::event_bus;
 use crate::net::{IoProgress, Readiness, SlabKey};
 use crate::protocol::ProtocolError;
+use crate::sys::errors;
 use edge_routing::Micros;
 
 impl EventLoop {
@@ -16,8 +17,10 @@
         let Some(connection) = self.connections.get(key) else {
             return;
         };
-        if readiness.write && !connection.transport.connected && !self.finish_connect(key) {
-            return self.close(now, key, CloseReason::ConnectFailed);
+        if readiness.write && !connection.transport.connected {
+            if let Err(reason) = self.finish_connect(key) {
+                return self.close(now, key, reason);
+            }
         }
         let mut end = Ok(());
         if readiness.read {
@@ -47,14 +50,23 @@
     }
 
     /// Completes an outgoing connection and queues the request it was opened for, if that is fixed
-    /// by its role. False where the connection could not be established.
-    fn finish_connect(&mut self, key: SlabKey) -> bool {
+    /// by its role.
+    ///
+    /// # Errors
+    ///
+    /// It could not be established.
+    fn finish_connect(&mut self, key: SlabKey) -> Result<(), CloseReason> {
         let Some(connection) = self.connections.get_mut(key) else {
-            return false;
+            return Ok(());
         };
-        if connection.transport.finish_connect().is_err() {
-            return false;
-        }
+        connection.transport.finish_connect().map_err(|e| {
+            log::debug!("a connection could not be established: {e}");
+            if errors::is_local(&e) {
+                CloseReason::LocalFailure
+            } else {
+                CloseReason::ConnectFailed
+            }
+        })?;
         let request = match &connection.role {
             ConnectionRole::EventBus(_) => self.reload.config.event_bus.map(|address| {
                 event_bus::request(&address.to_string(), self.event_bus.last_event_id)
@@ -69,7 +81,7 @@
         if let Some(request) = request {
             connection.transport.output.push(&request);
         }
-        true
+        Ok(())
     }
 
     /// Reads from the socket once and handles what came. Both results count: the last bytes before
--- a/crates/proxy/src/event_loop/timer.rs
+++ b/crates/proxy/src/event_loop/timer.rs
@@ -36,6 +36,8 @@
     },
     /// A client connection is checked: it may hold its place for nothing.
     CheckClient(SlabKey),
+    /// Attempts wait for a connection, which could not be opened for a reason of this machine's own.
+    RetryParkedAttempts,
     /// Accepting, which had paused, is tried again.
     RetryAccept,
     /// The grace period after SIGTERM is over.
@@ -61,6 +63,7 @@
                 repeats_left,
             } => self.gossip_purge(now, datagram, repeats_left),
             TimerEvent::CheckClient(key) => self.check_client(now, key),
+            TimerEvent::RetryParkedAttempts => self.retry_parked_attempts(now),
             TimerEvent::RetryAccept => self.retry_accept(now),
             TimerEvent::EndShutdownGrace => self.end_shutdown_grace(now),
             TimerEvent::ShutdownDeadline => self.request_table.fail_all_pending(now),
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -2,7 +2,7 @@
 //! back.
 
 use crate::event_loop::close_reason::CloseReason;
-use crate::event_loop::connections::ConnectionRole;
+use crate::event_loop::connections::{ConnectError, ConnectionRole};
 use crate::event_loop::timer::TimerEvent;
 use crate::event_loop::EventLoop;
 use crate::net::{Readiness, SlabKey};
@@ -30,6 +30,11 @@
 impl EventLoop {
     /// Sends an attempt on the best connection to its server, or on a new one.
     pub(in crate::event_loop) fn send_attempt(&mut self, now: Micros, attempt: AttemptId) {
+        self.send_attempt_since(now, attempt, now);
+    }
+
+    /// As `send_attempt`, for an attempt that was first tried at `since`.
+    pub(super) fn send_attempt_since(&mut self, now: Micros, attempt: AttemptId, since: Micros) {
         let candidate = self.choose_connection(now, attempt);
         let Some((_, spec)) = self.request_table.attempt_spec(attempt) else {
             return;
@@ -38,28 +43,40 @@
         let key = match candidate {
             Some(candidate) => {
                 if self.should_connect_ahead(server, candidate) {
-                    self.connect_upstream(now, server);
+                    // The attempt has a connection, so that nothing depends on this one.
+                    let _ = self.connect_upstream(now, server);
                 }
-                Some(candidate.key)
+                Ok(candidate.key)
             }
             None => self.connect_for_attempt(now, server),
         };
-        match key.and_then(|key| Some((key, self.connections.upstream_mut(key)?.1))) {
-            Some((key, upstream)) => {
-                upstream.enqueue(attempt);
-                if let Err(reason) = self.flush_upstream(now, key) {
-                    self.close(now, key, reason);
-                }
-                self.update_poll_interest(key);
+        match key {
+            Ok(key) => self.enqueue_attempt(now, attempt, key),
+            Err(ConnectError::Local(_) | ConnectError::TableFull) => {
+                self.park_attempt(now, attempt, server, since);
             }
             // Nothing was written, so the attempt has not run.
-            None => {
+            Err(ConnectError::ServerGone | ConnectError::ServerFull) => {
+                self.request_table
+                    .attempt_ended(now, attempt, Outcome::NotSent.into());
+            }
+            Err(ConnectError::Peer(_)) => {
                 self.request_table
                     .attempt_ended(now, attempt, Outcome::ConnectFailed.into());
             }
         }
     }
 
+    fn enqueue_attempt(&mut self, now: Micros, attempt: AttemptId, key: SlabKey) {
+        if let Some((_, upstream)) = self.connections.upstream_mut(key) {
+            upstream.enqueue(attempt);
+        }
+        if let Err(reason) = self.flush_upstream(now, key) {
+            self.close(now, key, reason);
+        }
+        self.update_poll_interest(key);
+    }
+
     /// The best connection for an attempt. Where nothing is in flight on it, the server may have
     /// closed it by now: what is written to such a connection is lost, and nobody could tell
     /// whether it ran. So it is read first.
@@ -120,29 +137,35 @@
     /// Opens a connection for an attempt that found none with room. Where the server has as many as
     /// it may, one that went unresponsive makes room: it may stay so for good without ever being
     /// reported as broken.
-    fn connect_for_attempt(&mut self, now: Micros, server: ServerId) -> Option<SlabKey> {
+    fn connect_for_attempt(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+    ) -> Result<SlabKey, ConnectError> {
         let keys = self.upstream_connections.of(server);
         if keys.len() >= self.limits.connections_per_server {
             let is_unresponsive = |key: &SlabKey| {
                 let upstream = self.connections.upstream(*key);
                 upstream.is_some_and(|(_, upstream)| upstream.is_unresponsive())
             };
-            let unresponsive = keys.iter().copied().find(is_unresponsive)?;
+            let unresponsive = keys.iter().copied().find(is_unresponsive);
+            let unresponsive = unresponsive.ok_or(ConnectError::ServerFull)?;
             self.close(now, unresponsive, CloseReason::Unresponsive);
         }
         self.connect_upstream(now, server)
     }
 
     /// Begins a connection to a cache server.
-    fn connect_upstream(&mut self, now: Micros, server: ServerId) -> Option<SlabKey> {
+    fn connect_upstream(&mut self, now: Micros, server: ServerId) -> Result<SlabKey, ConnectError> {
         if !self.has_free_connection_slot() {
-            return None;
+            return Err(ConnectError::TableFull);
         }
-        let address = self.request_table.address_of(server)?.address;
+        let address = self.request_table.address_of(server);
+        let address = address.ok_or(ConnectError::ServerGone)?.address;
         let upstream = UpstreamConnection::new(server, &self.limits, now);
         let key = self.connect_to(now, address, ConnectionRole::Upstream(upstream))?;
         self.upstream_connections.add(server, key);
-        Some(key)
+        Ok(key)
     }
 
     /// Cancels an attempt, wherever it is queued or in flight.
@@ -152,6 +175,9 @@
         attempt: AttemptId,
         server: ServerId,
     ) {
+        if self.cancel_parked_attempt(now, attempt) {
+            return;
+        }
         for key in self.upstream_connections.of(server).to_vec() {
             let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
                 continue;
@@ -182,6 +208,9 @@
         attempt: AttemptId,
         server: ServerId,
     ) {
+        if self.cancel_parked_attempt(now, attempt) {
+            return;
+        }
         for key in self.upstream_connections.of(server).to_vec() {
             let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
                 continue;
@@ -196,6 +225,7 @@
     /// Takes back everything not written yet that would go to a server that drains or is gone, or
     /// that another server would fill from it.
     pub(in crate::event_loop) fn drain_server(&mut self, now: Micros, server: ServerId) {
+        self.drain_parked_attempts(now, server);
         for key in self.upstream_connections.all() {
             let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
                 continue;
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to cache servers: reading and writing them, and how results reach the request table.
 
 mod attempts;
+mod parked;
 
 use super::close_reason::CloseReason;
 use super::timer::TimerEvent;
@@ -9,12 +10,14 @@
 use crate::protocol::ProtocolError;
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Micros, ServerId};
+use parked::ParkedAttempts;
 use std::collections::BTreeMap;
 
 /// The open connections to each cache server, oldest first.
 #[derive(Default)]
 pub(super) struct UpstreamConnections {
     by_server: BTreeMap<ServerId, Vec<SlabKey>>,
+    parked: ParkedAttempts,
 }
 
 impl UpstreamConnections {
@@ -142,16 +145,23 @@
         }
     }
 
-    /// Reports what was in flight on a connection that is no more in the table.
+    /// Reports what was in flight on a connection that is no more in the table. What waited for a
+    /// connection that failed by this machine's fault waits for another one.
     pub(in crate::event_loop) fn upstream_closed(
         &mut self,
         now: Micros,
         key: SlabKey,
         transport: &BufferedSocket,
-        upstream: UpstreamConnection,
+        mut upstream: UpstreamConnection,
+        reason: CloseReason,
     ) {
         let server = upstream.server;
         self.upstream_connections.remove(server, key);
+        if reason == CloseReason::LocalFailure {
+            for attempt in upstream.take_queue() {
+                self.park_attempt(now, attempt, server, now);
+            }
+        }
         let mut events = Vec::new();
         upstream.close(transport.connected, transport.bytes_written, &mut events);
         self.report_upstream_events(now, server, events);
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -21,6 +21,12 @@
     pub spare_connections: usize,
     /// How long to wait before accepting again after no descriptor was left.
     pub accept_retry_us: Micros,
+    /// How long to wait before a step is tried again that failed for want of a descriptor, memory, a
+    /// port or a route.
+    pub local_retry_us: Micros,
+    /// An attempt for which no connection could be opened for such a reason is given up after this
+    /// long.
+    pub local_failure_patience_us: Micros,
 
     // ---- Client connections: how long they last ----
     /// How often a client connection is checked against the times below.
@@ -189,6 +195,8 @@
     connections: 1000,
     spare_connections: 16,
     accept_retry_us: 20 * MS,
+    local_retry_us: 10 * MS,
+    local_failure_patience_us: 500 * MS,
 
     client_sweep_us: 500 * MS,
     client_request_timeout_us: 2 * SECOND,
--- a/crates/proxy/src/sys/socket.rs
+++ b/crates/proxy/src/sys/socket.rs
@@ -1,6 +1,7 @@
 //! Sockets.
 
 use super::{intercept, SystemCall};
+use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -19,15 +20,37 @@
     Ok(TcpStream::from(socket))
 }
 
-/// Begins to connect a socket, and does not wait for the outcome.
+/// Begins to connect a socket, and does not wait for the outcome. A signal that interrupts the call
+/// does not interrupt the connection attempt: connect(2) goes on by itself, and making the call
+/// again would fail.
 pub fn connect(socket: &TcpStream, to: SocketAddr) -> io::Result<()> {
-    intercept(SystemCall::Connect)?;
+    let begun = intercept(SystemCall::Connect).and_then(|_| begin_to_connect(socket, to));
+    match begun {
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+            after_interrupted_connect(socket, to)
+        }
+        begun => begun,
+    }
+}
+
+fn begin_to_connect(socket: &TcpStream, to: SocketAddr) -> io::Result<()> {
     match net::connect(socket, &to) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Ok(()),
+        Ok(()) | Err(Errno::INPROGRESS) => Ok(()),
         Err(error) => Err(error.into()),
     }
 }
 
+#[cfg(not(feature = "fault-injection"))]
+fn after_interrupted_connect(_socket: &TcpStream, _to: SocketAddr) -> io::Result<()> {
+    Ok(())
+}
+
+/// An interruption that was injected has kept the connection attempt from beginning.
+#[cfg(feature = "fault-injection")]
+fn after_interrupted_connect(socket: &TcpStream, to: SocketAddr) -> io::Result<()> {
+    begin_to_connect(socket, to)
+}
+
 /// How the attempt to connect a socket came out, once the socket is writable.
 pub fn socket_error(socket: &TcpStream) -> io::Result<()> {
     intercept(SystemCall::ConnectResult)?;
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -107,6 +107,11 @@
             .retain(|_, stream| !stream.is_forgettable(now, limits.stream_memory_us));
     }
 
+    /// Takes out the attempts of which nothing was written yet.
+    pub fn take_queue(&mut self) -> VecDeque<AttemptId> {
+        std::mem::take(&mut self.queue)
+    }
+
     /// Ends a connection that is over and reports all that was queued or open on it, the queue
     /// first and the streams in the order of their ids. `connected` tells whether it ever came up,
     /// and `bytes_written` how many bytes it wrote.
