The start waits for what may pass, and takes signals from its first moment on

Cause: the first error of epoll_create, epoll_ctl, socketpair, socket, bind or of reading the configuration ended the process, so that a restart in a bad second was a crash; and a SIGHUP that came before the handlers were set ended it too. Anything else ends it at once, with the key. The handlers are set before the configuration is read; what came meanwhile is done then.

--- a/crates/proxy/src/config/error.rs
+++ b/crates/proxy/src/config/error.rs
@@ -1,6 +1,7 @@
 //! Why a configuration cannot be used.
 
 use crate::discovery::event_bus::EventReadError;
+use crate::sys::errors;
 use edge_routing::SettingsError;
 use edge_settings::json::ReadError;
 use edge_settings::SettingsReadError;
@@ -65,3 +66,16 @@
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
 }
+
+impl ConfigError {
+    /// Whether the same file may be readable in a moment: it could not be opened or read for now, or
+    /// ends in the middle, as one does that is being written.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            ConfigError::Unreadable { source, .. } => errors::may_pass_at_start(source),
+            ConfigError::NotJson { source, .. } => source.is_eof(),
+            ConfigError::InFile { source, .. } => source.may_pass(),
+            _ => false,
+        }
+    }
+}
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -36,7 +36,7 @@
 mod tokens;
 mod upstreams;
 
-pub use signals::ControlHandle;
+pub use signals::{ControlHandle, Signals};
 pub use startup::StartError;
 
 use crate::invariants::Invariant;
@@ -53,7 +53,6 @@
 use purge_gossip::PurgeGossip;
 use reload::Reload;
 use shutdown::Shutdown;
-use signals::Signals;
 use std::io;
 use std::net::SocketAddr;
 use timer::TimerEvent;
--- a/crates/proxy/src/event_loop/signals.rs
+++ b/crates/proxy/src/event_loop/signals.rs
@@ -1,5 +1,6 @@
 //! SIGTERM and SIGHUP as readable sockets, and the handle that raises them from another thread.
 
+use super::startup::retry_at_start;
 use super::tokens;
 use crate::net::{Interest, Poller};
 use crate::sys;
@@ -39,7 +40,7 @@
 
 impl SignalPipe {
     fn register(signal: i32) -> io::Result<Self> {
-        let (receiver, sender) = sys::pair()?;
+        let (receiver, sender) = retry_at_start(sys::pair)?;
         receiver.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
         Ok(SignalPipe { receiver, sender })
@@ -53,7 +54,7 @@
 }
 
 /// The signals that the event loop obeys.
-pub(super) struct Signals {
+pub struct Signals {
     /// SIGTERM: shut down.
     pub(super) terminate: SignalPipe,
     /// SIGHUP: read the configuration again.
@@ -61,8 +62,9 @@
 }
 
 impl Signals {
-    /// Installs the signal handlers.
-    pub(super) fn register() -> io::Result<Self> {
+    /// Installs the signal handlers. From here on a signal waits for the event loop: before, it would
+    /// end the process.
+    pub fn register() -> io::Result<Self> {
         Ok(Signals {
             terminate: SignalPipe::register(signal_hook::consts::SIGTERM)?,
             hangup: SignalPipe::register(signal_hook::consts::SIGHUP)?,
@@ -71,8 +73,13 @@
 
     /// Has the poller report signals under their tokens.
     pub(super) fn watch(&self, poller: &Poller) -> io::Result<()> {
-        poller.add(&self.terminate.receiver, tokens::SIGTERM, Interest::READ)?;
-        poller.add(&self.hangup.receiver, tokens::SIGHUP, Interest::READ)
+        for (pipe, token) in [
+            (&self.terminate, tokens::SIGTERM),
+            (&self.hangup, tokens::SIGHUP),
+        ] {
+            retry_at_start(|| poller.add(&pipe.receiver, token, Interest::READ))?;
+        }
+        Ok(())
     }
 
     pub(super) fn control_handle(&self) -> io::Result<ControlHandle> {
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -18,10 +18,13 @@
 use crate::frontend::interconnect::InterconnectFrontend;
 use crate::net::{Clock, Poller, Slab, TimerQueue};
 use crate::request_table::RequestTable;
+use crate::sys::errors;
 use edge_routing::{Micros, SettingsError};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// Readiness events taken from the kernel at a time.
 const POLL_BATCH: usize = 256;
@@ -55,6 +58,27 @@
     Io(#[from] io::Error),
 }
 
+/// How long the start waits for an error to pass.
+const START_PATIENCE: Duration = Duration::from_secs(5);
+/// How long it waits before it tries again.
+const START_RETRY: Duration = Duration::from_millis(20);
+
+/// Makes a step of the start, and again for a while if it fails for a reason that may pass: a
+/// process that ended at once would be missing for much longer than that reason lasts. Nothing is
+/// served yet, so that waiting holds nothing up.
+pub(crate) fn retry_at_start<T>(mut step: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let give_up_at = Instant::now() + START_PATIENCE;
+    loop {
+        match step() {
+            Err(error) if errors::may_pass_at_start(&error) && Instant::now() < give_up_at => {
+                log::warn!("the start waits: {error}");
+                thread::sleep(START_RETRY);
+            }
+            result => return result,
+        }
+    }
+}
+
 impl StartError {
     fn listen(key: &'static str, address: SocketAddr) -> impl FnOnce(io::Error) -> Self {
         move |source| StartError::Listen {
@@ -68,11 +92,26 @@
 impl EventLoop {
     /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from
     /// `source`.
-    pub fn start(mut config: Config, source: Source) -> Result<Self, StartError> {
-        let poller = Poller::new(POLL_BATCH)?;
-        let fastcgi = Acceptor::bind(ListenerKind::FastCgi, config.listen, &poller)
-            .map_err(StartError::listen("listen", config.listen))?;
+    ///
+    /// # Errors
+    ///
+    /// What will not pass by itself, at once; what may, such as a moment without descriptors, once
+    /// it has lasted for some seconds.
+    pub fn start(config: Config, source: Source) -> Result<Self, StartError> {
         let signals = Signals::register()?;
+        Self::start_with_signals(config, source, signals)
+    }
+
+    /// As [`start`](Self::start), for a program that has registered its signals before.
+    pub fn start_with_signals(
+        mut config: Config,
+        source: Source,
+        signals: Signals,
+    ) -> Result<Self, StartError> {
+        let poller = retry_at_start(|| Poller::new(POLL_BATCH))?;
+        let fastcgi =
+            retry_at_start(|| Acceptor::bind(ListenerKind::FastCgi, config.listen, &poller))
+                .map_err(StartError::listen("listen", config.listen))?;
         signals.watch(&poller)?;
         let (acceptor, interconnect) = match &config.interconnect {
             Some(interconnect_config) => {
@@ -144,15 +183,11 @@
     config: &Config,
     poller: &Poller,
 ) -> Result<(Acceptor, Interconnect), StartError> {
-    let acceptor = Acceptor::bind(
-        ListenerKind::Interconnect,
-        interconnect_config.listen,
-        poller,
-    )
-    .map_err(StartError::listen(
-        "cdni.listen",
-        interconnect_config.listen,
-    ))?;
+    let listen = interconnect_config.listen;
+    let acceptor =
+        retry_at_start(|| Acceptor::bind(ListenerKind::Interconnect, listen, poller)).map_err(
+            StartError::listen("cdni.listen", interconnect_config.listen),
+        )?;
     let frontend = InterconnectFrontend::new(
         interconnect_config.identity.clone(),
         config.seed,
@@ -167,7 +202,7 @@
 }
 
 fn open_purge_log(path: &Path) -> Result<PurgeLog, StartError> {
-    PurgeLog::open(path).map_err(|source| StartError::PurgeLog {
+    retry_at_start(|| PurgeLog::open(path)).map_err(|source| StartError::PurgeLog {
         path: path.to_owned(),
         source,
     })
@@ -179,8 +214,8 @@
     let (Some(_), Some(gossip)) = (&config.interconnect, &config.purge_gossip) else {
         return Ok(None);
     };
-    let socket = PurgeGossip::bind(gossip.listen, gossip.peers.clone(), poller)
-        .map_err(StartError::listen("peer_listen", gossip.listen))?;
+    let bind = || PurgeGossip::bind(gossip.listen, gossip.peers.clone(), poller);
+    let socket = retry_at_start(bind).map_err(StartError::listen("peer_listen", gossip.listen))?;
     Ok(Some(socket))
 }
 
