A configuration that could not be read at SIGHUP is read again

Cause: a file that was half written when the signal came, or could not be opened for the moment, was logged and forgotten; the proxy stayed with the old event bus, which tells nothing more. It is read again every 50 ms for up to 10 s; the old configuration stays in force meanwhile, and a further SIGHUP begins anew.

--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -141,7 +141,7 @@
             purge_gossip,
             interconnect,
             limits,
-            reload: Reload { config, source },
+            reload: Reload::new(config, source),
         };
         let now = event_loop.clock.now();
         event_loop.replay(now, known.events);
--- a/crates/proxy/src/event_loop/timer.rs
+++ b/crates/proxy/src/event_loop/timer.rs
@@ -40,6 +40,11 @@
     RetryParkedAttempts,
     /// Accepting, which had paused, is tried again.
     RetryAccept,
+    /// The configuration, which could not be read, is read again, until the given time.
+    RetryReload {
+        /// When it is given up.
+        give_up_at: Micros,
+    },
     /// The grace period after SIGTERM is over.
     EndShutdownGrace,
     /// The process may be killed right after this.
@@ -65,6 +70,7 @@
             TimerEvent::CheckClient(key) => self.check_client(now, key),
             TimerEvent::RetryParkedAttempts => self.retry_parked_attempts(now),
             TimerEvent::RetryAccept => self.retry_accept(now),
+            TimerEvent::RetryReload { give_up_at } => self.read_configuration(now, give_up_at),
             TimerEvent::EndShutdownGrace => self.end_shutdown_grace(now),
             TimerEvent::ShutdownDeadline => self.request_table.fail_all_pending(now),
         }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -150,6 +150,12 @@
     /// A peer CDN must have taken a notification within this.
     pub notification_timeout_us: Micros,
 
+    // ---- Configuration ----
+    /// How long to wait before a configuration that could not be read is read again.
+    pub reload_retry_us: Micros,
+    /// A configuration that can't be read for this long after SIGHUP is given up.
+    pub reload_patience_us: Micros,
+
     // ---- Shutdown, counted from SIGTERM ----
     /// New connections and requests are taken for this long. A later request has too little time
     /// left before SIGKILL.
@@ -253,6 +259,9 @@
     notification_attempts: 3,
     notification_timeout_us: SECOND,
 
+    reload_retry_us: 50 * MS,
+    reload_patience_us: 10 * SECOND,
+
     shutdown_grace_us: 700 * MS,
     shutdown_deadline_us: MAX_RESTART_DEADLINE_US + RESTART_GRACE_US - KILL_LEAD_US,
 
