--- a/crates/proxy/src/sys/fault.rs
+++ b/crates/proxy/src/sys/fault.rs
@@ -37,6 +37,9 @@
     pub from_ms: u64,
     /// Until when.
     pub until_ms: u64,
+    /// So many calls pass first.
+    #[serde(default)]
+    pub skip: u32,
     /// One in so many calls, drawn by the plan's seed; 1: every call.
     pub one_in: u32,
     /// At most so many calls.
@@ -51,6 +54,7 @@
             effect,
             from_ms: 0,
             until_ms: u64::MAX,
+            skip: 0,
             one_in: 1,
             limit,
         }
@@ -149,6 +153,10 @@
                 && (fault.from_ms..fault.until_ms).contains(&now_ms)
                 && next_random(random) % u64::from(fault.one_in.max(1)) == 0
         })?;
+        if fault.skip > 0 {
+            fault.skip -= 1;
+            return None;
+        }
         let effect = fault.effect;
         fault.limit -= 1;
         if let Effect::ShortThenAbort(_) = effect {
--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -3,8 +3,11 @@
 
 use edge_proxy::sys::fault::{Effect, Fault, FaultInjector, FaultPlan};
 use edge_proxy::sys::SystemCall;
-use edge_testkit::proxy_fixture::{fetch_object, ProxyFixture};
-use edge_testkit::sample_deployment::{object_key, READ_CLASS};
+use edge_testkit::fake_cache::Behavior;
+use edge_testkit::proxy_fixture::{
+    fetch_object, health_status, next_status, ProxyFixture, LONG_BUDGET_MS, LONG_TIMEOUT_US,
+};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
 
 const EINTR: i32 = 4;
 const ENOMEM: i32 = 12;
@@ -46,7 +49,7 @@
             .start();
         proxy.event_bus.wait_for_subscription(0);
         let mut client = proxy.connect();
-        assert_eq!(edge_testkit::proxy_fixture::health_status(&mut client), 200);
+        assert_eq!(health_status(&mut client), 200);
         // The servers of one request after the other can't be reached.
         injector.add(Fault::next(4, call, Effect::Error(errno)));
 
@@ -77,3 +80,85 @@
         proxy.shut_down();
     }
 }
+
+#[test]
+fn a_connection_outlives_a_moment_without_memory() {
+    for call in [SystemCall::Read, SystemCall::Write] {
+        for errno in [ENOBUFS, ENOMEM, EINTR] {
+            let injector = no_faults();
+            let proxy = ProxyFixture::builder().faults(&injector).start();
+            proxy.event_bus.wait_for_subscription(0);
+            let mut client = proxy.connect();
+            assert_eq!(health_status(&mut client), 200);
+            injector.add(Fault::next(5, call, Effect::Error(errno)));
+
+            for key in 1..=2 {
+                let response = fetch_object(&mut client, READ_CLASS, &object_key(key));
+                assert_eq!(response.status, 200, "{call:?}: {errno}");
+            }
+
+            assert_eq!(injector.injected()[&call], 5, "{call:?} was not disturbed");
+            assert_eq!(proxy.caches[0].accepted_connections(), 1, "{call:?}");
+            proxy.shut_down();
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_can_not_be_watched_for_a_moment_is_not_lost() {
+    // More than the sockets hold at once, so that the proxy has to wait until it can write.
+    const BODY_BYTES: usize = 480_000;
+    const REQUESTS: u16 = 8;
+    for call in [SystemCall::EpollAdd, SystemCall::EpollModify] {
+        let injector = no_faults();
+        let proxy = ProxyFixture::builder()
+            .faults(&injector)
+            .limits(|limits| limits.client_write_timeout_us = LONG_TIMEOUT_US)
+            .start();
+        proxy.event_bus.wait_for_subscription(0);
+        proxy.origin.set_behavior(Behavior::padded(BODY_BYTES));
+        injector.add(Fault::next(3, call, Effect::Error(ENOMEM)));
+
+        let mut client = proxy.connect();
+        for request_id in 1..=REQUESTS {
+            let key = object_key(u64::from(request_id));
+            client
+                .request_object(request_id, WRITE_CLASS, &key, LONG_BUDGET_MS)
+                .unwrap();
+        }
+        for request_id in 1..=REQUESTS {
+            let key = object_key(u64::from(request_id));
+            proxy.origin.wait_for_request_of(&key).unwrap();
+        }
+        let mut statuses: Vec<_> = (0..REQUESTS).map(|_| next_status(&mut client)).collect();
+
+        statuses.sort_unstable();
+        let all_served: Vec<_> = (1..=REQUESTS).map(|id| (id, 200)).collect();
+        assert_eq!(statuses, all_served, "{call:?}");
+        assert_eq!(injector.injected()[&call], 3, "{call:?} was not disturbed");
+        drop(client);
+        proxy.shut_down();
+    }
+}
+
+#[test]
+fn accepting_goes_on_although_the_listener_could_not_be_watched_again() {
+    let injector = no_faults();
+    let proxy = ProxyFixture::builder().faults(&injector).start();
+    proxy.event_bus.wait_for_subscription(0);
+    // Accepting pauses, which takes one change of what is watched; the one that ends the pause
+    // fails.
+    injector.add(Fault::next(1, SystemCall::Accept, Effect::Error(ENFILE)));
+    injector.add(Fault {
+        skip: 1,
+        ..Fault::next(1, SystemCall::EpollModify, Effect::Error(ENOMEM))
+    });
+
+    for key in 1..=2 {
+        let response = fetch_object(&mut proxy.connect(), READ_CLASS, &object_key(key));
+        assert_eq!(response.status, 200, "client {key}");
+    }
+
+    assert_eq!(injector.injected()[&SystemCall::EpollModify], 1);
+    proxy.shut_down();
+}
--- a/crates/soak/src/proxy_process.rs
+++ b/crates/soak/src/proxy_process.rs
@@ -112,6 +112,7 @@
                     effect,
                     from_ms,
                     until_ms: trouble.until_ms.saturating_sub(now_ms),
+                    skip: 0,
                     one_in,
                     limit: u32::MAX,
                 }),
