A moment without memory ends no connection, and leaves none unwatched

Cause: ENOBUFS and ENOMEM of a read or a write counted as a broken connection, with all requests open on it. An error of epoll_ctl dropped a new connection, lost sight of output that waited, or, at the end of a pause, left the listener unwatched for good, so that no client was ever accepted again.

--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -60,19 +60,21 @@
     }
 
     /// Stops watching the listener: unaccepted connections would keep it readable and the loop
-    /// spinning.
+    /// spinning. Where that fails it stays watched.
     fn pause(&mut self, poller: &Poller) {
-        let _ = poller.change(&self.listener, self.token, Interest::NONE);
-        self.watched = false;
+        if self.watched {
+            let paused = poller.change(&self.listener, self.token, Interest::NONE);
+            self.watched = paused.is_err();
+        }
     }
 
-    /// Watches the listener again. Where that fails it is tried again with the next call.
-    fn resume(&mut self, poller: &Poller) {
+    /// Watches the listener again.
+    fn resume(&mut self, poller: &Poller) -> io::Result<()> {
         if !self.watched {
-            self.watched = poller
-                .change(&self.listener, self.token, Interest::READ)
-                .is_ok();
+            poller.change(&self.listener, self.token, Interest::READ)?;
+            self.watched = true;
         }
+        Ok(())
     }
 }
 
@@ -146,8 +148,12 @@
                 Err(e) => return self.pause_accepting(now, kind, &e),
             }
         }
-        if let Some(acceptor) = self.acceptors.get_mut(kind) {
-            acceptor.resume(&self.poller);
+        let resumed = match self.acceptors.get_mut(kind) {
+            Some(acceptor) => acceptor.resume(&self.poller),
+            None => Ok(()),
+        };
+        if let Err(e) = resumed {
+            self.pause_accepting(now, kind, &e);
         }
     }
 
--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -141,6 +141,7 @@
             transport,
             role: ConnectionRole::FastCgiClient(session),
             activity,
+            ..
         }) = self.connections.get_mut(key)
         else {
             return;
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -105,6 +105,8 @@
     pub(super) role: ConnectionRole,
     /// Of a client connection: since when it does what it does, and what it holds.
     pub(super) activity: ClientActivity,
+    /// The poller could not be told what to watch it for, and will be told again.
+    watch_retry_scheduled: bool,
 }
 
 impl Slab<Connection> {
@@ -164,21 +166,15 @@
         transport: BufferedSocket,
         role: ConnectionRole,
     ) -> Result<SlabKey, ConnectError> {
-        let interest = transport.interest();
         let connection = Connection {
             transport,
             role,
             activity: ClientActivity::since(now),
+            watch_retry_scheduled: false,
         };
         let key = self.connections.insert(connection);
         let key = key.map_err(|_| ConnectError::TableFull)?;
-        let connection = self.connections.get(key).ok_or(ConnectError::TableFull)?;
-        let socket = connection.transport.socket();
-        if let Err(e) = self.poller.add(socket, key.to_u64(), interest) {
-            log::warn!("a connection can't be watched: {e}");
-            self.connections.remove(key);
-            return Err(ConnectError::Local(e));
-        }
+        self.update_poll_interest(now, key);
         Ok(key)
     }
 
@@ -248,21 +244,30 @@
             .is_some_and(|connection| connection.role.is_client())
     }
 
-    /// Updates what the poller watches a connection for: reading while there is room for input,
-    /// writing while there is output.
-    pub(super) fn update_poll_interest(&mut self, key: SlabKey) {
+    /// Updates what the poller watches a connection for. Where that fails, it is tried again in a
+    /// moment: a connection that nobody watches would never be read or written again.
+    pub(super) fn update_poll_interest(&mut self, now: Micros, key: SlabKey) {
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        let Some(interest) = connection.transport.take_interest_change() else {
+        let Err(e) = connection.transport.watch(&self.poller, key.to_u64()) else {
             return;
         };
-        let changed = self
-            .poller
-            .change(connection.transport.socket(), key.to_u64(), interest);
-        if let Err(e) = changed {
-            log::warn!("a connection can't be watched: {e}");
+        log::warn!("a connection can't be watched yet: {e}");
+        if !std::mem::replace(&mut connection.watch_retry_scheduled, true) {
+            self.timers.set(
+                now + self.limits.local_retry_us,
+                TimerEvent::RetryWatch(key),
+            );
+        }
+    }
+
+    /// Tells the poller once more what to watch a connection for.
+    pub(super) fn retry_watch(&mut self, now: Micros, key: SlabKey) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.watch_retry_scheduled = false;
         }
+        self.update_poll_interest(now, key);
     }
 
     /// Ends a connection from this side. A client connection lingers: closing it over bytes that
@@ -292,7 +297,7 @@
             now + self.limits.lingering_close_us,
             TimerEvent::CheckClient(key),
         );
-        self.update_poll_interest(key);
+        self.update_poll_interest(now, key);
     }
 
     /// Closes a connection at once.
@@ -302,6 +307,7 @@
             transport,
             role,
             mut activity,
+            ..
         }) = self.connections.remove(key)
         else {
             return;
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -173,7 +173,7 @@
                 unless_broken(connection.transport.write() == IoProgress::Broken)
             }
         };
-        self.update_poll_interest(key);
+        self.update_poll_interest(now, key);
         written
     }
 
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -74,7 +74,7 @@
         if let Err(reason) = self.flush_upstream(now, key) {
             self.close(now, key, reason);
         }
-        self.update_poll_interest(key);
+        self.update_poll_interest(now, key);
     }
 
     /// The best connection for an attempt. Where nothing is in flight on it, the server may have
@@ -197,7 +197,7 @@
             if let Err(reason) = flushed {
                 self.close(now, key, reason);
             }
-            self.update_poll_interest(key);
+            self.update_poll_interest(now, key);
         }
     }
 
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -139,7 +139,7 @@
         if let Err(reason) = self.flush_upstream(now, key) {
             self.close(now, key, reason);
         }
-        self.update_poll_interest(key);
+        self.update_poll_interest(now, key);
         if let Some((_, upstream)) = self.connections.upstream_mut(key) {
             upstream.forget_old_streams(now, &self.limits);
         }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -22,7 +22,7 @@
     /// How long to wait before accepting again after no descriptor was left.
     pub accept_retry_us: Micros,
     /// How long to wait before a step is tried again that failed for want of a descriptor, memory, a
-    /// port or a route.
+    /// port or a route. Watching a socket is one.
     pub local_retry_us: Micros,
     /// An attempt for which no connection could be opened for such a reason is given up after this
     /// long.
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -1,8 +1,8 @@
 //! A non-blocking TCP socket with a buffer for each direction.
 
-use super::poll::Interest;
+use super::poll::{Interest, Poller};
 use super::ring_buffer::RingBuffer;
-use crate::sys;
+use crate::sys::{self, errors};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
@@ -17,7 +17,8 @@
     pub bytes_written: u64,
     /// False while a connection that was opened from here is still being established.
     pub connected: bool,
-    interest: Interest,
+    /// What the poller watches it for; none: it is not registered.
+    watched: Option<Interest>,
 }
 
 /// What a read or write achieved.
@@ -38,14 +39,8 @@
     match result {
         Ok(0) => on_zero,
         Ok(_) => IoProgress::Advanced,
-        Err(e)
-            if matches!(
-                e.kind(),
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
-            ) =>
-        {
-            IoProgress::WouldBlock
-        }
+        // The kernel may have no memory for the moment: the socket is sound, and reported again.
+        Err(e) if errors::is_momentary_on_socket(&e) => IoProgress::WouldBlock,
         Err(_) => IoProgress::Broken,
     }
 }
@@ -81,19 +76,10 @@
             output,
             bytes_written: 0,
             connected,
-            interest: Interest {
-                readable: true,
-                // A connection that was opened from here becomes writable when it is established.
-                writable: !connected,
-            },
+            watched: None,
         })
     }
 
-    /// The socket, to register it with a [`Poller`](super::Poller).
-    pub fn socket(&self) -> &TcpStream {
-        &self.socket
-    }
-
     /// How opening a connection came out, once the socket is writable.
     pub fn finish_connect(&mut self) -> io::Result<()> {
         sys::socket_error(&self.socket)?;
@@ -141,18 +127,24 @@
         sys::shut_down_writes(&self.socket)
     }
 
-    /// What the socket is to be watched for from now on, if that has changed since the last call.
-    pub fn take_interest_change(&mut self) -> Option<Interest> {
+    /// Has a poller watch the socket for what the connection needs now: reading while there is room
+    /// for input, writing while there is output, and until a connection that was opened from here is
+    /// established.
+    ///
+    /// # Errors
+    ///
+    /// The poller could not be told. It goes on as before; the next call tries again.
+    pub fn watch(&mut self, poller: &Poller, token: u64) -> io::Result<()> {
         let wanted = Interest {
             readable: self.input.free_space() > 0,
             writable: !self.connected || !self.output.is_empty(),
         };
-        let before = std::mem::replace(&mut self.interest, wanted);
-        (before != wanted).then_some(wanted)
-    }
-
-    /// What the socket is watched for.
-    pub fn interest(&self) -> Interest {
-        self.interest
+        match self.watched {
+            Some(watched) if watched == wanted => return Ok(()),
+            Some(_) => poller.change(&self.socket, token, wanted)?,
+            None => poller.add(&self.socket, token, wanted)?,
+        }
+        self.watched = Some(wanted);
+        Ok(())
     }
 }
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -28,7 +28,7 @@
 /// A process has so long to be ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// A process that ends before it is ready is started again so often.
-const MAX_STARTS: u32 = 3;
+const MAX_STARTS: u32 = 10;
 const START_AGAIN_AFTER: Duration = Duration::from_millis(300);
 /// After SIGTERM, new connections come for so long, and requests on open ones a little longer.
 const NEW_CONNECTIONS_FOR: Duration = Duration::from_millis(300);
