--- /dev/null
+++ b/crates/proxy/tests/late_reading.rs
@@ -0,0 +1,150 @@
+//! Requests that the proxy comes to read late: accepting rested, or a socket could not be read or
+//! watched for a while. Their clients may have left, and their time has gone on.
+#![cfg(feature = "fault-injection")]
+
+use edge_proxy::sys::fault::{Effect, Fault, FaultInjector, FaultPlan};
+use edge_proxy::sys::SystemCall;
+use edge_testkit::fastcgi_client::FastCgiClient;
+use edge_testkit::proxy_fixture::{
+    fetch_object, health_status, next_response, next_status, ProxyFixture, LONG_BUDGET_MS,
+    LONG_TIMEOUT_US,
+};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const ENFILE: i32 = 23;
+const ENOMEM: i32 = 12;
+const ENOBUFS: i32 = 105;
+
+/// What keeps a request from being read, on a connection that is new.
+const HINDRANCES: [(SystemCall, i32); 3] = [
+    (SystemCall::Accept, ENFILE),
+    (SystemCall::EpollAdd, ENOMEM),
+    (SystemCall::Read, ENOBUFS),
+];
+
+/// A proxy, a client of it that is served, and the faults of the proxy's system calls.
+fn start() -> (ProxyFixture, FastCgiClient, FaultInjector) {
+    let injector = FaultInjector::new(FaultPlan::default());
+    let proxy = ProxyFixture::builder().faults(&injector).start();
+    proxy.event_bus.wait_for_subscription(0);
+    let mut client = proxy.connect();
+    assert_eq!(health_status(&mut client), 200);
+    (proxy, client, injector)
+}
+
+/// Has a call fail until it is cleared.
+fn hinder(injector: &FaultInjector, call: SystemCall, errno: i32) {
+    injector.add(Fault::next(u32::MAX, call, Effect::Error(errno)));
+}
+
+/// Waits until what was sent before has met the hindrance. Reads of a socket that is ready are tried
+/// in every turn of the event loop, together with those of other sockets; some turns make sure.
+fn wait_until_hindered(injector: &FaultInjector, call: SystemCall) {
+    const SOME_TURNS: u64 = 20;
+    let failures = || injector.injected().get(&call).copied().unwrap_or(0);
+    let before = failures();
+    let wanted = match call {
+        SystemCall::Read => before + SOME_TURNS,
+        _ => before.max(1),
+    };
+    while failures() < wanted {
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn a_request_whose_client_left_before_it_was_read_is_not_forwarded() {
+    for (call, errno) in HINDRANCES {
+        let (proxy, mut other_client, injector) = start();
+        hinder(&injector, call, errno);
+
+        let mut closing_client = proxy.connect();
+        closing_client
+            .request_object(1, READ_CLASS, &object_key(1), LONG_BUDGET_MS)
+            .unwrap();
+        wait_until_hindered(&injector, call);
+        drop(closing_client);
+        let mut aborting_client = proxy.connect();
+        aborting_client
+            .request_object(1, READ_CLASS, &object_key(2), LONG_BUDGET_MS)
+            .unwrap();
+        aborting_client.abort(1).unwrap();
+        injector.clear(call);
+
+        assert_eq!(aborting_client.next_response().unwrap(), (1, None));
+        let response = fetch_object(&mut other_client, READ_CLASS, &object_key(3));
+        assert_eq!(response.status, 200);
+        let fetched: Vec<_> = proxy.caches[0]
+            .received()
+            .iter()
+            .filter_map(|command| command.object_key().map(str::to_owned))
+            .collect();
+        assert_eq!(fetched, [object_key(3)], "{call:?}");
+        proxy.shut_down();
+    }
+}
+
+#[test]
+fn the_time_that_a_request_waits_unread_is_its_clients() {
+    const BUDGET_MS: u64 = 200;
+    for (call, errno) in HINDRANCES {
+        let (proxy, mut other_client, injector) = start();
+        hinder(&injector, call, errno);
+
+        let mut client = proxy.connect();
+        client
+            .request_object(1, READ_CLASS, &object_key(1), BUDGET_MS)
+            .unwrap();
+        wait_until_hindered(&injector, call);
+        let hindered_at = Instant::now();
+        while hindered_at.elapsed() < Duration::from_millis(BUDGET_MS) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        injector.clear(call);
+
+        assert_eq!(next_status(&mut client), (1, 503), "{call:?}");
+        let response = fetch_object(&mut other_client, READ_CLASS, &object_key(3));
+        assert_eq!(response.status, 200);
+        assert_eq!(proxy.caches[0].received().len(), 1, "{call:?}");
+        proxy.shut_down();
+    }
+}
+
+#[test]
+fn requests_that_could_not_be_read_before_the_grace_period_ends_are_answered() {
+    for (call, errno) in HINDRANCES {
+        let injector = FaultInjector::new(FaultPlan::default());
+        let mut proxy = ProxyFixture::builder()
+            .faults(&injector)
+            .limits(|limits| {
+                limits.shutdown_grace_us = 0;
+                limits.client_request_timeout_us = LONG_TIMEOUT_US;
+            })
+            .start();
+        proxy.event_bus.wait_for_subscription(0);
+        let mut resting_client = proxy.connect();
+        assert_eq!(health_status(&mut resting_client), 200);
+
+        // The requests come in the moment in which the grace period ends.
+        let paused = proxy.pause();
+        injector.add(Fault::next(4, call, Effect::Error(errno)));
+        let mut new_client = proxy.connect();
+        for client in [&mut resting_client, &mut new_client] {
+            client
+                .request_object(2, READ_CLASS, &object_key(1), LONG_BUDGET_MS)
+                .unwrap();
+        }
+        proxy.control.stop().unwrap();
+        paused.resume();
+
+        for client in [&mut resting_client, &mut new_client] {
+            let (request_id, response) = next_response(client);
+            assert_eq!(request_id, 2);
+            assert!([200, 503].contains(&response.status), "{call:?}");
+        }
+        drop((resting_client, new_client));
+        proxy.wait_for_exit();
+    }
+}
