Requests that are read late keep their clients' time, and their clients' leaving

Cause: the time of a request counted from when it was read, and requests were forwarded as they were read, though the client's end was already reported, or its cancellation stood behind them in the same input. Where accepting failed for a second, connections could not be watched, or reads found no memory, attempts began long after their clients had left, with more time than was left. Now a reported end closes the connection before its input is handled; what is buffered is parsed before anything of it is admitted, so that a request and its cancellation cancel each other out; and the time for which a request may have waited unread is taken off its own, from 20 ms on. Where that was so, further input is read first.

At the end of a shutdown's grace period a connection that could not be read just then stays, and so does the listener while accepting fails: what waits there is read and answered. No pause ends by watching a listener again after that. Signals do not end a read or a write.

--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -6,7 +6,6 @@
 use super::timer::TimerEvent;
 use super::{tokens, EventLoop};
 use crate::frontend::interconnect;
-use crate::invariants::Invariant;
 use crate::net::{BufferedSocket, Interest, Poller, SlabKey};
 use crate::sys;
 use edge_routing::Micros;
@@ -37,6 +36,8 @@
     token: u64,
     /// False while accepting pauses.
     watched: bool,
+    /// Accepting has failed since then, and connections may have waited all the time.
+    failing_since: Option<Micros>,
 }
 
 impl Acceptor {
@@ -52,6 +53,7 @@
             listener,
             token: kind.token(),
             watched: true,
+            failing_since: None,
         })
     }
 
@@ -112,9 +114,11 @@
         }
     }
 
-    /// Ends accepting for a shutdown. The interconnect's listener stays bound but unwatched.
+    /// Ends accepting for a shutdown. The FastCGI listener stays until the connections that wait
+    /// there are accepted, if that has failed just now; the interconnect's stays bound but unwatched.
     pub(super) fn close(&mut self, poller: &Poller) {
-        self.fastcgi = None;
+        self.fastcgi
+            .take_if(|acceptor| acceptor.failing_since.is_none());
         if let Some(interconnect) = &mut self.interconnect {
             interconnect.pause(poller);
         }
@@ -148,24 +152,46 @@
                 Err(e) => return self.pause_accepting(now, kind, &e),
             }
         }
-        let resumed = match self.acceptors.get_mut(kind) {
-            Some(acceptor) => acceptor.resume(&self.poller),
-            None => Ok(()),
+        self.all_accepted(now, kind);
+    }
+
+    /// No connection waits at a listener: it is watched again, or closed if it was only kept for
+    /// those.
+    fn all_accepted(&mut self, now: Micros, kind: ListenerKind) {
+        if !self.is_accepting(kind) {
+            return;
+        }
+        let Some(acceptor) = self.acceptors.get_mut(kind) else {
+            return;
         };
-        if let Err(e) = resumed {
+        acceptor.failing_since = None;
+        if self.shutdown.is_grace_over() {
+            return self.acceptors.close(&self.poller);
+        }
+        if let Err(e) = acceptor.resume(&self.poller) {
             self.pause_accepting(now, kind, &e);
         }
     }
 
+    /// Whether connections are accepted at a listener. After the grace period of a shutdown these
+    /// are only those that wait for it since before.
     fn is_accepting(&self, kind: ListenerKind) -> bool {
-        self.acceptors.get(kind).is_some() && !self.shutdown.is_grace_over()
+        match self.acceptors.get(kind) {
+            Some(_) if !self.shutdown.is_grace_over() => true,
+            Some(acceptor) => acceptor.failing_since.is_some(),
+            None => false,
+        }
     }
 
     /// No room or no file descriptor is left: accepting goes on in a moment.
     fn pause_accepting(&mut self, now: Micros, kind: ListenerKind, reason: &io::Error) {
         log::debug!("accepting on the {kind:?} listener pauses: {reason}");
+        let is_full = reason.kind() == io::ErrorKind::OutOfMemory;
         if let Some(acceptor) = self.acceptors.get_mut(kind) {
             acceptor.pause(&self.poller);
+            if !is_full {
+                acceptor.failing_since.get_or_insert(now);
+            }
         }
         if !std::mem::replace(&mut self.acceptors.retry_scheduled, true) {
             self.timers
@@ -196,19 +222,23 @@
         ) else {
             return;
         };
-        let may_accept = !self.shutdown.is_grace_over();
-        let invariants = &self.request_table.invariants;
-        invariants.check(Invariant::AcceptOnlyBeforeGraceEnds, may_accept, "a client");
         if let Some(evicted) = evicted {
             self.close(now, evicted, CloseReason::MakesRoom);
         }
         let role = self.client_role(kind);
-        if let Ok(key) = self.open_connection(now, transport, role) {
-            self.clients.connections += 1;
-            self.timers.set(
-                now + self.limits.client_request_timeout_us,
-                TimerEvent::CheckClient(key),
-            );
+        let Ok(key) = self.open_connection(now, transport, role) else {
+            return;
+        };
+        self.clients.connections += 1;
+        self.timers.set(
+            now + self.limits.client_request_timeout_us,
+            TimerEvent::CheckClient(key),
+        );
+        let failing_since = self.acceptors.get(kind).and_then(|it| it.failing_since);
+        if let (Some(since), Some(connection)) = (failing_since, self.connections.get_mut(key)) {
+            connection.unread_since = Some(since);
+            // After the grace period it is read here, and ends with its answer or without a request.
+            self.read_pending_input(now, key);
         }
     }
 
--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -96,6 +96,13 @@
                 .eviction_candidate(now)
                 .ok_or(io::ErrorKind::OutOfMemory)?;
             self.read_pending_input(now, candidate);
+            let could_not_be_read = self
+                .connections
+                .get(candidate)
+                .is_some_and(|connection| connection.unread_since.is_some());
+            if could_not_be_read {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
             // Unless it had sent something, and another one is the candidate now.
             if self.eviction_candidate(now) == Some(candidate) {
                 return Ok(Some(candidate));
--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -9,6 +9,7 @@
 use crate::protocol::ProtocolError;
 use crate::request_table::{Answer, ClientRequest, RequestKey, ResponseTarget};
 use edge_routing::Micros;
+use std::collections::VecDeque;
 
 /// The status by which a load balancer is told whether to send requests here.
 fn health_status(is_ready: bool) -> &'static str {
@@ -20,31 +21,78 @@
 }
 
 impl EventLoop {
-    /// Handles everything that a FastCGI connection has received.
+    /// Handles everything that a FastCGI connection has received. A request whose cancellation has
+    /// come too is not admitted.
     pub(in crate::event_loop) fn read_fastcgi_client(
         &mut self,
         now: Micros,
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
-        loop {
-            let Some((transport, session)) = self.connections.fastcgi_client_mut(key) else {
-                return Ok(());
-            };
-            let Some(event) = session.read(&mut transport.input, &self.limits)? else {
-                return Ok(());
-            };
+        let unread_us = self.unread_us(now, key);
+        let mut events = VecDeque::new();
+        let mut result = self.take_session_events(key, &mut events);
+        if unread_us > 0 && !events.is_empty() && result.is_ok() {
+            match self.read_on(key, &mut events) {
+                // Nobody waits for any of it; the connection is closed with its next report.
+                Ok(IoProgress::PeerClosed | IoProgress::Broken) => return Ok(()),
+                Ok(_) => {}
+                Err(error) => result = Err(error),
+            }
+        }
+        while let Some(event) = events.pop_front() {
             match event {
                 SessionEvent::Abort(request_key) => {
                     self.request_table.client_disconnected(now, request_key);
                 }
+                SessionEvent::AbortUnadmitted(_) => {}
                 SessionEvent::HealthCheck(stream) => self.answer_health_check(key, stream),
-                SessionEvent::Request(stream, request) => {
-                    self.admit_fastcgi_request(now, key, stream, request);
+                SessionEvent::Request(stream, mut request) => {
+                    request.remaining_us = request.remaining_us.saturating_sub(unread_us);
+                    let behind = events.iter().filter(|event| event.is_request()).count();
+                    self.admit_fastcgi_request(now, key, stream, request, behind);
                 }
             }
             // After the session knows its request as admitted: an answer may be given at once.
             self.execute_commands(now);
         }
+        result
+    }
+
+    /// Takes the events out of what is buffered, without the requests that are cancelled among them.
+    fn take_session_events(
+        &mut self,
+        key: SlabKey,
+        events: &mut VecDeque<SessionEvent>,
+    ) -> Result<(), ProtocolError> {
+        let Some((transport, session)) = self.connections.fastcgi_client_mut(key) else {
+            return Ok(());
+        };
+        while let Some(event) = session.read(&mut transport.input, &self.limits)? {
+            if let SessionEvent::AbortUnadmitted(stream) = event {
+                events.retain(|earlier| earlier.stream() != Some(stream));
+            } else {
+                events.push_back(event);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads on in what a client has sent meanwhile, as long as more comes.
+    fn read_on(
+        &mut self,
+        key: SlabKey,
+        events: &mut VecDeque<SessionEvent>,
+    ) -> Result<IoProgress, ProtocolError> {
+        for _ in 0..self.limits.late_reads {
+            let Some((transport, _)) = self.connections.fastcgi_client_mut(key) else {
+                break;
+            };
+            match transport.read(false) {
+                IoProgress::Advanced => self.take_session_events(key, events)?,
+                progress => return Ok(progress),
+            }
+        }
+        Ok(IoProgress::Advanced)
     }
 
     /// Admits a request, if there is room for it and the proxy is not about to end.
@@ -67,22 +115,25 @@
         }
     }
 
-    /// Hands a request to the request table, or rejects it.
+    /// Hands a request to the request table, or rejects it. `requests_behind` were read from the same
+    /// connection after it.
     fn admit_fastcgi_request(
         &mut self,
         now: Micros,
         key: SlabKey,
         stream: u16,
         request: ClientRequest,
+        requests_behind: usize,
     ) {
         let Some((_, session)) = self.connections.fastcgi_client_mut(key) else {
             return;
         };
         let clients_are_slow = self.clients.unsent_answer_bytes > self.limits.unsent_answer_bytes;
         // One client's flood must leave room for the requests of the others.
-        let exceeds_share = !self
-            .limits
-            .admits(session.unanswered(), self.request_table.is_half_full());
+        let exceeds_share = !self.limits.admits(
+            session.unanswered() - requests_behind,
+            self.request_table.is_half_full(),
+        );
         let rejected = clients_are_slow || exceeds_share || self.shutdown.is_grace_over();
         let target = ResponseTarget {
             connection: key,
--- a/crates/proxy/src/event_loop/clients/mod.rs
+++ b/crates/proxy/src/event_loop/clients/mod.rs
@@ -68,6 +68,20 @@
 }
 
 impl EventLoop {
+    /// How long the input of a connection may have waited to be read, if that is long enough to
+    /// count.
+    pub(super) fn unread_us(&self, now: Micros, key: SlabKey) -> Micros {
+        let connection = self.connections.get(key);
+        let unread_since = connection.and_then(|connection| connection.unread_since);
+        let since = unread_since.map_or(self.ready_since, |at| at.min(self.ready_since));
+        let unread_us = now.saturating_sub(since);
+        if unread_us > self.limits.unread_tolerance_us {
+            unread_us
+        } else {
+            0
+        }
+    }
+
     /// Records what a client connection does, after something was read or written on it.
     pub(super) fn update_client_activity(&mut self, now: Micros, key: SlabKey) {
         let Some(connection) = self.connections.get_mut(key) else {
@@ -141,7 +155,11 @@
             return;
         };
         let deadline = connection.idle_deadline(&self.limits);
-        if !has_expired(deadline) {
+        if connection.unread_since.is_some() {
+            // It could not be read just now, and may hold a request.
+            let retry_at = now + self.limits.local_retry_us;
+            self.timers.set(retry_at, TimerEvent::CheckClient(key));
+        } else if !has_expired(deadline) {
             let next_sweep = now + self.limits.client_sweep_us;
             let next_check = deadline.map_or(next_sweep, |at| at.min(next_sweep));
             self.timers.set(next_check, TimerEvent::CheckClient(key));
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -107,6 +107,9 @@
     pub(super) activity: ClientActivity,
     /// The poller could not be told what to watch it for, and will be told again.
     watch_retry_scheduled: bool,
+    /// There may be input since then that could not be read: the connection was not accepted or not
+    /// watched, or reading failed for the moment.
+    pub(super) unread_since: Option<Micros>,
 }
 
 impl Slab<Connection> {
@@ -171,6 +174,7 @@
             role,
             activity: ClientActivity::since(now),
             watch_retry_scheduled: false,
+            unread_since: None,
         };
         let key = self.connections.insert(connection);
         let key = key.map_err(|_| ConnectError::TableFull)?;
@@ -254,6 +258,7 @@
             return;
         };
         log::warn!("a connection can't be watched yet: {e}");
+        connection.unread_since.get_or_insert(now);
         if !std::mem::replace(&mut connection.watch_retry_scheduled, true) {
             self.timers.set(
                 now + self.limits.local_retry_us,
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -58,6 +58,8 @@
 use timer::TimerEvent;
 use upstreams::UpstreamConnections;
 
+/// A wait that takes longer than this has found nothing ready at first.
+const MIN_WAIT_US: Micros = 1_000;
 /// The longest wait for readiness where no timer is near.
 const MAX_WAIT_US: Micros = 1_000_000;
 
@@ -69,6 +71,8 @@
     poller: Poller,
     timers: TimerQueue<TimerEvent>,
     connections: Slab<Connection>,
+    /// What the poller reports now has been ready since then at the earliest.
+    ready_since: Micros,
     signals: Signals,
     shutdown: Shutdown,
     reload: Reload,
@@ -104,11 +108,19 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut ready = Vec::new();
         while !self.is_shut_down() {
+            let waits_since = self.clock.now();
             self.poller.wait(self.wait_us(), &mut ready)?;
+            let reported_at = self.clock.now();
+            if reported_at > waits_since + MIN_WAIT_US {
+                self.ready_since = reported_at;
+            }
             for event in ready.drain(..) {
                 self.handle_poll_event(event);
             }
             self.handle_due_timers();
+            // What becomes ready in this turn is reported by the next wait, at once. A wait that
+            // took its time has reported what became ready just then.
+            self.ready_since = reported_at;
         }
         self.check_nothing_is_open();
         self.log_summary();
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -22,6 +22,10 @@
                 return self.close(now, key, reason);
             }
         }
+        if readiness.peer_closed && self.is_fastcgi_client(key) {
+            // Nobody waits for its requests, those among them that are not read yet.
+            return self.close(now, key, CloseReason::PeerClosed);
+        }
         let mut end = Ok(());
         if readiness.read {
             let (progress, result) = self.receive(now, key, readiness.broken);
@@ -32,7 +36,7 @@
             match progress {
                 IoProgress::PeerClosed => return self.close(now, key, CloseReason::PeerClosed),
                 IoProgress::Broken => return self.close(now, key, CloseReason::Broken),
-                IoProgress::Advanced | IoProgress::WouldBlock => {}
+                IoProgress::Advanced | IoProgress::WouldBlock | IoProgress::Postponed => {}
             }
         }
         if let Err(reason) = end.and_then(|()| self.write(now, key)) {
@@ -42,6 +46,12 @@
         self.enforce_partial_request_limit(now, key);
     }
 
+    fn is_fastcgi_client(&self, key: SlabKey) -> bool {
+        self.connections
+            .get(key)
+            .is_some_and(|connection| matches!(connection.role, ConnectionRole::FastCgiClient(_)))
+    }
+
     /// Takes in what a connection has received by now, also where the poller has not reported it
     /// yet.
     pub(super) fn read_pending_input(&mut self, now: Micros, key: SlabKey) {
@@ -95,7 +105,15 @@
         match self.connections.get_mut(key) {
             Some(connection) if connection.transport.connected => {
                 let progress = connection.transport.read(broken);
-                (progress, self.read(now, key))
+                if progress == IoProgress::Postponed {
+                    connection.unread_since.get_or_insert(now);
+                    return (progress, Ok(()));
+                }
+                let result = self.read(now, key);
+                if let Some(connection) = self.connections.get_mut(key) {
+                    connection.unread_since = None;
+                }
+                (progress, result)
             }
             _ => (IoProgress::WouldBlock, Ok(())),
         }
@@ -186,7 +204,7 @@
         let Some(session) = connection.role.client_session() else {
             return Ok(());
         };
-        if !connection.transport.output.is_empty() {
+        if !connection.transport.output.is_empty() || connection.unread_since.is_some() {
             return Ok(());
         }
         if session.is_finished() {
--- a/crates/proxy/src/event_loop/shutdown.rs
+++ b/crates/proxy/src/event_loop/shutdown.rs
@@ -85,9 +85,18 @@
         }
     }
 
+    /// The process may be killed from here on: what is still open is answered as failed, and nothing
+    /// that waits to be accepted can be answered.
+    pub(super) fn reach_shutdown_deadline(&mut self, now: Micros) {
+        self.acceptors.fastcgi = None;
+        self.request_table.fail_all_pending(now);
+    }
+
     /// Whether `run` may return. A client connection that is left has an answer coming to it, or
     /// lingers; attempts that nobody waits for end with their connections.
     pub(super) fn is_shut_down(&self) -> bool {
-        self.shutdown.is_grace_over() && self.clients.connections == 0
+        self.shutdown.is_grace_over()
+            && self.clients.connections == 0
+            && self.acceptors.fastcgi.is_none()
     }
 }
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -125,8 +125,10 @@
         let limits = config.limits.clone();
         let request_table = RequestTable::new(config.settings.clone(), config.seed, &limits)?;
         let known = std::mem::take(&mut config.known_events);
+        let clock = Clock::start();
         let mut event_loop = EventLoop {
-            clock: Clock::start(),
+            ready_since: clock.now(),
+            clock,
             request_table,
             poller,
             timers: TimerQueue::default(),
--- a/crates/proxy/src/event_loop/timer.rs
+++ b/crates/proxy/src/event_loop/timer.rs
@@ -75,7 +75,7 @@
             TimerEvent::RetryAccept => self.retry_accept(now),
             TimerEvent::RetryReload { give_up_at } => self.read_configuration(now, give_up_at),
             TimerEvent::EndShutdownGrace => self.end_shutdown_grace(now),
-            TimerEvent::ShutdownDeadline => self.request_table.fail_all_pending(now),
+            TimerEvent::ShutdownDeadline => self.reach_shutdown_deadline(now),
         }
     }
 }
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -25,10 +25,27 @@
     Request(u16, ClientRequest),
     /// The client no longer waits for the answer.
     Abort(RequestKey),
+    /// The client no longer waits for a request that was not admitted yet.
+    AbortUnadmitted(u16),
     /// The question whether the proxy is ready: an answer must follow.
     HealthCheck(u16),
 }
 
+impl SessionEvent {
+    /// Whether it wants an answer.
+    pub fn is_request(&self) -> bool {
+        self.stream().is_some()
+    }
+
+    /// The stream of what wants an answer.
+    pub fn stream(&self) -> Option<u16> {
+        match self {
+            SessionEvent::Request(stream, _) | SessionEvent::HealthCheck(stream) => Some(*stream),
+            SessionEvent::Abort(_) | SessionEvent::AbortUnadmitted(_) => None,
+        }
+    }
+}
+
 /// A request of which not all has been received.
 #[derive(Default)]
 struct PartialRequest {
@@ -304,7 +321,10 @@
             Stream::AwaitingAnswer(request) => (request.keep_connection, request.request_key),
         };
         self.end_without_response(id, wire::REQUEST_COMPLETE, keep_connection);
-        request_key.map(SessionEvent::Abort)
+        Some(match request_key {
+            Some(request_key) => SessionEvent::Abort(request_key),
+            None => SessionEvent::AbortUnadmitted(id),
+        })
     }
 
     fn finish_request(&mut self, id: u16, response: Vec<u8>) {
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -65,6 +65,11 @@
     pub total_body_bytes: usize,
     /// All requests that are partially received.
     pub partial_request_bytes: usize,
+    /// A request that waited unread for longer than this has so much less time left, and what else
+    /// its client has sent is read before it is admitted: it may be a cancellation.
+    pub unread_tolerance_us: Micros,
+    /// Reads of a client that was read late, at most, before its requests are admitted.
+    pub late_reads: usize,
     /// The longest time that a client may say it waits for an answer.
     pub client_budget_us: Micros,
     /// The highest number of a part that a client may ask for.
@@ -219,6 +224,8 @@
     body_bytes: 48_000,
     total_body_bytes: 48 * MIB,
     partial_request_bytes: 24 * MIB,
+    unread_tolerance_us: 20 * MS,
+    late_reads: 16,
     client_budget_us: 120 * SECOND,
     max_part: 65_535,
     max_size_kb: 1e6,
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -28,6 +28,8 @@
     Advanced,
     /// Nothing can be moved for now.
     WouldBlock,
+    /// The system could not move anything for now, though the socket may be ready.
+    Postponed,
     /// The peer has ended its half of the connection.
     PeerClosed,
     /// The connection is broken.
@@ -39,8 +41,9 @@
     match result {
         Ok(0) => on_zero,
         Ok(_) => IoProgress::Advanced,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => IoProgress::WouldBlock,
         // The kernel may have no memory for the moment: the socket is sound, and reported again.
-        Err(e) if errors::is_momentary_on_socket(&e) => IoProgress::WouldBlock,
+        Err(e) if errors::is_momentary_on_socket(&e) => IoProgress::Postponed,
         Err(_) => IoProgress::Broken,
     }
 }
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -48,6 +48,8 @@
     pub write: bool,
     /// It is broken, or both sides have closed it.
     pub broken: bool,
+    /// Its peer has closed it, or at least its half of it. There may be input before that.
+    pub peer_closed: bool,
 }
 
 impl Readiness {
@@ -58,6 +60,7 @@
             read: true,
             write: false,
             broken: false,
+            peer_closed: false,
         }
     }
 }
@@ -104,6 +107,7 @@
                 read: has(epoll::EventFlags::IN | epoll::EventFlags::RDHUP | broken),
                 write: has(epoll::EventFlags::OUT | broken),
                 broken: has(broken),
+                peer_closed: has(epoll::EventFlags::RDHUP | broken),
             }
         }));
         Ok(())
--- a/crates/proxy/src/sys/socket.rs
+++ b/crates/proxy/src/sys/socket.rs
@@ -1,6 +1,6 @@
 //! Sockets.
 
-use super::{intercept, SystemCall};
+use super::{intercept, retry_interrupted, SystemCall};
 use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io::{self, Read, Write};
@@ -98,19 +98,23 @@
 
 impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        let most = intercept(SystemCall::Read)?.unwrap_or(buffer.len());
-        let length = buffer.len().min(most);
-        let mut socket = self.0;
-        socket.read(&mut buffer[..length])
+        retry_interrupted(|| {
+            let most = intercept(SystemCall::Read)?.unwrap_or(buffer.len());
+            let length = buffer.len().min(most);
+            let mut socket = self.0;
+            socket.read(&mut buffer[..length])
+        })
     }
 }
 
 impl Write for Stream<'_> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let most = intercept(SystemCall::Write)?.unwrap_or(bytes.len());
-        let length = bytes.len().min(most);
-        let mut socket = self.0;
-        socket.write(&bytes[..length])
+        retry_interrupted(|| {
+            let most = intercept(SystemCall::Write)?.unwrap_or(bytes.len());
+            let length = bytes.len().min(most);
+            let mut socket = self.0;
+            socket.write(&bytes[..length])
+        })
     }
 
     fn flush(&mut self) -> io::Result<()> {
