edge-soak: more disk trouble, provocations, and slow start judged by who was told

Disk errors are drawn as often as other kinds and followed by a kill, clock steps by a restart, slow discovery by a reload. A server's overload counts where two thirds of it came from proxies that knew of its start.

--- a/crates/soak/src/cache_server.rs
+++ b/crates/soak/src/cache_server.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
 /// How a server behaves.
@@ -67,7 +67,7 @@
             let world = world.borrow();
             (world.slot, world.plan.seed)
         };
-        let listener = TcpListener::bind(deployment::server_address(slot, place)).await?;
+        let listener = crate::listen(deployment::server_address(slot, place)).await?;
         let server = CacheServer {
             place,
             world: world.clone(),
--- a/crates/soak/src/campaign.rs
+++ b/crates/soak/src/campaign.rs
@@ -119,6 +119,8 @@
     };
     let mut counts = world.counts.clone();
     counts.invariant_checks = found.invariant_checks;
+    counts.purges = world.purges.len() as u64;
+    counts.kept_purges = world.kept_purges.len() as u64;
     for request in world.requests.values() {
         counts.requests += 1;
         match request.answer {
@@ -169,6 +171,8 @@
         sum.fetches += counts.fetches;
         sum.invariant_checks += counts.invariant_checks;
         sum.processes += counts.processes;
+        sum.purges += counts.purges;
+        sum.kept_purges += counts.kept_purges;
         sum.held_up += counts.held_up;
         for trouble in &result.plan.troubles {
             *self.troubles.entry(trouble.kind.name()).or_default() += 1;
@@ -192,8 +196,8 @@
             counts.requests, counts.served, counts.rejected, counts.failed, counts.left, counts.fetches
         );
         println!(
-            "processes: {}, times that the run was held up: {}",
-            counts.processes, counts.held_up
+            "processes: {}, purges: {} by the event bus and {} by peers; times that the run was held up: {}",
+            counts.processes, counts.purges, counts.kept_purges, counts.held_up
         );
         println!("troubles: {}", list(&self.troubles));
         println!("system calls that were disturbed: {}", list(&self.injected));
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -225,6 +225,14 @@
                 self.world.borrow_mut().requests.remove(&order.id);
                 continue;
             };
+            {
+                // Its time counts from its last byte, which may have had to wait for others.
+                let mut world = self.world.borrow_mut();
+                let now_ms = world.now_ms();
+                if let Some(request) = world.requests.get_mut(&order.id) {
+                    request.sent_ms = now_ms;
+                }
+            }
             let ending = self.wait(&order, &connection, stream, answer).await;
             let crossed = was_resting && sent_at.elapsed() < CROSSING;
             match ending {
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -246,7 +246,8 @@
         let mut world = self.world.borrow_mut();
         world.servers[old].state = "gone";
         let now_ms = world.now_ms();
-        let new = world.add_server(place, Some(now_ms));
+        let event = world.events.len() + 1;
+        let new = world.add_server(place, Some((now_ms, event)));
         self.servers[place].restart();
         world.publish_servers(&[old, new]);
     }
@@ -263,7 +264,8 @@
         let server = world.server_at(place);
         if world.servers[server].state == "ready" {
             let now_ms = world.now_ms();
-            world.servers[server].started_ms = Some(now_ms);
+            let event = world.events.len() + 1;
+            world.servers[server].started = Some((now_ms, event));
             world.publish_servers(&[server]);
         }
     }
@@ -418,7 +420,7 @@
     /// Every proxy that had the time to has been told of all that was published a moment ago.
     fn judge_discovery(&self) {
         /// From being ready, or the end of trouble at the bus, to being told.
-        const TOLD_WITHIN_MS: u64 = 1_500;
+        const TOLD_WITHIN_MS: u64 = 1_000;
         /// From being published to being told, with a subscription.
         const DELIVERY_MS: u64 = 700;
         let mut world = self.world.borrow_mut();
@@ -482,9 +484,9 @@
     async fn end_process(&self, process: &mut ProxyProcess, may_abort: bool) {
         self.control.phase.set(ProxyPhase::Ending);
         process.signal(Signal::TERM);
-        sleep(NEW_CONNECTIONS_FOR).await;
+        process.sleep(NEW_CONNECTIONS_FOR, may_abort).await;
         self.control.phase.set(ProxyPhase::EndingKept);
-        sleep(REQUESTS_FOR).await;
+        process.sleep(REQUESTS_FOR, may_abort).await;
         self.control.phase.set(ProxyPhase::Quiet);
         process.wait_for_end(may_abort).await;
         self.control.phase.set(ProxyPhase::Down);
--- a/crates/soak/src/event_bus.rs
+++ b/crates/soak/src/event_bus.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -59,7 +59,7 @@
         let slot = world.borrow().slot;
         for second in [false, true] {
             let address = deployment::bus_address(slot, proxy, second);
-            let listener = TcpListener::bind(address).await?;
+            let listener = crate::listen(address).await?;
             let bus = bus.clone();
             tokio::task::spawn_local(async move {
                 while let Ok((socket, _)) = listener.accept().await {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,8 +27,12 @@
 pub mod violation;
 pub mod world;
 
+use std::io;
+use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
+use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// The seeds of a campaign.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,3 +56,21 @@
         Ok(SeedRange(range))
     }
 }
+
+/// How often binding an address is tried.
+const BIND_TRIES: u32 = 100;
+
+/// Listens at an address of the run. A process that another run is just starting may hold the
+/// listener of an earlier run for a moment, until it executes its program.
+pub(crate) async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let mut tries = 1;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && tries < BIND_TRIES => {
+                tries += 1;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            result => return result,
+        }
+    }
+}
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 /// What a link does with what comes to it.
@@ -40,7 +40,7 @@
 impl Link {
     /// Listens at an address, and connects to the server for each connection.
     pub async fn start(listen: SocketAddr, server: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = crate::listen(listen).await?;
         let link = Link {
             mode: Rc::new(watch::Sender::new(LinkMode::Open)),
             resets: Rc::new(watch::Sender::new(0)),
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -226,48 +226,40 @@
             || troubles.any(|trouble| is_near(trouble) && delays(trouble))
     }
 
-    /// No server that has just started is sent more than it can take in a window.
+    /// No server that has just started is sent more than it can take in a window, for the most part
+    /// by proxies that had been told of its start.
     fn judge_slow_start(&self, violations: &mut Vec<Violation>) {
-        let transfer_s = SIZE_KB / TRANSFER_KB_PER_S;
-        let window_s = OVERLOAD_WINDOW_MS as f64 / 1e3;
         for (index, server) in self.world.servers.iter().enumerate() {
-            let Some(started_ms) = server.started_ms else {
+            let Some((started_ms, event)) = server.started else {
                 continue;
             };
-            let at_server = self
+            let calls: Vec<Call> = self
                 .world
                 .fetches
                 .iter()
-                .filter(|fetch| fetch.server == index && fetch.at_ms >= started_ms);
-            let times: Vec<u64> = at_server.map(|fetch| fetch.at_ms).collect();
-            let worst = times.iter().enumerate().find_map(|(first, from_ms)| {
-                let age = (from_ms - started_ms) as f64 / WARM_UP_MS as f64;
-                let share = (INITIAL_SHARE + (1.0 - INITIAL_SHARE) * age).min(1.0);
-                let allowed = OVERLOAD_MULTIPLE * share * CAPACITY * window_s / transfer_s;
-                let (roots, extra) = if allowed < 30.0 {
-                    (3.0, 3.0)
-                } else {
-                    (2.0, 2.0)
-                };
-                let limit = allowed + roots * allowed.sqrt() + extra;
-                let in_window = times[first..]
-                    .iter()
-                    .take_while(|at_ms| **at_ms < from_ms + OVERLOAD_WINDOW_MS)
-                    .count();
-                (in_window as f64 > limit).then_some((*from_ms, in_window, limit))
-            });
-            if let Some((at_ms, calls, limit)) = worst {
+                .filter(|fetch| fetch.server == index && fetch.at_ms >= started_ms)
+                .map(|fetch| Call {
+                    at_ms: fetch.at_ms,
+                    was_told: self.was_told_of_start(fetch, event, started_ms),
+                })
+                .collect();
+            if let Some((at_ms, detail)) = overload(&calls, started_ms) {
                 violations.push(Violation {
                     rule: Rule::SlowStart,
                     at_ms,
                     proxy: None,
                     request: None,
-                    detail: format!("{}: {calls} calls, {limit:.0} at most", server.wire_id),
+                    detail: format!("{}: {detail}", server.wire_id),
                 });
             }
         }
     }
 
+    fn was_told_of_start(&self, fetch: &FetchRecord, event: usize, started_ms: u64) -> bool {
+        let request = self.world.requests.get(&fetch.request);
+        request.is_some_and(|request| self.told_ms(request.proxy, event, started_ms) <= fetch.at_ms)
+    }
+
     /// A proxy turns nothing away once what was wrong with it alone has passed.
     fn judge_recovery(&self, violations: &mut Vec<Violation>) {
         let mut unexplained: HashMap<usize, Vec<(&String, &RequestRecord)>> = HashMap::new();
@@ -306,11 +298,13 @@
         let until_ms = request.sent_ms + request.budget_ms;
         let disturbs = |trouble: &Trouble| {
             let settles_ms = match trouble.kind {
-                TroubleKind::SystemCalls { .. } | TroubleKind::ClockStep { .. } => 300,
+                // A clock that is wrong is no reason to turn requests away.
+                TroubleKind::ClockStep { .. } => return false,
+                TroubleKind::SystemCalls { .. } => 300,
                 TroubleKind::Reload { .. }
                 | TroubleKind::BadClients { .. }
                 | TroubleKind::ClientsLeave { .. } => 500,
-                TroubleKind::Restart { .. } | TroubleKind::Kill { .. } => 4_000,
+                TroubleKind::Restart { .. } | TroubleKind::Kill { .. } => 800,
                 TroubleKind::BusDown | TroubleKind::BusSilent | TroubleKind::BusSlow { .. } => 0,
                 _ => 60_000,
             };
@@ -326,3 +320,35 @@
             || self.world.plan.troubles.iter().any(disturbs)
     }
 }
+
+/// A request at a server that has just started.
+struct Call {
+    at_ms: u64,
+    /// Its proxy knew of the start.
+    was_told: bool,
+}
+
+/// The first window in which a server that started at a time was sent too much, mostly by proxies
+/// that knew of that.
+fn overload(calls: &[Call], started_ms: u64) -> Option<(u64, String)> {
+    let transfer_s = SIZE_KB / TRANSFER_KB_PER_S;
+    let window_s = OVERLOAD_WINDOW_MS as f64 / 1e3;
+    calls.iter().enumerate().find_map(|(first, call)| {
+        let from_ms = call.at_ms;
+        let age = (from_ms - started_ms) as f64 / WARM_UP_MS as f64;
+        let share = (INITIAL_SHARE + (1.0 - INITIAL_SHARE) * age).min(1.0);
+        let allowed = OVERLOAD_MULTIPLE * share * CAPACITY * window_s / transfer_s;
+        let slack = if allowed < 30.0 { 3.0 } else { 2.0 };
+        let limit = allowed + slack * allowed.sqrt() + slack;
+        let in_window = calls[first..]
+            .iter()
+            .take_while(|call| call.at_ms < from_ms + OVERLOAD_WINDOW_MS);
+        let (count, told) = in_window.fold((0, 0), |(count, told), call| {
+            (count + 1, told + u64::from(call.was_told))
+        });
+        let is_proxies_doing = told * 3 > count * 2;
+        let is_overloaded = count as f64 > limit && is_proxies_doing;
+        let detail = format!("{count} calls, {told} by proxies that knew, {limit:.0} at most");
+        is_overloaded.then_some((from_ms, detail))
+    })
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -187,29 +187,44 @@
         }
     }
 
-    /// For system calls that a proxy makes only when it starts or reads its configuration: what has
-    /// it do that.
-    fn provocation(&self, random: &mut Rng) -> Option<TroubleKind> {
+    /// What makes a trouble show, and how long after its beginning: system calls that a proxy makes
+    /// only when it starts or reads its configuration, and what is lost only with its process.
+    fn provocation(&self, random: &mut Rng, nearby: usize) -> Option<(u64, TroubleKind)> {
+        if let TroubleKind::BusSlow { .. } = self {
+            let reload = TroubleKind::Reload {
+                proxy: nearby,
+                torn_for_ms: None,
+            };
+            return Some((random.u64(0..200), reload));
+        }
+        if let TroubleKind::ClockStep { proxy, .. } = *self {
+            return Some((random.u64(0..500), TroubleKind::Restart { proxy }));
+        }
         let TroubleKind::SystemCalls { proxy, call, .. } = *self else {
             return None;
         };
-        match call {
+        let after_ms = random.u64(0..200);
+        let provocation = match call {
             SystemCall::EpollCreate
             | SystemCall::SocketPair
             | SystemCall::ListenerSocket
-            | SystemCall::Bind => Some(match random.bool() {
+            | SystemCall::Bind => match random.bool() {
                 true => TroubleKind::Restart { proxy },
                 false => TroubleKind::Kill { proxy },
-            }),
-            SystemCall::FileRead => Some(match random.bool() {
+            },
+            SystemCall::FileRead => match random.bool() {
                 true => TroubleKind::Reload {
                     proxy,
                     torn_for_ms: None,
                 },
                 false => TroubleKind::Kill { proxy },
-            }),
-            _ => None,
-        }
+            },
+            SystemCall::FileWrite | SystemCall::FileSync => {
+                return Some((500 + after_ms, TroubleKind::Kill { proxy }));
+            }
+            _ => return None,
+        };
+        Some((after_ms, provocation))
     }
 
     /// The proxy that it concerns alone.
@@ -308,17 +323,22 @@
         let at_ms = random.u64(FIRST_TROUBLE_MS..LAST_TROUBLE_MS);
         let mut troubles = Vec::new();
         for _ in 0..random.usize(2..=3) {
-            let from_ms = at_ms + random.u64(0..500);
             let kind = match scope {
                 Scope::Everything => draw_kind(random, proxy, cache),
                 Scope::ProxiesAlone => draw_kind_of_proxy(random, proxy),
             };
+            let from_ms = match kind {
+                // It has to last for long after what is told.
+                TroubleKind::BusSlow { .. } => FIRST_TROUBLE_MS + random.u64(0..500),
+                _ => at_ms + random.u64(0..500),
+            };
             let until_ms = from_ms + length_ms(random, &kind);
-            if let Some(start) = kind.provocation(random) {
+            if let Some((after_ms, provocation)) = kind.provocation(random, proxy) {
+                let from_ms = from_ms + after_ms;
                 troubles.push(Trouble {
-                    from_ms: from_ms + random.u64(0..200),
-                    until_ms,
-                    kind: start,
+                    from_ms,
+                    until_ms: from_ms + length_ms(random, &provocation),
+                    kind: provocation,
                 });
             }
             troubles.push(Trouble {
@@ -332,7 +352,7 @@
 }
 
 fn draw_kind(random: &mut Rng, proxy: usize, cache: usize) -> TroubleKind {
-    match random.u32(0..24) {
+    match random.u32(0..27) {
         0..=2 => TroubleKind::Restart { proxy },
         3..=4 => TroubleKind::Kill { proxy },
         5 => TroubleKind::Reload {
@@ -358,9 +378,10 @@
         19 => TroubleKind::LinkInPieces { cache },
         20 => *pick_bus(random),
         21 => TroubleKind::BusSlow {
-            first_byte_ms: random.u64(1_000..3_000),
+            first_byte_ms: random.u64(500..2_600),
         },
         22 => TroubleKind::BadClients { proxy },
+        23..=25 => draw_disk_trouble(random, proxy),
         _ => TroubleKind::ClientsLeave { proxy },
     }
 }
@@ -406,7 +427,7 @@
 /// A kind of system call, with the ways in which Linux says that it may fail.
 fn draw_system_calls(random: &mut Rng, proxy: usize) -> TroubleKind {
     use errno::*;
-    const CALLS: [(SystemCall, &[i32]); 15] = [
+    const CALLS: [(SystemCall, &[i32]); 13] = [
         (
             SystemCall::Accept,
             &[ECONNABORTED, ENFILE, EMFILE, ENOBUFS, EINTR],
@@ -429,20 +450,13 @@
         (SystemCall::SocketPair, &[ENFILE, EMFILE, ENOBUFS]),
         (SystemCall::ListenerSocket, &[ENFILE, ENOBUFS]),
         (SystemCall::FileRead, &[ENFILE, EIO]),
-        (SystemCall::FileWrite, &[ENOSPC, EIO]),
-        (SystemCall::FileSync, &[EIO]),
     ];
     let (call, errnos) = *pick(random, &CALLS);
-    let may_be_short = matches!(
-        call,
-        SystemCall::Read | SystemCall::Write | SystemCall::FileWrite
-    );
-    let effect = match call {
-        SystemCall::FileWrite if random.u32(0..3) == 0 => {
-            Effect::ShortThenAbort(random.usize(1..20))
-        }
-        _ if may_be_short && random.bool() => Effect::Short(random.usize(1..40)),
-        _ => Effect::Error(*pick(random, errnos)),
+    let may_be_short = matches!(call, SystemCall::Read | SystemCall::Write);
+    let effect = if may_be_short && random.bool() {
+        Effect::Short(random.usize(1..40))
+    } else {
+        Effect::Error(*pick(random, errnos))
     };
     TroubleKind::SystemCalls {
         proxy,
@@ -459,3 +473,20 @@
         },
     }
 }
+
+/// Writes to the disk that fail or stop half way, with or without the process.
+fn draw_disk_trouble(random: &mut Rng, proxy: usize) -> TroubleKind {
+    use errno::*;
+    let call = *pick(random, &[SystemCall::FileWrite, SystemCall::FileSync]);
+    let effect = match (call, random.u32(0..4)) {
+        (SystemCall::FileWrite, 0) => Effect::ShortThenAbort(random.usize(1..20)),
+        (SystemCall::FileWrite, 1) => Effect::Short(random.usize(1..40)),
+        _ => Effect::Error(*pick(random, &[ENOSPC, EIO])),
+    };
+    TroubleKind::SystemCalls {
+        proxy,
+        call,
+        effect,
+        one_in: *pick(random, &[1, 2]),
+    }
+}
--- a/crates/soak/src/proxy_process.rs
+++ b/crates/soak/src/proxy_process.rs
@@ -12,13 +12,16 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// From SIGTERM a process has the longest deadline, this, and the time that a busy machine adds.
 const END_AFTER_MS: u64 = deployment::LONGEST_DEADLINE_MS + 700 + 500;
 
+/// A process is looked at this often.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
 /// A process of an edge proxy, and where it keeps its files.
 pub struct ProxyProcess {
     proxy: usize,
@@ -175,6 +178,19 @@
         }
     }
 
+    /// Lets time pass after SIGTERM, and notices at once where the process ends itself by its plan.
+    pub async fn sleep(&mut self, duration: Duration, may_abort: bool) {
+        let until = Instant::now() + duration;
+        while Instant::now() < until {
+            sleep(LOOK_EVERY).await;
+            let ended = self.child.as_mut().and_then(|child| child.try_wait().ok()?);
+            if may_abort && ended.is_some_and(|status| !status.success()) {
+                self.child = None;
+                self.world.borrow_mut().note_death(self.proxy);
+            }
+        }
+    }
+
     /// Finds a process that has ended though nobody told it to. Returns whether it runs.
     pub fn check_runs(&mut self, may_abort: bool) -> bool {
         let Some(child) = &mut self.child else {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -59,8 +59,9 @@
     /// When its list entry said that it drains or is gone, in milliseconds of the run, and the number
     /// of that event on the bus.
     pub withdrawn: Option<(u64, usize)>,
-    /// When its process started and was published, in milliseconds of the run; none: long ago.
-    pub started_ms: Option<u64>,
+    /// When its process started and was published, in milliseconds of the run, and the number of that
+    /// event on the bus; none: long ago.
+    pub started: Option<(u64, usize)>,
     /// The state that the list tells.
     pub state: &'static str,
 }
@@ -128,6 +129,10 @@
     pub invariant_checks: u64,
     /// Processes that were started.
     pub processes: u64,
+    /// Purges that the event bus told of.
+    pub purges: u64,
+    /// Purges that proxies took on by themselves.
+    pub kept_purges: u64,
     /// Times at which the run itself was held up for so long that no time was judged.
     pub held_up: u64,
 }
@@ -207,14 +212,14 @@
     }
 
     /// A new server at a place. It is not published.
-    pub fn add_server(&mut self, place: usize, started_ms: Option<u64>) -> usize {
+    pub fn add_server(&mut self, place: usize, started: Option<(u64, usize)>) -> usize {
         let wire_id = format!("s-{:08x}", self.next_wire_id);
         self.next_wire_id += 1;
         self.servers.push(Server {
             wire_id,
             place,
             withdrawn: None,
-            started_ms,
+            started,
             state: "ready",
         });
         self.servers.len() - 1
@@ -230,7 +235,9 @@
     pub fn list_entry(&self, index: usize) -> Value {
         let server = &self.servers[index];
         let is_origin = server.place == 0;
-        let boot_ms = server.started_ms.map_or(0, |at| self.start_unix_ms + at);
+        let boot_ms = server
+            .started
+            .map_or(0, |(at_ms, _)| self.start_unix_ms + at_ms);
         json!({
             "uid": server.wire_id,
             "endpoint": crate::deployment::link_address(self.slot, server.place).to_string(),
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -178,13 +178,17 @@
 
 #[test]
 fn a_server_that_has_just_started_is_found_overloaded() {
+    const EVENT: usize = 1;
     let mut run = Run::new();
-    run.world.servers[SERVER].started_ms = Some(SENT_MS);
+    run.world.servers[SERVER].started = Some((SENT_MS, EVENT));
     for number in 0..80 {
         run.fetch(SENT_MS + 10 + number);
     }
-    run.world.servers[SERVER].started_ms = Some(SENT_MS);
+    assert_eq!(run.rules(), [], "no proxy knew of the start");
+    run.world.told[PROXY].push((EVENT, SENT_MS + 2));
     assert_eq!(run.rules(), [Rule::SlowStart]);
+    run.world.fetches.truncate(50);
+    assert_eq!(run.rules(), [], "within the budget and its slack");
 }
 
 #[test]
