--- a/crates/proxy/tests/event_bus_subscription.rs
+++ b/crates/proxy/tests/event_bus_subscription.rs
@@ -6,6 +6,7 @@
     fetch_object, health_status, next_response, ProxyFixture, LONG_BUDGET_MS,
 };
 use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
+use edge_testkit::scripted_server::ScriptedServer;
 use edge_testkit::unix_ms;
 use serde_json::Value;
 
@@ -122,3 +123,38 @@
     assert_eq!(draining.received().len(), commands_before, "it drains");
     proxy.shut_down();
 }
+
+#[test]
+fn an_event_bus_that_is_slow_to_answer_is_heard() {
+    const SILENCE_US: u64 = 50_000;
+    let event_bus = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .config(|config| {
+            config["known"] = Value::Null;
+            config["bus"] = event_bus.address.to_string().into();
+        })
+        .limits(|limits| limits.event_bus_silence_us = SILENCE_US)
+        .start();
+
+    // The bus does not answer in time; the proxy asks again, and the first answer comes after that.
+    let mut slow_connection = event_bus.accept().unwrap();
+    let _second_connection = event_bus.accept().unwrap();
+    let list = serde_json::json!({"offset": 1, "topology": {"rev": 1, "all": true, "targets": [
+        cache_entry(&proxy.caches[0], server_state::READY),
+        origin_entry(&proxy.origin, server_state::READY),
+    ]}});
+    let answer = format!("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: {list}\n\n");
+    slow_connection.send(answer.as_bytes()).unwrap();
+
+    let mut client = proxy.connect();
+    let mut status = health_status(&mut client);
+    for _ in 0..1_000 {
+        if status == 200 {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1));
+        status = health_status(&mut client);
+    }
+    assert_eq!(status, 200, "the list has arrived");
+    proxy.shut_down();
+}
--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -1,13 +1,15 @@
 //! System calls that fail for a moment, in the ways that Linux documents.
 #![cfg(feature = "fault-injection")]
 
-use edge_proxy::sys::fault::{Effect, Fault, FaultInjector, FaultPlan};
+use edge_proxy::sys::fault::{ClockStep, Effect, Fault, FaultInjector, FaultPlan};
 use edge_proxy::sys::SystemCall;
 use edge_testkit::fake_cache::Behavior;
 use edge_testkit::proxy_fixture::{
     fetch_object, health_status, next_status, ProxyFixture, LONG_BUDGET_MS, LONG_TIMEOUT_US,
 };
 use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
+use edge_testkit::unix_ms;
+use serde_json::json;
 
 const EINTR: i32 = 4;
 const ENOMEM: i32 = 12;
@@ -162,3 +164,43 @@
     assert_eq!(injector.injected()[&SystemCall::EpollModify], 1);
     proxy.shut_down();
 }
+
+#[test]
+fn a_clock_that_is_wrong_at_the_start_lets_no_purged_copy_pass() {
+    const HOUR_MS: i64 = 3_600_000;
+    const PURGED_BEFORE_MS: u64 = 2_000;
+    for by_ms in [HOUR_MS, -HOUR_MS, 5_000, -5_000, 0] {
+        let injector = FaultInjector::new(FaultPlan {
+            clock_steps: vec![ClockStep { at_ms: 0, by_ms }],
+            ..FaultPlan::default()
+        });
+        let purged_at_ms = unix_ms() - PURGED_BEFORE_MS;
+        let proxy = ProxyFixture::builder()
+            .faults(&injector)
+            .config(|config| {
+                let batch = config["known"]["batch"].as_array_mut().unwrap();
+                batch.push(json!({"offset": 0, "ban": {"url": object_key(1), "ts": purged_at_ms}}));
+            })
+            .start();
+        let mut client = proxy.connect();
+
+        for key in [1, 2, 1] {
+            let response = fetch_object(&mut client, READ_CLASS, &object_key(key));
+            assert_eq!(response.status, 200, "off by {by_ms} ms");
+        }
+
+        for command in proxy.caches[0].received() {
+            let Some(max_age_ms) = command.field("maxage") else {
+                assert_ne!(command.object_key(), Some(object_key(1).as_str()));
+                continue;
+            };
+            let max_age_ms: u64 = max_age_ms.parse().unwrap();
+            let since_purge_ms = command.received_at_ms - purged_at_ms;
+            assert!(
+                max_age_ms <= since_purge_ms,
+                "off by {by_ms} ms: maxage {max_age_ms}, {since_purge_ms} ms after the purge"
+            );
+        }
+        proxy.shut_down();
+    }
+}
