A purge counts as kept once it is on the disk, and an error loses none

Cause: a purge was entered as written before it was; after ENOSPC or EIO it was never written again, though a peer CDN was told 201. Half a line swallowed the next one, nothing was synced, and a rewrite that failed left the old handle in use. The peer's trigger is answered with 503 unless its purge is on the disk: it is in force, and the peer tries again. A disk that is full at the start does not keep the proxy from starting; the old file stays.

--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -7,7 +7,7 @@
 use crate::discovery::purge_gossip::{self as gossip, Purge};
 use crate::discovery::purge_log::PurgeLog;
 use crate::frontend::interconnect::{
-    self as frontend, Effect, InterconnectFrontend, InterconnectReply,
+    self as frontend, Effect, InterconnectFrontend, InterconnectReply, Response,
 };
 use crate::net::{IoProgress, SlabKey};
 use crate::protocol::http::Message;
@@ -23,6 +23,8 @@
     pub(super) frontend: InterconnectFrontend,
     /// Where purges are kept for the next start; none: they last as long as the process.
     pub(super) purge_log: Option<PurgeLog>,
+    /// Purges that could not be written are written again.
+    pub(super) purge_log_retry_scheduled: bool,
     /// Notifications being delivered or waiting for a retry.
     pub(super) notifications_in_flight: usize,
     /// The readiness that peer CDNs were last notified of.
@@ -34,6 +36,7 @@
         Interconnect {
             frontend,
             purge_log,
+            purge_log_retry_scheduled: false,
             notifications_in_flight: 0,
             announced_ready: false,
         }
@@ -74,9 +77,6 @@
     /// Answers a request, or hands it to the request table.
     fn handle_interconnect_request(&mut self, now: Micros, key: SlabKey, message: &Message) {
         let is_ready = self.is_ready();
-        let Some((_, session)) = self.connections.interconnect_client_mut(key) else {
-            return;
-        };
         let Some(interconnect) = &mut self.interconnect else {
             return;
         };
@@ -84,13 +84,24 @@
         let handled = interconnect
             .frontend
             .handle(now, is_ready, purge_capacity, message);
+        // What a peer CDN is told to be taken on has to last: the effects come before the reply.
+        let mut all_kept = true;
+        for effect in handled.effects {
+            all_kept &= self.apply_effect(now, effect);
+        }
         match handled.reply {
-            InterconnectReply::Now(response) => session.respond(&response),
+            InterconnectReply::Now(response) => {
+                let response = if all_kept {
+                    response
+                } else {
+                    Response::bare(503)
+                };
+                if let Some((_, session)) = self.connections.interconnect_client_mut(key) {
+                    session.respond(&response);
+                }
+            }
             InterconnectReply::Admit(request) => self.admit_interconnect_request(now, key, request),
         }
-        for effect in handled.effects {
-            self.apply_effect(now, effect);
-        }
     }
 
     fn admit_interconnect_request(&mut self, now: Micros, key: SlabKey, request: ClientRequest) {
@@ -120,8 +131,9 @@
         }
     }
 
-    /// Carries out what a request asks for besides its response.
-    fn apply_effect(&mut self, now: Micros, effect: Effect) {
+    /// Carries out what a request asks for besides its response. False: it would not outlast the
+    /// process yet.
+    fn apply_effect(&mut self, now: Micros, effect: Effect) -> bool {
         match effect {
             Effect::Purge(object, group) => {
                 let purge = Purge {
@@ -132,9 +144,12 @@
                 if let Some(datagram) = gossip::encode(&purge) {
                     self.gossip_purge(now, datagram, purge_gossip::REPEATS);
                 }
-                self.purge_permanently(now, purge);
+                self.purge_permanently(now, purge)
+            }
+            Effect::Notify(notification) => {
+                self.queue_notification(now, notification);
+                true
             }
-            Effect::Notify(notification) => self.queue_notification(now, notification),
         }
     }
 
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -4,6 +4,7 @@
 use super::timer::TimerEvent;
 use super::{tokens, EventLoop};
 use crate::discovery::purge_gossip::{self as gossip, Purge};
+use crate::discovery::purge_log::PurgeLog;
 use crate::net::{Interest, Poller};
 use crate::sys;
 use edge_routing::Micros;
@@ -87,25 +88,56 @@
         }
     }
 
-    /// A purge that cache servers learn nothing of: it holds from here on, also for a proxy that
-    /// starts again.
-    pub(super) fn purge_permanently(&mut self, now: Micros, purge: Purge) {
-        let is_new = self.request_table.purge_permanently(
+    /// Applies a purge that nobody else enforces for good, and keeps it for the next start. False: it
+    /// is in force, but not on the disk yet.
+    pub(super) fn purge_permanently(&mut self, now: Micros, purge: Purge) -> bool {
+        let is_in_force = self.request_table.purge_permanently(
             now,
             purge.object.clone(),
             purge.group,
             purge.purged_at,
         );
-        if !is_new {
-            return;
+        if !is_in_force {
+            return true;
+        }
+        let logged = match self.purge_log() {
+            Some(purge_log) => purge_log.add(&purge),
+            None => Ok(()),
+        };
+        if let Err(e) = &logged {
+            log::error!("a purge is in force but not kept for the next start yet: {e}");
+            self.schedule_purge_log_retry(now);
+        }
+        logged.is_ok()
+    }
+
+    /// Writes purges to the disk that could not be written before.
+    pub(super) fn retry_purge_log(&mut self, now: Micros) {
+        if let Some(interconnect) = &mut self.interconnect {
+            interconnect.purge_log_retry_scheduled = false;
+        }
+        let flushed = match self.purge_log() {
+            Some(purge_log) => purge_log.flush(),
+            None => Ok(()),
+        };
+        match flushed {
+            Ok(()) => log::info!("all purges are kept for the next start"),
+            Err(_) => self.schedule_purge_log_retry(now),
         }
-        let purge_log = self
-            .interconnect
-            .as_mut()
-            .and_then(|interconnect| interconnect.purge_log.as_mut());
-        let logged = purge_log.map(|log| log.add(&purge));
-        if let Some(Err(e)) = logged {
-            log::error!("a purge is in force but not kept for the next start: {e}");
+    }
+
+    /// Has purges written again in a moment that could not be written.
+    pub(super) fn schedule_purge_log_retry(&mut self, now: Micros) {
+        let Some(interconnect) = &mut self.interconnect else {
+            return;
+        };
+        if !std::mem::replace(&mut interconnect.purge_log_retry_scheduled, true) {
+            let at = now + self.limits.purge_log_retry_us;
+            self.timers.set(at, TimerEvent::RetryPurgeLog);
         }
     }
+
+    fn purge_log(&mut self) -> Option<&mut PurgeLog> {
+        self.interconnect.as_mut()?.purge_log.as_mut()
+    }
 }
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -146,6 +146,9 @@
             reload: Reload::new(config, source),
         };
         let now = event_loop.clock.now();
+        if !event_loop.is_purge_log_flushed() {
+            event_loop.schedule_purge_log_retry(now);
+        }
         event_loop.replay(now, known.events);
         event_loop.connect_event_bus(now);
         event_loop.query_consul(now);
@@ -170,6 +173,12 @@
         }
     }
 
+    fn is_purge_log_flushed(&self) -> bool {
+        let interconnect = self.interconnect.as_ref();
+        let purge_log = interconnect.and_then(|interconnect| interconnect.purge_log.as_ref());
+        purge_log.is_none_or(PurgeLog::is_flushed)
+    }
+
     fn log_addresses(&self) {
         if let Some(address) = self.address() {
             log::info!("{} listens on {address}", self.reload.config.name);
--- a/crates/proxy/src/event_loop/timer.rs
+++ b/crates/proxy/src/event_loop/timer.rs
@@ -34,6 +34,8 @@
         /// How often it is sent again after this.
         repeats_left: u8,
     },
+    /// Purges that could not be written to the purge log are written again.
+    RetryPurgeLog,
     /// A client connection is checked: it may hold its place for nothing.
     CheckClient(SlabKey),
     /// Attempts wait for a connection, which could not be opened for a reason of this machine's own.
@@ -69,6 +71,7 @@
                 datagram,
                 repeats_left,
             } => self.gossip_purge(now, datagram, repeats_left),
+            TimerEvent::RetryPurgeLog => self.retry_purge_log(now),
             TimerEvent::CheckClient(key) => self.check_client(now, key),
             TimerEvent::RetryParkedAttempts => self.retry_parked_attempts(now),
             TimerEvent::RetryWatch(key) => self.retry_watch(now, key),
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -144,6 +144,8 @@
     pub gossip_repeat_us: Micros,
     /// Purges that cache servers are not notified of and that therefore hold for good.
     pub permanent_purges: usize,
+    /// How long to wait before purges are written to the purge log that could not be.
+    pub purge_log_retry_us: Micros,
 
     // ---- Interconnect with peer CDNs ----
     /// Trigger status resources.
@@ -260,6 +262,7 @@
     consul_timeout_us: 20 * SECOND,
     gossip_repeat_us: 40 * MS,
     permanent_purges: 20_000,
+    purge_log_retry_us: 200 * MS,
 
     triggers: 1024,
     notifications: 64,
--- a/crates/proxy/tests/purge_log_faults.rs
+++ b/crates/proxy/tests/purge_log_faults.rs
@@ -59,3 +59,51 @@
         fs::remove_file(&path).unwrap();
     }
 }
+
+#[test]
+fn a_line_that_is_cut_off_by_an_error_spoils_no_other() {
+    let path = fresh_path("purge-log-torn");
+    let injector = install_faults();
+    let mut purge_log = PurgeLog::open(&path).unwrap();
+    injector.add(Fault::next(1, SystemCall::FileWrite, Effect::Short(9)));
+    injector.add(Fault::next(1, SystemCall::FileWrite, Effect::Error(ENOSPC)));
+
+    assert!(purge_log.add(&purge(1)).is_err());
+    assert_eq!(fs::read(&path).unwrap().len(), 9, "half a line is there");
+    for number in 2..=4 {
+        purge_log.add(&purge(number)).unwrap();
+    }
+
+    let reopened = PurgeLog::open(&path).unwrap();
+    assert_eq!(reopened.purges(), [1, 2, 3, 4].map(purge));
+    fs::remove_file(&path).unwrap();
+}
+
+#[test]
+fn a_log_that_can_not_be_rewritten_stays_as_it_is_until_it_can() {
+    for call in [
+        SystemCall::FileCreate,
+        SystemCall::FileWrite,
+        SystemCall::FileSync,
+        SystemCall::FileRename,
+    ] {
+        let path = fresh_path("purge-log-rewrite");
+        let injector = install_faults();
+        PurgeLog::open(&path).unwrap().add(&purge(1)).unwrap();
+        let before = fs::read(&path).unwrap();
+        injector.add(Fault::next(3, call, Effect::Error(ENOSPC)));
+
+        let mut purge_log = PurgeLog::open(&path).unwrap();
+        assert_eq!(purge_log.purges(), [purge(1)], "{call:?}");
+        assert!(!purge_log.is_flushed());
+        assert!(purge_log.add(&purge(2)).is_err());
+        assert!(purge_log.flush().is_err());
+        assert_eq!(fs::read(&path).unwrap(), before, "{call:?}");
+
+        purge_log.flush().unwrap();
+        assert!(purge_log.is_flushed());
+        let reopened = PurgeLog::open(&path).unwrap();
+        assert_eq!(reopened.purges(), [purge(1), purge(2)], "{call:?}");
+        fs::remove_file(&path).unwrap();
+    }
+}
