An event bus that is slow to accept or to answer is waited for beside a new try

Cause: the connect time-out of cache servers (0.4 s) and the 2 s of silence held for a connection to the event bus that had not answered yet, too; it was given up for another one, without end, so that a bus that takes longer was never heard. Such a connection stays open for up to 20 s beside the one that is tried meanwhile; the first that is answered is used, the other closed. Waits between tries grow from 0.1 s to 0.24 s, below the 0.25 s of the drain rule, with jitter, so that a fleet does not come back in step; those for Consul as well.

--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -148,6 +148,7 @@
     http: http::MessageParser,
     events: sse::EventParser,
     last_read: Micros,
+    has_answered: bool,
 }
 
 impl EventStreamClient {
@@ -157,9 +158,15 @@
             http: http::MessageParser::responses(limits.line_bytes, usize::MAX),
             events: sse::EventParser::new(limits.endpoint_list_bytes),
             last_read: now,
+            has_answered: false,
         }
     }
 
+    /// Whether anything has come yet.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered
+    }
+
     /// When something last arrived.
     pub fn last_read(&self) -> Micros {
         self.last_read
@@ -174,6 +181,7 @@
         last_offset: &mut u64,
     ) -> Result<Vec<EventBusMessage>, ProtocolError> {
         self.last_read = now;
+        self.has_answered = true;
         let mut messages = Vec::new();
         loop {
             let (taken, piece) = self.http.parse(input)?;
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! Sources of the endpoint list and of purges: event bus, Consul, gossip between proxies and the
 //! purge log.
 
+pub mod backoff;
 pub mod consul;
 mod endpoint_entry;
 pub mod event_bus;
--- a/crates/proxy/src/event_loop/close_reason.rs
+++ b/crates/proxy/src/event_loop/close_reason.rs
@@ -40,6 +40,8 @@
     Moved,
     /// The event bus is silent.
     Silent,
+    /// Another connection to the event bus was answered first.
+    Superseded,
     /// The response that the connection was opened for has not come in time.
     ResponseTimeout,
 }
@@ -78,6 +80,7 @@
             CloseReason::Unresponsive => "it is unresponsive",
             CloseReason::Moved => "the event bus has moved",
             CloseReason::Silent => "the event bus is silent",
+            CloseReason::Superseded => "another connection was answered first",
             CloseReason::ResponseTimeout => "no response came in time",
         })
     }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -220,12 +220,15 @@
 
     /// Closes an outgoing connection that was not established in time.
     pub(super) fn close_unless_connected(&mut self, now: Micros, key: SlabKey) {
-        if self
-            .connections
-            .get(key)
-            .is_some_and(|connection| !connection.transport.connected)
-        {
-            self.close(now, key, CloseReason::ConnectTimeout);
+        let Some(connection) = self.connections.get(key) else {
+            return;
+        };
+        if connection.transport.connected {
+            return;
+        }
+        match connection.role {
+            ConnectionRole::EventBus(_) => self.event_bus_connects_late(now, key),
+            _ => self.close(now, key, CloseReason::ConnectTimeout),
         }
     }
 
--- a/crates/proxy/src/event_loop/consul.rs
+++ b/crates/proxy/src/event_loop/consul.rs
@@ -4,7 +4,9 @@
 use super::connections::{Connection, ConnectionRole};
 use super::timer::TimerEvent;
 use super::EventLoop;
+use crate::discovery::backoff::Backoff;
 use crate::discovery::consul::{Consul, ConsulError, ConsulQuery};
+use crate::limits::Limits;
 use crate::net::SlabKey;
 use crate::protocol::http::Message;
 use crate::protocol::ProtocolError;
@@ -18,13 +20,19 @@
 pub(super) struct ConsulPoller {
     pub(super) address: SocketAddr,
     pub(super) consul: Consul,
+    backoff: Backoff,
 }
 
 impl ConsulPoller {
-    pub(super) fn new(address: SocketAddr, service: String) -> Self {
+    pub(super) fn new(address: SocketAddr, service: String, limits: &Limits, seed: u64) -> Self {
         ConsulPoller {
             address,
             consul: Consul::new(service, BLOCKING_QUERY_WAIT_S),
+            backoff: Backoff::new(
+                limits.reconnect_delay_us,
+                limits.max_reconnect_delay_us,
+                seed,
+            ),
         }
     }
 }
@@ -38,15 +46,14 @@
         let address = poller.address;
         let query = ConsulQuery::new(&self.limits);
         match self.connect_to(now, address, ConnectionRole::Consul(query)) {
-            Ok(key) => self.timers.set(
-                now + self.limits.consul_timeout_us,
-                TimerEvent::ResponseTimeout(key),
-            ),
-            Err(_) => self.timers.set(
-                now + self.limits.reconnect_delay_us,
-                TimerEvent::QueryConsul,
-            ),
-        };
+            Ok(key) => {
+                self.timers.set(
+                    now + self.limits.consul_timeout_us,
+                    TimerEvent::ResponseTimeout(key),
+                );
+            }
+            Err(_) => self.handle_consul_response(now, None),
+        }
     }
 
     /// Handles what Consul has sent.
@@ -75,7 +82,10 @@
     /// Takes in the response to the last query; none where it failed. The next query follows at
     /// once, or after a pause where this one failed.
     pub(super) fn handle_consul_response(&mut self, now: Micros, response: Option<Message>) {
-        let Some(ConsulPoller { consul, .. }) = &mut self.consul else {
+        let Some(ConsulPoller {
+            consul, backoff, ..
+        }) = &mut self.consul
+        else {
             return;
         };
         let update = response
@@ -83,6 +93,7 @@
             .and_then(|message| consul.response(&message));
         let next_query = match update {
             Ok(servers) => {
+                backoff.succeeded();
                 if let Some(servers) = servers {
                     self.request_table
                         .update_endpoints(now, EndpointListMode::Snapshot, servers);
@@ -92,7 +103,7 @@
             Err(e) => {
                 log::warn!("Consul: {e}");
                 consul.failed();
-                now + self.limits.reconnect_delay_us
+                now + backoff.next_us()
             }
         };
         self.timers.set(next_query, TimerEvent::QueryConsul);
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -138,7 +138,7 @@
             acceptors: Acceptors::new(fastcgi, acceptor),
             clients: ClientAccounting::default(),
             upstream_connections: UpstreamConnections::default(),
-            event_bus: EventBusSubscription::new(known.last_offset),
+            event_bus: EventBusSubscription::new(known.last_offset, &limits, config.seed),
             consul: start_consul(&config),
             purge_gossip,
             interconnect,
@@ -232,5 +232,10 @@
 
 fn start_consul(config: &Config) -> Option<ConsulPoller> {
     let ConsulConfig { address, service } = config.consul.clone()?;
-    Some(ConsulPoller::new(address, service))
+    Some(ConsulPoller::new(
+        address,
+        service,
+        &config.limits,
+        config.seed,
+    ))
 }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -136,8 +136,15 @@
     pub endpoint_list_bytes: usize,
     /// An event bus connection on which nothing arrives for this long is replaced.
     pub event_bus_silence_us: Micros,
-    /// How long to wait before connecting to the event bus or Consul again.
+    /// How long to wait before connecting to the event bus or Consul again, after the first failure;
+    /// at least half of that. The wait grows with further ones.
     pub reconnect_delay_us: Micros,
+    /// The longest such wait. It is shorter than the grace period in which requests may still go to a
+    /// server that drains: what is told in the moment in which a source is back is heard in time.
+    pub max_reconnect_delay_us: Micros,
+    /// A connection to the event bus that is slow to come up or to answer is kept open for this long
+    /// beside the one that is tried meanwhile.
+    pub event_bus_patience_us: Micros,
     /// Consul must answer a query within this, its wait for a change included.
     pub consul_timeout_us: Micros,
     /// How long to wait before a gossip datagram is repeated, since any of them may be lost.
@@ -259,6 +266,8 @@
     endpoint_list_bytes: MIB,
     event_bus_silence_us: 2 * SECOND,
     reconnect_delay_us: 100 * MS,
+    max_reconnect_delay_us: 240 * MS,
+    event_bus_patience_us: 20 * SECOND,
     consul_timeout_us: 20 * SECOND,
     gossip_repeat_us: 40 * MS,
     permanent_purges: 20_000,
