A connection that could not be watched is read once it can be, and ends with the rest

It is read as soon as it is watched.

Test: an_idle_connection_that_could_not_be_watched_does_not_hold_up_a_shutdown, red without it.

--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -270,12 +270,15 @@
         }
     }
 
-    /// Tells the poller once more what to watch a connection for.
+    /// Tells the poller once more what to watch a connection for, and reads what came meanwhile:
+    /// nothing is reported where nothing did, and a shutdown would wait for the connection.
     pub(super) fn retry_watch(&mut self, now: Micros, key: SlabKey) {
-        if let Some(connection) = self.connections.get_mut(key) {
-            connection.watch_retry_scheduled = false;
-        }
+        let Some(connection) = self.connections.get_mut(key) else {
+            return;
+        };
+        connection.watch_retry_scheduled = false;
         self.update_poll_interest(now, key);
+        self.read_pending_input(now, key);
     }
 
     /// Ends a connection from this side. A client connection lingers: closing it over bytes that
--- a/crates/proxy/tests/late_reading.rs
+++ b/crates/proxy/tests/late_reading.rs
@@ -6,8 +6,8 @@
 use edge_proxy::sys::SystemCall;
 use edge_testkit::fastcgi_client::FastCgiClient;
 use edge_testkit::proxy_fixture::{
-    fetch_object, health_status, next_response, next_status, ProxyFixture, LONG_BUDGET_MS,
-    LONG_TIMEOUT_US,
+    fetch_object, health_status, is_closed, next_response, next_status, ProxyFixture,
+    LONG_BUDGET_MS, LONG_TIMEOUT_US,
 };
 use edge_testkit::sample_deployment::{object_key, READ_CLASS};
 use std::thread;
@@ -148,3 +148,28 @@
         proxy.wait_for_exit();
     }
 }
+
+#[test]
+fn an_idle_connection_that_could_not_be_watched_does_not_hold_up_a_shutdown() {
+    let injector = FaultInjector::new(FaultPlan::default());
+    let mut proxy = ProxyFixture::builder()
+        .faults(&injector)
+        .limits(|limits| {
+            limits.shutdown_grace_us = 0;
+            limits.client_request_timeout_us = LONG_TIMEOUT_US;
+            limits.client_idle_timeout_us = LONG_TIMEOUT_US;
+        })
+        .start();
+    proxy.event_bus.wait_for_subscription(0);
+    hinder(&injector, SystemCall::EpollAdd, ENOMEM);
+    let mut idle_client = proxy.connect();
+    wait_until_hindered(&injector, SystemCall::EpollAdd);
+    proxy.control.stop().unwrap();
+    // Once the grace period is over nobody is accepted.
+    while FastCgiClient::connect(proxy.fastcgi_address).is_ok() {}
+    injector.clear(SystemCall::EpollAdd);
+
+    assert!(is_closed(&mut idle_client));
+    drop(idle_client);
+    proxy.wait_for_exit();
+}
