Failing tests: a bound on partial requests, a client's end behind a full buffer

Found by the review of the paths that end things. Beside them guards for what was suspected and found sound, or is mended: a cancellation behind other input, a pause of accepting that outlasts the grace period, absurd times of copies.

--- a/crates/proxy/tests/cancellation.rs
+++ b/crates/proxy/tests/cancellation.rs
@@ -1,5 +1,6 @@
 //! Requests whose clients no longer wait for them.
 
+use edge_proxy::protocol::fastcgi::{self, record_type};
 use edge_testkit::fake_cache::Behavior;
 use edge_testkit::proxy_fixture::{
     next_response, next_status, ProxyFixture, LONG_BUDGET_MS, SHORT_BUDGET_MS,
@@ -116,3 +117,31 @@
     assert_eq!(next_response(&mut client).1.status, 200);
     proxy.shut_down();
 }
+
+#[test]
+fn a_cancellation_behind_other_input_is_noticed() {
+    const OTHER_RECORDS: usize = 100;
+    const RECORD_BYTES: usize = 2_000;
+    let server = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder().scripted_server(&server).start();
+    let mut client = proxy.connect();
+    client
+        .request_object(1, READ_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let fetch = connection.next_fetch().unwrap();
+
+    let mut other_input = Vec::new();
+    for _ in 0..OTHER_RECORDS {
+        fastcgi::write_record(&mut other_input, record_type::DATA, 1, &[0; RECORD_BYTES]);
+    }
+    client.send(&other_input).unwrap();
+    client.abort(1).unwrap();
+
+    let abort = connection.next_command().unwrap();
+    assert_eq!(
+        (abort.name.as_str(), abort.request_id),
+        ("abort", fetch.request_id)
+    );
+    proxy.shut_down();
+}
--- a/crates/proxy/tests/late_reading.rs
+++ b/crates/proxy/tests/late_reading.rs
@@ -9,7 +9,9 @@
     fetch_object, health_status, is_closed, next_response, next_status, ProxyFixture,
     LONG_BUDGET_MS, LONG_TIMEOUT_US,
 };
-use edge_testkit::sample_deployment::{object_key, READ_CLASS};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
+use edge_testkit::scripted_server::ScriptedServer;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -173,3 +175,50 @@
     drop(idle_client);
     proxy.wait_for_exit();
 }
+
+#[test]
+fn a_pause_of_accepting_that_outlasts_the_grace_period_does_not_keep_the_loop_busy() {
+    /// Waits of the event loop that a few timers explain.
+    const MAX_WAITS: u64 = 300;
+    const OBSERVED: Duration = Duration::from_millis(200);
+    let server = ScriptedServer::start().unwrap();
+    let injector = FaultInjector::new(FaultPlan::default());
+    let mut proxy = ProxyFixture::builder()
+        .faults(&injector)
+        .scripted_server(&server)
+        .limits(|limits| limits.shutdown_grace_us = 0)
+        .start();
+    let mut waiting_client = proxy.connect();
+    waiting_client
+        .request_object(1, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let fetch = connection.next_fetch().unwrap();
+
+    // A peer CDN connects in the moment in which the grace period ends, and can't be accepted.
+    let paused = proxy.pause();
+    injector.add(Fault::next(2, SystemCall::Accept, Effect::Error(ENFILE)));
+    let peer_cdn = TcpStream::connect(proxy.interconnect_address).unwrap();
+    proxy.control.stop().unwrap();
+    paused.resume();
+    wait_until_hindered(&injector, SystemCall::Accept);
+    // Nothing is disturbed by this: the calls are counted.
+    count_waits(&injector);
+    thread::sleep(OBSERVED);
+    let waits = injector.injected().get(&SystemCall::EpollWait).copied();
+
+    assert!(waits.unwrap_or(0) < MAX_WAITS, "{waits:?} waits");
+    connection.answer_ok(&fetch.request_id).unwrap();
+    assert_eq!(next_status(&mut waiting_client), (1, 200));
+    drop((waiting_client, peer_cdn));
+    proxy.wait_for_exit();
+}
+
+/// Has the waits of the event loop counted.
+fn count_waits(injector: &FaultInjector) {
+    injector.add(Fault::next(
+        u32::MAX,
+        SystemCall::EpollWait,
+        Effect::Short(1),
+    ));
+}
--- a/crates/proxy/tests/net.rs
+++ b/crates/proxy/tests/net.rs
@@ -3,7 +3,7 @@
 use edge_proxy::net::{BufferedSocket, IoProgress, Poller, RingBuffer, Slab, SlabKey, TimerQueue};
 use rustix::net::sockopt;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::Duration;
 
 #[test]
@@ -92,6 +92,26 @@
     assert_eq!(socket.read(ready[0].broken), IoProgress::Broken);
 }
 
+#[test]
+fn a_full_input_buffer_still_reports_that_the_peer_has_ended_its_half() {
+    /// Far more than the peer's end takes to arrive on loopback.
+    const WAIT_US: u64 = 5_000_000;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let mut socket = BufferedSocket::new(listener.accept().unwrap().0, true, 4, 4).unwrap();
+    peer.write_all(b"123456").unwrap();
+    while socket.read(false) != IoProgress::WouldBlock || socket.input.free_space() > 0 {}
+    let mut poller = Poller::new(4).unwrap();
+    socket.watch(&poller, 7).unwrap();
+    peer.shutdown(Shutdown::Write).unwrap();
+
+    let mut ready = Vec::new();
+    poller.wait(WAIT_US, &mut ready).unwrap();
+
+    assert_eq!(ready.len(), 1, "the end is reported, not the input");
+    assert!(ready[0].peer_closed && !ready[0].broken);
+}
+
 #[test]
 fn timers_come_due_in_order_once_and_can_be_cancelled() {
     let mut timers = TimerQueue::default();
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -6,7 +6,8 @@
     fetch_object, is_closed, next_response, ProxyFixture, LONG_BUDGET_MS, LONG_TIMEOUT_US,
     REQUEST_BUDGET_MS,
 };
-use edge_testkit::sample_deployment::{object_key, READ_CLASS};
+use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
+use edge_testkit::scripted_server::ScriptedServer;
 use edge_testkit::Response;
 use std::io::{self, ErrorKind};
 
@@ -174,3 +175,47 @@
     assert_eq!(response.status, 200);
     proxy.shut_down();
 }
+
+#[test]
+fn a_client_that_holds_too_much_of_partial_requests_still_gets_the_answers_that_it_is_owed() {
+    const PARTIAL_REQUESTS_BYTES: usize = 100_000;
+    let server = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .scripted_server(&server)
+        .limits(|limits| {
+            limits.partial_request_bytes = PARTIAL_REQUESTS_BYTES;
+            limits.client_request_timeout_us = LONG_TIMEOUT_US;
+        })
+        .start();
+    let mut large_client = proxy.connect();
+    let mut small_client = proxy.connect();
+    large_client
+        .request_object(3, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+    let mut connection = server.accept().unwrap();
+    let fetch = connection.next_fetch().unwrap();
+    assert!(send_partial_request(&mut large_client, 1, 40_000).is_ok());
+    assert!(send_partial_request(&mut large_client, 2, 30_000).is_ok());
+
+    // The other client takes the sum past the bound.
+    assert!(send_partial_request(&mut small_client, 1, 35_000).is_ok());
+
+    connection.answer_ok(&fetch.request_id).unwrap();
+    let mut ended = vec![
+        large_client.next_response().unwrap(),
+        large_client.next_response().unwrap(),
+        large_client.next_response().unwrap(),
+    ];
+    ended.sort_by_key(|(request_id, _)| *request_id);
+    let statuses: Vec<_> = ended
+        .iter()
+        .map(|(request_id, response)| (*request_id, response.as_ref().map(|it| it.status)))
+        .collect();
+    assert_eq!(
+        statuses,
+        [(1, None), (2, None), (3, Some(200))],
+        "the partial requests are refused, the open one is answered"
+    );
+    drop((large_client, small_client));
+    proxy.shut_down();
+}
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -143,6 +143,25 @@
     }
 }
 
+#[test]
+fn an_absurd_time_of_a_copy_is_taken_for_what_it_says_and_breaks_nothing() {
+    for made_ms in [u64::MAX, u64::MAX / 1000, 0] {
+        let mut fixture = Fixture::connected();
+        fixture.purge_object("01-object", NOW - 2_000);
+        let attempt = fixture.send("01");
+        let outcome = if made_ms == 0 {
+            Outcome::Error
+        } else {
+            Outcome::Ok
+        };
+        assert_eq!(
+            fixture.receive_copy("01", made_ms),
+            [End::new(attempt, outcome)],
+            "{made_ms}"
+        );
+    }
+}
+
 #[test]
 fn after_an_old_copy_a_further_attempt_on_the_connection_can_be_served() {
     let mut fixture = Fixture::connected();
