Owed answers outlast the bound on partial requests, and a client's end shows behind a full buffer

Cause: where partially received requests of all clients held too much memory, the connection that held the most was ended with the requests that were pending on it: lost, through what others sent. Such a connection now loses its partial requests (OVERLOADED) and keeps the others. A client's end was watched for only while there was room for input, so that a peer CDN that left behind a full buffer was noticed with the next answer; it always is now, and ends what the client waits for.

Timers and commands are handled at the time at which each of them is, not at that of the first in its turn: with hundreds in a turn the last ones were sent with more time than was left. No test shows that by itself; it takes a turn of 0.15 s.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -40,6 +40,7 @@
             }
         }
         while let Some(event) = events.pop_front() {
+            let now = self.clock.now();
             match event {
                 SessionEvent::Abort(request_key) => {
                     self.request_table.client_disconnected(now, request_key);
@@ -53,7 +54,7 @@
                 }
             }
             // After the session knows its request as admitted: an answer may be given at once.
-            self.execute_commands(now);
+            self.execute_commands();
         }
         result
     }
--- a/crates/proxy/src/event_loop/clients/mod.rs
+++ b/crates/proxy/src/event_loop/clients/mod.rs
@@ -10,6 +10,7 @@
 use super::connections::{Connection, ConnectionRole};
 use super::timer::TimerEvent;
 use super::EventLoop;
+use crate::frontend::ClientSession;
 use crate::net::SlabKey;
 use edge_routing::Micros;
 use eviction::EvictionClass;
@@ -109,7 +110,8 @@
     }
 
     /// Accounts for what a FastCGI connection holds of partially received requests. Where all
-    /// connections together hold too much, the one that holds the most is ended.
+    /// connections together hold too much, the one that holds the most is ended, or loses its
+    /// partially received requests if it is owed answers: what others hold is not its doing.
     pub(super) fn enforce_partial_request_limit(&mut self, now: Micros, key: SlabKey) {
         let Some(Connection {
             role: ConnectionRole::FastCgiClient(session),
@@ -129,13 +131,35 @@
             let Some(largest) = self.connections.keys().into_iter().max_by_key(held) else {
                 return;
             };
-            log::info!(
-                "a connection is ended: it holds the most of too many partially received requests"
-            );
-            self.close_gracefully(now, largest, CloseReason::PartialRequests);
+            log::info!("a connection holds the most of too many partially received requests");
+            if !self.reject_partial_requests(now, largest) {
+                self.close_gracefully(now, largest, CloseReason::PartialRequests);
+            }
         }
     }
 
+    /// Rejects the partially received requests of a FastCGI connection that is owed answers to
+    /// others. False: it is owed none.
+    fn reject_partial_requests(&mut self, now: Micros, key: SlabKey) -> bool {
+        let Some(Connection {
+            role: ConnectionRole::FastCgiClient(session),
+            activity,
+            ..
+        }) = self.connections.get_mut(key)
+        else {
+            return false;
+        };
+        if !session.is_busy() {
+            return false;
+        }
+        session.reject_partial_requests();
+        self.clients
+            .set_partial_request_bytes(activity, session.partial_request_bytes());
+        // A connection that can't be written shows as broken by itself.
+        let _ = self.write(now, key);
+        true
+    }
+
     /// Ends a client connection that holds its place for nothing. Ordinary clients end theirs
     /// sooner, so that none of their requests can cross this.
     pub(super) fn check_client(&mut self, now: Micros, key: SlabKey) {
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -148,26 +148,31 @@
             tokens::PURGE_GOSSIP => self.receive_purge_gossip(now),
             token => self.handle_readiness(now, SlabKey::from_u64(token), event),
         }
-        self.execute_commands(now);
+        self.execute_commands();
         self.announce_readiness(now);
     }
 
+    /// Handles the timers that are due, at the time at which each of them is handled. What they set
+    /// anew comes due in the next turn.
     fn handle_due_timers(&mut self) {
-        let now = self.clock.now();
-        while let Some(timer) = self.timers.pop_due(now) {
+        let due_by = self.clock.now();
+        while let Some(timer) = self.timers.pop_due(due_by) {
+            let now = self.clock.now();
             self.handle_timer(now, timer);
-            self.execute_commands(now);
+            self.execute_commands();
         }
     }
 
-    /// Executes the commands of the request table, and those that follow from them.
-    fn execute_commands(&mut self, now: Micros) {
+    /// Executes the commands of the request table, and those that follow from them, at the time at
+    /// which each of them is executed: where there are many, the last ones come noticeably later.
+    fn execute_commands(&mut self) {
         loop {
             let commands = self.request_table.take_commands();
             if commands.is_empty() {
                 return;
             }
             for command in commands {
+                let now = self.clock.now();
                 self.execute_command(now, command);
             }
         }
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -4,6 +4,7 @@
 use super::connections::ConnectionRole;
 use super::EventLoop;
 use crate::discovery::event_bus;
+use crate::frontend::ClientSession;
 use crate::net::{IoProgress, Readiness, SlabKey};
 use crate::protocol::ProtocolError;
 use crate::sys::errors;
@@ -22,7 +23,7 @@
                 return self.close(now, key, reason);
             }
         }
-        if readiness.peer_closed && self.is_fastcgi_client(key) {
+        if readiness.peer_closed && self.waits_in_vain(key) {
             // Nobody waits for its requests, those among them that are not read yet.
             return self.close(now, key, CloseReason::PeerClosed);
         }
@@ -46,17 +47,22 @@
         self.enforce_partial_request_limit(now, key);
     }
 
-    fn is_fastcgi_client(&self, key: SlabKey) -> bool {
-        self.connections
-            .get(key)
-            .is_some_and(|connection| matches!(connection.role, ConnectionRole::FastCgiClient(_)))
+    /// Whether a client that has ended its half gets nothing more. A peer CDN gets the responses to
+    /// what it has sent, unless it has left while it waits for content.
+    fn waits_in_vain(&self, key: SlabKey) -> bool {
+        let role = self.connections.get(key).map(|connection| &connection.role);
+        match role {
+            Some(ConnectionRole::FastCgiClient(_)) => true,
+            Some(ConnectionRole::InterconnectClient(session)) => session.unanswered() > 0,
+            _ => false,
+        }
     }
 
     /// Takes in what a connection has received by now, also where the poller has not reported it
     /// yet.
     pub(super) fn read_pending_input(&mut self, now: Micros, key: SlabKey) {
         self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
-        self.execute_commands(now);
+        self.execute_commands();
     }
 
     /// Completes an outgoing connection and queues the request it was opened for, if that is fixed
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -153,6 +153,22 @@
         self.finish_request(id, response::cgi_response(answer));
     }
 
+    /// Rejects the requests that are partially received. The rest of them is skipped.
+    pub fn reject_partial_requests(&mut self) {
+        let mut rejected = Vec::new();
+        self.streams.retain(|id, stream| match stream {
+            Stream::Receiving(request) => {
+                rejected.push((*id, request.keep_connection));
+                false
+            }
+            Stream::AwaitingAnswer(_) => true,
+        });
+        rejected.sort_unstable();
+        for (id, keep_connection) in rejected {
+            self.end_without_response(id, wire::OVERLOADED, keep_connection);
+        }
+    }
+
     /// An answer that has a status and nothing else, as in "200 OK".
     pub fn respond_with_status(&mut self, id: u16, status: &str) {
         self.finish_request(id, response::status_only(status));
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -15,7 +15,7 @@
 }
 
 impl Interest {
-    /// Nothing is reported but a broken connection.
+    /// Nothing is reported but a broken connection, and the end of the peer's half.
     pub const NONE: Interest = Interest {
         readable: false,
         writable: false,
@@ -27,11 +27,10 @@
     };
 
     fn event_flags(self) -> epoll::EventFlags {
-        let mut flags = epoll::EventFlags::empty();
-        flags.set(
-            epoll::EventFlags::IN | epoll::EventFlags::RDHUP,
-            self.readable,
-        );
+        // The end of the peer's half is reported in any case: behind a full buffer it would not be
+        // read for as long as that stays full.
+        let mut flags = epoll::EventFlags::RDHUP;
+        flags.set(epoll::EventFlags::IN, self.readable);
         flags.set(epoll::EventFlags::OUT, self.writable);
         flags
     }
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -201,7 +201,7 @@
     assert!(send_partial_request(&mut small_client, 1, 35_000).is_ok());
 
     connection.answer_ok(&fetch.request_id).unwrap();
-    let mut ended = vec![
+    let mut ended = [
         large_client.next_response().unwrap(),
         large_client.next_response().unwrap(),
         large_client.next_response().unwrap(),
