edge-soak: long deadlines, drains of servers whose connections have just ended; errno in one place

The numbers of Linux's errors stand in sys::fault alone; TCP_NODELAY that can't be set costs a connection its speed, not itself.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What a newcomer needs: build, test, lint, run.
-.PHONY: build test lint fmt run fake-caches scenario ci
+.PHONY: build test lint fmt run fake-caches scenario soak ci
 
 build:
 	cargo build --release --locked
@@ -25,5 +25,11 @@
 scenario: build
 	target/release/edge-loopback-scenario
 
+# Plays plans of overlapping faults against real proxies on loopback; a plan takes 7 s. SEEDS: one, or first..last.
+SEEDS ?= 1..40
+JOBS ?= 8
+soak:
+	cargo run --release --locked -p edge-soak -- run --seeds $(SEEDS) --jobs $(JOBS)
+
 ci:
 	bash .ci/run
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -70,8 +70,11 @@
         output: usize,
     ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        // Small answers must not wait for the acknowledgement of earlier ones.
-        socket.set_nodelay(true)?;
+        // Small answers must not wait for the acknowledgement of earlier ones. Without this they are
+        // late, not lost.
+        if let Err(e) = socket.set_nodelay(true) {
+            log::debug!("a connection keeps small writes back: {e}");
+        }
         let (input, output) = (RingBuffer::new(input), RingBuffer::new(output));
         Ok(BufferedSocket {
             socket,
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -247,9 +247,9 @@
         response_target: ResponseTarget,
         request: ClientRequest,
     ) -> Result<RequestKey, AdmissionError> {
-        let id = request.id.clone();
+        let id = log::log_enabled!(log::Level::Debug).then(|| request.id.clone());
         let admitted = self.admit_unlogged(now, response_target, request);
-        if let Err(reason) = &admitted {
+        if let (Err(reason), Some(id)) = (&admitted, id) {
             log::debug!("request {id}: not admitted: {reason}");
         }
         admitted
--- a/crates/proxy/src/sys/fault.rs
+++ b/crates/proxy/src/sys/fault.rs
@@ -11,6 +11,34 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+/// Error numbers of Linux, as the system calls document them.
+pub mod errno {
+    /// Interrupted by a signal.
+    pub const EINTR: i32 = 4;
+    /// An error of the device.
+    pub const EIO: i32 = 5;
+    /// No memory.
+    pub const ENOMEM: i32 = 12;
+    /// No descriptor is left in the system.
+    pub const ENFILE: i32 = 23;
+    /// No descriptor is left in the process.
+    pub const EMFILE: i32 = 24;
+    /// The device is full.
+    pub const ENOSPC: i32 = 28;
+    /// No port is left.
+    pub const EADDRNOTAVAIL: i32 = 99;
+    /// No route.
+    pub const ENETUNREACH: i32 = 101;
+    /// A connection was ended before it was accepted.
+    pub const ECONNABORTED: i32 = 103;
+    /// No buffer is left.
+    pub const ENOBUFS: i32 = 105;
+    /// The peer does not acknowledge.
+    pub const ETIMEDOUT: i32 = 110;
+    /// No way to the peer.
+    pub const EHOSTUNREACH: i32 = 113;
+}
+
 /// What happens to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/proxy/tests/late_reading.rs
+++ b/crates/proxy/tests/late_reading.rs
@@ -2,6 +2,7 @@
 //! watched for a while. Their clients may have left, and their time has gone on.
 #![cfg(feature = "fault-injection")]
 
+use edge_proxy::sys::fault::errno::{ENFILE, ENOBUFS, ENOMEM};
 use edge_proxy::sys::fault::{Effect, Fault, FaultInjector, FaultPlan};
 use edge_proxy::sys::SystemCall;
 use edge_testkit::fastcgi_client::FastCgiClient;
@@ -15,10 +16,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const ENFILE: i32 = 23;
-const ENOMEM: i32 = 12;
-const ENOBUFS: i32 = 105;
-
 /// What keeps a request from being read, on a connection that is new.
 const HINDRANCES: [(SystemCall, i32); 3] = [
     (SystemCall::Accept, ENFILE),
--- a/crates/proxy/tests/purge_log_faults.rs
+++ b/crates/proxy/tests/purge_log_faults.rs
@@ -3,14 +3,12 @@
 
 use edge_proxy::discovery::purge_gossip::Purge;
 use edge_proxy::discovery::purge_log::PurgeLog;
+use edge_proxy::sys::fault::errno::{EIO, ENOSPC};
 use edge_proxy::sys::fault::{Effect, Fault, FaultInjector, FaultPlan};
 use edge_proxy::sys::SystemCall;
 use std::fs;
 use std::path::PathBuf;
 
-const EIO: i32 = 5;
-const ENOSPC: i32 = 28;
-
 /// A path for a test's own file, without a file.
 fn fresh_path(name: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("edge-proxy-{name}-{}", std::process::id()));
--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -1,6 +1,9 @@
 //! System calls that fail for a moment, in the ways that Linux documents.
 #![cfg(feature = "fault-injection")]
 
+use edge_proxy::sys::fault::errno::{
+    EADDRNOTAVAIL, EINTR, EMFILE, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM,
+};
 use edge_proxy::sys::fault::{ClockStep, Effect, Fault, FaultInjector, FaultPlan};
 use edge_proxy::sys::SystemCall;
 use edge_testkit::fake_cache::Behavior;
@@ -11,14 +14,6 @@
 use edge_testkit::unix_ms;
 use serde_json::json;
 
-const EINTR: i32 = 4;
-const ENOMEM: i32 = 12;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-const EADDRNOTAVAIL: i32 = 99;
-const ENETUNREACH: i32 = 101;
-const ENOBUFS: i32 = 105;
-
 fn no_faults() -> FaultInjector {
     FaultInjector::new(FaultPlan::default())
 }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,7 +2,7 @@
 //! and sometimes leave.
 
 use crate::cache_server::copy_body;
-use crate::deployment::{self, class, SIZE_KB};
+use crate::deployment::{self, class, MAX_RESTART_DEADLINE_MS, SIZE_KB};
 use crate::violation::Rule;
 use crate::world::{object_key, RequestRecord, SharedWorld};
 use edge_proxy::protocol::fastcgi::{self, record_type, RecordParser};
@@ -82,6 +82,7 @@
     connections: RefCell<Vec<Rc<Connection>>>,
     random: RefCell<fastrand::Rng>,
     next_id: Cell<u64>,
+    has_long_deadlines: bool,
 }
 
 /// How an answer came out.
@@ -124,9 +125,10 @@
 impl Clients {
     /// The clients of a proxy. They send nothing before they are told that it is up.
     pub fn new(world: &SharedWorld, proxy: usize, control: Rc<ClientControl>) -> Rc<Self> {
-        let (slot, seed) = {
+        let (slot, seed, longest_deadline_ms) = {
             let world = world.borrow();
-            (world.slot, world.plan.seed)
+            let plan = &world.plan;
+            (world.slot, plan.seed, plan.longest_deadline_ms)
         };
         Rc::new(Clients {
             proxy,
@@ -138,6 +140,7 @@
                 seed.wrapping_mul(31).wrapping_add(proxy as u64),
             )),
             next_id: Cell::new(1),
+            has_long_deadlines: longest_deadline_ms > MAX_RESTART_DEADLINE_MS,
         })
     }
 
@@ -190,6 +193,7 @@
         let budget_ms = match random.u32(0..10) {
             0 => random.u64(20..150),
             1..=3 => random.u64(300..800),
+            4..=5 if self.has_long_deadlines && class == class::READ => random.u64(3_000..4_800),
             _ => random.u64(800..1_500),
         };
         let on_new_connection =
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The fleet that a run plays with: addresses, settings and configuration files.
 
+use crate::plan::Plan;
 use edge_testkit::sample_deployment::{interconnect_config, sample_settings};
 use serde_json::{json, Value};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -26,8 +27,8 @@
 pub const PURGE_SLACK_MS: u64 = 300;
 /// Attempts later than this after the proxy was told may not go to a server that drains.
 pub const DRAIN_GRACE_MS: u64 = 250;
-/// The longest deadline of a class.
-pub const LONGEST_DEADLINE_MS: u64 = 2_000;
+/// A planned restart waits for deadlines up to this.
+pub const MAX_RESTART_DEADLINE_MS: u64 = 3_000;
 /// The window in which a server that has just started is overloaded.
 pub const OVERLOAD_WINDOW_MS: u64 = 2_000;
 /// The share of its capacity that a server has when it starts.
@@ -75,10 +76,10 @@
 }
 
 /// The settings of the run.
-fn settings(proxies: usize) -> Value {
+fn settings(plan: &Plan) -> Value {
     let mut settings = sample_settings();
     settings["categories"] = json!([
-        {"name": class::READ, "aim-us": 300_000, "deadline-us": 2_000_000, "repeat": "pure", "worth": 1.0},
+        {"name": class::READ, "aim-us": 300_000, "deadline-us": plan.longest_deadline_ms * 1000, "repeat": "pure", "worth": 1.0},
         {"name": class::KEYED, "aim-us": 500_000, "deadline-us": 2_000_000, "repeat": "token",
          "dedup-scope": "all", "window-us": 2_000_000, "worth": 2.0},
         {"name": class::ONCE, "aim-us": 500_000, "deadline-us": 1_500_000, "repeat": "side_effect",
@@ -90,7 +91,7 @@
     info["good-for-us"] = json!([60_000_000, 0, 0]);
     info["usable-after-us"] = json!([0, 0, 0]);
     info["old-copy-worth"] = json!([0.7, 0.7, 0.7]);
-    info["seats-by-zone"] = json!([0, proxies]);
+    info["seats-by-zone"] = json!([0, plan.proxies]);
     info["one-flow-kb-per-s"] = json!(TRANSFER_KB_PER_S);
     info["purge-takes-us"] = json!(PURGE_TAKES_MS * 1000);
     info["purge-slack-us"] = json!(PURGE_SLACK_MS * 1000);
@@ -107,7 +108,7 @@
 pub fn proxy_config(
     slot: u8,
     proxy: usize,
-    proxies: usize,
+    plan: &Plan,
     seed: u64,
     on_second_bus: bool,
     known: Value,
@@ -119,7 +120,7 @@
         "bus": bus_address(slot, proxy, on_second_bus).to_string(),
         "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 256},
         "known": known,
-        "settings": settings(proxies),
+        "settings": settings(plan),
     })
 }
 
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -40,6 +40,8 @@
 const WATCH_EVERY: Duration = Duration::from_millis(20);
 /// A look that is later than this means that the machine held the run up.
 const HELD_UP: Duration = Duration::from_millis(80);
+/// Between the end of a server's connections and its draining.
+const DRAINS_AFTER_RESET: Duration = Duration::from_millis(250);
 /// How long a purge may take to be taken on.
 const TRIGGER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -230,9 +232,12 @@
         self.bus_mode.send_replace(BusMode::Working);
     }
 
-    /// A server drains, is gone, and a new one with another id takes its address.
+    /// A server loses its connections, drains, is gone, and a new one with another id takes its
+    /// address.
     async fn replace_cache(&self, cache: usize, trouble: &Trouble) {
         let place = cache + 1;
+        self.links[place].reset_connections();
+        sleep(DRAINS_AFTER_RESET).await;
         let old = {
             let mut world = self.world.borrow_mut();
             let old = world.server_at(place);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,39 +1,11 @@
 //! What goes wrong in one run: drawn from its seed alone, so that a seed gives the same plan on every
 //! machine.
 
-use edge_proxy::sys::fault::Effect;
+use edge_proxy::sys::fault::{errno, Effect};
 use edge_proxy::sys::SystemCall;
 use fastrand::Rng;
 use serde::Serialize;
 
-/// Error numbers of Linux, as the system calls document them.
-pub mod errno {
-    /// Interrupted by a signal.
-    pub const EINTR: i32 = 4;
-    /// An error of the device.
-    pub const EIO: i32 = 5;
-    /// No memory.
-    pub const ENOMEM: i32 = 12;
-    /// No descriptor is left in the system.
-    pub const ENFILE: i32 = 23;
-    /// No descriptor is left in the process.
-    pub const EMFILE: i32 = 24;
-    /// The device is full.
-    pub const ENOSPC: i32 = 28;
-    /// No port is left.
-    pub const EADDRNOTAVAIL: i32 = 99;
-    /// No route.
-    pub const ENETUNREACH: i32 = 101;
-    /// A connection was ended before it was accepted.
-    pub const ECONNABORTED: i32 = 103;
-    /// No buffer is left.
-    pub const ENOBUFS: i32 = 105;
-    /// The peer does not acknowledge.
-    pub const ETIMEDOUT: i32 = 110;
-    /// No way to the peer.
-    pub const EHOSTUNREACH: i32 = 113;
-}
-
 /// One run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Plan {
@@ -45,6 +17,9 @@
     pub caches: usize,
     /// When the last request is sent, in milliseconds from the start of the run.
     pub duration_ms: u64,
+    /// The longest deadline of a class, in milliseconds. Where it is longer than a restart waits for,
+    /// requests are open when a process that was told to end has to.
+    pub longest_deadline_ms: u64,
     /// The troubles, by the time at which they begin.
     pub troubles: Vec<Trouble>,
 }
@@ -197,6 +172,16 @@
             };
             return Some((random.u64(0..200), reload));
         }
+        if let TroubleKind::CacheReplaced { .. } = self {
+            // Connections to it end before it drains: attempts wait for new ones.
+            let unwatched = TroubleKind::SystemCalls {
+                proxy: nearby,
+                call: SystemCall::EpollAdd,
+                effect: Effect::Error(errno::ENOMEM),
+                one_in: 1,
+            };
+            return Some((0, unwatched));
+        }
         if let TroubleKind::ClockStep { proxy, .. } = *self {
             return Some((random.u64(0..500), TroubleKind::Restart { proxy }));
         }
@@ -283,6 +268,7 @@
             proxies,
             caches,
             duration_ms: DURATION_MS,
+            longest_deadline_ms: if seed % 4 == 0 { 5_000 } else { 2_000 },
             troubles,
         }
     }
@@ -419,7 +405,7 @@
         TroubleKind::ClockStep { .. } => 3_000,
         TroubleKind::BusSlow { .. } => 10_000,
         TroubleKind::BusDown | TroubleKind::BusSilent => random.u64(500..3_500),
-        TroubleKind::CacheReplaced { .. } => random.u64(600..1_500),
+        TroubleKind::CacheReplaced { .. } => random.u64(800..1_500),
         _ => random.u64(100..1_500),
     }
 }
--- a/crates/soak/src/proxy_process.rs
+++ b/crates/soak/src/proxy_process.rs
@@ -16,8 +16,9 @@
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout};
 
-/// From SIGTERM a process has the longest deadline, this, and the time that a busy machine adds.
-const END_AFTER_MS: u64 = deployment::LONGEST_DEADLINE_MS + 700 + 500;
+/// From SIGTERM a process has the longest deadline, up to a bound, this, and the time that a busy
+/// machine adds.
+const END_AFTER_MS: u64 = 700 + 500;
 
 /// A process is looked at this often.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
@@ -55,7 +56,7 @@
         deployment::proxy_config(
             world.slot,
             self.proxy,
-            world.plan.proxies,
+            &world.plan,
             seed.wrapping_add(self.proxy as u64 * 100_000),
             on_second_bus,
             world.known_events(),
@@ -165,14 +166,16 @@
         let Some(mut child) = self.child.take() else {
             return;
         };
-        let ended = timeout(Duration::from_millis(END_AFTER_MS), child.wait()).await;
+        let deadline_ms = self.world.borrow().plan.longest_deadline_ms;
+        let within_ms = deadline_ms.min(deployment::MAX_RESTART_DEADLINE_MS) + END_AFTER_MS;
+        let ended = timeout(Duration::from_millis(within_ms), child.wait()).await;
         let mut world = self.world.borrow_mut();
         match ended {
             Ok(Ok(status)) if status.success() => {}
             Ok(Ok(_)) if may_abort => world.note_death(self.proxy),
             Ok(Ok(status)) => self.report_crash(&mut world, status),
             _ => {
-                let detail = format!("still runs {END_AFTER_MS} ms after SIGTERM");
+                let detail = format!("still runs {within_ms} ms after SIGTERM");
                 world.report(Rule::Shutdown, Some(self.proxy), detail);
             }
         }
