edge-soak: servers that hang through a shutdown, mute watches, addresses claimed by each run

Two campaigns on one machine used the same addresses on loopback: each run claims its own now. A bus that falls silent stays so on the connections that were open. All servers may hang at once, a third of the seeds allows no cancellation.

--- a/crates/soak/src/campaign.rs
+++ b/crates/soak/src/campaign.rs
@@ -3,9 +3,10 @@
 use crate::plan::Plan;
 use crate::violation::{Rule, Violation};
 use crate::world::Counts;
-use crate::{director, log_scan, oracle, SeedRange};
+use crate::{deployment, director, log_scan, oracle, SeedRange};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::{Mutex, PoisonError};
@@ -57,12 +58,17 @@
     let totals = Mutex::new(Totals::default());
     let started_at = Instant::now();
     let jobs = options.jobs.clamp(1, 20);
+    let seed_count = options.seeds.0.clone().count() as u64;
     thread::scope(|scope| {
-        for slot in 0..jobs {
+        for _ in 0..jobs {
             let (seeds, totals) = (&seeds, &totals);
             scope.spawn(move || {
+                let Some(slot) = Slot::claim() else {
+                    println!("no addresses are left on loopback");
+                    return;
+                };
                 while let Some(seed) = next_seed(seeds) {
-                    let result = run_seed(seed, slot as u8 + 1, options);
+                    let result = run_seed(seed, slot.number, options);
                     let mut totals = totals.lock().unwrap_or_else(PoisonError::into_inner);
                     totals.add(seed, result, options);
                 }
@@ -71,13 +77,33 @@
     });
     let totals = totals.into_inner().unwrap_or_else(PoisonError::into_inner);
     totals.print(started_at.elapsed());
-    if totals.failed.is_empty() {
+    let all_played = totals.seeds == seed_count;
+    if totals.failed.is_empty() && all_played {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
     }
 }
 
+/// Addresses on loopback that no other run uses, in this campaign or in another.
+struct Slot {
+    number: u8,
+    /// Held for as long as the slot is in use.
+    _claim: TcpListener,
+}
+
+impl Slot {
+    fn claim() -> Option<Self> {
+        (1..=u8::MAX).find_map(|number| {
+            let claim = TcpListener::bind(deployment::claim_address(number)).ok()?;
+            Some(Slot {
+                number,
+                _claim: claim,
+            })
+        })
+    }
+}
+
 fn next_seed(seeds: &Mutex<std::ops::RangeInclusive<u64>>) -> Option<u64> {
     seeds.lock().unwrap_or_else(PoisonError::into_inner).next()
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -50,6 +50,11 @@
     SocketAddr::from((Ipv4Addr::new(127, network, slot, host), port))
 }
 
+/// The address by which a slot is claimed.
+pub fn claim_address(slot: u8) -> SocketAddr {
+    address(19, slot, 0, PORT)
+}
+
 /// Where clients connect to a proxy.
 pub fn proxy_address(slot: u8, proxy: usize) -> SocketAddr {
     address(20, slot, proxy, PORT)
@@ -95,6 +100,7 @@
     info["one-flow-kb-per-s"] = json!(TRANSFER_KB_PER_S);
     info["purge-takes-us"] = json!(PURGE_TAKES_MS * 1000);
     info["purge-slack-us"] = json!(PURGE_SLACK_MS * 1000);
+    settings["limits"]["cancel"] = json!(plan.cancellation);
     settings["weights"] = json!("nominal");
     settings["rules"]["drain-grace-us"] = json!(DRAIN_GRACE_MS * 1000);
     settings["rules"]["cold-share"] = json!(INITIAL_SHARE);
--- a/crates/soak/src/director.rs
+++ b/crates/soak/src/director.rs
@@ -175,6 +175,15 @@
             TroubleKind::CacheHang { cache } => {
                 self.misbehave(cache, Behavior::Hangs, &trouble).await;
             }
+            TroubleKind::AllHang => {
+                for server in self.servers.iter() {
+                    server.set_behavior(Behavior::Hangs);
+                }
+                until_end().await;
+                for server in self.servers.iter() {
+                    server.set_behavior(Behavior::Sound);
+                }
+            }
             TroubleKind::CacheFull { cache } => {
                 self.misbehave(cache, Behavior::Full, &trouble).await;
             }
@@ -426,6 +435,8 @@
     fn judge_discovery(&self) {
         /// From being ready, or the end of trouble at the bus, to being told.
         const TOLD_WITHIN_MS: u64 = 1_000;
+        /// From falling silent to being connected to again.
+        const SILENCE_NOTICED_MS: u64 = 3_000;
         /// From being published to being told, with a subscription.
         const DELIVERY_MS: u64 = 700;
         let mut world = self.world.borrow_mut();
@@ -434,8 +445,10 @@
         let mut slow_ms = 0;
         for trouble in &world.plan.troubles {
             match trouble.kind {
-                TroubleKind::BusDown | TroubleKind::BusSilent => {
-                    settled_ms = settled_ms.max(trouble.until_ms);
+                TroubleKind::BusDown => settled_ms = settled_ms.max(trouble.until_ms),
+                TroubleKind::BusSilent => {
+                    let noticed_ms = trouble.from_ms + SILENCE_NOTICED_MS;
+                    settled_ms = settled_ms.max(trouble.until_ms).max(noticed_ms);
                 }
                 TroubleKind::BusSlow { first_byte_ms } => slow_ms = slow_ms.max(first_byte_ms),
                 _ => {}
--- a/crates/soak/src/event_bus.rs
+++ b/crates/soak/src/event_bus.rs
@@ -18,7 +18,7 @@
     Working,
     /// It refuses connections, and has ended those that were open.
     Down,
-    /// It says nothing on any connection.
+    /// It says nothing on any connection, and never again on those that were open.
     Silent,
     /// A new connection waits so many milliseconds for its first byte.
     SlowFirstByte(u64),
@@ -106,9 +106,16 @@
                     return Ok(());
                 }
                 changed = mode.changed() => {
-                    if changed.is_err() || *mode.borrow_and_update() == BusMode::Down {
+                    if changed.is_err() {
                         return Ok(());
                     }
+                    let now = *mode.borrow_and_update();
+                    match now {
+                        BusMode::Down => return Ok(()),
+                        // The connection stays open and mute until the run ends.
+                        BusMode::Silent => std::future::pending::<()>().await,
+                        BusMode::Working | BusMode::SlowFirstByte(_) => {}
+                    }
                 }
             }
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,6 +20,8 @@
     /// The longest deadline of a class, in milliseconds. Where it is longer than a restart waits for,
     /// requests are open when a process that was told to end has to.
     pub longest_deadline_ms: u64,
+    /// Whether the settings allow attempts to be cancelled.
+    pub cancellation: bool,
     /// The troubles, by the time at which they begin.
     pub troubles: Vec<Trouble>,
 }
@@ -78,6 +80,8 @@
         /// Which one.
         cache: usize,
     },
+    /// All cache servers and the origin take requests and answer none.
+    AllHang,
     /// A cache server turns requests away.
     CacheFull {
         /// Which one.
@@ -147,6 +151,7 @@
             TroubleKind::SystemCalls { .. } => "system-calls",
             TroubleKind::ClockStep { .. } => "clock-step",
             TroubleKind::CacheHang { .. } => "cache-hang",
+            TroubleKind::AllHang => "all-hang",
             TroubleKind::CacheFull { .. } => "cache-full",
             TroubleKind::CacheSpoils { .. } => "cache-spoils",
             TroubleKind::CacheReplaced { .. } => "cache-replaced",
@@ -165,6 +170,9 @@
     /// What makes a trouble show, and how long after its beginning: system calls that a proxy makes
     /// only when it starts or reads its configuration, and what is lost only with its process.
     fn provocation(&self, random: &mut Rng, nearby: usize) -> Option<(u64, TroubleKind)> {
+        if let TroubleKind::AllHang = self {
+            return Some((random.u64(0..300), TroubleKind::Restart { proxy: nearby }));
+        }
         if let TroubleKind::BusSlow { .. } = self {
             let reload = TroubleKind::Reload {
                 proxy: nearby,
@@ -268,6 +276,7 @@
             proxies,
             caches,
             duration_ms: DURATION_MS,
+            cancellation: seed % 3 != 0,
             longest_deadline_ms: if seed % 4 == 0 { 5_000 } else { 2_000 },
             troubles,
         }
@@ -314,8 +323,9 @@
                 Scope::ProxiesAlone => draw_kind_of_proxy(random, proxy),
             };
             let from_ms = match kind {
-                // It has to last for long after what is told.
+                // What is told has to come long before the end, for whether it arrives to be judged.
                 TroubleKind::BusSlow { .. } => FIRST_TROUBLE_MS + random.u64(0..500),
+                TroubleKind::BusSilent => FIRST_TROUBLE_MS + random.u64(0..300),
                 _ => at_ms + random.u64(0..500),
             };
             let until_ms = from_ms + length_ms(random, &kind);
@@ -338,7 +348,7 @@
 }
 
 fn draw_kind(random: &mut Rng, proxy: usize, cache: usize) -> TroubleKind {
-    match random.u32(0..27) {
+    match random.u32(0..28) {
         0..=2 => TroubleKind::Restart { proxy },
         3..=4 => TroubleKind::Kill { proxy },
         5 => TroubleKind::Reload {
@@ -368,6 +378,7 @@
         },
         22 => TroubleKind::BadClients { proxy },
         23..=25 => draw_disk_trouble(random, proxy),
+        26 => TroubleKind::AllHang,
         _ => TroubleKind::ClientsLeave { proxy },
     }
 }
@@ -403,8 +414,11 @@
         TroubleKind::Restart { .. } | TroubleKind::Kill { .. } => 700,
         TroubleKind::Reload { .. } => 1_500,
         TroubleKind::ClockStep { .. } => 3_000,
+        // Through the whole of a shutdown.
+        TroubleKind::AllHang => 4_500,
         TroubleKind::BusSlow { .. } => 10_000,
-        TroubleKind::BusDown | TroubleKind::BusSilent => random.u64(500..3_500),
+        TroubleKind::BusSilent => random.u64(500..2_500),
+        TroubleKind::BusDown => random.u64(500..3_500),
         TroubleKind::CacheReplaced { .. } => random.u64(800..1_500),
         _ => random.u64(100..1_500),
     }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeSet;
 
 /// Every kind of trouble.
-const KINDS: [&str; 18] = [
+const KINDS: [&str; 19] = [
+    "all-hang",
     "bad-clients",
     "bus-down",
     "bus-silent",
