--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -194,6 +194,7 @@
             0 => random.u64(20..150),
             1..=3 => random.u64(300..800),
             4..=5 if self.has_long_deadlines && class == class::READ => random.u64(3_000..4_800),
+            _ if self.has_long_deadlines && class == class::KEYED => random.u64(3_000..4_800),
             _ => random.u64(800..1_500),
         };
         let on_new_connection =
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -85,8 +85,8 @@
     let mut settings = sample_settings();
     settings["categories"] = json!([
         {"name": class::READ, "aim-us": 300_000, "deadline-us": plan.longest_deadline_ms * 1000, "repeat": "pure", "worth": 1.0},
-        {"name": class::KEYED, "aim-us": 500_000, "deadline-us": 2_000_000, "repeat": "token",
-         "dedup-scope": "all", "window-us": 2_000_000, "worth": 2.0},
+        {"name": class::KEYED, "aim-us": 500_000, "deadline-us": plan.longest_deadline_ms * 1000,
+         "repeat": "token", "dedup-scope": "all", "window-us": 2_000_000, "worth": 2.0},
         {"name": class::ONCE, "aim-us": 500_000, "deadline-us": 1_500_000, "repeat": "side_effect",
          "worth": 3.0},
     ]);
