Proxy: no more readings of the clock than before; edge-soak: modules with one job

The time at which the poller reported is used for the first event, the last reading for the timers that are due, and commands read the clock every sixteenth time. The soak's clients and plans are split by concern.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -25,7 +25,7 @@
     /// come too is not admitted.
     pub(in crate::event_loop) fn read_fastcgi_client(
         &mut self,
-        now: Micros,
+        mut now: Micros,
         key: SlabKey,
     ) -> Result<(), ProtocolError> {
         let unread_us = self.unread_us(now, key);
@@ -40,7 +40,6 @@
             }
         }
         while let Some(event) = events.pop_front() {
-            let now = self.clock.now();
             match event {
                 SessionEvent::Abort(request_key) => {
                     self.request_table.client_disconnected(now, request_key);
@@ -54,7 +53,10 @@
                 }
             }
             // After the session knows its request as admitted: an answer may be given at once.
-            self.execute_commands();
+            self.execute_commands(now);
+            if !events.is_empty() {
+                now = self.clock.now();
+            }
         }
         result
     }
@@ -96,7 +98,8 @@
         Ok(IoProgress::Advanced)
     }
 
-    /// Admits a request, if there is room for it and the proxy is not about to end.
+    /// Admits a request, if there is room for it. That the proxy is not about to end is for the caller
+    /// to see to; it is checked here as an invariant.
     pub(in crate::event_loop) fn admit(
         &mut self,
         now: Micros,
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -67,7 +67,7 @@
                 }
             };
             self.handle_interconnect_request(now, key, &message);
-            self.execute_commands();
+            self.execute_commands(now);
             if !self.write_interconnect_client(key) {
                 return Ok(());
             }
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -58,6 +58,8 @@
 use timer::TimerEvent;
 use upstreams::UpstreamConnections;
 
+/// The clock is read again after so many commands.
+const COMMANDS_PER_CLOCK_READING: usize = 16;
 /// A wait that takes longer than this has found nothing ready at first.
 const MIN_WAIT_US: Micros = 1_000;
 /// The longest wait for readiness where no timer is near.
@@ -109,15 +111,17 @@
         let mut ready = Vec::new();
         while !self.is_shut_down() {
             let waits_since = self.clock.now();
-            self.poller.wait(self.wait_us(), &mut ready)?;
+            self.poller.wait(self.wait_us(waits_since), &mut ready)?;
             let reported_at = self.clock.now();
             if reported_at > waits_since + MIN_WAIT_US {
                 self.ready_since = reported_at;
             }
+            let mut now = reported_at;
             for event in ready.drain(..) {
-                self.handle_poll_event(event);
+                self.handle_poll_event(now, event);
+                now = self.clock.now();
             }
-            self.handle_due_timers();
+            self.handle_due_timers(now);
             // What becomes ready in this turn is reported by the next wait, at once. A wait that
             // took its time has reported what became ready just then.
             self.ready_since = reported_at;
@@ -128,8 +132,7 @@
     }
 
     /// How long the poller may wait: until the next timer, within bounds.
-    fn wait_us(&self) -> Micros {
-        let now = self.clock.now();
+    fn wait_us(&self, now: Micros) -> Micros {
         let until_next_timer = self
             .timers
             .next_due()
@@ -138,8 +141,7 @@
     }
 
     /// Dispatches what the poller reports, by its token.
-    fn handle_poll_event(&mut self, event: Readiness) {
-        let now = self.clock.now();
+    fn handle_poll_event(&mut self, now: Micros, event: Readiness) {
         match event.token {
             tokens::FASTCGI_LISTENER => self.accept_clients(now, ListenerKind::FastCgi),
             tokens::INTERCONNECT_LISTENER => self.accept_clients(now, ListenerKind::Interconnect),
@@ -148,31 +150,34 @@
             tokens::PURGE_GOSSIP => self.receive_purge_gossip(now),
             token => self.handle_readiness(now, SlabKey::from_u64(token), event),
         }
-        self.execute_commands();
+        self.execute_commands(now);
         self.announce_readiness(now);
     }
 
     /// Handles the timers that are due, at the time at which each of them is handled. What they set
     /// anew comes due in the next turn.
-    fn handle_due_timers(&mut self) {
-        let due_by = self.clock.now();
+    fn handle_due_timers(&mut self, due_by: Micros) {
+        let mut is_first = true;
         while let Some(timer) = self.timers.pop_due(due_by) {
-            let now = self.clock.now();
+            let was_first = std::mem::replace(&mut is_first, false);
+            let now = if was_first { due_by } else { self.clock.now() };
             self.handle_timer(now, timer);
-            self.execute_commands();
+            self.execute_commands(now);
         }
     }
 
-    /// Executes the commands of the request table, and those that follow from them, at the time at
-    /// which each of them is executed: where there are many, the last ones come noticeably later.
-    fn execute_commands(&mut self) {
+    /// Executes the commands of the request table, and those that follow from them. Where there are
+    /// many, the last ones come noticeably later than the first.
+    fn execute_commands(&mut self, mut now: Micros) {
         loop {
             let commands = self.request_table.take_commands();
             if commands.is_empty() {
                 return;
             }
-            for command in commands {
-                let now = self.clock.now();
+            for (index, command) in commands.into_iter().enumerate() {
+                if index > 0 && index % COMMANDS_PER_CLOCK_READING == 0 {
+                    now = self.clock.now();
+                }
                 self.execute_command(now, command);
             }
         }
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -62,7 +62,7 @@
     /// yet.
     pub(super) fn read_pending_input(&mut self, now: Micros, key: SlabKey) {
         self.handle_readiness(now, key, Readiness::readable(key.to_u64()));
-        self.execute_commands();
+        self.execute_commands(now);
     }
 
     /// Completes an outgoing connection and queues the request it was opened for, if that is fixed
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -152,7 +152,7 @@
         event_loop.replay(now, known.events);
         event_loop.connect_event_bus(now);
         event_loop.query_consul(now);
-        event_loop.execute_commands();
+        event_loop.execute_commands(now);
         event_loop.log_addresses();
         Ok(event_loop)
     }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -106,7 +106,8 @@
     pub attempts_before_new_connection: usize,
     /// Attempts in flight on one connection.
     pub attempts_per_connection: usize,
-    /// A connection, of any kind that the proxy opens, must be established within this.
+    /// A connection, of any kind that the proxy opens, must be established within this; one to the
+    /// event bus stays open beside a further try.
     pub connect_timeout_us: Micros,
     /// A connection on which a cache server sends nothing for this long, while an answer is due,
     /// counts as unresponsive: the machine may be gone or cut off.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan/draw.rs
@@ -1,246 +1,9 @@
-//! What goes wrong in one run: drawn from its seed alone, so that a seed gives the same plan on every
-//! machine.
+//! How plans are drawn from their seeds.
 
+use super::{Plan, Trouble, TroubleKind};
 use edge_proxy::sys::fault::{errno, Effect};
 use edge_proxy::sys::SystemCall;
 use fastrand::Rng;
-use serde::Serialize;
-
-/// One run.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Plan {
-    /// The seed, which also draws the requests.
-    pub seed: u64,
-    /// How many edge proxies there are.
-    pub proxies: usize,
-    /// How many cache servers there are besides the origin.
-    pub caches: usize,
-    /// When the last request is sent, in milliseconds from the start of the run.
-    pub duration_ms: u64,
-    /// The longest deadline of a class, in milliseconds. Where it is longer than a restart waits for,
-    /// requests are open when a process that was told to end has to.
-    pub longest_deadline_ms: u64,
-    /// Whether the settings allow attempts to be cancelled.
-    pub cancellation: bool,
-    /// The troubles, by the time at which they begin.
-    pub troubles: Vec<Trouble>,
-}
-
-/// Something that goes wrong for a while.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Trouble {
-    /// When it begins, in milliseconds from the start of the run.
-    pub from_ms: u64,
-    /// When it ends.
-    pub until_ms: u64,
-    /// What it is.
-    pub kind: TroubleKind,
-}
-
-/// What goes wrong.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub enum TroubleKind {
-    /// An edge proxy gets SIGTERM, ends, and is started again.
-    Restart {
-        /// Which one.
-        proxy: usize,
-    },
-    /// An edge proxy gets SIGKILL, and is started again.
-    Kill {
-        /// Which one.
-        proxy: usize,
-    },
-    /// An edge proxy gets a new configuration with SIGHUP: its event bus moves.
-    Reload {
-        /// Which one.
-        proxy: usize,
-        /// The file is half written when the signal comes, and whole so much later.
-        torn_for_ms: Option<u64>,
-    },
-    /// System calls of an edge proxy fail.
-    SystemCalls {
-        /// Which one.
-        proxy: usize,
-        /// Which calls.
-        call: SystemCall,
-        /// How.
-        effect: Effect,
-        /// One in so many calls.
-        one_in: u32,
-    },
-    /// The wall clock of an edge proxy's machine is stepped.
-    ClockStep {
-        /// Which one.
-        proxy: usize,
-        /// By how much, in milliseconds.
-        by_ms: i64,
-    },
-    /// A cache server takes requests and answers none.
-    CacheHang {
-        /// Which one.
-        cache: usize,
-    },
-    /// All cache servers and the origin take requests and answer none.
-    AllHang,
-    /// A cache server turns requests away.
-    CacheFull {
-        /// Which one.
-        cache: usize,
-    },
-    /// Some answers of a cache server are garbled, cut short, given twice or never end.
-    CacheSpoils {
-        /// Which one.
-        cache: usize,
-    },
-    /// A cache server drains, is gone after a while, and another takes its address.
-    CacheReplaced {
-        /// Which one.
-        cache: usize,
-    },
-    /// A cache server's process dies, and starts again.
-    CacheCrash {
-        /// Which one.
-        cache: usize,
-    },
-    /// Connections to a cache server are reset.
-    LinkResets {
-        /// Which one.
-        cache: usize,
-    },
-    /// Nothing passes on connections to a cache server, and new ones never come up.
-    LinkSilent {
-        /// Which one.
-        cache: usize,
-    },
-    /// Bytes pass in small pieces, late.
-    LinkInPieces {
-        /// Which one.
-        cache: usize,
-    },
-    /// The event bus refuses connections and ends those that are open.
-    BusDown,
-    /// The event bus says nothing.
-    BusSilent,
-    /// The event bus takes so long until its first byte.
-    BusSlow {
-        /// How long, in milliseconds.
-        first_byte_ms: u64,
-    },
-    /// Clients that send garbage, half requests or floods.
-    BadClients {
-        /// At which proxy.
-        proxy: usize,
-    },
-    /// Most clients leave before they have their answer.
-    ClientsLeave {
-        /// At which proxy.
-        proxy: usize,
-    },
-}
-
-impl TroubleKind {
-    /// The name under which the campaign counts it.
-    pub fn name(&self) -> &'static str {
-        match self {
-            TroubleKind::Restart { .. } => "restart",
-            TroubleKind::Kill { .. } => "kill",
-            TroubleKind::Reload { torn_for_ms, .. } => match torn_for_ms {
-                None => "reload",
-                Some(_) => "reload-torn",
-            },
-            TroubleKind::SystemCalls { .. } => "system-calls",
-            TroubleKind::ClockStep { .. } => "clock-step",
-            TroubleKind::CacheHang { .. } => "cache-hang",
-            TroubleKind::AllHang => "all-hang",
-            TroubleKind::CacheFull { .. } => "cache-full",
-            TroubleKind::CacheSpoils { .. } => "cache-spoils",
-            TroubleKind::CacheReplaced { .. } => "cache-replaced",
-            TroubleKind::CacheCrash { .. } => "cache-crash",
-            TroubleKind::LinkResets { .. } => "link-resets",
-            TroubleKind::LinkSilent { .. } => "link-silent",
-            TroubleKind::LinkInPieces { .. } => "link-pieces",
-            TroubleKind::BusDown => "bus-down",
-            TroubleKind::BusSilent => "bus-silent",
-            TroubleKind::BusSlow { .. } => "bus-slow",
-            TroubleKind::BadClients { .. } => "bad-clients",
-            TroubleKind::ClientsLeave { .. } => "clients-leave",
-        }
-    }
-
-    /// What makes a trouble show, and how long after its beginning: system calls that a proxy makes
-    /// only when it starts or reads its configuration, and what is lost only with its process.
-    fn provocation(&self, random: &mut Rng, nearby: usize) -> Option<(u64, TroubleKind)> {
-        if let TroubleKind::AllHang = self {
-            return Some((random.u64(0..300), TroubleKind::Restart { proxy: nearby }));
-        }
-        if let TroubleKind::BusSlow { .. } = self {
-            let reload = TroubleKind::Reload {
-                proxy: nearby,
-                torn_for_ms: None,
-            };
-            return Some((random.u64(0..200), reload));
-        }
-        if let TroubleKind::CacheReplaced { .. } = self {
-            // Connections to it end before it drains: attempts wait for new ones.
-            let unwatched = TroubleKind::SystemCalls {
-                proxy: nearby,
-                call: SystemCall::EpollAdd,
-                effect: Effect::Error(errno::ENOMEM),
-                one_in: 1,
-            };
-            return Some((0, unwatched));
-        }
-        if let TroubleKind::ClockStep { proxy, .. } = *self {
-            return Some((random.u64(0..500), TroubleKind::Restart { proxy }));
-        }
-        let TroubleKind::SystemCalls { proxy, call, .. } = *self else {
-            return None;
-        };
-        let after_ms = random.u64(0..200);
-        let provocation = match call {
-            SystemCall::EpollCreate
-            | SystemCall::SocketPair
-            | SystemCall::ListenerSocket
-            | SystemCall::Bind => match random.bool() {
-                true => TroubleKind::Restart { proxy },
-                false => TroubleKind::Kill { proxy },
-            },
-            SystemCall::FileRead => match random.bool() {
-                true => TroubleKind::Reload {
-                    proxy,
-                    torn_for_ms: None,
-                },
-                false => TroubleKind::Kill { proxy },
-            },
-            SystemCall::FileWrite | SystemCall::FileSync => {
-                return Some((500 + after_ms, TroubleKind::Kill { proxy }));
-            }
-            _ => return None,
-        };
-        Some((after_ms, provocation))
-    }
-
-    /// The proxy that it concerns alone.
-    pub fn proxy(&self) -> Option<usize> {
-        match self {
-            TroubleKind::Restart { proxy }
-            | TroubleKind::Kill { proxy }
-            | TroubleKind::Reload { proxy, .. }
-            | TroubleKind::SystemCalls { proxy, .. }
-            | TroubleKind::ClockStep { proxy, .. }
-            | TroubleKind::BadClients { proxy }
-            | TroubleKind::ClientsLeave { proxy } => Some(*proxy),
-            _ => None,
-        }
-    }
-}
-
-impl Trouble {
-    /// Whether two troubles are there at the same time.
-    pub fn overlaps(&self, other: &Trouble) -> bool {
-        self.from_ms < other.until_ms && other.from_ms < self.until_ms
-    }
-}
 
 /// When the last request is sent: the processes take a moment to start.
 const DURATION_MS: u64 = 5_500;
@@ -281,20 +44,6 @@
             troubles,
         }
     }
-
-    /// The names of the pairs of troubles that overlap in time, each pair in alphabetical order.
-    pub fn overlapping_pairs(&self) -> Vec<(&'static str, &'static str)> {
-        let mut pairs = Vec::new();
-        for (index, trouble) in self.troubles.iter().enumerate() {
-            for other in &self.troubles[index + 1..] {
-                if trouble.overlaps(other) {
-                    let (a, b) = (trouble.kind.name(), other.kind.name());
-                    pairs.push((a.min(b), a.max(b)));
-                }
-            }
-        }
-        pairs
-    }
 }
 
 /// Where a run has its troubles.
@@ -372,7 +121,7 @@
         17 => TroubleKind::LinkResets { cache },
         18 => TroubleKind::LinkSilent { cache },
         19 => TroubleKind::LinkInPieces { cache },
-        20 => *pick_bus(random),
+        20 => pick_bus(random),
         21 => TroubleKind::BusSlow {
             first_byte_ms: random.u64(500..2_600),
         },
@@ -396,12 +145,12 @@
     }
 }
 
-fn pick_bus(random: &mut Rng) -> Box<TroubleKind> {
-    Box::new(if random.bool() {
+fn pick_bus(random: &mut Rng) -> TroubleKind {
+    if random.bool() {
         TroubleKind::BusDown
     } else {
         TroubleKind::BusSilent
-    })
+    }
 }
 
 fn pick<'a, T>(random: &mut Rng, choices: &'a [T]) -> &'a T {
@@ -490,3 +239,58 @@
         one_in: *pick(random, &[1, 2]),
     }
 }
+
+impl TroubleKind {
+    /// What makes a trouble show, and how long after its beginning: system calls that a proxy makes
+    /// only when it starts or reads its configuration, and what is lost only with its process.
+    fn provocation(&self, random: &mut Rng, nearby: usize) -> Option<(u64, TroubleKind)> {
+        if let TroubleKind::AllHang = self {
+            return Some((random.u64(0..300), TroubleKind::Restart { proxy: nearby }));
+        }
+        if let TroubleKind::BusSlow { .. } = self {
+            let reload = TroubleKind::Reload {
+                proxy: nearby,
+                torn_for_ms: None,
+            };
+            return Some((random.u64(0..200), reload));
+        }
+        if let TroubleKind::CacheReplaced { .. } = self {
+            // Connections to it end before it drains: attempts wait for new ones.
+            let unwatched = TroubleKind::SystemCalls {
+                proxy: nearby,
+                call: SystemCall::EpollAdd,
+                effect: Effect::Error(errno::ENOMEM),
+                one_in: 1,
+            };
+            return Some((0, unwatched));
+        }
+        if let TroubleKind::ClockStep { proxy, .. } = *self {
+            return Some((random.u64(0..500), TroubleKind::Restart { proxy }));
+        }
+        let TroubleKind::SystemCalls { proxy, call, .. } = *self else {
+            return None;
+        };
+        let after_ms = random.u64(0..200);
+        let provocation = match call {
+            SystemCall::EpollCreate
+            | SystemCall::SocketPair
+            | SystemCall::ListenerSocket
+            | SystemCall::Bind => match random.bool() {
+                true => TroubleKind::Restart { proxy },
+                false => TroubleKind::Kill { proxy },
+            },
+            SystemCall::FileRead => match random.bool() {
+                true => TroubleKind::Reload {
+                    proxy,
+                    torn_for_ms: None,
+                },
+                false => TroubleKind::Kill { proxy },
+            },
+            SystemCall::FileWrite | SystemCall::FileSync => {
+                return Some((500 + after_ms, TroubleKind::Kill { proxy }));
+            }
+            _ => return None,
+        };
+        Some((after_ms, provocation))
+    }
+}
