--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -199,3 +199,23 @@
         proxy.shut_down();
     }
 }
+
+#[test]
+fn a_connection_that_can_not_be_watched_in_time_blames_no_server() {
+    const CONNECT_TIMEOUT_US: u64 = 15_000;
+    let injector = no_faults();
+    let proxy = ProxyFixture::builder()
+        .faults(&injector)
+        .limits(|limits| limits.connect_timeout_us = CONNECT_TIMEOUT_US)
+        .start();
+    proxy.event_bus.wait_for_subscription(0);
+    let mut client = proxy.connect();
+    assert_eq!(health_status(&mut client), 200);
+    // The connection to the cache server can't be watched until its time is over.
+    injector.add(Fault::next(4, SystemCall::EpollAdd, Effect::Error(ENOMEM)));
+
+    let response = fetch_object(&mut client, READ_CLASS, &object_key(1));
+
+    assert_eq!(response.status, 200);
+    proxy.shut_down();
+}
