A connection that can't be watched in time blames no server

Cause: a connection whose registration with epoll failed for longer than the connect time-out was closed as not established in time, and its server taken for down: the mistake of our own failed connects once more. It may well be established; nobody could see it. Its attempts wait for another one now.

Test: a_connection_that_can_not_be_watched_in_time_blames_no_server.

--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -229,6 +229,8 @@
         }
         match connection.role {
             ConnectionRole::EventBus(_) => self.event_bus_connects_late(now, key),
+            // It may well be established: nobody could see it.
+            _ if connection.retry_scheduled => self.close(now, key, CloseReason::LocalFailure),
             _ => self.close(now, key, CloseReason::ConnectTimeout),
         }
     }
