--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 run="$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)"
-program="target/review/case_b"
+program="target/review/case_repeat"
 [ -n "$run" ] && [ -x "$program" ] || { echo "not built: see review/build.sh"; exit 2; }
 # The case and all that it starts are one process group, which is ended in any event.
 set -m
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -148,9 +148,9 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
+    /// The process that `run` started. `exec` in the command makes it the proxy itself.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
     }
 
     /// Ends the process and appends what it logged about the case to the record.
@@ -166,6 +166,10 @@
     }
 }
 
+pub fn signal(pid: u32, name: &str) {
+    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
+}
+
 /// Ends the process also where the case itself fails.
 impl Drop for Proxy {
     fn drop(&mut self) {
