An answer that announces too few or too many strings is malformed

The client can't tell such a part from the right one.

Cause: the parser of RESP arrays took any count up to eight, and ServerAnswer::from_array put an empty string in place of each that was missing ("the fields and the body may be missing"). With "*2" the answer also lost its FIELDS, so the check of the copy's age had nothing to check. More than four strings were dropped without a word, or made the proxy wait for strings that never come.

Change: ArrayParser takes the range of counts that its protocol has, and rejects any other when it is announced. An answer is exactly four strings. The connection is closed, as for any other input that can't be read; its attempts end as reset, so a read is sent again, and what may not be repeated fails.

Tests, red on: an_answer_that_does_not_announce_four_strings_is_malformed ("*2": the attempt ended Ok), read_whose_answer_announces_too_few_strings_is_served_by_a_retry (served at once, no second connection). The bound of counts is also in announced_lengths_are_checked_against_the_limits_at_once.

--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -5,9 +5,8 @@
 
 use super::line::LineBuffer;
 use super::{Parser, ProtocolError};
+use std::ops::RangeInclusive;
 
-/// Maximum number of strings in an array. Commands and answers have at most four.
-const MAX_ARRAY_STRINGS: usize = 8;
 /// Maximum length of a line that holds the length of an array or of a string, including the line
 /// end.
 const MAX_LENGTH_LINE_BYTES: usize = 32;
@@ -34,6 +33,7 @@
 
 /// Incremental parser for arrays of bulk strings.
 pub struct ArrayParser {
+    string_counts: RangeInclusive<usize>,
     string_limit_bytes: usize,
     state: State,
     line_buffer: LineBuffer,
@@ -44,9 +44,11 @@
 }
 
 impl ArrayParser {
-    /// Creates a parser for arrays whose strings have at most `string_limit_bytes` bytes each.
-    pub fn new(string_limit_bytes: usize) -> Self {
+    /// Creates a parser for arrays with a number of strings in `string_counts`, each of at most
+    /// `string_limit_bytes` bytes. An array that announces another number of strings is an error.
+    pub fn new(string_counts: RangeInclusive<usize>, string_limit_bytes: usize) -> Self {
         ArrayParser {
+            string_counts,
             string_limit_bytes,
             state: State::ArrayLength,
             line_buffer: LineBuffer::new(MAX_LENGTH_LINE_BYTES),
@@ -77,8 +79,7 @@
             State::ArrayLength => {
                 let progress = self.line_buffer.take(input)?;
                 if let Some(line) = progress.line {
-                    let missing_strings =
-                        parse_length(&line, b'*', MAX_ARRAY_STRINGS, "a RESP array")?;
+                    let missing_strings = self.parse_array_length(&line)?;
                     self.state = State::StringLength { missing_strings };
                 }
                 Ok((progress.consumed, None))
@@ -105,6 +106,17 @@
         }
     }
 
+    /// Parses the line with the number of strings in an array.
+    fn parse_array_length(&self, line: &[u8]) -> Result<usize, ProtocolError> {
+        let string_count = parse_length(line, b'*', *self.string_counts.end(), "a RESP array")?;
+        if string_count < *self.string_counts.start() {
+            return Err(ProtocolError::Malformed(
+                "a RESP array (it announces too few strings)",
+            ));
+        }
+        Ok(string_count)
+    }
+
     /// Consumes bytes of a string and of the line end after it. Returns the number of consumed
     /// bytes.
     fn take_content(
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -4,6 +4,9 @@
 use crate::request_table::{AttemptResult, ClientRequest, Content};
 use edge_routing::{FillResult, LoadReport, Micros, Outcome};
 
+/// Number of strings in an answer: the id, the status, the fields and the body.
+pub(super) const ANSWER_STRINGS: usize = 4;
+
 /// The names used in the protocol.
 mod wire {
     use super::FillResult;
@@ -54,18 +57,18 @@
 }
 
 impl ServerAnswer {
-    /// Splits an array into the parts of an answer. The fields and the body may be missing. An
-    /// array without an id or a status is an error.
+    /// Splits an array into the parts of an answer. An array with another number of strings than
+    /// [`ANSWER_STRINGS`] is an error: in place of a part that is missing, none may be assumed.
     pub(super) fn from_array(array: Vec<Vec<u8>>) -> Result<Self, ProtocolError> {
-        let mut items = array.into_iter();
-        let (Some(id), Some(status)) = (items.next(), items.next()) else {
-            return Err(ProtocolError::Malformed("a cache server's answer"));
-        };
+        let strings: [Vec<u8>; ANSWER_STRINGS] = array
+            .try_into()
+            .map_err(|_| ProtocolError::Malformed("a cache server's answer"))?;
+        let [id, status, fields, body] = strings;
         Ok(ServerAnswer {
             id,
             status,
-            fields: items.next().unwrap_or_default(),
-            body: items.next().unwrap_or_default(),
+            fields,
+            body,
         })
     }
 
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,5 +1,6 @@
 //! A connection, its queue and its open streams, and whether the connection can take an attempt.
 
+use super::answer::ANSWER_STRINGS;
 use super::command;
 use super::stream::Stream;
 use super::timeouts::Liveness;
@@ -31,9 +32,11 @@
 impl UpstreamConnection {
     /// Creates the state of a connection that was just opened.
     pub fn new(server: ServerId, limits: &Limits, now: Micros) -> Self {
+        let answer_parser =
+            resp::ArrayParser::new(ANSWER_STRINGS..=ANSWER_STRINGS, limits.answer_body_bytes);
         UpstreamConnection {
             server,
-            answer_parser: resp::ArrayParser::new(limits.answer_body_bytes),
+            answer_parser,
             queue: VecDeque::new(),
             streams: HashMap::new(),
             liveness: Liveness::new(limits, now),
--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -126,7 +126,7 @@
         splits in splits(),
         garbage in garbage(),
     ) {
-        let new_parser = || resp::ArrayParser::new(200);
+        let new_parser = || resp::ArrayParser::new(1..=4, 200);
         let mut input = Vec::new();
         for array in &arrays {
             let strings: Vec<&[u8]> = array.iter().map(Vec::as_slice).collect();
@@ -186,13 +186,27 @@
 #[test]
 fn announced_lengths_are_checked_against_the_limits_at_once() {
     assert_eq!(
-        parse_all(resp::ArrayParser::new(9), b"*1\r\n$10\r\n", &[]),
+        parse_all(resp::ArrayParser::new(1..=4, 9), b"*1\r\n$10\r\n", &[]),
         Err(ProtocolError::TooLong("a RESP string"))
     );
     assert_eq!(
-        parse_all(resp::ArrayParser::new(9), b"*99999999999999\r\n", &[]),
+        parse_all(
+            resp::ArrayParser::new(1..=4, 9),
+            b"*99999999999999\r\n",
+            &[]
+        ),
         Err(ProtocolError::TooLong("a RESP array"))
     );
+    assert_eq!(
+        parse_all(resp::ArrayParser::new(4..=4, 9), b"*5\r\n", &[]),
+        Err(ProtocolError::TooLong("a RESP array"))
+    );
+    assert_eq!(
+        parse_all(resp::ArrayParser::new(4..=4, 9), b"*3\r\n", &[]),
+        Err(ProtocolError::Malformed(
+            "a RESP array (it announces too few strings)"
+        ))
+    );
     let head = b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n";
     assert_eq!(
         parse_all(http::MessageParser::requests(99, 99), head, &[]),
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -2,7 +2,7 @@
 
 use edge_proxy::limits::Limits;
 use edge_proxy::net::{BufferedSocket, IoProgress, SlabKey};
-use edge_proxy::protocol::resp;
+use edge_proxy::protocol::{resp, ProtocolError};
 use edge_proxy::request_table::{
     server_id, AnswerTarget, AttemptId, ClientRequest, Command, ListedServer, RequestTable,
 };
@@ -222,22 +222,25 @@
     /// Sends bytes from the server, waits until some have arrived, and has the connection read
     /// them.
     pub fn receive(&mut self, bytes: &[u8]) {
+        self.try_receive(bytes).unwrap();
+    }
+
+    /// Does the same as `receive`, and returns the error if the bytes cannot be parsed.
+    pub fn try_receive(&mut self, bytes: &[u8]) -> Result<(), ProtocolError> {
         self.server_socket.write_all(bytes).unwrap();
         while self.socket.read(false) != IoProgress::Advanced {}
-        self.connection
-            .read(
-                self.now,
-                &mut self.socket,
-                &self.request_table,
-                &mut self.events,
-            )
-            .unwrap();
+        self.connection.read(
+            self.now,
+            &mut self.socket,
+            &self.request_table,
+            &mut self.events,
+        )
     }
 
     /// Answers the attempt of a request from the server with a copy that was created at
     /// `created_at_ms`, in Unix milliseconds. Returns the ends of attempts that were reported.
     pub fn receive_copy(&mut self, request_id: &str, created_at_ms: u64) -> Vec<AttemptEnd> {
-        let fields = format!("how=local,made={created_at_ms}");
+        let fields = format!("how=local,made={created_at_ms},etag=t1");
         let mut answer = Vec::new();
         resp::write_array(
             &mut answer,
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -4,6 +4,7 @@
 #[path = "support/upstream.rs"]
 mod fixture;
 
+use edge_proxy::protocol::resp;
 use edge_proxy::request_table::{AttemptId, ClientRequest};
 use edge_proxy::upstream::UpstreamConnection;
 use edge_routing::Outcome;
@@ -13,6 +14,39 @@
 /// First part of a long answer under the id `01`.
 const PARTIAL_ANSWER: &[u8] = b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo";
 
+/// Sends bytes as the answer to an attempt. Asserts that they end no attempt, that the connection
+/// cannot be used any more, and that closing it leaves the attempt to be retried.
+#[track_caller]
+fn assert_answer_is_malformed(answer: &[u8], description: &str) {
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    assert!(fixture.try_receive(answer).is_err(), "{description}");
+    assert_eq!(fixture.take_attempt_ends(), [], "{description}");
+    assert!(!fixture
+        .connection
+        .can_parse_further_input(fixture.now, &fixture.limits));
+    let reset = AttemptEnd::new(attempt, Outcome::Reset);
+    assert_eq!(fixture.close(true), [reset], "{description}");
+}
+
+/// Guards against serving an empty part: an answer that announces fewer strings than it has would
+/// seem to lack its body. The client could not tell such a part from the right one.
+#[test]
+fn an_answer_that_does_not_announce_four_strings_is_malformed() {
+    let strings: [&[u8]; 4] = [b"01", b"200", b"how=local,made=1,etag=t1", b"bytes"];
+    let mut answer = Vec::new();
+    resp::write_array(&mut answer, &strings);
+    for announced in ["*0", "*1", "*2", "*3", "*5", "*8"] {
+        let spoilt = [announced.as_bytes(), &answer["*4".len()..]].concat();
+        assert_answer_is_malformed(&spoilt, announced);
+    }
+    let mut whole = Fixture::connected();
+    let attempt = whole.send("01");
+    whole.receive(&answer);
+    let served = AttemptEnd::new(attempt, Outcome::Ok);
+    assert_eq!(whole.take_attempt_ends(), [served]);
+}
+
 /// A written attempt may have been executed at the server, a queued one cannot have. The router
 /// decides from this difference whether the request may be retried.
 #[test]
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -313,3 +313,37 @@
         .expect("the connection was not closed although its partial answer blocks all later ones");
     proxy.shut_down();
 }
+
+/// Guards against a client that receives an empty part as served, because an answer announces fewer
+/// strings than it has. The read is safe to repeat and must be served by another attempt.
+#[test]
+fn read_whose_answer_announces_too_few_strings_is_served_by_a_retry() {
+    let server = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .caches(&["s-0a", "s-0b"])
+        .scripted_server(&server)
+        .start();
+    let mut client = proxy.connect();
+    client
+        .request_object(1, READ_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+
+    let mut spoiling = server.accept().unwrap();
+    let fetch = spoiling.next_fetch().unwrap();
+    let id = &fetch.request_id;
+    let answer = format!(
+        "*2\r\n${}\r\n{id}\r\n$3\r\n200\r\n$16\r\nmade=1,etag=abcd\r\n$5\r\nbytes\r\n",
+        id.len()
+    );
+    spoiling.send(answer.as_bytes()).unwrap();
+    spoiling.wait_until_closed().unwrap();
+    server.accept().unwrap().answer_next_fetch().unwrap();
+
+    let (_, response) = next_response(&mut client);
+    assert_eq!(
+        (response.status, response.body.as_slice()),
+        (200, &b"all of it"[..])
+    );
+    drop(client);
+    proxy.shut_down();
+}
--- a/crates/soak/src/cache_server.rs
+++ b/crates/soak/src/cache_server.rs
@@ -5,6 +5,7 @@
 use crate::world::{AttemptRecord, SharedRunState};
 use edge_proxy::protocol::resp::{self, ArrayParser};
 use edge_proxy::protocol::Parser;
+use edge_testkit::COMMAND_STRINGS;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::io;
@@ -112,7 +113,7 @@
         socket.set_nodelay(true)?;
         let (mut reader, writer) = socket.into_split();
         let writer = Rc::new(Mutex::new(writer));
-        let mut arrays = ArrayParser::new(MAX_MESSAGE_BYTES);
+        let mut arrays = ArrayParser::new(COMMAND_STRINGS, MAX_MESSAGE_BYTES);
         let mut chunk = vec![0; READ_BUFFER_BYTES];
         loop {
             let length = reader.read(&mut chunk).await?;
--- a/crates/testkit/src/fake_cache.rs
+++ b/crates/testkit/src/fake_cache.rs
@@ -1,7 +1,7 @@
 //! Fake cache servers, which keep copies and record every command. By default they do not serve a
 //! copy that is older than the request allows.
 
-use crate::received_command::ReceivedCommand;
+use crate::received_command::{ReceivedCommand, COMMAND_STRINGS};
 use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
 use std::collections::BTreeMap;
@@ -174,7 +174,7 @@
 
     /// Serves a connection until the client closes it or sends invalid input.
     fn serve(&self, mut socket: TcpStream) -> Option<()> {
-        let mut array_parser = resp::ArrayParser::new(MAX_MESSAGE_BYTES);
+        let mut array_parser = resp::ArrayParser::new(COMMAND_STRINGS, MAX_MESSAGE_BYTES);
         let mut chunk = [0; READ_CHUNK_BYTES];
         loop {
             let length = socket.read(&mut chunk).ok().filter(|length| *length > 0)?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -22,7 +22,7 @@
 mod scenario;
 pub mod scripted_server;
 
-pub use received_command::ReceivedCommand;
+pub use received_command::{ReceivedCommand, COMMAND_STRINGS};
 pub use response::Response;
 pub use sample_deployment::sample_settings;
 pub use scenario::{
--- a/crates/testkit/src/received_command.rs
+++ b/crates/testkit/src/received_command.rs
@@ -2,6 +2,10 @@
 
 use crate::unix_ms;
 use edge_proxy::protocol::resp;
+use std::ops::RangeInclusive;
+
+/// Number of strings in a command: the name, the id and, for `fetch`, the fields and the body.
+pub const COMMAND_STRINGS: RangeInclusive<usize> = 2..=4;
 
 /// A command that a fake or scripted cache server received from the proxy.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -1,7 +1,7 @@
 //! A server that a test controls step by step. It reads, answers and closes only when the test
 //! calls the corresponding method. It serves as a cache server or, with raw bytes, as an event bus.
 
-use crate::received_command::ReceivedCommand;
+use crate::received_command::{ReceivedCommand, COMMAND_STRINGS};
 use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
 use rustix::net::sockopt;
@@ -48,7 +48,7 @@
         socket.set_read_timeout(Some(TEST_TIMEOUT))?;
         Ok(ScriptedConnection {
             socket,
-            array_parser: resp::ArrayParser::new(MAX_MESSAGE_BYTES),
+            array_parser: resp::ArrayParser::new(COMMAND_STRINGS, MAX_MESSAGE_BYTES),
             input: Vec::new(),
         })
     }
