Testkit: the proxy's process can be started by any test, with any configuration

ProxyProcess belonged to the loopback scenario and had its configuration built in. It takes the configuration and that of the interconnect now, has an error type of its own, and returns the memory that belongs to the process alone. The scenario passes what it passed before. No change of behaviour; scenario tests as before.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,7 +3,8 @@
 //! - [`fake_cache`], [`scripted_server`], [`fake_event_bus`], [`fake_consul`] and [`fake_peer_cdn`]
 //!   are fakes of the systems around the proxy. They listen on loopback.
 //! - [`fastcgi_client`] sends requests as a web server does, [`http_client`] as a peer CDN does.
-//! - [`proxy_fixture`] runs the proxy's event loop and the fakes inside a test.
+//! - [`proxy_fixture`] runs the proxy's event loop and the fakes inside a test, [`proxy_process`]
+//!   the proxy program as a process of its own.
 //! - [`sample_deployment`] defines the settings, configuration and object keys that the tests, the
 //!   fakes and the clients share.
 //! - [`run_scenario`] runs the proxy program through a purge, a drain and a shutdown, and reports
@@ -16,6 +17,7 @@
 pub mod fastcgi_client;
 pub mod http_client;
 pub mod proxy_fixture;
+pub mod proxy_process;
 mod received_command;
 mod response;
 pub mod sample_deployment;
--- a/crates/testkit/src/scenario/proxy_process.rs
+++ b/crates/testkit/src/proxy_process.rs
@@ -1,14 +1,13 @@
-//! Runs the proxy program as a process, with the configuration of the scenario.
+//! Runs the proxy program as a process.
 
-use super::ScenarioError;
-use crate::sample_deployment::{interconnect_config_with_peer, sample_settings};
 use crate::TEST_TIMEOUT;
-use serde_json::{json, Value};
+use serde_json::Value;
 use std::fs;
 use std::io::{self, BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::thread;
 
@@ -17,13 +16,33 @@
 /// The text before the address of the interconnect interface in the proxy's log.
 const INTERCONNECT_ADDRESS_PREFIX: &str = "peer CDNs connect to ";
 
+/// The name of the line of `/proc/PID/status` with the memory that belongs to the process alone.
+const OWN_MEMORY_LINE: &str = "RssAnon:";
+
+/// The reason why the proxy's process could not be started or observed.
+#[derive(Debug, thiserror::Error)]
+pub enum ProxyProcessError {
+    /// A file or the process could not be used.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The proxy's process was started without a pipe for its standard error.
+    #[error("the proxy's log cannot be read because its standard error is not piped")]
+    NoLog,
+    /// The proxy exited, or its log did not name its listen addresses in time.
+    #[error("the proxy exited or did not log its listen addresses within {TEST_TIMEOUT:?}")]
+    NotListening,
+    /// The process has ended, or its memory is not reported.
+    #[error("the memory of the proxy's process is unknown, probably because it has ended")]
+    NoMemoryFigure,
+}
+
 /// A running proxy process, which is killed when this is dropped.
-pub(super) struct ProxyProcess {
+pub struct ProxyProcess {
     child: Child,
     /// Address on which the proxy accepts web servers.
-    pub(super) fastcgi_address: SocketAddr,
-    /// Address on which the proxy accepts peer CDNs.
-    pub(super) interconnect_address: SocketAddr,
+    pub fastcgi_address: SocketAddr,
+    /// Address on which the proxy accepts peer CDNs. `None` without an interconnect.
+    pub interconnect_address: Option<SocketAddr>,
 }
 
 impl Drop for ProxyProcess {
@@ -35,28 +54,30 @@
 }
 
 impl ProxyProcess {
-    /// Starts the program and waits until it listens on both interfaces. Returns an error if it
-    /// exits or does not log both addresses in time.
-    pub(super) fn start(
+    /// Starts the program with a configuration, and waits until it listens on all its interfaces.
+    /// `interconnect` is the configuration of the interconnect, if there is one.
+    pub fn start(
         program: &Path,
-        event_bus: SocketAddr,
-        peer_cdn: SocketAddr,
-    ) -> Result<Self, ScenarioError> {
-        let files = ConfigFiles::write(event_bus, peer_cdn)?;
-        let mut child = Command::new(program)
-            .env("ROUTER_CONFIG", &files.proxy)
-            .env("EDGE_PROXY_INTERCONNECT", &files.interconnect)
+        config: &Value,
+        interconnect: Option<&Value>,
+    ) -> Result<Self, ProxyProcessError> {
+        let files = ConfigFiles::write(config, interconnect)?;
+        let mut command = Command::new(program);
+        command.env("ROUTER_CONFIG", &files.proxy);
+        if let Some(path) = &files.interconnect {
+            command.env("EDGE_PROXY_INTERCONNECT", path);
+        }
+        let mut child = command
             .env("RUST_LOG", "info")
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()?;
-        let log = child.stderr.take().ok_or(ScenarioError::NoLog)?;
+        let log = child.stderr.take().ok_or(ProxyProcessError::NoLog)?;
         let addresses = spawn_log_reader(log);
         let (mut fastcgi_address, mut interconnect_address) = (None, None);
         loop {
-            if let (Some(fastcgi_address), Some(interconnect_address)) =
-                (fastcgi_address, interconnect_address)
-            {
+            let is_complete = interconnect_address.is_some() || interconnect.is_none();
+            if let Some(fastcgi_address) = fastcgi_address.filter(|_| is_complete) {
                 return Ok(ProxyProcess {
                     child,
                     fastcgi_address,
@@ -66,13 +87,24 @@
             match addresses.recv_timeout(TEST_TIMEOUT) {
                 Ok(ListenAddress::FastCgi(address)) => fastcgi_address = Some(address),
                 Ok(ListenAddress::Interconnect(address)) => interconnect_address = Some(address),
-                Err(_) => return Err(ScenarioError::NotListening),
+                Err(_) => return Err(ProxyProcessError::NotListening),
             }
         }
     }
 
+    /// Returns the memory that belongs to the process alone, in KiB. Files and the kernel's socket
+    /// buffers are not included.
+    pub fn own_memory_kib(&self) -> Result<u64, ProxyProcessError> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status
+            .lines()
+            .find(|line| line.starts_with(OWN_MEMORY_LINE));
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+            .ok_or(ProxyProcessError::NoMemoryFigure)
+    }
+
     /// Sends SIGTERM to the process.
-    pub(super) fn terminate(&self) -> io::Result<()> {
+    pub fn terminate(&self) -> io::Result<()> {
         // The standard library cannot send SIGTERM, so the shell's `kill` sends it.
         Command::new("sh")
             .arg("-c")
@@ -82,7 +114,7 @@
     }
 
     /// Waits until the process has exited.
-    pub(super) fn wait(&mut self) -> io::Result<ExitStatus> {
+    pub fn wait(&mut self) -> io::Result<ExitStatus> {
         self.child.wait()
     }
 }
@@ -117,26 +149,28 @@
 struct ConfigFiles {
     directory: PathBuf,
     proxy: PathBuf,
-    interconnect: PathBuf,
+    interconnect: Option<PathBuf>,
 }
 
 impl ConfigFiles {
-    fn write(event_bus: SocketAddr, peer_cdn: SocketAddr) -> io::Result<Self> {
-        // The event bus port makes the name unique among concurrent scenarios in one process.
+    fn write(config: &Value, interconnect: Option<&Value>) -> io::Result<Self> {
+        // Several processes may be started by one program at the same time.
+        static NEXT_DIRECTORY: AtomicU64 = AtomicU64::new(0);
         let directory = std::env::temp_dir().join(format!(
-            "edge-loopback-scenario-{}-{}",
+            "edge-proxy-process-{}-{}",
             std::process::id(),
-            event_bus.port()
+            NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed)
         ));
         fs::create_dir_all(&directory)?;
         let files = ConfigFiles {
             proxy: directory.join("config.json"),
-            interconnect: directory.join("interconnect.json"),
+            interconnect: interconnect.map(|_| directory.join("interconnect.json")),
             directory,
         };
-        fs::write(&files.proxy, proxy_config(event_bus).to_string())?;
-        let interconnect = json!({"cdni": interconnect_config_with_peer(peer_cdn)});
-        fs::write(&files.interconnect, interconnect.to_string())?;
+        fs::write(&files.proxy, config.to_string())?;
+        if let (Some(path), Some(content)) = (&files.interconnect, interconnect) {
+            fs::write(path, content.to_string())?;
+        }
         Ok(files)
     }
 }
@@ -147,14 +181,3 @@
         let _ = fs::remove_dir_all(&self.directory);
     }
 }
-
-fn proxy_config(event_bus: SocketAddr) -> Value {
-    json!({
-        "name": "loopback-scenario",
-        "listen": "127.0.0.1:0",
-        "seed": "1f",
-        "bus": event_bus.to_string(),
-        "limits": {"memory_mb": 192, "sockets": 1024},
-        "settings": sample_settings(),
-    })
-}
--- a/crates/testkit/src/scenario/deployment.rs
+++ b/crates/testkit/src/scenario/deployment.rs
@@ -1,14 +1,16 @@
 //! The proxy process and the fakes of the scenario.
 
-use super::proxy_process::ProxyProcess;
 use super::ScenarioError;
 use crate::fake_cache::{Behavior, FakeCacheServer};
 use crate::fake_event_bus::{cache_entry, endpoint_state, origin_entry, FakeEventBus};
 use crate::fake_peer_cdn::FakePeerCdn;
-use crate::sample_deployment::READ_CLASS;
+use crate::proxy_process::ProxyProcess;
+use crate::sample_deployment::{interconnect_config_with_peer, sample_settings, READ_CLASS};
 use crate::ReceivedCommand;
 use crate::{http_client, Response, TEST_TIMEOUT};
+use serde_json::{json, Value};
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +24,20 @@
     pub(super) event_bus: FakeEventBus,
     pub(super) peer_cdn: FakePeerCdn,
     pub(super) proxy: ProxyProcess,
+    /// Address on which the proxy accepts peer CDNs.
+    pub(super) interconnect_address: SocketAddr,
+}
+
+/// Returns the configuration of the proxy.
+fn proxy_config(event_bus: SocketAddr) -> Value {
+    json!({
+        "name": "loopback-scenario",
+        "listen": "127.0.0.1:0",
+        "seed": "1f",
+        "bus": event_bus.to_string(),
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "settings": sample_settings(),
+    })
 }
 
 impl Deployment {
@@ -39,13 +55,17 @@
             origin_entry(&origin, endpoint_state::READY),
         ]);
         let peer_cdn = FakePeerCdn::start()?;
-        let proxy = ProxyProcess::start(proxy_program, event_bus.address, peer_cdn.address)?;
+        let config = proxy_config(event_bus.address);
+        let interconnect = json!({"cdni": interconnect_config_with_peer(peer_cdn.address)});
+        let proxy = ProxyProcess::start(proxy_program, &config, Some(&interconnect))?;
+        let interconnect_address = proxy.interconnect_address;
         Ok(Deployment {
             caches,
             origin,
             event_bus,
             peer_cdn,
             proxy,
+            interconnect_address: interconnect_address.ok_or(ScenarioError::NoInterconnect)?,
         })
     }
 
@@ -91,7 +111,7 @@
         target: &str,
         body: &str,
     ) -> io::Result<Response> {
-        http_client::request(self.proxy.interconnect_address, method, target, body)
+        http_client::request(self.interconnect_address, method, target, body)
     }
 
     /// Fetches an object through the interconnect interface.
--- a/crates/testkit/src/scenario/drain.rs
+++ b/crates/testkit/src/scenario/drain.rs
@@ -95,7 +95,7 @@
             });
             continue;
         };
-        let proxy = deployment.proxy.interconnect_address;
+        let proxy = deployment.interconnect_address;
         clients.push(thread::spawn(move || {
             (number, http_client::request(proxy, "GET", &target, ""))
         }));
--- a/crates/testkit/src/scenario/mod.rs
+++ b/crates/testkit/src/scenario/mod.rs
@@ -5,7 +5,6 @@
 mod deployment;
 mod drain;
 mod notifications;
-mod proxy_process;
 mod purge;
 mod report;
 mod shutdown;
@@ -13,6 +12,7 @@
 pub use report::{Rule, RuleViolation, ScenarioReport};
 
 use crate::fake_cache::Behavior;
+use crate::proxy_process::ProxyProcessError;
 use crate::TEST_TIMEOUT;
 use deployment::Deployment;
 use std::io;
@@ -41,12 +41,12 @@
     /// The proxy sent a body that is not valid JSON.
     #[error("the proxy sent invalid JSON: {0}")]
     InvalidJson(#[from] serde_json::Error),
-    /// The proxy's process was started without a pipe for its standard error.
-    #[error("the proxy's log cannot be read because its standard error is not piped")]
-    NoLog,
-    /// The proxy exited, or its log did not name both listen addresses in time.
-    #[error("the proxy exited or did not log its listen addresses within {TEST_TIMEOUT:?}")]
-    NotListening,
+    /// The proxy's process could not be started.
+    #[error(transparent)]
+    Process(#[from] ProxyProcessError),
+    /// The proxy does not accept peer CDNs.
+    #[error("the proxy has no interconnect")]
+    NoInterconnect,
     /// The proxy's health check did not succeed in time.
     #[error("the proxy did not become ready within {TEST_TIMEOUT:?}")]
     NotReady,
