Clients' records are handled as they arrive, and all memory of clients is counted

Cause, by probes with 320 clients on (memory of the process's own, per connection): no unfinished record 1.6 kB; one of 100 bytes 17 kB (the input buffer of 16 KiB is freed only on idle connections); 65,535 bytes after a small answer 86 kB (RecordParser collects a whole record before the session compares it with its limits), after one of 240,000 bytes 141 kB (the vector doubles to 131,008 bytes, which are resident where the heap was used before). None of it was in the totals that the limits bound.

Change: - RecordParser returns a record in parts and keeps nothing; the first part comes with the header. The session checks each limit against the announced length and drops what it doesn't need. Records that can only be handled whole have at most 1 KiB. - A request whose parameters or body are too long is refused alone, at once, with OVERLOADED. Before, the connection was closed; as its length is now known earlier, that would have lost the answers of the other requests on it. The connection is closed once these are answered. - Buffers of any connection are freed as soon as they are empty. Their memory and the allocations of requests (not their lengths) count in the totals of partial requests and unsent answers. Both are logged with their peaks on SIGTERM and at the end. - The same cause elsewhere: partial requests of peer CDNs were not counted, the head of an HTTP message was limited by line only (64 lines of 64 KiB), responses and queues of answers kept their memory when empty, a variable that GET_VALUES names a thousand times was answered a thousand times, and a buffer for an announced length could grow to twice that length.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -1,7 +1,7 @@
 //! FastCGI clients: passes their requests to the request table, and its answers back to the
 //! clients.
 
-use crate::event_loop::connections::{Connection, ConnectionRole};
+use crate::event_loop::connections::ConnectionRole;
 use crate::event_loop::EventLoop;
 use crate::frontend::fastcgi::SessionEvent;
 use crate::frontend::ClientSession;
@@ -154,7 +154,7 @@
             return;
         };
         let unsent_limit_exceeded =
-            self.clients.unsent_answer_bytes > self.limits.unsent_answer_bytes;
+            self.clients.unsent_answers.current > self.limits.unsent_answer_bytes;
         // A client that sends very many requests must leave room for the requests of other clients.
         let client_limit_exceeded = !self.limits.allows_unanswered_requests(
             session.unanswered_requests() - requests_behind,
@@ -217,13 +217,7 @@
     /// Writes the answers on a FastCGI connection until all are written or the socket accepts no
     /// more.
     pub(in crate::event_loop) fn write_fastcgi_client(&mut self, key: SlabKey) {
-        let Some(Connection {
-            transport,
-            role: ConnectionRole::FastCgiClient(session),
-            activity,
-            ..
-        }) = self.connections.get_mut(key)
-        else {
+        let Some((transport, session)) = self.connections.fastcgi_client_mut(key) else {
             return;
         };
         loop {
@@ -232,7 +226,7 @@
                 break;
             }
         }
-        self.clients
-            .set_unsent_answer_bytes(activity, session.unsent_bytes());
+        transport.output.release_memory();
+        self.update_unsent_answer_bytes(key);
     }
 }
--- a/crates/proxy/src/event_loop/clients/mod.rs
+++ b/crates/proxy/src/event_loop/clients/mod.rs
@@ -14,6 +14,7 @@
 use crate::net::SlabKey;
 use edge_routing::Micros;
 use eviction::EvictionClass;
+use std::fmt;
 
 /// Activity and memory use of one client connection.
 pub(super) struct ClientActivity {
@@ -23,9 +24,9 @@
     pub(super) timeout_start: Micros,
     /// Whether a request was partially received at the last update.
     has_partial_request: bool,
-    /// Share of this connection in `ClientAccounting::unsent_answer_bytes`.
+    /// Share of this connection in `ClientAccounting::unsent_answers`.
     unsent_answer_bytes: usize,
-    /// Share of this connection in `ClientAccounting::partial_request_bytes`.
+    /// Share of this connection in `ClientAccounting::partial_requests`.
     partial_request_bytes: usize,
 }
 
@@ -40,26 +41,57 @@
     }
 }
 
+/// A number of bytes, and its highest value since the start of the process.
+#[derive(Clone, Copy, Default)]
+struct ByteGauge {
+    current: usize,
+    peak: usize,
+}
+
+impl ByteGauge {
+    /// Replaces one connection's share of the bytes.
+    fn replace_share(&mut self, before: usize, after: usize) {
+        self.current = self.current + after - before;
+        self.peak = self.peak.max(self.current);
+    }
+}
+
+impl fmt::Display for ByteGauge {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} bytes (peak {})", self.current, self.peak)
+    }
+}
+
 /// Totals over all client connections. The limits bound each of them.
 #[derive(Default)]
 pub(super) struct ClientAccounting {
     /// Number of client connections, including those in a lingering close.
     pub(super) connections: usize,
-    /// Bytes of answers that slow clients have not received yet.
-    unsent_answer_bytes: usize,
-    /// Bytes of partially received requests.
-    partial_request_bytes: usize,
+    /// Memory of answers that clients have not received yet.
+    unsent_answers: ByteGauge,
+    /// Memory of partially received requests.
+    partial_requests: ByteGauge,
+}
+
+impl fmt::Display for ClientAccounting {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "clients: {} connections, unsent answers hold {}, partially received requests hold {}",
+            self.connections, self.unsent_answers, self.partial_requests
+        )
+    }
 }
 
 impl ClientAccounting {
     fn set_unsent_answer_bytes(&mut self, activity: &mut ClientActivity, bytes: usize) {
         let before = std::mem::replace(&mut activity.unsent_answer_bytes, bytes);
-        self.unsent_answer_bytes = self.unsent_answer_bytes + bytes - before;
+        self.unsent_answers.replace_share(before, bytes);
     }
 
     fn set_partial_request_bytes(&mut self, activity: &mut ClientActivity, bytes: usize) {
         let before = std::mem::replace(&mut activity.partial_request_bytes, bytes);
-        self.partial_request_bytes = self.partial_request_bytes + bytes - before;
+        self.partial_requests.replace_share(before, bytes);
     }
 
     /// Subtracts a connection from the byte totals when it is closed.
@@ -104,32 +136,41 @@
         if class == EvictionClass::Busy || partial_request_begins {
             connection.activity.timeout_start = now;
         }
-        // Hundreds of clients may send one request each and keep their connections open. The memory
-        // of their buffers must not add up.
-        if class == EvictionClass::Idle {
-            connection.transport.input.release_memory();
-            connection.transport.output.release_memory();
-        }
     }
 
-    /// Updates the bytes that a FastCGI connection holds of partially received requests, and
-    /// enforces the limit on the total of all connections.
+    /// Updates the bytes that a client connection holds of answers that are not written to the
+    /// socket. They include the memory of the output buffer.
+    pub(super) fn update_unsent_answer_bytes(&mut self, key: SlabKey) {
+        let Some(connection) = self.connections.get_mut(key) else {
+            return;
+        };
+        let Some(session) = connection.role.client_session() else {
+            return;
+        };
+        let bytes = session.unsent_bytes() + connection.transport.output.allocated_bytes();
+        self.clients
+            .set_unsent_answer_bytes(&mut connection.activity, bytes);
+    }
+
+    /// Updates the bytes that a client connection holds of partially received requests, and
+    /// enforces the limit on the total of all connections. The bytes include the memory of the
+    /// input buffer.
     ///
     /// While the total exceeds the limit, the connection that holds the most bytes is closed. If
     /// that connection still awaits answers, only its partially received requests are rejected,
     /// because the connection should not lose its answers over what others hold.
     pub(super) fn enforce_partial_request_limit(&mut self, now: Micros, key: SlabKey) {
-        let Some(Connection {
-            role: ConnectionRole::FastCgiClient(session),
-            activity,
-            ..
-        }) = self.connections.get_mut(key)
-        else {
+        let Some(connection) = self.connections.get_mut(key) else {
+            return;
+        };
+        let Some(session) = connection.role.client_session() else {
             return;
         };
+        let input_bytes = connection.transport.input.allocated_bytes();
+        let bytes = session.partial_request_bytes() + input_bytes;
         self.clients
-            .set_partial_request_bytes(activity, session.partial_request_bytes());
-        while self.clients.partial_request_bytes > self.limits.partial_request_bytes {
+            .set_partial_request_bytes(&mut connection.activity, bytes);
+        while self.clients.partial_requests.current > self.limits.partial_request_bytes {
             let held_bytes = |key: &SlabKey| {
                 let connection = self.connections.get(*key)?;
                 Some(connection.activity.partial_request_bytes)
@@ -140,7 +181,7 @@
             log::info!(
                 "partially received requests hold {} bytes, over the limit of {}: dropping those \
                  of connection {:x}, which holds the most",
-                self.clients.partial_request_bytes,
+                self.clients.partial_requests.current,
                 self.limits.partial_request_bytes,
                 largest.to_u64()
             );
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -192,12 +192,15 @@
         let Some((transport, session)) = self.connections.interconnect_client_mut(key) else {
             return true;
         };
-        loop {
+        let progress = loop {
             session.write(&mut transport.output);
             match transport.write() {
                 IoProgress::Advanced => {}
-                progress => return progress != IoProgress::Broken,
+                progress => break progress,
             }
-        }
+        };
+        transport.output.release_memory();
+        self.update_unsent_answer_bytes(key);
+        progress != IoProgress::Broken
     }
 }
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -249,5 +249,6 @@
             counters.attempts
         );
         log::info!("{}", self.request_table.invariants);
+        log::info!("{}", self.clients);
     }
 }
--- a/crates/proxy/src/event_loop/shutdown.rs
+++ b/crates/proxy/src/event_loop/shutdown.rs
@@ -54,6 +54,7 @@
             self.limits.shutdown_grace_us / 1_000
         );
         log::info!("{}", self.request_table.invariants);
+        log::info!("{}", self.clients);
         self.timers.schedule(
             now + self.limits.shutdown_grace_us,
             TimerEvent::EndShutdownGrace,
--- a/crates/proxy/src/frontend/fastcgi/outgoing.rs
+++ b/crates/proxy/src/frontend/fastcgi/outgoing.rs
@@ -14,6 +14,9 @@
 /// a client that reads slowly from being sent in fragments of a few bytes.
 const MIN_STDOUT_CONTENT_BYTES: usize = 1024;
 
+/// Number of entries for which an empty queue keeps memory.
+const RETAINED_QUEUE_ENTRIES: usize = 4;
+
 /// An answer to a request.
 pub(super) struct OutgoingAnswer {
     /// FastCGI id of the request.
@@ -112,6 +115,9 @@
                 }
             }
         }
+        // The queue is empty. Hundreds of connections may stay open after a burst of answers, and
+        // the memory of their queues must not add up.
+        self.queue.shrink_to(RETAINED_QUEUE_ENTRIES);
     }
 }
 
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -11,8 +11,8 @@
 use crate::frontend::ClientSession;
 use crate::limits::Limits;
 use crate::net::RingBuffer;
-use crate::protocol::fastcgi::{self as wire, record_type, Record, RecordParser};
-use crate::protocol::{Parser, ProtocolError};
+use crate::protocol::fastcgi::{self as wire, record_type, RecordParser, RecordPart};
+use crate::protocol::{append_received, Parser, ProtocolError};
 use crate::request_table::{Answer, ClientRequest, RequestKey};
 use std::collections::HashMap;
 
@@ -76,6 +76,9 @@
 #[derive(Default)]
 pub struct Session {
     record_parser: RecordParser,
+    /// Received content of a record that can only be handled as a whole. It has at most
+    /// `Limits::collected_record_bytes`.
+    record_content: Vec<u8>,
     /// Open requests by their FastCGI request ids.
     open_requests: HashMap<u16, OpenRequest>,
     outgoing: OutgoingQueue,
@@ -112,21 +115,19 @@
             .filter_map(|request| request.request_key)
             .collect()
     }
-}
 
-impl Session {
-    /// Returns the number of buffered bytes of partially received requests.
-    pub fn partial_request_bytes(&self) -> usize {
+    fn partial_request_bytes(&self) -> usize {
         self.partial_requests()
-            .map(|request| request.parameters.len() + request.body.len())
+            .map(|request| request.parameters.capacity() + request.body.capacity())
             .sum()
     }
 
-    /// Returns the number of bytes of answers that are not yet written.
-    pub fn unsent_bytes(&self) -> usize {
+    fn unsent_bytes(&self) -> usize {
         self.outgoing.unsent_bytes()
     }
+}
 
+impl Session {
     /// Consumes the input buffer up to the next event. Returns `None` if the buffered input results
     /// in no further event.
     ///
@@ -140,12 +141,12 @@
         limits: &Limits,
     ) -> Result<Option<SessionEvent>, ProtocolError> {
         while !input.is_empty() {
-            let (consumed, record) = self.record_parser.parse(input.readable())?;
+            let (consumed, part) = self.record_parser.parse(input.readable())?;
             input.consume(consumed);
-            let Some(record) = record else {
+            let Some(part) = part else {
                 continue;
             };
-            if let Some(event) = self.handle_record(record, limits)? {
+            if let Some(event) = self.handle_record_part(&part, limits)? {
                 return Ok(Some(event));
             }
         }
@@ -210,117 +211,165 @@
             })
     }
 
-    fn handle_record(
+    /// Handles the next part of a record. Every limit is checked against the announced length, so
+    /// that a record which exceeds it is rejected at its first part and never kept.
+    fn handle_record_part(
         &mut self,
-        record: Record,
+        part: &RecordPart,
         limits: &Limits,
     ) -> Result<Option<SessionEvent>, ProtocolError> {
         // A well-behaved client waits for at most as many answers as it may have unanswered
         // requests, so its queue stays below this limit.
-        if self.outgoing.len() >= limits.unsent_answers_per_client {
+        if part.is_first && self.outgoing.len() >= limits.unsent_answers_per_client {
             return Err(ProtocolError::TooLong(
                 "the queue of answers that the client does not read",
             ));
         }
-        if record.request_id == wire::NULL_REQUEST_ID {
-            self.answer_management(&record)?;
+        if part.header.request_id == wire::NULL_REQUEST_ID {
+            self.answer_management(part, limits)?;
             return Ok(None);
         }
-        match record.record_type {
-            record_type::BEGIN_REQUEST => self.begin_request(&record, limits)?,
-            record_type::ABORT_REQUEST => return Ok(self.abort_request(record.request_id)),
-            record_type::PARAMS => self.receive_parameters(&record, limits)?,
-            record_type::STDIN => return self.receive_body(&record, limits),
-            // Record types that the Responder role does not use.
+        match part.header.record_type {
+            record_type::BEGIN_REQUEST => self.begin_request(part, limits)?,
+            record_type::ABORT_REQUEST if part.is_last() => {
+                return Ok(self.abort_request(part.header.request_id))
+            }
+            record_type::PARAMS => self.receive_parameters(part, limits),
+            record_type::STDIN => return self.receive_body(part, limits),
+            // Record types that the Responder role does not use. Their content is dropped.
             _ => {}
         }
         Ok(None)
     }
 
+    /// Collects the content of a record that can only be handled as a whole. Returns it once it is
+    /// complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the announced length exceeds `Limits::collected_record_bytes`. `item`
+    /// names the record in the error.
+    fn collect_content(
+        &mut self,
+        part: &RecordPart,
+        limits: &Limits,
+        item: &'static str,
+    ) -> Result<Option<Vec<u8>>, ProtocolError> {
+        if part.header.content_bytes > limits.collected_record_bytes {
+            return Err(ProtocolError::TooLong(item));
+        }
+        append_received(
+            &mut self.record_content,
+            &part.content,
+            part.header.content_bytes,
+        );
+        Ok(part
+            .is_last()
+            .then(|| std::mem::take(&mut self.record_content)))
+    }
+
     /// Answers a management record. All types except GET_VALUES are answered as unknown.
-    fn answer_management(&mut self, record: &Record) -> Result<(), ProtocolError> {
-        if record.record_type != record_type::GET_VALUES {
-            let content = [record.record_type, 0, 0, 0, 0, 0, 0, 0];
+    fn answer_management(
+        &mut self,
+        part: &RecordPart,
+        limits: &Limits,
+    ) -> Result<(), ProtocolError> {
+        let record_type = part.header.record_type;
+        if record_type == record_type::GET_VALUES {
+            let names = self.collect_content(part, limits, "a GET_VALUES record")?;
+            return names.map_or(Ok(()), |names| self.answer_get_values(&names));
+        }
+        if part.is_last() {
+            let content = [record_type, 0, 0, 0, 0, 0, 0, 0];
             self.outgoing
                 .push_management_record(record_type::UNKNOWN_TYPE, &content);
-            return Ok(());
         }
+        Ok(())
+    }
+
+    /// Answers a GET_VALUES record with the values of the known variables, each once.
+    fn answer_get_values(&mut self, names: &[u8]) -> Result<(), ProtocolError> {
+        let pairs = wire::read_pairs(names)?;
         let mut values = Vec::new();
-        for (name, _) in wire::read_pairs(&record.content)? {
-            if name == MULTIPLEXING_VARIABLE {
-                wire::write_pair(&mut values, &name, "1");
-            }
+        if pairs.iter().any(|(name, _)| name == MULTIPLEXING_VARIABLE) {
+            wire::write_pair(&mut values, MULTIPLEXING_VARIABLE, "1");
         }
         self.outgoing
             .push_management_record(record_type::GET_VALUES_RESULT, &values);
         Ok(())
     }
 
-    fn begin_request(&mut self, record: &Record, limits: &Limits) -> Result<(), ProtocolError> {
-        if self.open_requests.contains_key(&record.request_id) {
+    fn begin_request(&mut self, part: &RecordPart, limits: &Limits) -> Result<(), ProtocolError> {
+        let request_id = part.header.request_id;
+        if self.open_requests.contains_key(&request_id) {
             return Err(ProtocolError::Malformed(
                 "a BEGIN_REQUEST record (its request id is already in use)",
             ));
         }
-        let begin = wire::read_begin_request(&record.content)?;
+        let content = self.collect_content(part, limits, "a BEGIN_REQUEST record")?;
+        let Some(content) = content else {
+            return Ok(());
+        };
+        let begin = wire::read_begin_request(&content)?;
         let keep_connection = begin.flags & wire::KEEP_CONN != 0;
         if begin.role != wire::RESPONDER {
-            self.end_without_response(record.request_id, wire::UNKNOWN_ROLE, keep_connection);
+            self.end_without_response(request_id, wire::UNKNOWN_ROLE, keep_connection);
         } else if self.open_requests.len() >= limits.requests_per_client {
-            self.end_without_response(record.request_id, wire::OVERLOADED, keep_connection);
+            self.end_without_response(request_id, wire::OVERLOADED, keep_connection);
         } else {
             let request = PartialRequest {
                 keep_connection,
                 ..PartialRequest::default()
             };
             self.open_requests
-                .insert(record.request_id, OpenRequest::Receiving(request));
+                .insert(request_id, OpenRequest::Receiving(request));
         }
         Ok(())
     }
 
-    fn receive_parameters(
-        &mut self,
-        record: &Record,
-        limits: &Limits,
-    ) -> Result<(), ProtocolError> {
+    fn receive_parameters(&mut self, part: &RecordPart, limits: &Limits) {
+        let request_id = part.header.request_id;
         // Records of a request that is already answered are ignored, because the client may have
         // sent them before it received the answer.
-        let Some(OpenRequest::Receiving(request)) = self.open_requests.get_mut(&record.request_id)
-        else {
-            return Ok(());
+        let Some(OpenRequest::Receiving(request)) = self.open_requests.get_mut(&request_id) else {
+            return;
         };
-        if request.parameters.len() + record.content.len() > limits.params_bytes {
-            return Err(ProtocolError::TooLong(
-                "the parameter stream of a FastCGI request",
-            ));
+        request.parameters_complete = part.header.content_bytes == 0;
+        if !append_to_stream(&mut request.parameters, part, limits.params_bytes) {
+            self.reject_oversized_request(request_id, "parameter stream");
         }
-        request.parameters_complete = record.content.is_empty();
-        request.parameters.extend_from_slice(&record.content);
-        Ok(())
     }
 
     fn receive_body(
         &mut self,
-        record: &Record,
+        part: &RecordPart,
         limits: &Limits,
     ) -> Result<Option<SessionEvent>, ProtocolError> {
-        let Some(OpenRequest::Receiving(request)) = self.open_requests.get_mut(&record.request_id)
-        else {
+        let request_id = part.header.request_id;
+        let Some(OpenRequest::Receiving(request)) = self.open_requests.get_mut(&request_id) else {
             return Ok(None);
         };
         if !request.parameters_complete {
             return Ok(None);
         }
-        if request.body.len() + record.content.len() > limits.body_bytes {
-            return Err(ProtocolError::TooLong("the body of a FastCGI request"));
+        if !append_to_stream(&mut request.body, part, limits.body_bytes) {
+            self.reject_oversized_request(request_id, "body");
+            return Ok(None);
         }
-        request.body.extend_from_slice(&record.content);
-        if !record.content.is_empty() {
+        if part.header.content_bytes > 0 {
             return Ok(None);
         }
         let request = std::mem::take(request);
-        self.handle_request(record.request_id, request, limits)
+        self.handle_request(request_id, request, limits)
+    }
+
+    /// Rejects a request of which a stream exceeds its limit. The other requests on the connection
+    /// are answered. Then the connection is closed, because the client may send the rest of the
+    /// stream for as long as it stays open. Until then, the rest is ignored.
+    fn reject_oversized_request(&mut self, request_id: u16, stream: &str) {
+        log::debug!("rejecting FastCGI request {request_id}: its {stream} is too long");
+        self.open_requests.remove(&request_id);
+        self.end_without_response(request_id, wire::OVERLOADED, false);
     }
 
     /// Handles a complete request. Answers an invalid one with an error status and returns `None`.
@@ -397,3 +446,14 @@
         });
     }
 }
+
+/// Appends a part of a record to a stream of a request. Returns `false`, without appending, if the
+/// stream would exceed `limit_bytes` with the announced rest of the record.
+fn append_to_stream(stream: &mut Vec<u8>, part: &RecordPart, limit_bytes: usize) -> bool {
+    let final_bytes = stream.len() + part.content.len() + part.remaining_bytes;
+    if final_bytes > limit_bytes {
+        return false;
+    }
+    append_received(stream, &part.content, final_bytes);
+    true
+}
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -77,6 +77,15 @@
     fn request_keys(&self) -> Vec<RequestKey> {
         self.pending_request_key.into_iter().collect()
     }
+
+    fn partial_request_bytes(&self) -> usize {
+        let head_bytes = self.request_head.as_ref().map_or(0, Head::allocated_bytes);
+        self.parser.allocated_bytes() + head_bytes + self.request_body.capacity()
+    }
+
+    fn unsent_bytes(&self) -> usize {
+        self.outgoing.capacity()
+    }
 }
 
 impl Session {
@@ -157,7 +166,7 @@
     pub fn write(&mut self, output: &mut RingBuffer) {
         self.written_bytes += output.push(&self.outgoing[self.written_bytes..]);
         if self.written_bytes == self.outgoing.len() {
-            self.outgoing.clear();
+            self.outgoing = Vec::new();
             self.written_bytes = 0;
         }
     }
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -26,4 +26,8 @@
     fn unanswered_requests(&self) -> usize;
     /// Returns the request table keys of the admitted requests that are unanswered.
     fn request_keys(&self) -> Vec<RequestKey>;
+    /// Returns the number of bytes allocated for requests and records that are partially received.
+    fn partial_request_bytes(&self) -> usize;
+    /// Returns the number of bytes of answers that are not yet written to the output buffer.
+    fn unsent_bytes(&self) -> usize;
 }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -64,8 +64,11 @@
     pub body_bytes: usize,
     /// Total size of the bodies of all pending requests.
     pub total_body_bytes: usize,
-    /// Total size of all partially received requests.
+    /// Memory of all partially received requests and of the input buffers of their connections.
     pub partial_request_bytes: usize,
+    /// Size of a FastCGI record that is kept until it is complete, because it can only be handled as
+    /// a whole. The content of all other records is handled as it arrives.
+    pub collected_record_bytes: usize,
     /// If a request waited unread for longer than this, the wait is subtracted from its time limit,
     /// and the client's further input, which may contain a cancellation, is read before the request
     /// is admitted.
@@ -83,7 +86,8 @@
     // ---- Answers to clients ----
     /// Answers of any kind that are queued for one client.
     pub unsent_answers_per_client: usize,
-    /// Total size of the answers that are queued for clients, over all connections.
+    /// Memory of the answers that are queued for clients and of the output buffers of their
+    /// connections. Requests are rejected while it is exceeded.
     pub unsent_answer_bytes: usize,
     /// A final answer is sent this long before the client's time limit, because it takes time to
     /// arrive.
@@ -241,6 +245,7 @@
     body_bytes: 48_000,
     total_body_bytes: 48 * MIB,
     partial_request_bytes: 24 * MIB,
+    collected_record_bytes: KIB,
     unread_tolerance_us: 20 * MILLISECOND,
     max_late_reads: 16,
     max_client_timeout_us: 120 * SECOND,
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -60,44 +60,66 @@
 const MALFORMED_PARAMETER: ProtocolError =
     ProtocolError::Malformed("a FastCGI name-value pair (expected two lengths, then UTF-8 text)");
 
-/// A FastCGI record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Record {
+/// The header of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordHeader {
     /// Record type, which is a constant of [`record_type`] or an unknown value.
     pub record_type: u8,
     /// Id of the request that the record belongs to, or [`NULL_REQUEST_ID`].
     pub request_id: u16,
-    /// Content without the padding.
+    /// Length of the content without the padding.
+    pub content_bytes: usize,
+}
+
+/// A part of a record: the content that has arrived since the last part.
+///
+/// The first part of a record is returned as soon as its header is complete, whether any content
+/// has arrived or not. The receiver can thus reject a record before its content arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordPart {
+    /// Header of the record.
+    pub header: RecordHeader,
+    /// Whether this is the first part of the record.
+    pub is_first: bool,
+    /// Content of this part. It may be empty.
     pub content: Vec<u8>,
+    /// Number of content bytes that follow in further parts of the record.
+    pub remaining_bytes: usize,
 }
 
-/// The header of a record.
+impl RecordPart {
+    /// Returns whether this is the last part of its record.
+    pub fn is_last(&self) -> bool {
+        self.remaining_bytes == 0
+    }
+}
+
+/// What has been received of a record whose header is complete.
 #[derive(Clone, Copy)]
-struct Header {
-    record_type: u8,
-    request_id: u16,
-    content_bytes: usize,
+struct RecordProgress {
+    header: RecordHeader,
     padding_bytes: usize,
+    /// Whether the first part was returned.
+    is_begun: bool,
+    /// Number of content bytes that are still to be received.
+    remaining_bytes: usize,
 }
 
 /// The part of a record that is expected next. A record consists of a header, content and padding,
 /// in this order.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 enum State {
     /// The header.
     #[default]
     Header,
-    /// The content, with the bytes of it that have been received.
-    Content(Header, Vec<u8>),
+    /// Content.
+    Content(RecordProgress),
     /// The padding, with the number of bytes that are still to be received.
-    Padding {
-        record: Record,
-        remaining_bytes: usize,
-    },
+    Padding(usize),
 }
 
-/// Incremental parser for records. It needs no limit, because the format bounds the length of a
-/// record.
+/// Incremental parser for records. It returns the content of a record in parts as it arrives and
+/// keeps none of it, so its memory does not depend on the length that a record announces.
 #[derive(Default)]
 pub struct RecordParser {
     state: State,
@@ -110,54 +132,59 @@
     pub fn has_partial_input(&self) -> bool {
         !matches!(self.state, State::Header) || !self.header.is_empty()
     }
+
+    /// Removes the available content of a record from the front of `rest` and returns it as a part.
+    /// `progress` says what has been received of the record.
+    fn take_part(&mut self, mut progress: RecordProgress, rest: &mut &[u8]) -> RecordPart {
+        let content = take_up_to(rest, progress.remaining_bytes).to_vec();
+        let is_first = !std::mem::replace(&mut progress.is_begun, true);
+        progress.remaining_bytes -= content.len();
+        self.state = match (progress.remaining_bytes, progress.padding_bytes) {
+            (0, 0) => State::Header,
+            (0, padding_bytes) => State::Padding(padding_bytes),
+            _ => State::Content(progress),
+        };
+        RecordPart {
+            header: progress.header,
+            is_first,
+            content,
+            remaining_bytes: progress.remaining_bytes,
+        }
+    }
 }
 
 impl Parser for RecordParser {
-    type Item = Record;
+    type Item = RecordPart;
 
-    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<Record>), ProtocolError> {
+    fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<RecordPart>), ProtocolError> {
         let mut rest = input;
         loop {
-            match &mut self.state {
+            let progress = match self.state {
                 State::Header => {
                     let missing_bytes = HEADER_BYTES - self.header.len();
                     self.header
                         .extend_from_slice(take_up_to(&mut rest, missing_bytes));
-                    let Some(header) = read_header(&self.header)? else {
+                    let Some(progress) = read_header(&self.header)? else {
                         return Ok((input.len(), None));
                     };
                     self.header.clear();
-                    self.state = State::Content(header, Vec::new());
-                }
-                State::Content(header, content) => {
-                    let missing_bytes = header.content_bytes - content.len();
-                    content.extend_from_slice(take_up_to(&mut rest, missing_bytes));
-                    if content.len() < header.content_bytes {
-                        return Ok((input.len(), None));
-                    }
-                    self.state = State::Padding {
-                        remaining_bytes: header.padding_bytes,
-                        record: Record {
-                            record_type: header.record_type,
-                            request_id: header.request_id,
-                            content: std::mem::take(content),
-                        },
-                    };
+                    progress
                 }
-                State::Padding {
-                    record,
-                    remaining_bytes,
-                } => {
-                    *remaining_bytes -= take_up_to(&mut rest, *remaining_bytes).len();
-                    if *remaining_bytes > 0 {
+                State::Content(_) if rest.is_empty() => return Ok((input.len(), None)),
+                State::Content(progress) => progress,
+                State::Padding(remaining_bytes) => {
+                    let remaining_bytes =
+                        remaining_bytes - take_up_to(&mut rest, remaining_bytes).len();
+                    if remaining_bytes > 0 {
+                        self.state = State::Padding(remaining_bytes);
                         return Ok((input.len(), None));
                     }
-                    let content = std::mem::take(&mut record.content);
-                    let record = Record { content, ..*record };
                     self.state = State::Header;
-                    return Ok((input.len() - rest.len(), Some(record)));
+                    continue;
                 }
-            }
+            };
+            let part = self.take_part(progress, &mut rest);
+            return Ok((input.len() - rest.len(), Some(part)));
         }
     }
 }
@@ -171,7 +198,7 @@
 
 /// Parses the header of a record. Returns `None` if it is not complete yet. The version is checked
 /// as soon as its byte has been received.
-fn read_header(received: &[u8]) -> Result<Option<Header>, ProtocolError> {
+fn read_header(received: &[u8]) -> Result<Option<RecordProgress>, ProtocolError> {
     if received.first().is_some_and(|version| *version != VERSION) {
         return Err(ProtocolError::Malformed(
             "the version of a FastCGI record (expected 1)",
@@ -179,11 +206,16 @@
     }
     Ok(match received {
         [_, record_type, id_high, id_low, length_high, length_low, padding, _reserved] => {
-            Some(Header {
+            let header = RecordHeader {
                 record_type: *record_type,
                 request_id: u16::from_be_bytes([*id_high, *id_low]),
                 content_bytes: usize::from(u16::from_be_bytes([*length_high, *length_low])),
+            };
+            Some(RecordProgress {
+                header,
                 padding_bytes: usize::from(*padding),
+                is_begun: false,
+                remaining_bytes: header.content_bytes,
             })
         }
         _ => None,
--- a/crates/proxy/src/protocol/http/head.rs
+++ b/crates/proxy/src/protocol/http/head.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Returns the number of bytes allocated for the start line and the headers.
+    pub fn allocated_bytes(&self) -> usize {
+        let headers = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.capacity() + value.capacity());
+        self.start_line.capacity() + headers.sum::<usize>()
+    }
+
     fn has_connection_option(&self, option: &str) -> bool {
         self.header("connection")
             .unwrap_or("")
--- a/crates/proxy/src/protocol/http/messages.rs
+++ b/crates/proxy/src/protocol/http/messages.rs
@@ -49,37 +49,49 @@
 #[derive(Clone, Debug)]
 pub struct MessageParser {
     reads_responses: bool,
+    head_limit_bytes: usize,
     body_limit_bytes: usize,
     state: State,
     line_buffer: LineBuffer,
     /// The head that is being received, or `None` before its start line.
     partial_head: Option<Head>,
+    /// Length of the lines of that head so far.
+    head_bytes: usize,
     /// Sum of the chunk sizes that the body has announced so far.
     announced_chunk_bytes: usize,
 }
 
 impl MessageParser {
-    /// Creates a parser for requests with limits on the length of each line and each body.
-    pub fn requests(line_limit_bytes: usize, body_limit_bytes: usize) -> Self {
+    /// Creates a parser for requests with limits on the length of each head and each body. The
+    /// limit of the head also applies to each line of a chunked body.
+    pub fn requests(head_limit_bytes: usize, body_limit_bytes: usize) -> Self {
         MessageParser {
             reads_responses: false,
+            head_limit_bytes,
             body_limit_bytes,
             state: State::Head,
-            line_buffer: LineBuffer::new(line_limit_bytes),
+            line_buffer: LineBuffer::new(head_limit_bytes),
             partial_head: None,
+            head_bytes: 0,
             announced_chunk_bytes: 0,
         }
     }
 
-    /// Creates a parser for responses with limits on the length of each line and each body. For
+    /// Creates a parser for responses with limits on the length of each head and each body. For
     /// streams, `body_limit_bytes` is `usize::MAX`.
-    pub fn responses(line_limit_bytes: usize, body_limit_bytes: usize) -> Self {
+    pub fn responses(head_limit_bytes: usize, body_limit_bytes: usize) -> Self {
         MessageParser {
             reads_responses: true,
-            ..Self::requests(line_limit_bytes, body_limit_bytes)
+            ..Self::requests(head_limit_bytes, body_limit_bytes)
         }
     }
 
+    /// Returns the number of bytes allocated for a head or a line that is partially received.
+    pub fn allocated_bytes(&self) -> usize {
+        let head_bytes = self.partial_head.as_ref().map_or(0, Head::allocated_bytes);
+        self.line_buffer.allocated_bytes() + head_bytes
+    }
+
     /// Returns whether the connection may be closed at this point: either its end also ends the
     /// message, or no message is partially received.
     pub fn may_end_at_close(&self) -> bool {
@@ -140,6 +152,10 @@
 
     /// Handles a line of the head. Returns the head if the line is the empty line that ends it.
     fn handle_head_line(&mut self, line: Vec<u8>) -> Result<Option<Head>, ProtocolError> {
+        self.head_bytes += line.len();
+        if self.head_bytes > self.head_limit_bytes {
+            return Err(ProtocolError::TooLong("the head of an HTTP message"));
+        }
         let line = String::from_utf8(line)
             .map_err(|_| ProtocolError::Malformed("an HTTP head (expected UTF-8)"))?;
         let Some(head) = &mut self.partial_head else {
@@ -150,6 +166,7 @@
             return Ok(None);
         };
         if line.is_empty() {
+            self.head_bytes = 0;
             return Ok(self.partial_head.take());
         }
         if head.headers.len() >= MAX_HEADERS {
--- a/crates/proxy/src/protocol/line.rs
+++ b/crates/proxy/src/protocol/line.rs
@@ -31,6 +31,11 @@
         self.partial.is_empty()
     }
 
+    /// Returns the number of bytes allocated for a part of a line.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Consumes input up to the end of the line, or all of the input if it has no line end.
     ///
     /// # Errors
--- a/crates/proxy/src/protocol/mod.rs
+++ b/crates/proxy/src/protocol/mod.rs
@@ -12,9 +12,12 @@
 pub mod fastcgi;
 pub mod http;
 mod line;
+mod receive_buffer;
 pub mod resp;
 pub mod sse;
 
+pub(crate) use receive_buffer::append_received;
+
 use thiserror::Error;
 
 /// Error for input that violates a protocol. The connection that delivered the input has to be
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -4,7 +4,7 @@
 //! CR LF, its bytes and CR LF. Other RESP types are not supported.
 
 use super::line::LineBuffer;
-use super::{Parser, ProtocolError};
+use super::{append_received, Parser, ProtocolError};
 use std::ops::RangeInclusive;
 
 /// Maximum length of a line that holds the length of an array or of a string, including the line
@@ -125,9 +125,10 @@
         missing_strings: usize,
         length_bytes: usize,
     ) -> Result<usize, ProtocolError> {
-        let wanted = length_bytes + LINE_END.len() - self.partial_string.len();
+        let final_bytes = length_bytes + LINE_END.len();
+        let wanted = final_bytes - self.partial_string.len();
         let consumed = wanted.min(input.len());
-        self.partial_string.extend_from_slice(&input[..consumed]);
+        append_received(&mut self.partial_string, &input[..consumed], final_bytes);
         if consumed == wanted {
             if !self.partial_string.ends_with(LINE_END) {
                 return Err(ProtocolError::Malformed(
--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use edge_proxy::protocol::fastcgi::{RecordHeader, RecordPart};
 use edge_proxy::protocol::http::{self, Piece};
 use edge_proxy::protocol::{fastcgi, resp, sse, ProtocolError};
 use proptest::collection::vec;
@@ -65,11 +66,50 @@
     request
 }
 
+/// Returns a whole FastCGI record as one part.
+fn whole_record(record_type: u8, request_id: u16, content: Vec<u8>) -> RecordPart {
+    let header = RecordHeader {
+        record_type,
+        request_id,
+        content_bytes: content.len(),
+    };
+    RecordPart {
+        header,
+        is_first: true,
+        content,
+        remaining_bytes: 0,
+    }
+}
+
+/// Joins the parts of each record. Records are split where the input is, so only whole records can
+/// be compared. Panics if the parts of a record do not follow each other.
+fn join_record_parts(parts: Vec<RecordPart>) -> Vec<RecordPart> {
+    let mut joined: Vec<RecordPart> = Vec::new();
+    for part in parts {
+        if part.is_first {
+            joined.push(part);
+            continue;
+        }
+        let record = joined
+            .last_mut()
+            .expect("a record begins with its first part");
+        assert_eq!(record.header, part.header);
+        assert_eq!(
+            record.remaining_bytes,
+            part.content.len() + part.remaining_bytes
+        );
+        record.content.extend(part.content);
+        record.remaining_bytes = part.remaining_bytes;
+    }
+    joined
+}
+
 /// Writes a FastCGI record with padding, which the proxy's own writer never adds.
-fn write_padded_record(out: &mut Vec<u8>, record: &fastcgi::Record, padding: u8) {
+fn write_padded_record(out: &mut Vec<u8>, record: &RecordPart, padding: u8) {
     const PADDING_LENGTH_OFFSET: usize = 6;
     let start = out.len();
-    fastcgi::write_record(out, record.record_type, record.request_id, &record.content);
+    let header = record.header;
+    fastcgi::write_record(out, header.record_type, header.request_id, &record.content);
     out[start + PADDING_LENGTH_OFFSET] = padding;
     out.extend(vec![0; usize::from(padding)]);
 }
@@ -93,12 +133,13 @@
         let mut input = Vec::new();
         let mut written = Vec::new();
         for (record_type, request_id, content, padding) in padded_records {
-            let record = fastcgi::Record { record_type, request_id, content };
+            let record = whole_record(record_type, request_id, content);
             write_padded_record(&mut input, &record, padding);
             written.push(record);
         }
-        assert_robust(fastcgi::RecordParser::default, &input, &splits, &garbage, |records| records);
-        let read = parse_all(fastcgi::RecordParser::default(), &input, &splits).unwrap();
+        let new_parser = fastcgi::RecordParser::default;
+        assert_robust(new_parser, &input, &splits, &garbage, join_record_parts);
+        let read = join_record_parts(parse_all(new_parser(), &input, &splits).unwrap());
         prop_assert_eq!(read, written);
     }
 
@@ -237,3 +278,54 @@
         );
     }
 }
+
+/// Guards against memory that grows with the number of headers: each line is short, but the head as
+/// a whole must not exceed the limit either.
+#[test]
+fn the_head_of_an_http_message_is_limited_as_a_whole() {
+    let request_with_headers = |count: usize| {
+        format!(
+            "GET / HTTP/1.1\r\n{}\r\n",
+            "A: 0123456789\r\n".repeat(count)
+        )
+    };
+    let parse = |count: usize| {
+        let parser = http::MessageParser::requests(99, 99);
+        parse_all(parser, request_with_headers(count).as_bytes(), &[])
+    };
+    assert!(parse(6).is_ok());
+    assert_eq!(
+        parse(7),
+        Err(ProtocolError::TooLong("the head of an HTTP message"))
+    );
+}
+
+/// A client may announce the longest record and send only its header. The receiver must learn of it
+/// before any content arrives, and the parser must keep none of the content.
+#[test]
+fn the_first_part_of_a_fastcgi_record_is_returned_with_its_header() {
+    let content = vec![b'a'; fastcgi::MAX_CONTENT_BYTES];
+    let mut record = Vec::new();
+    fastcgi::write_record(&mut record, fastcgi::record_type::PARAMS, 1, &content);
+    let (header, received) = record.split_at(fastcgi::HEADER_BYTES);
+    let splits = [header.len(), header.len() + 10];
+    let parts = parse_all(
+        fastcgi::RecordParser::default(),
+        &record[..header.len() + received.len() - 1],
+        &splits,
+    );
+    let lengths: Vec<_> = parts
+        .unwrap()
+        .iter()
+        .map(|part| (part.is_first, part.content.len(), part.remaining_bytes))
+        .collect();
+    let longest = fastcgi::MAX_CONTENT_BYTES;
+    assert_eq!(
+        lengths,
+        [
+            (true, 0, longest),
+            (false, 10, longest - 10),
+            (false, longest - 11, 1)
+        ]
+    );
+}
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -1,6 +1,7 @@
 //! Limits on connections and memory: which clients are disconnected when a limit is reached, and
 //! which are kept.
 
+use edge_proxy::protocol::fastcgi::{self, record_type};
 use edge_testkit::fake_cache::Behavior;
 use edge_testkit::fastcgi_client::{FastCgiClient, END_OF_INPUT_BYTES, HEALTH_CHECK_PATH};
 use edge_testkit::proxy_fixture::{
@@ -241,3 +242,82 @@
     drop((large_client, small_client));
     proxy.shut_down();
 }
+
+/// Returns the beginning of a request with a record that announces more than a request may have, and
+/// that never ends.
+fn oversized_request(request_id: u16, record_type: u8) -> Vec<u8> {
+    const RECEIVED_BYTES: usize = 100;
+    let begin = [0, 1, fastcgi::KEEP_CONN, 0, 0, 0, 0, 0];
+    let mut message = Vec::new();
+    fastcgi::write_record(&mut message, record_type::BEGIN_REQUEST, request_id, &begin);
+    if record_type == record_type::STDIN {
+        fastcgi::write_record(&mut message, record_type::PARAMS, request_id, &[]);
+    }
+    let content = [b'.'; fastcgi::MAX_CONTENT_BYTES];
+    let start = message.len();
+    fastcgi::write_record(&mut message, record_type, request_id, &content);
+    message.truncate(start + fastcgi::HEADER_BYTES + RECEIVED_BYTES);
+    message
+}
+
+/// Guards against requests without an answer: a request that exceeds a limit must be refused alone,
+/// as soon as it announces its length, and not take the others on its connection with it.
+#[test]
+fn an_oversized_request_is_refused_at_once_and_the_others_on_its_connection_are_answered() {
+    for record_type in [record_type::PARAMS, record_type::STDIN] {
+        let server = ScriptedServer::start().unwrap();
+        let proxy = ProxyFixture::builder().scripted_server(&server).start();
+        let mut client = proxy.connect();
+        client
+            .request_object(3, WRITE_CLASS, &object_key(1), LONG_BUDGET_MS)
+            .unwrap();
+        let mut connection = server.accept().unwrap();
+        let fetch = connection.next_fetch().unwrap();
+
+        client.send(&oversized_request(1, record_type)).unwrap();
+        let (request_id, response) = client.next_response().unwrap();
+        assert_eq!(request_id, 1);
+        assert!(response.is_none(), "a refused request has no response");
+
+        connection.answer_ok(&fetch.request_id).unwrap();
+        let (request_id, response) = next_response(&mut client);
+        assert_eq!((request_id, response.status), (3, 200));
+        assert!(
+            is_closed(&mut client),
+            "the rest of the request may arrive for as long as the connection stays open"
+        );
+        drop(connection);
+        proxy.shut_down();
+    }
+}
+
+/// Guards against memory that grows with the queries of a client: a repeated variable is answered
+/// once, and a query that is longer than any that is useful ends the connection.
+#[test]
+fn the_answer_to_a_query_for_variables_does_not_grow_with_the_query() {
+    const SHORT_QUERY_VARIABLES: usize = 20;
+    const LONG_QUERY_VARIABLES: usize = 2_000;
+    let query = |variables: usize| {
+        let mut names = Vec::new();
+        for _ in 0..variables {
+            fastcgi::write_pair(&mut names, "FCGI_MPXS_CONNS", "");
+        }
+        let mut message = Vec::new();
+        let (get_values, id) = (record_type::GET_VALUES, fastcgi::NULL_REQUEST_ID);
+        fastcgi::write_record(&mut message, get_values, id, &names);
+        message
+    };
+    let mut expected_pair = Vec::new();
+    fastcgi::write_pair(&mut expected_pair, "FCGI_MPXS_CONNS", "1");
+    let proxy = ProxyFixture::start();
+
+    let mut client = proxy.connect();
+    client.send(&query(SHORT_QUERY_VARIABLES)).unwrap();
+    let (record_type, content) = client.next_management_record().unwrap();
+    assert_eq!(record_type, record_type::GET_VALUES_RESULT);
+    assert_eq!(content, expected_pair);
+
+    client.send(&query(LONG_QUERY_VARIABLES)).unwrap();
+    assert!(is_closed(&mut client));
+    proxy.shut_down();
+}
--- a/crates/soak/src/client/connection.rs
+++ b/crates/soak/src/client/connection.rs
@@ -19,6 +19,8 @@
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 const PRECEDING_RECORD_BYTES: usize = 2_000;
+/// Offset of the protocol status in the content of an END_REQUEST record (FastCGI 1.0, section 5.5).
+const PROTOCOL_STATUS_OFFSET: usize = 4;
 
 /// An answer to a request.
 pub(super) struct Answer {
@@ -144,6 +146,7 @@
 ) -> io::Result<()> {
     let mut records = RecordParser::default();
     let mut partial: HashMap<u16, Vec<u8>> = HashMap::new();
+    let mut end_content = Vec::new();
     let mut chunk = vec![0; READ_BUFFER_BYTES];
     loop {
         let length = reader.read(&mut chunk).await?;
@@ -152,21 +155,20 @@
         };
         let mut input = &chunk[..length];
         while !input.is_empty() {
-            let (taken, record) = records.parse(input).map_err(io::Error::other)?;
+            let (taken, part) = records.parse(input).map_err(io::Error::other)?;
             input = &input[taken..];
-            let Some(record) = record else { continue };
-            match record.record_type {
-                record_type::STDOUT => partial
-                    .entry(record.request_id)
-                    .or_default()
-                    .extend(record.content),
+            let Some(part) = part else { continue };
+            let (request_id, is_last) = (part.header.request_id, part.is_last());
+            match part.header.record_type {
+                record_type::STDOUT => partial.entry(request_id).or_default().extend(part.content),
                 record_type::END_REQUEST => {
-                    let bytes = partial.remove(&record.request_id).unwrap_or_default();
-                    connection.deliver_answer(
-                        record.request_id,
-                        record.content.get(4).copied(),
-                        &bytes,
-                    );
+                    end_content.extend(part.content);
+                    if is_last {
+                        let content = std::mem::take(&mut end_content);
+                        let bytes = partial.remove(&request_id).unwrap_or_default();
+                        let protocol_status = content.get(PROTOCOL_STATUS_OFFSET).copied();
+                        connection.deliver_answer(request_id, protocol_status, &bytes);
+                    }
                 }
                 _ => {}
             }
--- a/crates/testkit/src/fastcgi_client.rs
+++ b/crates/testkit/src/fastcgi_client.rs
@@ -2,7 +2,7 @@
 
 use crate::sample_deployment::WRITE_CLASS;
 use crate::{Response, READ_CHUNK_BYTES, TEST_TIMEOUT};
-use edge_proxy::protocol::fastcgi::{self, record_type, RecordParser};
+use edge_proxy::protocol::fastcgi::{self, record_type, RecordParser, RecordPart};
 use edge_proxy::protocol::Parser;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -133,28 +133,56 @@
     /// ended without output, as an aborted request does.
     pub fn next_response(&mut self) -> io::Result<(u16, Option<Response>)> {
         loop {
-            let (consumed, record) = self
-                .record_parser
-                .parse(&self.input)
-                .map_err(|error| invalid_data(error.to_string()))?;
-            self.input.drain(..consumed);
-            match record {
-                Some(record) if record.record_type == record_type::STDOUT => self
+            let Some(part) = self.next_record_part()? else {
+                continue;
+            };
+            let request_id = part.header.request_id;
+            match part.header.record_type {
+                record_type::STDOUT => self
                     .partial_responses
-                    .entry(record.request_id)
+                    .entry(request_id)
                     .or_default()
-                    .extend(record.content),
-                Some(record) if record.record_type == record_type::END_REQUEST => {
-                    let output = self.partial_responses.remove(&record.request_id);
+                    .extend(part.content),
+                record_type::END_REQUEST if part.is_last() => {
+                    let output = self.partial_responses.remove(&request_id);
                     let response = output.map(|bytes| parse_cgi_response(&bytes)).transpose()?;
-                    return Ok((record.request_id, response));
+                    return Ok((request_id, response));
                 }
-                Some(_) => {}
-                None => self.read_more()?,
+                _ => {}
             }
         }
     }
 
+    /// Waits for a management record. Returns its type and its content. Other records are dropped.
+    pub fn next_management_record(&mut self) -> io::Result<(u8, Vec<u8>)> {
+        let mut content = Vec::new();
+        loop {
+            let Some(part) = self.next_record_part()? else {
+                continue;
+            };
+            if part.header.request_id == fastcgi::NULL_REQUEST_ID {
+                content.extend_from_slice(&part.content);
+                if part.is_last() {
+                    return Ok((part.header.record_type, content));
+                }
+            }
+        }
+    }
+
+    /// Returns the next part of a record in the input. If there is none, reads more input and
+    /// returns `None`.
+    fn next_record_part(&mut self) -> io::Result<Option<RecordPart>> {
+        let (consumed, part) = self
+            .record_parser
+            .parse(&self.input)
+            .map_err(|error| invalid_data(error.to_string()))?;
+        self.input.drain(..consumed);
+        if part.is_none() {
+            self.read_more()?;
+        }
+        Ok(part)
+    }
+
     fn read_more(&mut self) -> io::Result<()> {
         let mut chunk = [0; READ_CHUNK_BYTES];
         match self.socket.read(&mut chunk)? {
