Requests with an idempotency key are repeated only where the key is recognized

Cause: only pick_for_write looked at the dedup scope, and it serves classes that keep no copies. Every other class goes through pick_cache and pick_last_resort, which looked at no earlier attempt. The guard in the request table, which every attempt passes, let any keyed class pass; may_attempt and send_by bounded the window, not the place.

Change: Selection::may_repeat_at holds the rule, and all three pickers ask it. The guard checks scope and window for itself before the first byte (invariant RepeatWithinDedupScope). The same cause elsewhere: - the place of the first attempt was looked up when it ended. By then its server may have left the list (no server was in its cell then; a server of unknown zone was in its zone) or be listed in another cell.

Tests, red on: a_read_with_an_idempotency_key_is_retried_only_in_its_cell (40 objects, four outcomes), a_read_is_retried_in_the_cell_that_its_server_had_when_it_was_sent, a_read_with_an_idempotency_key_does_not_go_directly_to_a_parent_of_another_zone, an_idempotent_write_is_retried_in_any_cell, a_retry_is_not_sent_to_a_server_that_has_moved_to_another_cell.

--- a/crates/proxy/src/invariants.rs
+++ b/crates/proxy/src/invariants.rs
@@ -22,6 +22,9 @@
     /// Retrying: no earlier attempt may have been executed, unless the request class allows a
     /// repetition.
     RepeatOnlyIfSafe,
+    /// Retrying: a request with an idempotency key that may have been executed is sent only to a
+    /// server that recognizes the repetition, and only while that server remembers the key.
+    RepeatWithinDedupScope,
     /// Retrying: a request has at most one attempt in flight.
     OneAttemptInFlight,
     /// Retrying: a rejection, which promises the client that a retry does no harm, is true.
@@ -39,12 +42,13 @@
 
 impl Invariant {
     /// All invariants, in the order of their declaration.
-    pub const ALL: [Invariant; 11] = [
+    pub const ALL: [Invariant; 12] = [
         Invariant::SendToReadyServer,
         Invariant::FillFromReadySource,
         Invariant::SendForWaitingClient,
         Invariant::SendWithinClientTime,
         Invariant::RepeatOnlyIfSafe,
+        Invariant::RepeatWithinDedupScope,
         Invariant::OneAttemptInFlight,
         Invariant::RejectOnlyIfSafe,
         Invariant::CloseOnlyIfAnswered,
--- a/crates/proxy/src/request_table/attempt.rs
+++ b/crates/proxy/src/request_table/attempt.rs
@@ -1,6 +1,7 @@
 //! An attempt to serve a request at one server: its parameters, its time limits, and how it ended.
 
 use super::request::{Content, RequestKey};
+use super::servers::DedupLocation;
 use super::trace::AttemptTrace;
 use edge_routing::{AttemptReport, Fill, FillResult, LoadReport, Micros, Outcome, ServerId};
 
@@ -78,39 +79,65 @@
     pub(super) send_by: Option<Micros>,
 }
 
+/// The first attempt of a request that a server may have executed.
+#[derive(Clone, Copy)]
+pub(super) struct PossibleExecution {
+    /// When the attempt was started, which is no later than it was sent.
+    pub(super) started_at: Micros,
+    /// Where the server was when the attempt was started. `None` if the server was gone.
+    pub(super) location: Option<DedupLocation>,
+}
+
 /// An attempt that was started and has not been reported as ended.
 #[derive(Clone, Copy)]
 pub(super) struct InFlightAttempt {
     pub(super) number: u32,
     started_at: Micros,
+    /// Where the server was when the attempt was started. `None` if the server was gone.
+    location: Option<DedupLocation>,
     pub(super) spec: AttemptSpec,
     /// The outcome to report when the cancellation of the attempt is confirmed. `None` if the
     /// attempt is not cancelled.
     cancellation_outcome: Option<Outcome>,
 }
 
+impl RoutingDecision {
+    /// Returns the parameters of the attempt. It ends at `deadline`.
+    pub(super) fn to_spec(self, deadline: Micros) -> AttemptSpec {
+        AttemptSpec {
+            server: self.server,
+            fill: self.fill,
+            max_age_us: self.fill.and_then(|fill| fill.max_age_us),
+            deadline,
+            send_by: self.send_by,
+        }
+    }
+}
+
 impl InFlightAttempt {
     pub(super) fn new(
         now: Micros,
         number: u32,
-        deadline: Micros,
-        decision: RoutingDecision,
+        spec: AttemptSpec,
+        location: Option<DedupLocation>,
     ) -> Self {
-        let spec = AttemptSpec {
-            server: decision.server,
-            fill: decision.fill,
-            max_age_us: decision.fill.and_then(|fill| fill.max_age_us),
-            deadline,
-            send_by: decision.send_by,
-        };
         InFlightAttempt {
             number,
             started_at: now,
+            location,
             spec,
             cancellation_outcome: None,
         }
     }
 
+    /// Returns the attempt as a possible execution of its request.
+    pub(super) fn possible_execution(&self) -> PossibleExecution {
+        PossibleExecution {
+            started_at: self.started_at,
+            location: self.location,
+        }
+    }
+
     pub(super) fn is_cancelled(&self) -> bool {
         self.cancellation_outcome.is_some()
     }
--- a/crates/proxy/src/request_table/guard.rs
+++ b/crates/proxy/src/request_table/guard.rs
@@ -3,47 +3,100 @@
 
 use super::attempt::{AttemptId, AttemptSpec};
 use super::request::{Answer, ClientRequest, PendingRequest};
+use super::servers::DedupLocation;
 use super::RequestTable;
 use crate::invariants::Invariant;
-use edge_routing::{Idempotency, Micros, Settings};
+use edge_routing::{Class, DedupScope, Idempotency, Micros, Settings};
 use std::collections::HashMap;
 
 /// How long after the deadline a final answer still counts as given in time. A later answer is lost
 /// to the client, and means that the event loop was held up or a timer was missed.
 const MAX_ANSWER_LATENESS_US: Micros = 500_000;
 
-/// The idempotency of each request class, by the name of the class.
-pub(super) struct IdempotencyRules {
-    by_class: HashMap<String, Idempotency>,
+/// The properties of a request class that checks depend on.
+#[derive(Clone, Copy)]
+struct ClassRule {
+    idempotency: Idempotency,
+    dedup_scope: DedupScope,
+    dedup_window_us: Micros,
 }
 
-impl IdempotencyRules {
+/// A class that the settings don't name counts as idempotent, because its requests are never
+/// executed.
+const UNKNOWN_CLASS: ClassRule = ClassRule {
+    idempotency: Idempotency::Idempotent,
+    dedup_scope: DedupScope::All,
+    dedup_window_us: 0,
+};
+
+/// The rules of each request class, by the name of the class.
+pub(super) struct ClassRules {
+    by_class: HashMap<String, ClassRule>,
+}
+
+impl ClassRules {
     pub(super) fn from_settings(settings: &Settings) -> Self {
+        let rule = |class: &Class| ClassRule {
+            idempotency: class.idempotency,
+            dedup_scope: class.dedup_scope,
+            dedup_window_us: class.dedup_window_us,
+        };
         let classes = settings.classes.iter();
-        IdempotencyRules {
+        ClassRules {
             by_class: classes
-                .map(|class| (class.name.clone(), class.idempotency))
+                .map(|class| (class.name.clone(), rule(class)))
                 .collect(),
         }
     }
 
-    /// Returns the idempotency of a request's class. A class that the settings don't name counts as
-    /// idempotent, because its requests are never executed.
-    fn idempotency_of(&self, request: &ClientRequest) -> Idempotency {
+    fn rule_of(&self, request: &ClientRequest) -> ClassRule {
         let known = self.by_class.get(&request.class);
-        known.copied().unwrap_or(Idempotency::Idempotent)
+        known.copied().unwrap_or(UNKNOWN_CLASS)
     }
 
     /// Returns whether the request lacks the idempotency key under which its class is retried.
     pub(super) fn lacks_required_key(&self, request: &ClientRequest) -> bool {
         request.idempotency_key.is_none()
-            && self.idempotency_of(request) == Idempotency::IdempotencyKey
+            && self.rule_of(request).idempotency == Idempotency::IdempotencyKey
     }
 
     /// Returns whether a request may be sent again, considering its class and earlier attempts.
     fn allows_retry(&self, pending: &PendingRequest) -> bool {
         !pending.may_have_executed()
-            || self.idempotency_of(&pending.request) != Idempotency::NonIdempotent
+            || self.rule_of(&pending.request).idempotency != Idempotency::NonIdempotent
+    }
+
+    /// Returns whether an attempt at `location` can't execute a request with an idempotency key a
+    /// second time. `location` is `None` if the server is gone.
+    fn recognizes_repetition(
+        &self,
+        now: Micros,
+        pending: &PendingRequest,
+        location: Option<DedupLocation>,
+    ) -> bool {
+        let rule = self.rule_of(&pending.request);
+        let Some(execution) = pending.first_possible_execution() else {
+            return true;
+        };
+        if rule.idempotency != Idempotency::IdempotencyKey {
+            return true;
+        }
+        let shares_scope = match (execution.location, location) {
+            (Some(first), Some(next)) => first.shares_scope(next, rule.dedup_scope),
+            _ => rule.dedup_scope == DedupScope::All,
+        };
+        shares_scope && now < execution.started_at + rule.dedup_window_us
+    }
+
+    /// Returns whether the client may be told that a retry does no harm. Its retry may reach any
+    /// server.
+    fn allows_rejection(&self, pending: &PendingRequest) -> bool {
+        let rule = self.rule_of(&pending.request);
+        let recognized_everywhere =
+            rule.idempotency == Idempotency::IdempotencyKey && rule.dedup_scope == DedupScope::All;
+        !pending.may_have_executed()
+            || rule.idempotency == Idempotency::Idempotent
+            || recognized_everywhere
     }
 }
 
@@ -76,6 +129,14 @@
             & check(
                 Invariant::SendWithinClientTime,
                 spec.deadline <= pending.deadline,
+            )
+            & check(
+                Invariant::RepeatWithinDedupScope,
+                self.class_rules.recognizes_repetition(
+                    now,
+                    pending,
+                    self.servers.dedup_location(spec.server),
+                ),
             );
         may_be_sent.then_some((&pending.request, spec))
     }
@@ -84,7 +145,7 @@
     pub(super) fn may_start_attempt(&self, pending: &PendingRequest) -> bool {
         let id = &pending.request.id;
         let none_in_flight = pending.in_flight.is_none();
-        let is_safe = self.idempotency_rules.allows_retry(pending);
+        let is_safe = self.class_rules.allows_retry(pending);
         self.invariants
             .check(Invariant::OneAttemptInFlight, none_in_flight, id)
             & self
@@ -108,7 +169,7 @@
         let in_time = now <= pending.deadline + MAX_ANSWER_LATENESS_US;
         self.invariants.check(Invariant::AnswerInTime, in_time, id);
         let is_rejected = matches!(answer, Answer::Rejected { .. });
-        let is_safe = !is_rejected || self.idempotency_rules.allows_retry(pending);
+        let is_safe = !is_rejected || self.class_rules.allows_rejection(pending);
         if self
             .invariants
             .check(Invariant::RejectOnlyIfSafe, is_safe, id)
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -34,7 +34,7 @@
 pub use self::servers::{server_id, ListedServer, ServerAddress};
 pub use self::trace::{AttemptTrace, RequestEnding, RequestTrace};
 
-use self::guard::IdempotencyRules;
+use self::guard::ClassRules;
 use self::pending_requests::PendingRequests;
 use self::purges::{PermanentPurges, Purge, PurgeTarget};
 use self::request::PendingRequest;
@@ -61,7 +61,7 @@
     /// Reused for every event to avoid allocations. The buffer is empty between events.
     action_buffer: Vec<Action>,
     requests: PendingRequests,
-    idempotency_rules: IdempotencyRules,
+    class_rules: ClassRules,
     deadline_timing: DeadlineTiming,
     servers: ServerDirectory,
     permanent_purges: PermanentPurges,
@@ -86,7 +86,7 @@
     /// settings.
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Result<Self, SettingsError> {
         Ok(RequestTable {
-            idempotency_rules: IdempotencyRules::from_settings(&settings),
+            class_rules: ClassRules::from_settings(&settings),
             router: Router::new(settings, seed)?,
             action_buffer: Vec::new(),
             requests: PendingRequests::new(limits.pending_requests, limits.total_body_bytes),
@@ -287,7 +287,7 @@
         answer_target: AnswerTarget,
         mut request: ClientRequest,
     ) -> Result<RequestKey, AdmissionError> {
-        if self.idempotency_rules.lacks_required_key(&request) {
+        if self.class_rules.lacks_required_key(&request) {
             return Err(AdmissionError::MissingIdempotencyKey);
         }
         request.remaining_us = request
@@ -341,7 +341,7 @@
             return;
         };
         result.outcome = ended.effective_outcome(result.outcome);
-        pending.record_outcome(result.outcome);
+        pending.record_outcome(&ended, result.outcome);
         log::debug!(
             "request {}: attempt {} at server #{:016x} ended: {:?}",
             pending.request.id,
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -1,6 +1,7 @@
 //! A client's request, its final answer, and the state kept while the request is pending.
 
-use super::attempt::{InFlightAttempt, RoutingDecision};
+use super::attempt::{InFlightAttempt, PossibleExecution, RoutingDecision};
+use super::servers::DedupLocation;
 use super::trace::{RequestEnding, RequestTrace};
 use crate::net::SlabKey;
 use edge_routing::{Micros, Outcome, Request};
@@ -112,8 +113,8 @@
     pub(super) deadline: Micros,
     /// Number of attempts started so far, which is the number of the next attempt.
     attempts_started: u32,
-    /// Whether any attempt ended in a way that does not rule out that the request was executed.
-    may_have_executed: bool,
+    /// The first attempt that ended in a way that does not rule out that the request was executed.
+    first_possible_execution: Option<PossibleExecution>,
     pub(super) in_flight: Option<InFlightAttempt>,
     pub(super) trace: RequestTrace,
 }
@@ -125,7 +126,7 @@
             deadline: now + request.remaining_us,
             request,
             attempts_started: 0,
-            may_have_executed: false,
+            first_possible_execution: None,
             in_flight: None,
             trace: RequestTrace::new(now),
         }
@@ -151,22 +152,31 @@
         Some(target)
     }
 
-    /// Records how an attempt ended, which decides whether the request may be retried.
-    pub(super) fn record_outcome(&mut self, outcome: Outcome) {
-        self.may_have_executed |= !outcome.rules_out_execution();
+    /// Records how an attempt ended, which decides whether and where the request may be retried.
+    pub(super) fn record_outcome(&mut self, ended: &InFlightAttempt, outcome: Outcome) {
+        if !outcome.rules_out_execution() {
+            self.first_possible_execution
+                .get_or_insert(ended.possible_execution());
+        }
     }
 
     /// Returns whether the request may have taken effect, or may still do so.
     pub(super) fn may_have_executed(&self) -> bool {
-        self.may_have_executed || self.in_flight.is_some()
+        self.first_possible_execution.is_some() || self.in_flight.is_some()
+    }
+
+    /// Returns the first attempt that has ended and may have executed the request.
+    pub(super) fn first_possible_execution(&self) -> Option<PossibleExecution> {
+        self.first_possible_execution
     }
 
     /// Starts the next attempt and records it as in flight. The deadline of the attempt is never
-    /// later than that of the request.
+    /// later than that of the request. `location` is that of the server.
     pub(super) fn start_attempt(
         &mut self,
         now: Micros,
         decision: RoutingDecision,
+        location: Option<DedupLocation>,
     ) -> InFlightAttempt {
         let number = self.attempts_started;
         self.attempts_started += 1;
@@ -174,7 +184,7 @@
             .timeout_us
             .map_or(self.deadline, |timeout_us| now + timeout_us)
             .min(self.deadline);
-        let attempt = InFlightAttempt::new(now, number, deadline, decision);
+        let attempt = InFlightAttempt::new(now, number, decision.to_spec(deadline), location);
         self.in_flight = Some(attempt);
         attempt
     }
--- a/crates/proxy/src/request_table/router_actions.rs
+++ b/crates/proxy/src/request_table/router_actions.rs
@@ -72,10 +72,11 @@
         if !self.may_start_attempt(pending) {
             return self.fail_if_unsettled(now, request_key);
         }
+        let location = self.servers.dedup_location(decision.server);
         let Some(pending) = self.requests.get_mut(request_key) else {
             return;
         };
-        let in_flight = pending.start_attempt(now, decision);
+        let in_flight = pending.start_attempt(now, decision, location);
         let request_deadline = pending.deadline;
         log::debug!(
             "request {}: starting attempt {} at server #{:016x}",
--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -1,6 +1,6 @@
 //! The servers that discovery lists, with the wire id, address and lifecycle state of each.
 
-use edge_routing::{Endpoint, EndpointListMode, EndpointState, ServerId};
+use edge_routing::{DedupScope, Endpoint, EndpointListMode, EndpointState, ServerId};
 use fnv::FnvHasher;
 use std::collections::BTreeMap;
 use std::hash::Hasher;
@@ -20,8 +20,12 @@
 /// Returns the id of a server within the proxy: the 64-bit FNV-1a hash of its wire id. It is the
 /// same at every proxy, so that all routers compute the same order of servers from it.
 pub fn server_id(wire_id: &str) -> ServerId {
+    hash_of(wire_id)
+}
+
+fn hash_of(text: &str) -> u64 {
     let mut hasher = FnvHasher::default();
-    hasher.write(wire_id.as_bytes());
+    hasher.write(text.as_bytes());
     hasher.finish()
 }
 
@@ -34,10 +38,31 @@
     pub address: SocketAddr,
 }
 
+/// The zone and the cell of a server, which determine the servers that recognize the repetitions
+/// of a request that the server has executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct DedupLocation {
+    /// Hash of the name of the zone.
+    zone: u64,
+    cell: u64,
+}
+
+impl DedupLocation {
+    /// Returns whether servers at two locations recognize each other's requests.
+    pub(super) fn shares_scope(self, other: DedupLocation, scope: DedupScope) -> bool {
+        match scope {
+            DedupScope::All => true,
+            DedupScope::Zone => self.zone == other.zone,
+            DedupScope::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 struct KnownServer {
     wire_id: String,
     address: SocketAddr,
     state: EndpointState,
+    location: DedupLocation,
 }
 
 /// The servers that are ready or draining. A server that is gone is removed, because new servers
@@ -91,12 +116,18 @@
     /// also returned if its first entry says that it is draining.
     fn apply_entry(&mut self, entry: &ListedServer) -> Option<ServerId> {
         let id = entry.endpoint.id;
+        let location = DedupLocation {
+            zone: hash_of(&entry.endpoint.zone),
+            cell: entry.endpoint.cell,
+        };
         let server = self.servers.entry(id).or_insert_with(|| KnownServer {
             wire_id: entry.wire_id.clone(),
             address: entry.address,
             state: EndpointState::Ready,
+            location,
         });
         server.address = entry.address;
+        server.location = location;
         self.set_state(id, entry.endpoint.state)
     }
 
@@ -123,6 +154,11 @@
             .is_some_and(|server| server.state == EndpointState::Ready)
     }
 
+    /// Returns the zone and the cell of a server, or `None` if the server is gone.
+    pub(super) fn dedup_location(&self, id: ServerId) -> Option<DedupLocation> {
+        Some(self.servers.get(&id)?.location)
+    }
+
     /// Returns the wire id and address of a server, or `None` if the server is gone.
     pub(super) fn server_address(&self, id: ServerId) -> Option<ServerAddress<'_>> {
         let server = self.servers.get(&id)?;
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -1,5 +1,6 @@
 //! The request table alone: requests, attempts and final answers, without connections or protocols.
 
+use edge_proxy::invariants::Invariant;
 use edge_proxy::limits::Limits;
 use edge_proxy::net::SlabKey;
 use edge_proxy::request_table::{
@@ -586,3 +587,42 @@
     };
     assert_eq!(request_table.counters, expected);
 }
+
+/// Returns the sample settings with reads that carry an idempotency key, which only the servers of
+/// one cell recognize.
+fn settings_with_reads_keyed_by_cell() -> Value {
+    let mut settings = sample_settings();
+    let reads = &mut settings["categories"][0];
+    reads["repeat"] = "token".into();
+    reads["dedup-scope"] = "cell".into();
+    reads["window-us"] = 3_000_000.into();
+    settings
+}
+
+/// Guards against a request that is executed twice: while its retry waits to be sent, discovery
+/// lists the server of the retry in another cell, which has not seen the idempotency key.
+#[test]
+fn a_retry_is_not_sent_to_a_server_that_has_moved_to_another_cell() {
+    let settings = settings_with_reads_keyed_by_cell();
+    let mut request_table = new_table_with_settings(&settings, &limits());
+    let request = ClientRequest {
+        idempotency_key: Some("1".into()),
+        ..read_request()
+    };
+    admit(&mut request_table, 1, request).unwrap();
+    let first = started_attempt(&request_table.take_commands()).unwrap();
+    request_table.attempt_ended(NOW_US, first, Outcome::Reset.into());
+    let retry = started_attempt(&request_table.take_commands()).unwrap();
+    let (_, spec) = request_table.sendable_attempt(NOW_US, retry).unwrap();
+    let server = ["a", "b"]
+        .into_iter()
+        .find(|wire_id| server_id(wire_id) == spec.server);
+
+    let mut moved = cache_server(server.unwrap(), EndpointState::Ready);
+    moved.endpoint.cell = 7;
+    request_table.update_endpoints(NOW_US, EndpointListMode::Delta, vec![moved]);
+
+    assert!(request_table.sendable_attempt(NOW_US, retry).is_none());
+    let violation = Invariant::RepeatWithinDedupScope;
+    assert_eq!(request_table.invariants.violations_of(violation), 1);
+}
--- a/crates/routing/src/policy/attempt_end.rs
+++ b/crates/routing/src/policy/attempt_end.rs
@@ -264,10 +264,9 @@
         let source_at_fault = end.source_fault_share >= MIN_SOURCE_FAULT_SHARE || source_ejected;
         let unresponsive = end.unresponsive_source;
         if !report.outcome.rules_out_execution() {
-            let possible_execution = self.servers.first_possible_execution(&attempt);
             request
                 .first_possible_execution
-                .get_or_insert(possible_execution);
+                .get_or_insert(attempt.possible_execution());
         }
         request.failed_fill_sources.extend(unresponsive);
         let source_reported = report.fill_result.source_failed();
--- a/crates/routing/src/policy/replication.rs
+++ b/crates/routing/src/policy/replication.rs
@@ -2,7 +2,7 @@
 //! and which source fills a miss.
 
 use super::Router;
-use crate::settings::{DedupScope, Micros, PeerFill};
+use crate::settings::{Idempotency, Micros, PeerFill};
 use crate::state::{RankedServers, RequestState, ServerState, Target};
 
 /// Lower bound of the total decayed request count when the share of an object in it is computed.
@@ -56,13 +56,13 @@
 
     /// Picks a cache server uniformly at random among the usable ones that should hold a copy. If
     /// there is none, picks the next usable cache server in the rendezvous order. A cache server is
-    /// usable if it has not failed the request, is available, may receive the request by the rules
-    /// and is expected to answer in time. Returns None if no cache server is usable, or if the
-    /// request needs a fill and there is no fill source.
+    /// usable if it has not failed the request, recognizes a repetition of it, is available, may
+    /// receive the request by the rules and is expected to answer in time. Returns None if no cache
+    /// server is usable, or if the request needs a fill and there is no fill source.
     fn pick_cache(&self) -> Option<Target> {
-        let failed_servers = &self.request.failed_servers;
-        let usable =
-            |cache: &&ServerState| !failed_servers.contains(&cache.id) && self.can_serve(cache);
+        let usable = |cache: &&ServerState| {
+            !self.has_failed(cache) && self.may_repeat_at(cache) && self.can_serve(cache)
+        };
         let (caches, copy_count) = (self.ranked.caches.iter().copied(), self.copy_count());
         let usable_holders: Vec<_> = caches.clone().take(copy_count).filter(usable).collect();
         let cache = if usable_holders.is_empty() {
@@ -132,30 +132,41 @@
         preferred.or(sources.first().copied())
     }
 
+    /// Returns whether a server has failed the request.
+    fn has_failed(&self, server: &ServerState) -> bool {
+        self.request.failed_servers.contains(&server.id)
+    }
+
+    /// Returns whether an attempt at a server cannot execute the request a second time. If an
+    /// earlier attempt may have been executed and the class carries an idempotency key, only the
+    /// servers within the dedup scope of that attempt recognize the repetition. Whether a further
+    /// attempt is allowed at all is decided in [`Router::may_attempt`].
+    fn may_repeat_at(&self, server: &ServerState) -> bool {
+        let class = self.router.class(self.request);
+        if class.idempotency != Idempotency::IdempotencyKey {
+            return true;
+        }
+        self.request
+            .first_possible_execution
+            .is_none_or(|execution| {
+                let location = server.dedup_location();
+                execution.location.shares_scope(location, class.dedup_scope)
+            })
+    }
+
     /// Picks the target of a write, which is executed at the origin. The write is sent to the
-    /// origin directly where that is allowed, otherwise through a cache server. If an earlier
-    /// attempt may have been executed, only servers within the dedup scope of that attempt may
-    /// receive the write. Returns None if no server may receive it.
+    /// origin directly where that is allowed, otherwise through a cache server. Returns None if no
+    /// server may receive it.
     fn pick_for_write(&self) -> Option<Target> {
-        let scope = self.router.class(self.request).dedup_scope;
-        let repeat_is_safe_at = |server: &ServerState| {
-            self.request
-                .first_possible_execution
-                .is_none_or(|execution| match scope {
-                    DedupScope::All => true,
-                    DedupScope::Zone => server.zone_index == execution.zone_index,
-                    DedupScope::Cell => server.cell == execution.cell,
-                })
-        };
         // A write can be executed only at the origin, so it is sent there even while the origin is
         // ejected.
         let origin = self.ranked.origin?;
-        if self.router.settings.direct_requests && repeat_is_safe_at(origin) {
+        if self.router.settings.direct_requests && self.may_repeat_at(origin) {
             return Some(Target::new(origin, None));
         }
         let mut caches = self.ranked.caches.iter().copied();
         let usable = |cache: &ServerState| cache.is_available(self.now) && self.rules_allow(cache);
-        let cache = caches.find(|cache| repeat_is_safe_at(cache) && usable(cache))?;
+        let cache = caches.find(|cache| self.may_repeat_at(cache) && usable(cache))?;
         Some(Target::new(cache, Some(origin)))
     }
 
@@ -166,13 +177,13 @@
     /// requests are allowed, the origin has not failed a fill for the request, and the location's
     /// link is not full. Otherwise it is the first reachable cache server that would serve the
     /// request in time, ejected or not: when ejections leave no cache server available, they
-    /// indicate overload rather than faults of single servers. Servers that have failed the request
-    /// or may not receive it by the rules are left out.
+    /// indicate overload rather than faults of single servers. Servers that have failed the
+    /// request, do not recognize a repetition of it or may not receive it by the rules are left
+    /// out.
     fn pick_last_resort(&self) -> Option<Target> {
         let (caches, origin) = (&self.ranked.caches, self.ranked.origin);
-        let failed_servers = &self.request.failed_servers;
         let may_receive = |server: &&&ServerState| {
-            !failed_servers.contains(&server.id) && self.rules_allow(server)
+            !self.has_failed(server) && self.may_repeat_at(server) && self.rules_allow(server)
         };
         let origin_failed =
             origin.is_some_and(|origin| self.request.has_failed_fill_source(origin.id));
--- a/crates/routing/src/policy/retry.rs
+++ b/crates/routing/src/policy/retry.rs
@@ -113,6 +113,7 @@
             self.latency[request.class_index].slow_threshold_s(request.unshared_transfer_s);
         let completion_us = self.settings.rules.purge_completion_us;
         InFlightAttempt {
+            location: self.servers.dedup_location(target.server),
             expected_by: self.expected_by(now, request, slow_s),
             stalls_at: stalls_at(now, request, slow_s),
             transfers_at_server: in_flight + 1.0,
--- a/crates/routing/src/state/mod.rs
+++ b/crates/routing/src/state/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use popularity::Popularity;
 pub(crate) use purges::PurgeTable;
 pub(crate) use requests::{
-    EndedAttempt, FirstPossibleExecution, InFlightAttempt, RequestState, RequestTable,
+    DedupLocation, EndedAttempt, InFlightAttempt, RequestState, RequestTable,
 };
 pub(crate) use servers::{RankedServers, Role, ServerState, ServerTable, Target};
 
--- a/crates/routing/src/state/requests.rs
+++ b/crates/routing/src/state/requests.rs
@@ -4,19 +4,44 @@
 use crate::action::Action;
 use crate::estimate::hash;
 use crate::event::{Request, RequestId, ServerId};
-use crate::settings::{Class, Micros};
+use crate::settings::{Class, DedupScope, Micros};
 use std::collections::{btree_map, BTreeMap};
 
+/// The zone and the cell of a server, which determine the servers that recognize the repetitions
+/// of a request that the server has executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct DedupLocation {
+    /// The zone of the server, as an index into the zones of the settings. `None` if it is unknown.
+    pub(crate) zone_index: Option<usize>,
+    /// The cell of the server. `None` if it is unknown.
+    pub(crate) cell: Option<u64>,
+}
+
+impl DedupLocation {
+    /// The location of a server that is not in the table.
+    pub(crate) const UNKNOWN: DedupLocation = DedupLocation {
+        zone_index: None,
+        cell: None,
+    };
+
+    /// Returns whether two servers recognize each other's requests. Within a zone or a cell, a
+    /// server of unknown location recognizes no requests of others.
+    pub(crate) fn shares_scope(self, other: DedupLocation, scope: DedupScope) -> bool {
+        match scope {
+            DedupScope::All => true,
+            DedupScope::Zone => self.zone_index.is_some() && self.zone_index == other.zone_index,
+            DedupScope::Cell => self.cell.is_some() && self.cell == other.cell,
+        }
+    }
+}
+
 /// The first attempt of a request that a server may have executed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct FirstPossibleExecution {
     /// When the attempt was sent.
     pub(crate) sent_at: Micros,
-    /// The zone of the server, as an index into the zones of the settings. `None` if the settings
-    /// do not have the zone.
-    pub(crate) zone_index: Option<usize>,
-    /// The cell of the server.
-    pub(crate) cell: u64,
+    /// Where the server was when the attempt was sent. The endpoint list may have changed since.
+    pub(crate) location: DedupLocation,
 }
 
 /// An attempt that was sent and has not ended.
@@ -30,6 +55,8 @@
     pub(crate) fill_source: Option<ServerId>,
     /// When the attempt was sent.
     pub(crate) sent_at: Micros,
+    /// Where the server was when the attempt was sent.
+    pub(crate) location: DedupLocation,
     /// The time until which the answer is expected. The attempt is late from then on.
     pub(crate) expected_by: Micros,
     /// The time from which the attempt counts as stalled. Sharing of links does not explain that it
@@ -52,13 +79,15 @@
 
 impl InFlightAttempt {
     /// Creates an attempt with this number that is sent now. It is never late or stalled until
-    /// `expected_by` and `stalls_at` are set.
+    /// `expected_by` and `stalls_at` are set, and the location of its server is unknown until
+    /// `location` is set.
     pub(crate) fn new(now: Micros, number: u32, target: Target) -> Self {
         InFlightAttempt {
             number,
             server: target.server,
             fill_source: target.fill_source,
             sent_at: now,
+            location: DedupLocation::UNKNOWN,
             expected_by: Micros::MAX,
             stalls_at: Micros::MAX,
             transfers_at_server: 0.0,
@@ -69,6 +98,14 @@
         }
     }
 
+    /// Returns the attempt as a possible execution of its request.
+    pub(crate) fn possible_execution(&self) -> FirstPossibleExecution {
+        FirstPossibleExecution {
+            sent_at: self.sent_at,
+            location: self.location,
+        }
+    }
+
     /// Marks the attempt as cancelled and returns the action that cancels it.
     pub(crate) fn cancel(&mut self, request: RequestId) -> Action {
         self.cancelled = true;
--- a/crates/routing/src/state/servers.rs
+++ b/crates/routing/src/state/servers.rs
@@ -1,6 +1,6 @@
 //! The servers of the endpoint list, with what the router has observed of each.
 
-use super::{FirstPossibleExecution, InFlightAttempt};
+use super::{DedupLocation, InFlightAttempt};
 use crate::estimate::{rendezvous, SharedLoadEstimate, TransferPace};
 use crate::event::{Endpoint, EndpointListMode, EndpointState, RequestId, ServerId};
 use crate::settings::{Micros, Settings, WarmUp};
@@ -111,6 +111,14 @@
         (initial_share + growth).min(1.0)
     }
 
+    /// Returns the zone and the cell of the server.
+    pub(crate) fn dedup_location(&self) -> DedupLocation {
+        DedupLocation {
+            zone_index: self.zone_index,
+            cell: Some(self.cell),
+        }
+    }
+
     /// Returns whether the server may not have its full capacity yet.
     pub(crate) fn is_warming_up(&self, now: Micros) -> bool {
         self.warm_up_capacity_share(now) < 1.0
@@ -398,19 +406,11 @@
         self.cache_count
     }
 
-    /// Returns the record that an attempt is the first of its request that a server may have
-    /// executed.
-    pub(crate) fn first_possible_execution(
-        &self,
-        attempt: &InFlightAttempt,
-    ) -> FirstPossibleExecution {
-        let server = self.get(attempt.server);
-        FirstPossibleExecution {
-            sent_at: attempt.sent_at,
-            zone_index: server.and_then(|server| server.zone_index),
-            // If the server is not in the table, no cell is known, and `u64::MAX` stands for none.
-            cell: server.map_or(u64::MAX, |server| server.cell),
-        }
+    /// Returns the zone and the cell of a server. Both are unknown if the server is not in the
+    /// table.
+    pub(crate) fn dedup_location(&self, id: ServerId) -> DedupLocation {
+        self.get(id)
+            .map_or(DedupLocation::UNKNOWN, ServerState::dedup_location)
     }
 
     /// Returns whether a server has served a request or filled a copy after `since`.
--- a/crates/routing/tests/retries.rs
+++ b/crates/routing/tests/retries.rs
@@ -147,3 +147,152 @@
         "the retry goes to a parent again: {retry:?}"
     );
 }
+
+/// The outcomes after which a request may have been executed.
+const POSSIBLE_EXECUTIONS: [Outcome; 4] = [
+    Outcome::Reset,
+    Outcome::Timeout,
+    Outcome::Error,
+    Outcome::Cancelled,
+];
+
+/// Returns settings where the reads of [`VIDEO`] carry an idempotency key that is recognized within
+/// this scope.
+fn settings_with_keyed_reads(scope: DedupScope) -> Settings {
+    let mut settings = settings();
+    for class in &mut settings.classes {
+        if class.name == VIDEO {
+            class.idempotency = Idempotency::IdempotencyKey;
+            class.dedup_scope = scope;
+        }
+    }
+    settings
+}
+
+/// Returns the cell of a cache server in [`fleet_with_two_cells`].
+fn cell_of(server: ServerId) -> u64 {
+    server % 2
+}
+
+/// Returns the fleet with two cells of two cache servers each.
+fn fleet_with_two_cells() -> Vec<Endpoint> {
+    let mut endpoints = fleet();
+    for endpoint in &mut endpoints {
+        if CACHE_SERVERS.contains(&endpoint.id) {
+            endpoint.cell = cell_of(endpoint.id);
+        }
+    }
+    endpoints
+}
+
+/// Guards against a read with an idempotency key that is executed twice because another cell has not
+/// seen its key. Its copies are kept by cache servers, so it is routed like any other read.
+#[test]
+fn a_read_with_an_idempotency_key_is_retried_only_in_its_cell() {
+    for outcome in POSSIBLE_EXECUTIONS {
+        for index in 0..40 {
+            let settings = settings_with_keyed_reads(DedupScope::Cell);
+            let mut harness = Harness::new(settings, fleet_with_two_cells());
+            let first = harness.forward(VIDEO, &format!("/o/{index}"));
+            let retry = harness.retry(&first, outcome).expect("the read is retried");
+            assert_ne!(retry.server, first.server, "{outcome:?}");
+            assert_eq!(cell_of(retry.server), cell_of(first.server), "{outcome:?}");
+            assert_eq!(
+                harness.finish(&retry, Outcome::Reset),
+                [Action::Fail {
+                    request: first.request
+                }],
+                "{outcome:?}: no server of the cell is left, and a rejection would not be safe"
+            );
+        }
+    }
+}
+
+/// Guards against needless failures of reads that no server has executed.
+#[test]
+fn a_read_with_an_idempotency_key_that_was_not_executed_is_retried_in_any_cell() {
+    let settings = settings_with_keyed_reads(DedupScope::Cell);
+    let mut harness = Harness::new(settings, fleet());
+    let first = harness.forward(VIDEO, "/o/a");
+    let retry = harness
+        .retry(&first, Outcome::Rejected)
+        .expect("the read is retried");
+    assert_ne!(
+        retry.server, first.server,
+        "each cache server is a cell of its own"
+    );
+}
+
+/// Guards against a read with an idempotency key that is executed twice because its server has left
+/// the endpoint list, or is listed in another cell, before the attempt at it ends.
+#[test]
+fn a_read_is_retried_in_the_cell_that_its_server_had_when_it_was_sent() {
+    for index in 0..40 {
+        let settings = settings_with_keyed_reads(DedupScope::Cell);
+        let mut harness = Harness::new(settings, fleet_with_two_cells());
+        let first = harness.forward(VIDEO, &format!("/o/{index}"));
+        let moved = Endpoint {
+            cell: cell_of(first.server + 1),
+            ..cache_server(first.server)
+        };
+        let gone = Endpoint {
+            state: EndpointState::Gone,
+            ..cache_server(first.server)
+        };
+        harness.handle(endpoint_delta(vec![if index % 2 == 0 {
+            moved
+        } else {
+            gone
+        }]));
+        let retry = harness
+            .retry(&first, Outcome::Reset)
+            .expect("the read is retried");
+        assert_ne!(retry.server, first.server);
+        assert_eq!(cell_of(retry.server), cell_of(first.server));
+    }
+}
+
+/// Guards against a read with an idempotency key that is executed twice because a server of another
+/// zone has not seen its key.
+#[test]
+fn a_read_with_an_idempotency_key_does_not_go_directly_to_a_parent_of_another_zone() {
+    for (scope, is_retried) in [(DedupScope::All, true), (DedupScope::Zone, false)] {
+        let settings = settings_with_keyed_reads(scope);
+        let mut harness = Harness::new(settings, fleet_with_one_cache_server(1));
+        let first = harness.forward(VIDEO, "/o/a");
+        let other = harness.forward(VIDEO, "/o/b");
+        harness.finish(&other, Outcome::ConnectFailed);
+        let actions = harness.finish(&first, Outcome::Reset);
+        let retry = first.retry_in(&actions);
+        assert_eq!(
+            retry.is_some_and(|retry| PARENTS.contains(&retry.server)),
+            is_retried,
+            "no cache server is available, and a parent is in another zone than the cache server"
+        );
+        let failed = Action::Fail {
+            request: first.request,
+        };
+        assert_eq!(actions.contains(&failed), !is_retried);
+    }
+}
+
+/// Guards against needless failures of writes that may be repeated anywhere: only a class with an
+/// idempotency key has a scope in which repetitions are recognized.
+#[test]
+fn an_idempotent_write_is_retried_in_any_cell() {
+    let mut settings = settings_without_direct_requests();
+    for class in &mut settings.classes {
+        if class.name == ORDER {
+            class.idempotency = Idempotency::Idempotent;
+            class.dedup_scope = DedupScope::Cell;
+        }
+    }
+    let mut harness = Harness::new(settings, fleet());
+    let first = harness.forward(ORDER, "/o/a");
+    harness.handle(endpoint_delta(vec![Endpoint {
+        state: EndpointState::Gone,
+        ..cache_server(first.server)
+    }]));
+    let retry = harness.retry(&first, Outcome::Reset);
+    assert!(retry.is_some_and(|retry| retry.server != first.server));
+}
