A served copy must name its tag and its creation time

What callers could see: a copy from before a purge, served as current.

Cause: ServerAnswer::field gives None for a field that is absent, can't be read or stands in a list that is not UTF-8, and the check of the copy's age in read.rs took None for young enough. PROTOCOL: "the bytes, with their tag in etag and in made the Unix millisecond at which the origin gave out this copy"; 304: "no bytes, the same fields".

Change: an answer with content to an attempt of a class that keeps copies must have both fields, and a confirmation of the client's copy no body. Any other is malformed and closes the connection.

Tests: content_without_the_tag_and_the_creation_time_of_its_copy_is_malformed, red on (status 200 with no fields was served); the_answer_to_a_write_needs_no_tag_and_no_creation_time.

--- a/crates/proxy/src/request_table/guard.rs
+++ b/crates/proxy/src/request_table/guard.rs
@@ -19,6 +19,7 @@
     idempotency: Idempotency,
     dedup_scope: DedupScope,
     dedup_window_us: Micros,
+    is_write: bool,
 }
 
 /// A class that the settings don't name counts as idempotent, because its requests are never
@@ -27,6 +28,7 @@
     idempotency: Idempotency::Idempotent,
     dedup_scope: DedupScope::All,
     dedup_window_us: 0,
+    is_write: false,
 };
 
 /// The rules of each request class, by the name of the class.
@@ -40,6 +42,7 @@
             idempotency: class.idempotency,
             dedup_scope: class.dedup_scope,
             dedup_window_us: class.dedup_window_us,
+            is_write: class.is_write,
         };
         let classes = settings.classes.iter();
         ClassRules {
@@ -60,6 +63,11 @@
             && self.rule_of(request).idempotency == Idempotency::IdempotencyKey
     }
 
+    /// Returns whether servers keep copies of the content with which the request is answered.
+    pub(super) fn leaves_copies(&self, request: &ClientRequest) -> bool {
+        !self.rule_of(request).is_write
+    }
+
     /// Returns whether a request may be sent again, considering its class and earlier attempts.
     fn allows_retry(&self, pending: &PendingRequest) -> bool {
         !pending.may_have_executed()
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -293,7 +293,8 @@
         request.remaining_us = request
             .remaining_us
             .saturating_sub(self.deadline_timing.answer_lead_us);
-        let pending = PendingRequest::new(now, answer_target, request);
+        let expects_copy = self.class_rules.leaves_copies(&request);
+        let pending = PendingRequest::new(now, answer_target, request, expects_copy);
         let request_key = self.requests.insert(pending)?;
         self.counters.admitted += 1;
         self.set_deadline_timer(now, request_key);
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -48,7 +48,8 @@
     pub(super) const LINK_UTILIZATION: &str = "x1";
 }
 
-/// A complete answer. Only its form has been checked. Unknown words and fields count as absent.
+/// A complete answer. Unknown words and fields count as absent. The fields that describe a copy are
+/// checked by [`check_copy`](Self::check_copy).
 pub(super) struct ServerAnswer {
     id: Vec<u8>,
     status: Vec<u8>,
@@ -72,10 +73,33 @@
         })
     }
 
-    /// Removes and returns the id of the answered stream. Returns `None` if it is not valid UTF-8,
-    /// because this proxy sends no such id.
-    pub(super) fn take_id(&mut self) -> Option<String> {
-        String::from_utf8(std::mem::take(&mut self.id)).ok()
+    /// Returns the id of the answered stream. Returns `None` if it is not valid UTF-8, because this
+    /// proxy sends no such id.
+    pub(super) fn id(&self) -> Option<&str> {
+        std::str::from_utf8(&self.id).ok()
+    }
+
+    /// Checks the content of an answer to an attempt whose class leaves copies: it names the tag of
+    /// its copy and when the copy was created, and the confirmation of a client's copy has no body.
+    /// Without its creation time, a copy from before a purge could not be recognized. Answers
+    /// without content are not checked.
+    pub(super) fn check_copy(&self) -> Result<(), ProtocolError> {
+        let confirms_copy = self.status == wire::NOT_MODIFIED;
+        if self.status != wire::SERVED && !confirms_copy {
+            return Ok(());
+        }
+        let has_tag = self.field(wire::TAG).is_some_and(|tag| !tag.is_empty());
+        if !has_tag || self.copy_created_by_us().is_none() {
+            return Err(ProtocolError::Malformed(
+                "a cache server's answer (expected the tag and the creation time of the copy)",
+            ));
+        }
+        if confirms_copy && !self.body.is_empty() {
+            return Err(ProtocolError::Malformed(
+                "a cache server's answer (expected no body with a confirmed copy)",
+            ));
+        }
+        Ok(())
     }
 
     /// Returns the latest time at which the copy can have been created, which is when the origin
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -23,13 +23,14 @@
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
         while !socket.input.is_empty() {
-            match self.read_answer(now, socket) {
-                Ok(None) => {}
+            let result = match self.read_answer(now, socket) {
+                Ok(None) => Ok(()),
                 Ok(Some(answer)) => self.handle_answer(now, answer, request_table, events),
-                Err(error) => {
-                    self.liveness.record_malformed_input();
-                    return Err(error);
-                }
+                Err(error) => Err(error),
+            };
+            if result.is_err() {
+                self.liveness.record_malformed_input();
+                return result;
             }
         }
         Ok(())
@@ -49,16 +50,26 @@
         array.map(ServerAnswer::from_array).transpose()
     }
 
+    /// Ends the stream that an answer belongs to, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the content of the answer is malformed. The stream is then still open.
     fn handle_answer(
         &mut self,
         now: Micros,
-        mut answer: ServerAnswer,
+        answer: ServerAnswer,
         request_table: &RequestTable,
         events: &mut Vec<UpstreamEvent>,
-    ) {
-        let Some(id) = answer.take_id() else {
-            return;
+    ) -> Result<(), ProtocolError> {
+        let Some(id) = answer.id().map(str::to_owned) else {
+            return Ok(());
         };
+        let attempt = self.streams.get(&id).and_then(Stream::unreported_attempt);
+        let spec = attempt.and_then(|attempt| request_table.attempt_spec(attempt));
+        if spec.is_some_and(|(_, spec)| spec.expects_copy) {
+            answer.check_copy()?;
+        }
         match self.streams.remove(&id) {
             Some(Stream::Attempt(sent)) if has_outdated_copy(&answer, &sent, request_table) => {
                 self.handle_outdated_copy(id, sent, events);
@@ -97,6 +108,7 @@
                 self.server
             ),
         }
+        Ok(())
     }
 
     /// Handles an answer with a copy that is older than the attempt accepts.
--- a/crates/proxy/src/upstream/stream.rs
+++ b/crates/proxy/src/upstream/stream.rs
@@ -80,6 +80,18 @@
         matches!(self, Stream::Attempt(_) | Stream::Probe { .. })
     }
 
+    /// Returns the attempt whose end has not been reported, cancelled or not. Returns `None` for any
+    /// other stream.
+    pub(super) fn unreported_attempt(&self) -> Option<AttemptId> {
+        match self {
+            Stream::Attempt(sent) => Some(sent.attempt),
+            Stream::Cancelled { unreported, .. } => {
+                unreported.as_ref().map(UnreportedCancellation::attempt)
+            }
+            Stream::Answered { .. } | Stream::Probe { .. } => None,
+        }
+    }
+
     /// Returns whether the end of the stream has been reported.
     pub(super) fn is_reported(&self) -> bool {
         match self {
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -47,6 +47,48 @@
     assert_eq!(whole.take_attempt_ends(), [served]);
 }
 
+/// Guards against serving a copy from before a purge: without its creation time, its age could not
+/// be checked.
+#[test]
+fn content_without_the_tag_and_the_creation_time_of_its_copy_is_malformed() {
+    let fields: [&[u8]; 9] = [
+        b"",
+        b"-",
+        b"how=local",
+        b"made=1",
+        b"etag=t1",
+        b"made=,etag=t1",
+        b"made=1,etag=",
+        b"made=-1,etag=t1",
+        b"made=1,etag=t1,how=\xff",
+    ];
+    for status in ["200", "304"] {
+        for fields in fields {
+            let mut answer = Vec::new();
+            resp::write_array(&mut answer, &[b"01", status.as_bytes(), fields, b""]);
+            let description = format!("{status} {}", String::from_utf8_lossy(fields));
+            assert_answer_is_malformed(&answer, &description);
+        }
+    }
+    let mut answer = Vec::new();
+    resp::write_array(&mut answer, &[b"01", b"304", b"made=1,etag=t1", b"bytes"]);
+    assert_answer_is_malformed(&answer, "304 with a body");
+}
+
+/// Guards against writes that are never answered: a write is executed by the origin and leaves no
+/// copy, so its answer names neither a tag nor a creation time.
+#[test]
+fn the_answer_to_a_write_needs_no_tag_and_no_creation_time() {
+    let mut fixture = Fixture::new("hub", "origin", true);
+    let attempt = fixture.send_request(post_request("01"));
+    let mut answer = Vec::new();
+    let fields = b"how=pulled_far,ttfb=163.1";
+    resp::write_array(&mut answer, &[b"01", b"200", fields, b"done"]);
+    fixture.receive(&answer);
+    let served = AttemptEnd::new(attempt, Outcome::Ok);
+    assert_eq!(fixture.take_attempt_ends(), [served]);
+}
+
 /// A written attempt may have been executed at the server, a queued one cannot have. The router
 /// decides from this difference whether the request may be retried.
 #[test]
