A connection to a cache server has one timer, however many attempts are cancelled on it

A cancellation set a timer of 5 s for each connection to its server, every flush up to three more, and each of them, when due, flushed and set the next.

Change: a connection has at most one check, at the earliest time that needs one (UpstreamConnection::next_check_at: a cancellation to report, an answer or a write that stalls, an id to forget). It is cancelled with the connection. The time of a stalled write is exact now, it was half a second after the last flush. The number of connections and timers is logged on SIGTERM.

Test: requests_that_are_taken_back_leave_no_more_than_one_timer_for_each_connection.

--- a/crates/proxy/src/event_loop/shutdown.rs
+++ b/crates/proxy/src/event_loop/shutdown.rs
@@ -55,6 +55,11 @@
         );
         log::info!("{}", self.request_table.invariants);
         log::info!("{}", self.clients);
+        log::info!(
+            "event loop: {} connections, {} timers",
+            self.connections.len(),
+            self.timers.len()
+        );
         self.timers.schedule(
             now + self.limits.shutdown_grace_us,
             TimerEvent::EndShutdownGrace,
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -2,7 +2,6 @@
 
 use crate::event_loop::close_reason::CloseReason;
 use crate::event_loop::connections::{ConnectError, ConnectionRole};
-use crate::event_loop::timer::TimerEvent;
 use crate::event_loop::EventLoop;
 use crate::net::{Readiness, SlabKey};
 use crate::request_table::AttemptId;
@@ -207,10 +206,6 @@
             let mut events = Vec::new();
             let is_usable = upstream.cancel(now, attempt, transport, &mut events);
             self.report_upstream_events(now, server, events);
-            self.timers.schedule(
-                now + self.limits.stream_retention_us,
-                TimerEvent::CheckUpstream(key),
-            );
             let flushed = if is_usable {
                 self.flush_upstream(now, key)
             } else {
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -6,17 +6,26 @@
 use super::close_reason::CloseReason;
 use super::timer::TimerEvent;
 use super::EventLoop;
-use crate::net::{BufferedSocket, IoProgress, SlabKey};
+use crate::net::{BufferedSocket, IoProgress, SlabKey, TimerKey};
 use crate::protocol::ProtocolError;
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Micros, ServerId};
 use parked::ParkedAttempts;
 use std::collections::BTreeMap;
 
+/// The next check of a connection.
+struct ScheduledCheck {
+    at: Micros,
+    timer: TimerKey,
+}
+
 /// The open connections to each cache server, oldest first, and the parked attempts.
 #[derive(Default)]
 pub(super) struct UpstreamConnections {
     by_server: BTreeMap<ServerId, Vec<SlabKey>>,
+    /// The next check of each connection that has one. Every flush asks for a check, so without this
+    /// table the timers of a busy connection would accumulate.
+    checks: BTreeMap<SlabKey, ScheduledCheck>,
     parked: ParkedAttempts,
 }
 
@@ -62,14 +71,6 @@
         let server = upstream.server;
         let mut events = Vec::new();
         let result = upstream.read(now, transport, &self.request_table, &mut events);
-        if events.iter().any(UpstreamEvent::allows_further_attempt) {
-            // The connection remembers such an attempt for `stream_retention_us`. The check removes
-            // it after that time.
-            self.timers.schedule(
-                now + self.limits.stream_retention_us + 1,
-                TimerEvent::CheckUpstream(key),
-            );
-        }
         self.report_upstream_events(now, server, events);
         result
     }
@@ -118,18 +119,7 @@
             &self.limits,
             &mut events,
         );
-        let cancellation_report_at = upstream.next_cancellation_report_at(&self.limits);
-        let answer_timeout_at = upstream
-            .partial_answer_deadline(&self.limits)
-            .filter(|_| is_usable);
-        let has_output = transport.is_connected && !transport.output.is_empty();
-        let write_timeout_at = has_output.then_some(now + self.limits.server_write_timeout_us);
-        for at in [cancellation_report_at, answer_timeout_at, write_timeout_at]
-            .into_iter()
-            .flatten()
-        {
-            self.timers.schedule(at, TimerEvent::CheckUpstream(key));
-        }
+        let next_check_at = upstream.next_check_at(&self.limits).filter(|_| is_usable);
         // A server that is draining or gone gets no new attempts. Its connections are closed once
         // all awaited answers have arrived. If its machine has vanished, nothing else would close
         // them.
@@ -141,18 +131,35 @@
         if is_drained {
             return Err(CloseReason::ServerDrained);
         }
+        if let Some(at) = next_check_at {
+            self.schedule_upstream_check(key, at);
+        }
         Ok(())
     }
 
-    /// Checks a connection when one of its timers is due, and closes it if it is of no further use.
+    /// Schedules a check of a connection at a time, unless an earlier one is scheduled. Each check
+    /// schedules the next one.
+    fn schedule_upstream_check(&mut self, key: SlabKey, at: Micros) {
+        let checks = &mut self.upstream_connections.checks;
+        if checks.get(&key).is_some_and(|check| check.at <= at) {
+            return;
+        }
+        let timer = self.timers.schedule(at, TimerEvent::CheckUpstream(key));
+        if let Some(later) = checks.insert(key, ScheduledCheck { at, timer }) {
+            self.timers.cancel(later.timer);
+        }
+    }
+
+    /// Checks a connection when its check is due, and closes it if it is of no further use.
     pub(in crate::event_loop) fn check_upstream(&mut self, now: Micros, key: SlabKey) {
+        self.upstream_connections.checks.remove(&key);
+        if let Some((_, upstream)) = self.connections.upstream_mut(key) {
+            upstream.remove_expired_streams(now, &self.limits);
+        }
         if let Err(reason) = self.flush_upstream(now, key) {
             self.close(now, key, reason);
         }
         self.update_poll_interest(now, key);
-        if let Some((_, upstream)) = self.connections.upstream_mut(key) {
-            upstream.remove_expired_streams(now, &self.limits);
-        }
     }
 
     /// Reports the end of the attempts on a connection that was removed from the table. If the
@@ -168,6 +175,9 @@
     ) {
         let server = upstream.server;
         self.upstream_connections.remove(server, key);
+        if let Some(check) = self.upstream_connections.checks.remove(&key) {
+            self.timers.cancel(check.timer);
+        }
         if reason == CloseReason::LocalFailure {
             for attempt in upstream.take_queued_attempts() {
                 self.park_attempt(now, attempt, server, now);
--- a/crates/proxy/src/net/timer_queue.rs
+++ b/crates/proxy/src/net/timer_queue.rs
@@ -40,6 +40,16 @@
         key
     }
 
+    /// Returns the number of scheduled timers.
+    pub fn len(&self) -> usize {
+        self.timers.len()
+    }
+
+    /// Returns whether no timer is scheduled.
+    pub fn is_empty(&self) -> bool {
+        self.timers.is_empty()
+    }
+
     /// Cancels a timer. Does nothing if the timer has fired.
     pub fn cancel(&mut self, key: TimerKey) {
         self.timers.remove(&key);
--- a/crates/proxy/src/upstream/event.rs
+++ b/crates/proxy/src/upstream/event.rs
@@ -18,9 +18,4 @@
     pub(super) fn attempt_ended(attempt: AttemptId, outcome: Outcome) -> Self {
         UpstreamEvent::AttemptEnded(attempt, outcome.into())
     }
-
-    /// Returns whether the request may continue with another attempt after this event.
-    pub fn allows_further_attempt(&self) -> bool {
-        matches!(self, UpstreamEvent::AttemptEnded(_, result) if result.outcome != Outcome::Ok)
-    }
 }
--- a/crates/proxy/src/upstream/stream.rs
+++ b/crates/proxy/src/upstream/stream.rs
@@ -109,17 +109,24 @@
         }
     }
 
-    /// Returns whether the stream can be removed, because its end was reported and its retention
-    /// period is over.
-    pub(super) fn is_expired(&self, now: Micros, retention_us: Micros) -> bool {
+    /// Returns from when on the stream can be removed, which is after its retention period. Returns
+    /// `None` if the end of the stream has not been reported.
+    pub(super) fn expires_at(&self, retention_us: Micros) -> Option<Micros> {
         match self {
             Stream::Cancelled { at, .. } | Stream::Answered { at } => {
-                self.is_reported() && at + retention_us < now
+                self.is_reported().then_some(at + retention_us + 1)
             }
-            Stream::Attempt(_) | Stream::Probe { .. } => false,
+            Stream::Attempt(_) | Stream::Probe { .. } => None,
         }
     }
 
+    /// Returns whether the stream can be removed, because its end was reported and its retention
+    /// period is over.
+    pub(super) fn is_expired(&self, now: Micros, retention_us: Micros) -> bool {
+        self.expires_at(retention_us)
+            .is_some_and(|expires_at| expires_at <= now)
+    }
+
     /// Returns when the `abort` of an unreported cancellation was written. Returns `None` for any
     /// other stream, and while the `abort` is not written yet.
     pub(super) fn abort_written_at(&self) -> Option<Micros> {
--- a/crates/proxy/src/upstream/timeouts.rs
+++ b/crates/proxy/src/upstream/timeouts.rs
@@ -116,14 +116,40 @@
         }));
     }
 
+    /// Returns when the socket must have accepted a byte, or `None` if no bytes wait to be written.
+    fn write_deadline(&self, limits: &Limits) -> Option<Micros> {
+        let wait = self.write_wait?;
+        Some(wait.since + limits.server_write_timeout_us)
+    }
+
     /// Returns whether the socket has accepted no byte for `server_write_timeout_us`.
     pub(super) fn is_write_stalled(&self, now: Micros, limits: &Limits) -> bool {
-        self.write_wait
-            .is_some_and(|wait| now - wait.since >= limits.server_write_timeout_us)
+        self.write_deadline(limits)
+            .is_some_and(|deadline| deadline <= now)
     }
 }
 
 impl UpstreamConnection {
+    /// Returns when the connection has to be flushed again although nothing else happens on it: to
+    /// report a cancellation, to close the connection because an answer or a write has stalled, or
+    /// to remove a stream whose retention period is over. Returns `None` if there is no such time.
+    pub fn next_check_at(&self, limits: &Limits) -> Option<Micros> {
+        let stream_expires_at = self
+            .streams
+            .values()
+            .filter_map(|stream| stream.expires_at(limits.stream_retention_us))
+            .min();
+        [
+            self.next_cancellation_report_at(limits),
+            self.partial_answer_deadline(limits),
+            self.liveness.write_deadline(limits),
+            stream_expires_at,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
     /// Returns when the partially received answer counts as incomplete, or is no longer waited for
     /// because no attempt or probe awaits it. Returns `None` if no answer is partially received.
     pub fn partial_answer_deadline(&self, limits: &Limits) -> Option<Micros> {
--- a/crates/proxy/tests/memory_limit.rs
+++ b/crates/proxy/tests/memory_limit.rs
@@ -87,6 +87,8 @@
 /// A proxy process with the least memory, and the servers around it.
 struct Deployment {
     proxy: ProxyProcess,
+    /// A cache server and the origin.
+    servers: [FakeCacheServer; 2],
     _event_bus: FakeEventBus,
 }
 
@@ -104,6 +106,7 @@
         let program = Path::new(env!("CARGO_BIN_EXE_edge-proxy"));
         Deployment {
             proxy: ProxyProcess::start(program, &config, None).unwrap(),
+            servers: [cache, origin],
             _event_bus: event_bus,
         }
     }
@@ -187,3 +190,45 @@
         }
     }
 }
+
+/// Guards against timers that accumulate while clients take back their requests: every cancellation
+/// used to set a timer for each connection to its server, and every flush further ones.
+#[test]
+fn requests_that_are_taken_back_leave_no_more_than_one_timer_for_each_connection() {
+    const CLIENTS: usize = 4;
+    const REQUESTS_PER_CLIENT: u64 = 200;
+    const TIMERS_PER_CONNECTION: usize = 2;
+    let mut deployment = Deployment::start();
+    let cache = &deployment.servers[0];
+    cache.set_behavior(Behavior::unresponsive());
+    for client_number in 0..CLIENTS as u64 {
+        let mut client = deployment.connect();
+        for number in 0..REQUESTS_PER_CLIENT {
+            let object = object_key(client_number * REQUESTS_PER_CLIENT + number);
+            client
+                .request_object(1, READ_CLASS, &object, REQUEST_BUDGET_MS)
+                .unwrap();
+            cache.wait_for_request_of(&object).unwrap();
+            client.abort(1).unwrap();
+            assert!(client.next_response().unwrap().1.is_none());
+        }
+    }
+
+    deployment.proxy.terminate().unwrap();
+    let figures = deployment.proxy.wait_for_log_line("event loop: ").unwrap();
+    let numbers: Vec<usize> = figures
+        .split_whitespace()
+        .filter_map(|word| word.parse().ok())
+        .collect();
+    let [connections, timers] = numbers[..] else {
+        panic!("unexpected figures: {figures}");
+    };
+    // Each request also has a timer for its deadline, which is removed when it is due.
+    let request_timers = CLIENTS * REQUESTS_PER_CLIENT as usize;
+    let expected = request_timers + TIMERS_PER_CONNECTION * (connections + CLIENTS);
+    assert!(
+        timers <= expected,
+        "{figures}, expected at most {expected} timers"
+    );
+    deployment.proxy.wait().unwrap();
+}
--- a/crates/testkit/src/fastcgi_client.rs
+++ b/crates/testkit/src/fastcgi_client.rs
@@ -32,9 +32,10 @@
 }
 
 impl FastCgiClient {
-    /// Connects to the proxy. Reads fail after [`TEST_TIMEOUT`].
+    /// Connects to the proxy. Reads fail after [`TEST_TIMEOUT`]. Small messages are sent at once.
     pub fn connect(proxy: SocketAddr) -> io::Result<Self> {
         let socket = TcpStream::connect(proxy)?;
+        socket.set_nodelay(true)?;
         socket.set_read_timeout(Some(TEST_TIMEOUT))?;
         Ok(FastCgiClient {
             socket,
--- a/crates/testkit/src/proxy_process.rs
+++ b/crates/testkit/src/proxy_process.rs
@@ -31,6 +31,9 @@
     /// The proxy exited, or its log did not name its listen addresses in time.
     #[error("the proxy exited or did not log its listen addresses within {TEST_TIMEOUT:?}")]
     NotListening,
+    /// The proxy did not log a line with this text in time.
+    #[error("the proxy logged no line with the text {0:?} within {TEST_TIMEOUT:?}")]
+    NoLogLine(String),
     /// The process has ended, or its memory is not reported.
     #[error("the memory of the proxy's process is unknown, probably because it has ended")]
     NoMemoryFigure,
@@ -43,6 +46,7 @@
     pub fastcgi_address: SocketAddr,
     /// Address on which the proxy accepts peer CDNs. `None` without an interconnect.
     pub interconnect_address: Option<SocketAddr>,
+    log_lines: mpsc::Receiver<String>,
 }
 
 impl Drop for ProxyProcess {
@@ -73,7 +77,7 @@
             .stderr(Stdio::piped())
             .spawn()?;
         let log = child.stderr.take().ok_or(ProxyProcessError::NoLog)?;
-        let addresses = spawn_log_reader(log);
+        let log_lines = spawn_log_reader(log);
         let (mut fastcgi_address, mut interconnect_address) = (None, None);
         loop {
             let is_complete = interconnect_address.is_some() || interconnect.is_none();
@@ -82,12 +86,29 @@
                     child,
                     fastcgi_address,
                     interconnect_address,
+                    log_lines,
                 });
             }
-            match addresses.recv_timeout(TEST_TIMEOUT) {
-                Ok(ListenAddress::FastCgi(address)) => fastcgi_address = Some(address),
-                Ok(ListenAddress::Interconnect(address)) => interconnect_address = Some(address),
-                Err(_) => return Err(ProxyProcessError::NotListening),
+            let line = log_lines
+                .recv_timeout(TEST_TIMEOUT)
+                .map_err(|_| ProxyProcessError::NotListening)?;
+            let address_after = |prefix: &str| line.split_once(prefix)?.1.trim().parse().ok();
+            fastcgi_address = fastcgi_address.or(address_after(FASTCGI_ADDRESS_PREFIX));
+            interconnect_address =
+                interconnect_address.or(address_after(INTERCONNECT_ADDRESS_PREFIX));
+        }
+    }
+
+    /// Waits for a line of the log that contains a text. Returns what follows the text in the line.
+    /// Drops the lines before it.
+    pub fn wait_for_log_line(&self, text: &str) -> Result<String, ProxyProcessError> {
+        loop {
+            let line = self
+                .log_lines
+                .recv_timeout(TEST_TIMEOUT)
+                .map_err(|_| ProxyProcessError::NoLogLine(text.to_owned()))?;
+            if let Some((_, rest)) = line.split_once(text) {
+                return Ok(rest.to_owned());
             }
         }
     }
@@ -119,30 +140,17 @@
     }
 }
 
-/// A listen address from the proxy's log.
-enum ListenAddress {
-    FastCgi(SocketAddr),
-    Interconnect(SocketAddr),
-}
-
-/// Reads the proxy's log on a thread and sends the listen addresses in it. The thread reads to the
-/// end of the log, because a full pipe would block the proxy.
-fn spawn_log_reader(log: impl Read + Send + 'static) -> mpsc::Receiver<ListenAddress> {
-    let (sender, addresses) = mpsc::channel();
+/// Reads the proxy's log on a thread and sends its lines. The thread reads to the end of the log,
+/// because a full pipe would block the proxy.
+fn spawn_log_reader(log: impl Read + Send + 'static) -> mpsc::Receiver<String> {
+    let (sender, lines) = mpsc::channel();
     thread::spawn(move || {
         for line in BufReader::new(log).lines().map_while(Result::ok) {
-            let address_after = |prefix: &str| line.split_once(prefix)?.1.trim().parse().ok();
-            let found = [
-                address_after(FASTCGI_ADDRESS_PREFIX).map(ListenAddress::FastCgi),
-                address_after(INTERCONNECT_ADDRESS_PREFIX).map(ListenAddress::Interconnect),
-            ];
-            for address in found.into_iter().flatten() {
-                // The receiver is gone once both addresses are known.
-                let _ = sender.send(address);
-            }
+            // The receiver may be gone.
+            let _ = sender.send(line);
         }
     });
-    addresses
+    lines
 }
 
 /// The proxy's configuration files in a temporary directory, which is removed when this is dropped.
