The ids that connections to cache servers remember are bounded

What callers could see: memory that grows with the rate at which clients take back requests, or servers answer without content.

Cause: the id of a cancelled or answered attempt is kept for 5 s, so that a late answer under it isn't mistaken for the answer to a further attempt. Nothing bounded their number.

Change: Limits::ended_streams, an eighth of the memory at 256 bytes an id (16,384 at 32 MB, 98,304 at 192 MB). Above it the connection that remembers the most takes no further attempts and is closed once nothing is awaited on it; no late answer can arrive on a closed connection.

Test: a_connection_that_remembers_too_many_cancelled_attempts_is_replaced. With the call of the new check taken out, the connection stays open and the test fails after its time-out of 10 s.

--- a/crates/proxy/src/event_loop/close_reason.rs
+++ b/crates/proxy/src/event_loop/close_reason.rs
@@ -39,6 +39,9 @@
     ServerDrained,
     /// A connection to a cache server is unresponsive and is replaced by another one.
     UpstreamUnresponsive,
+    /// A connection to a cache server keeps the most ended streams, of which all connections
+    /// together keep too many.
+    EndedStreamLimit,
     /// The configured address of the event bus has changed.
     EventBusAddressChanged,
     /// The event bus has sent nothing for too long.
@@ -81,6 +84,7 @@
             CloseReason::UpstreamUnusable => "the cache server connection is broken or stalled",
             CloseReason::ServerDrained => "a cache server is draining or was removed",
             CloseReason::UpstreamUnresponsive => "the cache server is unresponsive",
+            CloseReason::EndedStreamLimit => "too many ended streams are kept",
             CloseReason::EventBusAddressChanged => "the address of the event bus has changed",
             CloseReason::EventBusSilent => "the event bus has sent nothing for too long",
             CloseReason::EventBusSuperseded => {
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -26,6 +26,11 @@
     /// The next check of each connection that has one. Every flush asks for a check, so without this
     /// table the timers of a busy connection would accumulate.
     checks: BTreeMap<SlabKey, ScheduledCheck>,
+    /// The number of ended streams that each connection kept when it was last flushed. Retired
+    /// connections, which are about to be closed, are left out.
+    ended_streams: BTreeMap<SlabKey, usize>,
+    /// The sum of `ended_streams`.
+    total_ended_streams: usize,
     parked: ParkedAttempts,
 }
 
@@ -42,7 +47,24 @@
         self.by_server.entry(server).or_default().push(key);
     }
 
+    /// Records how many ended streams a connection keeps.
+    fn set_ended_streams(&mut self, key: SlabKey, count: usize) {
+        let before = if count > 0 {
+            self.ended_streams.insert(key, count)
+        } else {
+            self.ended_streams.remove(&key)
+        };
+        self.total_ended_streams = self.total_ended_streams + count - before.unwrap_or(0);
+    }
+
+    /// Returns the connection that keeps the most ended streams, or `None` if none keeps any.
+    fn with_most_ended_streams(&self) -> Option<SlabKey> {
+        let largest = self.ended_streams.iter().max_by_key(|(_, count)| **count);
+        largest.map(|(key, _)| *key)
+    }
+
     fn remove(&mut self, server: ServerId, key: SlabKey) {
+        self.set_ended_streams(key, 0);
         let Some(keys) = self.by_server.get_mut(&server) else {
             return;
         };
@@ -124,6 +146,7 @@
         // all awaited answers have arrived. If its machine has vanished, nothing else would close
         // them.
         let is_drained = upstream.is_idle() && !self.request_table.is_server_ready(server);
+        let is_retired = upstream.is_idle() && upstream.is_retired();
         self.report_upstream_events(now, server, events);
         if !is_usable {
             return Err(CloseReason::UpstreamUnusable);
@@ -131,12 +154,49 @@
         if is_drained {
             return Err(CloseReason::ServerDrained);
         }
+        if is_retired {
+            return Err(CloseReason::EndedStreamLimit);
+        }
         if let Some(at) = next_check_at {
             self.schedule_upstream_check(key, at);
         }
+        self.enforce_ended_stream_limit(now, key);
         Ok(())
     }
 
+    /// Enforces the limit on the ended streams that all connections keep. While it is exceeded, the
+    /// connection that keeps the most is retired: it takes no further attempts and is closed once it
+    /// is idle. No late answer can arrive on a connection that is closed.
+    fn enforce_ended_stream_limit(&mut self, now: Micros, key: SlabKey) {
+        let Some((_, upstream)) = self.connections.upstream_mut(key) else {
+            return;
+        };
+        if upstream.is_retired() {
+            return;
+        }
+        let ended_streams = upstream.ended_streams();
+        self.upstream_connections
+            .set_ended_streams(key, ended_streams);
+        while self.upstream_connections.total_ended_streams > self.limits.ended_streams {
+            let Some(largest) = self.upstream_connections.with_most_ended_streams() else {
+                return;
+            };
+            log::info!(
+                "connections to cache servers keep {} ended streams, over the limit of {}: \
+                 replacing connection {:x}, which keeps the most",
+                self.upstream_connections.total_ended_streams,
+                self.limits.ended_streams,
+                largest.to_u64()
+            );
+            self.upstream_connections.set_ended_streams(largest, 0);
+            if let Some((_, upstream)) = self.connections.upstream_mut(largest) {
+                upstream.retire();
+            }
+            // The connection may be idle already.
+            self.schedule_upstream_check(largest, now);
+        }
+    }
+
     /// Schedules a check of a connection at a time, unless an earlier one is scheduled. Each check
     /// schedules the next one.
     fn schedule_upstream_check(&mut self, key: SlabKey, at: Micros) {
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -139,6 +139,8 @@
     /// The id of a cancelled or answered attempt is remembered on its connection for this long, to
     /// recognise a late answer.
     pub stream_retention_us: Micros,
+    /// Ids of cancelled or answered attempts that are remembered on all connections together.
+    pub ended_streams: usize,
 
     // ---- Discovery by event bus, Consul and purge gossip ----
     /// Size of a whole endpoint list, in a response from Consul or an event from the event bus.
@@ -216,6 +218,8 @@
 const MIN_MEMORY_MB: usize = 16;
 /// Limit of pending requests on a machine with enough memory.
 const MAX_PENDING_REQUESTS: usize = 8192;
+/// Memory of a remembered id with its place in the table of a connection.
+const MEMORY_PER_ENDED_STREAM_BYTES: usize = 256;
 /// The machine must have this much memory for each pending request.
 const MEMORY_PER_PENDING_REQUEST_BYTES: usize = 16 * KIB;
 
@@ -275,6 +279,7 @@
     unawaited_answer_timeout_us: SECOND,
     cancellation_report_delay_us: 5 * MILLISECOND,
     stream_retention_us: 5 * SECOND,
+    ended_streams: 24 * MIB / MEMORY_PER_ENDED_STREAM_BYTES,
 
     endpoint_list_bytes: MIB,
     event_bus_idle_timeout_us: 2 * SECOND,
@@ -316,6 +321,7 @@
             total_body_bytes: memory_bytes / 4,
             partial_request_bytes: memory_bytes / 8,
             unsent_answer_bytes: memory_bytes / 4,
+            ended_streams: memory_bytes / 8 / MEMORY_PER_ENDED_STREAM_BYTES,
             ..DEFAULT_LIMITS
         }
     }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -26,6 +26,8 @@
     /// The open streams and those kept after their end, by id.
     pub(super) streams: HashMap<String, Stream>,
     pub(super) liveness: Liveness,
+    /// Whether the connection takes no further attempts and is to be closed once it is idle.
+    is_retired: bool,
     probes_sent: u64,
 }
 
@@ -40,6 +42,7 @@
             queue: VecDeque::new(),
             streams: HashMap::new(),
             liveness: Liveness::new(limits, now),
+            is_retired: false,
             probes_sent: 0,
         }
     }
@@ -54,7 +57,8 @@
     ) -> Option<usize> {
         let awaited = self.streams.values().filter(|stream| stream.is_awaited());
         let outstanding_count = awaited.count() + self.queue.len();
-        let is_available = !self.liveness.is_unresponsive()
+        let is_available = !self.is_retired
+            && !self.liveness.is_unresponsive()
             && !self.liveness.is_blocked_by_partial_answer(limits)
             && outstanding_count < limits.attempts_per_connection
             && self.is_id_available(id, request_table);
@@ -85,6 +89,23 @@
         self.queue.is_empty() && self.streams.values().all(Stream::is_reported)
     }
 
+    /// Returns the number of streams that have ended and are kept to recognize late answers.
+    pub fn ended_streams(&self) -> usize {
+        let ended = self.streams.values().filter(|stream| stream.is_reported());
+        ended.count()
+    }
+
+    /// Makes the connection take no further attempts. It is to be closed once it is idle, which
+    /// frees the streams that have ended.
+    pub fn retire(&mut self) {
+        self.is_retired = true;
+    }
+
+    /// Returns whether the connection takes no further attempts.
+    pub fn is_retired(&self) -> bool {
+        self.is_retired
+    }
+
     /// Queues an attempt. `flush` writes the attempt once the connection is established and its
     /// output buffer is empty. An attempt that is cancelled or removed before that never reaches
     /// the server.
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -347,3 +347,39 @@
     drop(client);
     proxy.shut_down();
 }
+
+/// Guards against memory that grows while clients take back their requests: the ids of cancelled
+/// attempts are remembered for a while. When there are too many, their connection is replaced.
+#[test]
+fn a_connection_that_remembers_too_many_cancelled_attempts_is_replaced() {
+    const MAX_ENDED_STREAMS: u64 = 3;
+    let server = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .scripted_server(&server)
+        .limits(|limits| limits.ended_streams = MAX_ENDED_STREAMS as usize)
+        .start();
+    let mut client = proxy.connect();
+    let request = |client: &mut FastCgiClient, number: u64| {
+        client
+            .request_object(1, READ_CLASS, &object_key(number), LONG_BUDGET_MS)
+            .unwrap();
+    };
+    request(&mut client, 0);
+    let mut connection = server.accept().unwrap();
+    connection.next_fetch().unwrap();
+    client.abort(1).unwrap();
+    assert!(client.next_response().unwrap().1.is_none());
+    for number in 1..=MAX_ENDED_STREAMS {
+        request(&mut client, number);
+        connection.next_fetch().unwrap();
+        client.abort(1).unwrap();
+        assert!(client.next_response().unwrap().1.is_none());
+    }
+    connection.wait_until_closed().unwrap();
+
+    request(&mut client, 9);
+    server.accept().unwrap().answer_next_fetch().unwrap();
+    assert_eq!(next_response(&mut client).1.status, 200);
+    drop(client);
+    proxy.shut_down();
+}
