Content that would exceed the memory for unsent answers is replaced by a failure

What callers could see: 16 clients with 31 requests each for objects of 240,000 bytes, which read nothing, take a proxy of 32 MB to 76,776 kB (probe on; 64 clients 75,288, 256 clients 68,180).

Cause: Limits::unsent_answer_bytes is asked when a request is admitted. All these requests are admitted before the first answer arrives, and nothing bounds what is queued then.

Change: a second limit, three eighths of the memory (the first, at which requests are rejected, stays a quarter). Content that doesn't fit is dropped, and its client gets its final answer at once: status 502, since the request may have been executed.

Test: answers_that_do_not_fit_into_the_memory_limit_are_replaced_by_failures: each of 31 requests gets a whole part or a failure. With the replacement taken out no request fails and the test does.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -192,13 +192,25 @@
         }
     }
 
-    /// Sends a client the final answer to its request, over the protocol of its connection.
+    /// Sends a client the final answer to its request, over the protocol of its connection. If the
+    /// content would exceed the limit on unsent answers, the client is told of a failure instead.
     pub(in crate::event_loop) fn send_answer(
         &mut self,
         now: Micros,
         target: AnswerTarget,
-        answer: Answer,
+        mut answer: Answer,
     ) {
+        let unsent_bytes = self.clients.unsent_answers.current;
+        if answer.content_bytes() > 0
+            && unsent_bytes + answer.content_bytes() > self.limits.max_unsent_answer_bytes
+        {
+            log::debug!(
+                "answers that clients do not read hold {unsent_bytes} bytes: replacing an answer \
+                 with {} bytes by a failure",
+                answer.content_bytes()
+            );
+            answer = Answer::Failed;
+        }
         let Some(connection) = self.connections.get_mut(target.connection) else {
             return;
         };
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -89,6 +89,9 @@
     /// Memory of the answers that are queued for clients and of the output buffers of their
     /// connections. Requests are rejected while it is exceeded.
     pub unsent_answer_bytes: usize,
+    /// The same memory. Content that would exceed this limit is replaced by a failure: requests that
+    /// were admitted before may be answered all at once while their clients read nothing.
+    pub max_unsent_answer_bytes: usize,
     /// A final answer is sent this long before the client's time limit, because it takes time to
     /// arrive.
     pub answer_lead_us: Micros,
@@ -258,6 +261,7 @@
 
     unsent_answers_per_client: 256,
     unsent_answer_bytes: 48 * MIB,
+    max_unsent_answer_bytes: 72 * MIB,
     answer_lead_us: 10 * MILLISECOND,
     deadline_check_interval_us: SECOND,
     retry_after_us: 200 * MILLISECOND,
@@ -321,6 +325,7 @@
             total_body_bytes: memory_bytes / 4,
             partial_request_bytes: memory_bytes / 8,
             unsent_answer_bytes: memory_bytes / 4,
+            max_unsent_answer_bytes: memory_bytes / 8 * 3,
             ended_streams: memory_bytes / 8 / MEMORY_PER_ENDED_STREAM_BYTES,
             ..DEFAULT_LIMITS
         }
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -93,6 +93,16 @@
     Failed,
 }
 
+impl Answer {
+    /// Returns the number of bytes of content.
+    pub fn content_bytes(&self) -> usize {
+        match self {
+            Answer::Served(Content::Object { bytes, .. }) => bytes.len(),
+            Answer::Served(Content::NotModified) | Answer::Rejected { .. } | Answer::Failed => 0,
+        }
+    }
+}
+
 /// A request in the table, with its attempt in flight.
 ///
 /// A request is *unsettled* until its final answer is given or its client has disconnected, and
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -5,8 +5,8 @@
 use edge_testkit::fake_cache::Behavior;
 use edge_testkit::fastcgi_client::{FastCgiClient, END_OF_INPUT_BYTES, HEALTH_CHECK_PATH};
 use edge_testkit::proxy_fixture::{
-    fetch_object, is_closed, next_response, ProxyFixture, LONG_BUDGET_MS, LONG_TIMEOUT_US,
-    REQUEST_BUDGET_MS,
+    fetch_object, health_status, is_closed, next_response, ProxyFixture, LONG_BUDGET_MS,
+    LONG_TIMEOUT_US, REQUEST_BUDGET_MS,
 };
 use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
 use edge_testkit::scripted_server::ScriptedServer;
@@ -321,3 +321,54 @@
     assert!(is_closed(&mut client));
     proxy.shut_down();
 }
+
+/// Guards against a process that is killed for its memory: requests are admitted before any of their
+/// answers has arrived, and then the client does not read them.
+#[test]
+fn answers_that_do_not_fit_into_the_memory_limit_are_replaced_by_failures() {
+    const REQUESTS: u16 = 31;
+    // Together more than the buffers of the sockets hold: the kernel sends at most 4 MiB ahead.
+    const ANSWER_BYTES: usize = 500_000;
+    const RECEIVE_BUFFER_BYTES: usize = 100_000;
+    const MAX_UNSENT_BYTES: usize = 1_500_000;
+    let proxy = ProxyFixture::builder()
+        .limits(|limits| {
+            limits.max_unsent_answer_bytes = MAX_UNSENT_BYTES;
+            limits.client_write_timeout_us = LONG_TIMEOUT_US;
+        })
+        .start();
+    proxy.caches[0].set_behavior(Behavior::padded(ANSWER_BYTES));
+    let mut client = proxy.connect();
+    client.limit_receive_buffer(RECEIVE_BUFFER_BYTES).unwrap();
+    for request_id in 1..=REQUESTS {
+        let object = object_key(u64::from(request_id));
+        client
+            .request_object(request_id, READ_CLASS, &object, LONG_BUDGET_MS)
+            .unwrap();
+    }
+    let mut other_client = proxy.connect();
+    while proxy.caches[0].received().len() < usize::from(REQUESTS) {
+        assert_eq!(health_status(&mut other_client), 200);
+    }
+
+    let mut failed = 0;
+    for _ in 1..=REQUESTS {
+        let (_, response) = next_response(&mut client);
+        if response.status == 200 {
+            assert!(
+                response.body.len() > ANSWER_BYTES,
+                "a served part is not whole"
+            );
+        } else {
+            assert_eq!(response.status, 502);
+            failed += 1;
+        }
+    }
+    assert!(
+        failed > 0,
+        "all answers fit into the buffers of the sockets"
+    );
+    let response = fetch_object(&mut other_client, READ_CLASS, &object_key(1));
+    assert_eq!(response.status, 200);
+    proxy.shut_down();
+}
--- a/crates/testkit/src/fastcgi_client.rs
+++ b/crates/testkit/src/fastcgi_client.rs
@@ -4,6 +4,7 @@
 use crate::{Response, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::fastcgi::{self, record_type, RecordParser, RecordPart};
 use edge_proxy::protocol::Parser;
+use rustix::net::sockopt;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -45,6 +46,11 @@
         })
     }
 
+    /// Bounds the bytes that the kernel receives ahead of the client, about.
+    pub fn limit_receive_buffer(&self, bytes: usize) -> io::Result<()> {
+        Ok(sockopt::set_socket_recv_buffer_size(&self.socket, bytes)?)
+    }
+
     /// Encodes a request that asks the proxy to keep the connection open after the response.
     pub fn encode_request(
         request_id: u16,
