Proxy: the FastCGI session without the receiving of streams and records

What receives the streams of a request is in partial_request.rs, with an error that names the stream and its limit, and what collects a whole record in record_collector.rs. MessageParser::may_end_at_close had no caller.

--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -6,13 +6,15 @@
 //! [`OutgoingQueue`].
 
 use super::outgoing::{OutgoingAnswer, OutgoingQueue};
+use super::partial_request::{OversizedStream, PartialRequest};
+use super::record_collector::RecordCollector;
 use super::request::{Endpoint, Parameters};
 use super::response;
 use crate::frontend::ClientSession;
 use crate::limits::Limits;
 use crate::net::RingBuffer;
 use crate::protocol::fastcgi::{self as wire, record_type, RecordParser, RecordPart};
-use crate::protocol::{append_received, Parser, ProtocolError};
+use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::{Answer, ClientRequest, RequestKey};
 use std::collections::HashMap;
 
@@ -50,15 +52,6 @@
     }
 }
 
-/// A request that is partially received.
-#[derive(Default)]
-struct PartialRequest {
-    keep_connection: bool,
-    parameters: Vec<u8>,
-    parameters_complete: bool,
-    body: Vec<u8>,
-}
-
 /// A complete request that waits for its answer.
 struct PendingRequest {
     keep_connection: bool,
@@ -76,9 +69,7 @@
 #[derive(Default)]
 pub struct Session {
     record_parser: RecordParser,
-    /// Received content of a record that can only be handled as a whole. It has at most
-    /// `Limits::collected_record_bytes`.
-    record_content: Vec<u8>,
+    record_collector: RecordCollector,
     /// Open requests by their FastCGI request ids.
     open_requests: HashMap<u16, OpenRequest>,
     outgoing: OutgoingQueue,
@@ -118,7 +109,7 @@
 
     fn partial_request_bytes(&self) -> usize {
         self.partial_requests()
-            .map(|request| request.parameters.capacity() + request.body.capacity())
+            .map(PartialRequest::allocated_bytes)
             .sum()
     }
 
@@ -242,32 +233,6 @@
         Ok(None)
     }
 
-    /// Collects the content of a record that can only be handled as a whole. Returns it once it is
-    /// complete.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the announced length exceeds `Limits::collected_record_bytes`. `item`
-    /// names the record in the error.
-    fn collect_content(
-        &mut self,
-        part: &RecordPart,
-        limits: &Limits,
-        item: &'static str,
-    ) -> Result<Option<Vec<u8>>, ProtocolError> {
-        if part.header.content_bytes > limits.collected_record_bytes {
-            return Err(ProtocolError::TooLong(item));
-        }
-        append_received(
-            &mut self.record_content,
-            &part.content,
-            part.header.content_bytes,
-        );
-        Ok(part
-            .is_last()
-            .then(|| std::mem::take(&mut self.record_content)))
-    }
-
     /// Answers a management record. All types except GET_VALUES are answered as unknown.
     fn answer_management(
         &mut self,
@@ -276,7 +241,10 @@
     ) -> Result<(), ProtocolError> {
         let record_type = part.header.record_type;
         if record_type == record_type::GET_VALUES {
-            let names = self.collect_content(part, limits, "a GET_VALUES record")?;
+            let limit_bytes = limits.collected_record_bytes;
+            let names = self
+                .record_collector
+                .collect(part, limit_bytes, "a GET_VALUES record")?;
             return names.map_or(Ok(()), |names| self.answer_get_values(&names));
         }
         if part.is_last() {
@@ -306,7 +274,10 @@
                 "a BEGIN_REQUEST record (its request id is already in use)",
             ));
         }
-        let content = self.collect_content(part, limits, "a BEGIN_REQUEST record")?;
+        let limit_bytes = limits.collected_record_bytes;
+        let content = self
+            .record_collector
+            .collect(part, limit_bytes, "a BEGIN_REQUEST record")?;
         let Some(content) = content else {
             return Ok(());
         };
@@ -317,10 +288,7 @@
         } else if self.open_requests.len() >= limits.requests_per_client {
             self.end_without_response(request_id, wire::OVERLOADED, keep_connection);
         } else {
-            let request = PartialRequest {
-                keep_connection,
-                ..PartialRequest::default()
-            };
+            let request = PartialRequest::new(keep_connection);
             self.open_requests
                 .insert(request_id, OpenRequest::Receiving(request));
         }
@@ -334,9 +302,8 @@
         let Some(OpenRequest::Receiving(request)) = self.open_requests.get_mut(&request_id) else {
             return;
         };
-        request.parameters_complete = part.header.content_bytes == 0;
-        if !append_to_stream(&mut request.parameters, part, limits.params_bytes) {
-            self.reject_oversized_request(request_id, "parameter stream");
+        if let Err(error) = request.receive_parameters(part, limits) {
+            self.reject_oversized_request(request_id, error);
         }
     }
 
@@ -349,25 +316,24 @@
         let Some(OpenRequest::Receiving(request)) = self.open_requests.get_mut(&request_id) else {
             return Ok(None);
         };
-        if !request.parameters_complete {
-            return Ok(None);
-        }
-        if !append_to_stream(&mut request.body, part, limits.body_bytes) {
-            self.reject_oversized_request(request_id, "body");
-            return Ok(None);
-        }
-        if part.header.content_bytes > 0 {
-            return Ok(None);
+        match request.receive_body(part, limits) {
+            Ok(false) => Ok(None),
+            Ok(true) => {
+                let request = std::mem::take(request);
+                self.handle_request(request_id, request, limits)
+            }
+            Err(error) => {
+                self.reject_oversized_request(request_id, error);
+                Ok(None)
+            }
         }
-        let request = std::mem::take(request);
-        self.handle_request(request_id, request, limits)
     }
 
     /// Rejects a request of which a stream exceeds its limit. The other requests on the connection
     /// are answered. Then the connection is closed, because the client may send the rest of the
     /// stream for as long as it stays open. Until then, the rest is ignored.
-    fn reject_oversized_request(&mut self, request_id: u16, stream: &str) {
-        log::debug!("rejecting FastCGI request {request_id}: its {stream} is too long");
+    fn reject_oversized_request(&mut self, request_id: u16, error: OversizedStream) {
+        log::debug!("rejecting FastCGI request {request_id}: {error}");
         self.open_requests.remove(&request_id);
         self.end_without_response(request_id, wire::OVERLOADED, false);
     }
@@ -446,14 +412,3 @@
         });
     }
 }
-
-/// Appends a part of a record to a stream of a request. Returns `false`, without appending, if the
-/// stream would exceed `limit_bytes` with the announced rest of the record.
-fn append_to_stream(stream: &mut Vec<u8>, part: &RecordPart, limit_bytes: usize) -> bool {
-    let final_bytes = stream.len() + part.content.len() + part.remaining_bytes;
-    if final_bytes > limit_bytes {
-        return false;
-    }
-    append_received(stream, &part.content, final_bytes);
-    true
-}
--- a/crates/proxy/src/protocol/http/messages.rs
+++ b/crates/proxy/src/protocol/http/messages.rs
@@ -92,16 +92,6 @@
         self.line_buffer.allocated_bytes() + head_bytes
     }
 
-    /// Returns whether the connection may be closed at this point: either its end also ends the
-    /// message, or no message is partially received.
-    pub fn may_end_at_close(&self) -> bool {
-        match self.state {
-            State::UntilClose => true,
-            State::Head => self.partial_head.is_none(),
-            _ => false,
-        }
-    }
-
     /// Resets the state for the next message and returns the end of this one.
     fn finish(&mut self) -> Piece {
         self.state = State::Head;
