One place says where a request may be repeated, and whether its answer is a copy

The routing module and the guard of the request table each evaluated the dedup scope, and reject_or_fail and the guard each whether a request can be repeated anywhere. DedupScope::covers and Class::is_repeatable_anywhere serve both; what each knows of servers stays its own. The guard keeps the classes of the settings in place of copies of four of their fields. Whether an answer is a copy is asked where it is needed, and no longer carried through the pending request and the attempt.

--- a/crates/proxy/src/request_table/attempt.rs
+++ b/crates/proxy/src/request_table/attempt.rs
@@ -31,9 +31,6 @@
     /// Latest time to send the attempt, in microseconds on the clock of the event loop, or `None`
     /// for no limit.
     pub send_by: Option<Micros>,
-    /// Whether the content of the answer is a copy, which has a tag and a creation time. Requests of
-    /// some classes leave no copies.
-    pub expects_copy: bool,
 }
 
 /// How an attempt ended, as the upstream connection reports it.
@@ -106,14 +103,13 @@
 
 impl RoutingDecision {
     /// Returns the parameters of the attempt. It ends at `deadline`.
-    pub(super) fn to_spec(self, deadline: Micros, expects_copy: bool) -> AttemptSpec {
+    pub(super) fn to_spec(self, deadline: Micros) -> AttemptSpec {
         AttemptSpec {
             server: self.server,
             fill: self.fill,
             max_age_us: self.fill.and_then(|fill| fill.max_age_us),
             deadline,
             send_by: self.send_by,
-            expects_copy,
         }
     }
 }
--- a/crates/proxy/src/request_table/guard.rs
+++ b/crates/proxy/src/request_table/guard.rs
@@ -6,72 +6,50 @@
 use super::servers::DedupLocation;
 use super::RequestTable;
 use crate::invariants::Invariant;
-use edge_routing::{Class, DedupScope, Idempotency, Micros, Settings};
+use edge_routing::{Class, Idempotency, Micros, Settings};
 use std::collections::HashMap;
 
 /// How long after the deadline a final answer still counts as given in time. A later answer is lost
 /// to the client, and means that the event loop was held up or a timer was missed.
 const MAX_ANSWER_LATENESS_US: Micros = 500_000;
 
-/// The properties of a request class that checks depend on.
-#[derive(Clone, Copy)]
-struct ClassRule {
-    idempotency: Idempotency,
-    dedup_scope: DedupScope,
-    dedup_window_us: Micros,
-    is_write: bool,
-}
-
-/// A class that the settings don't name counts as idempotent, because its requests are never
-/// executed.
-const UNKNOWN_CLASS: ClassRule = ClassRule {
-    idempotency: Idempotency::Idempotent,
-    dedup_scope: DedupScope::All,
-    dedup_window_us: 0,
-    is_write: false,
-};
-
-/// The rules of each request class, by the name of the class.
+/// The request classes of the settings, by name. A class that the settings don't name counts as
+/// idempotent, because its requests are never executed.
 pub(super) struct ClassRules {
-    by_class: HashMap<String, ClassRule>,
+    by_name: HashMap<String, Class>,
 }
 
 impl ClassRules {
     pub(super) fn from_settings(settings: &Settings) -> Self {
-        let rule = |class: &Class| ClassRule {
-            idempotency: class.idempotency,
-            dedup_scope: class.dedup_scope,
-            dedup_window_us: class.dedup_window_us,
-            is_write: class.is_write,
-        };
         let classes = settings.classes.iter();
         ClassRules {
-            by_class: classes
-                .map(|class| (class.name.clone(), rule(class)))
+            by_name: classes
+                .map(|class| (class.name.clone(), class.clone()))
                 .collect(),
         }
     }
 
-    fn rule_of(&self, request: &ClientRequest) -> ClassRule {
-        let known = self.by_class.get(&request.class);
-        known.copied().unwrap_or(UNKNOWN_CLASS)
+    fn class_of(&self, request: &ClientRequest) -> Option<&Class> {
+        self.by_name.get(&request.class)
     }
 
     /// Returns whether the request lacks the idempotency key under which its class is retried.
     pub(super) fn lacks_required_key(&self, request: &ClientRequest) -> bool {
+        let class = self.class_of(request);
         request.idempotency_key.is_none()
-            && self.rule_of(request).idempotency == Idempotency::IdempotencyKey
+            && class.is_some_and(|class| class.idempotency == Idempotency::IdempotencyKey)
     }
 
     /// Returns whether servers keep copies of the content with which the request is answered.
     pub(super) fn leaves_copies(&self, request: &ClientRequest) -> bool {
-        !self.rule_of(request).is_write
+        self.class_of(request).is_none_or(|class| !class.is_write)
     }
 
     /// Returns whether a request may be sent again, considering its class and earlier attempts.
     fn allows_retry(&self, pending: &PendingRequest) -> bool {
+        let class = self.class_of(&pending.request);
         !pending.may_have_executed()
-            || self.rule_of(&pending.request).idempotency != Idempotency::NonIdempotent
+            || class.is_none_or(|class| class.idempotency != Idempotency::NonIdempotent)
     }
 
     /// Returns whether an attempt at `location` can't execute a request with an idempotency key a
@@ -82,29 +60,27 @@
         pending: &PendingRequest,
         location: Option<DedupLocation>,
     ) -> bool {
-        let rule = self.rule_of(&pending.request);
         let Some(execution) = pending.first_possible_execution() else {
             return true;
         };
-        if rule.idempotency != Idempotency::IdempotencyKey {
+        let Some(class) = self
+            .class_of(&pending.request)
+            .filter(|class| class.idempotency == Idempotency::IdempotencyKey)
+        else {
             return true;
-        }
+        };
         let shares_scope = match (execution.location, location) {
-            (Some(first), Some(next)) => first.shares_scope(next, rule.dedup_scope),
-            _ => rule.dedup_scope == DedupScope::All,
+            (Some(first), Some(next)) => first.shares_scope(next, class.dedup_scope),
+            _ => class.dedup_scope.covers(false, false),
         };
-        shares_scope && now < execution.started_at + rule.dedup_window_us
+        shares_scope && now < execution.started_at + class.dedup_window_us
     }
 
     /// Returns whether the client may be told that a retry does no harm. Its retry may reach any
     /// server.
     fn allows_rejection(&self, pending: &PendingRequest) -> bool {
-        let rule = self.rule_of(&pending.request);
-        let recognized_everywhere =
-            rule.idempotency == Idempotency::IdempotencyKey && rule.dedup_scope == DedupScope::All;
-        !pending.may_have_executed()
-            || rule.idempotency == Idempotency::Idempotent
-            || recognized_everywhere
+        let class = self.class_of(&pending.request);
+        !pending.may_have_executed() || class.is_none_or(Class::is_repeatable_anywhere)
     }
 }
 
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -139,6 +139,14 @@
         Some((&pending.request, &in_flight.spec))
     }
 
+    /// Returns whether the content of an answer to an attempt is a copy, which has a tag and a
+    /// creation time. Requests of some classes leave no copies. Returns `false` if the attempt is no
+    /// longer in flight.
+    pub fn expects_copy(&self, attempt: AttemptId) -> bool {
+        self.attempt_spec(attempt)
+            .is_some_and(|(request, _)| self.class_rules.leaves_copies(request))
+    }
+
     /// Returns the client's id of a request. Returns `None` if the request is no longer pending.
     pub fn request_id(&self, request_key: RequestKey) -> Option<&str> {
         Some(self.requests.get(request_key)?.request.id.as_str())
@@ -293,8 +301,7 @@
         request.remaining_us = request
             .remaining_us
             .saturating_sub(self.deadline_timing.answer_lead_us);
-        let expects_copy = self.class_rules.leaves_copies(&request);
-        let pending = PendingRequest::new(now, answer_target, request, expects_copy);
+        let pending = PendingRequest::new(now, answer_target, request);
         let request_key = self.requests.insert(pending)?;
         self.counters.admitted += 1;
         self.set_deadline_timer(now, request_key);
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -119,8 +119,6 @@
     /// Where the final answer goes. `None` once the request is settled.
     answer_target: Option<AnswerTarget>,
     pub(super) request: ClientRequest,
-    /// Whether the content of an answer is a copy that a server keeps.
-    expects_copy: bool,
     /// When the client stops waiting, less the time that an answer needs to arrive.
     pub(super) deadline: Micros,
     /// Number of attempts started so far, which is the number of the next attempt.
@@ -132,17 +130,11 @@
 }
 
 impl PendingRequest {
-    pub(super) fn new(
-        now: Micros,
-        answer_target: AnswerTarget,
-        request: ClientRequest,
-        expects_copy: bool,
-    ) -> Self {
+    pub(super) fn new(now: Micros, answer_target: AnswerTarget, request: ClientRequest) -> Self {
         PendingRequest {
             answer_target: Some(answer_target),
             deadline: now + request.remaining_us,
             request,
-            expects_copy,
             attempts_started: 0,
             first_possible_execution: None,
             in_flight: None,
@@ -202,12 +194,7 @@
             .timeout_us
             .map_or(self.deadline, |timeout_us| now + timeout_us)
             .min(self.deadline);
-        let attempt = InFlightAttempt::new(
-            now,
-            number,
-            decision.to_spec(deadline, self.expects_copy),
-            location,
-        );
+        let attempt = InFlightAttempt::new(now, number, decision.to_spec(deadline), location);
         self.in_flight = Some(attempt);
         attempt
     }
--- a/crates/proxy/src/request_table/servers.rs
+++ b/crates/proxy/src/request_table/servers.rs
@@ -50,11 +50,7 @@
 impl DedupLocation {
     /// Returns whether servers at two locations recognize each other's requests.
     pub(super) fn shares_scope(self, other: DedupLocation, scope: DedupScope) -> bool {
-        match scope {
-            DedupScope::All => true,
-            DedupScope::Zone => self.zone == other.zone,
-            DedupScope::Cell => self.cell == other.cell,
-        }
+        scope.covers(self.zone == other.zone, self.cell == other.cell)
     }
 }
 
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -66,8 +66,7 @@
             return Ok(());
         };
         let attempt = self.streams.get(&id).and_then(Stream::unreported_attempt);
-        let spec = attempt.and_then(|attempt| request_table.attempt_spec(attempt));
-        if spec.is_some_and(|(_, spec)| spec.expects_copy) {
+        if attempt.is_some_and(|attempt| request_table.expects_copy(attempt)) {
             answer.check_copy()?;
         }
         match self.streams.remove(&id) {
--- a/crates/routing/src/policy/admission.rs
+++ b/crates/routing/src/policy/admission.rs
@@ -4,7 +4,7 @@
 use super::{replication::Selection, retry::ANSWER_OVERHEAD_S, Router};
 use crate::action::Action;
 use crate::event::{EndpointState, FillResult, RequestId};
-use crate::settings::{DedupScope, Idempotency, Micros};
+use crate::settings::Micros;
 use crate::state::{RequestState, Role, ServerState};
 
 /// Largest share of the remaining time that a transfer from a cache server may be expected to take.
@@ -166,11 +166,7 @@
         let request = self.requests.remove(id)?;
         let class = self.class(&request);
         let never_executed = request.first_possible_execution.is_none();
-        let retry_is_safe = match class.idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::IdempotencyKey => never_executed || class.dedup_scope == DedupScope::All,
-            Idempotency::NonIdempotent => never_executed,
-        };
+        let retry_is_safe = never_executed || class.is_repeatable_anywhere();
         // Retry-After is also sent to clients that are not known to follow it: it does no harm.
         let max_retry_after_us = self.settings.max_retry_after_us;
         let retry_after_us =
--- a/crates/routing/src/settings/mod.rs
+++ b/crates/routing/src/settings/mod.rs
@@ -211,7 +211,28 @@
     pub rules: Rules,
 }
 
+impl DedupScope {
+    /// Returns whether servers recognize each other's requests within this scope, given whether they
+    /// are known to be in the same zone and in the same cell.
+    pub fn covers(self, same_zone: bool, same_cell: bool) -> bool {
+        match self {
+            DedupScope::All => true,
+            DedupScope::Zone => same_zone,
+            DedupScope::Cell => same_cell,
+        }
+    }
+}
+
 impl Class {
+    /// Returns whether a request that may have been executed can be repeated at any server.
+    pub fn is_repeatable_anywhere(&self) -> bool {
+        match self.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey => self.dedup_scope == DedupScope::All,
+            Idempotency::NonIdempotent => false,
+        }
+    }
+
     /// Returns how long a copy is fresh, or None if it is fresh until it is purged.
     pub(crate) fn lifetime_us(&self) -> Option<Micros> {
         (self.freshness_lifetime_us > 0).then_some(self.freshness_lifetime_us)
--- a/crates/routing/src/state/requests.rs
+++ b/crates/routing/src/state/requests.rs
@@ -27,11 +27,9 @@
     /// Returns whether two servers recognize each other's requests. Within a zone or a cell, a
     /// server of unknown location recognizes no requests of others.
     pub(crate) fn shares_scope(self, other: DedupLocation, scope: DedupScope) -> bool {
-        match scope {
-            DedupScope::All => true,
-            DedupScope::Zone => self.zone_index.is_some() && self.zone_index == other.zone_index,
-            DedupScope::Cell => self.cell.is_some() && self.cell == other.cell,
-        }
+        let same_zone = self.zone_index.is_some() && self.zone_index == other.zone_index;
+        let same_cell = self.cell.is_some() && self.cell == other.cell;
+        scope.covers(same_zone, same_cell)
     }
 }
 
