Proxy: empty buffers are freed in one method, and less state in the parsing of records

BufferedSocket::release_empty_buffers stands for two pairs of calls. Whether a part of a record is its first follows from the state in which it is read. flush_upstream filtered a time that it doesn't use when the connection is unusable, and asked twice whether the connection is idle.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -201,13 +201,11 @@
         mut answer: Answer,
     ) {
         let unsent_bytes = self.clients.unsent_answers.current;
-        if answer.content_bytes() > 0
-            && unsent_bytes + answer.content_bytes() > self.limits.max_unsent_answer_bytes
-        {
+        let content_bytes = answer.content_bytes();
+        if content_bytes > 0 && unsent_bytes + content_bytes > self.limits.max_unsent_answer_bytes {
             log::debug!(
                 "answers that clients do not read hold {unsent_bytes} bytes: replacing an answer \
-                 with {} bytes by a failure",
-                answer.content_bytes()
+                 with {content_bytes} bytes by a failure"
             );
             answer = Answer::Failed;
         }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -332,8 +332,7 @@
             return self.close(now, key, reason);
         }
         connection.transport.input.clear();
-        connection.transport.input.release_memory();
-        connection.transport.output.release_memory();
+        connection.transport.release_empty_buffers();
         self.clients.release(&mut connection.activity);
         connection.activity.timeout_start = now;
         let lingering = ConnectionRole::Lingering { discarded_bytes: 0 };
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -45,17 +45,10 @@
             return self.close_gracefully(now, key, reason);
         }
         self.update_client_activity(now, key);
-        self.release_empty_buffers(key);
-        self.enforce_partial_request_limit(now, key);
-    }
-
-    /// Frees the buffers of a connection that hold no bytes. Hundreds of connections of any kind may
-    /// stay open, and the memory of their buffers must not add up.
-    fn release_empty_buffers(&mut self, key: SlabKey) {
         if let Some(connection) = self.connections.get_mut(key) {
-            connection.transport.input.release_memory();
-            connection.transport.output.release_memory();
+            connection.transport.release_empty_buffers();
         }
+        self.enforce_partial_request_limit(now, key);
     }
 
     /// Returns whether a connection is closed when its client closes its half. This holds for
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -141,12 +141,13 @@
             &self.limits,
             &mut events,
         );
-        let next_check_at = upstream.next_check_at(&self.limits).filter(|_| is_usable);
+        let next_check_at = upstream.next_check_at(&self.limits);
+        let is_idle = upstream.is_idle();
         // A server that is draining or gone gets no new attempts. Its connections are closed once
         // all awaited answers have arrived. If its machine has vanished, nothing else would close
         // them.
-        let is_drained = upstream.is_idle() && !self.request_table.is_server_ready(server);
-        let is_retired = upstream.is_idle() && upstream.is_retired();
+        let is_drained = is_idle && !self.request_table.is_server_ready(server);
+        let is_retired = is_idle && upstream.is_retired();
         self.report_upstream_events(now, server, events);
         if !is_usable {
             return Err(CloseReason::UpstreamUnusable);
--- a/crates/proxy/src/frontend/fastcgi/record_collector.rs
+++ b/crates/proxy/src/frontend/fastcgi/record_collector.rs
@@ -1,5 +1,6 @@
 //! Collects the content of a record that can only be handled as a whole.
 
+use crate::limits::Limits;
 use crate::protocol::fastcgi::RecordPart;
 use crate::protocol::{append_received, ProtocolError};
 
@@ -15,15 +16,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the announced length exceeds `limit_bytes`. `item` names the record in
-    /// the error.
+    /// Returns an error if the announced length exceeds `Limits::collected_record_bytes`. `item`
+    /// names the record in the error.
     pub(super) fn collect(
         &mut self,
         part: &RecordPart,
-        limit_bytes: usize,
+        limits: &Limits,
         item: &'static str,
     ) -> Result<Option<Vec<u8>>, ProtocolError> {
-        if part.header.content_bytes > limit_bytes {
+        if part.header.content_bytes > limits.collected_record_bytes {
             return Err(ProtocolError::TooLong(item));
         }
         append_received(&mut self.content, &part.content, part.header.content_bytes);
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -241,10 +241,9 @@
     ) -> Result<(), ProtocolError> {
         let record_type = part.header.record_type;
         if record_type == record_type::GET_VALUES {
-            let limit_bytes = limits.collected_record_bytes;
             let names = self
                 .record_collector
-                .collect(part, limit_bytes, "a GET_VALUES record")?;
+                .collect(part, limits, "a GET_VALUES record")?;
             return names.map_or(Ok(()), |names| self.answer_get_values(&names));
         }
         if part.is_last() {
@@ -274,10 +273,9 @@
                 "a BEGIN_REQUEST record (its request id is already in use)",
             ));
         }
-        let limit_bytes = limits.collected_record_bytes;
         let content = self
             .record_collector
-            .collect(part, limit_bytes, "a BEGIN_REQUEST record")?;
+            .collect(part, limits, "a BEGIN_REQUEST record")?;
         let Some(content) = content else {
             return Ok(());
         };
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -140,6 +140,13 @@
         progress
     }
 
+    /// Frees the buffers that hold no bytes. Hundreds of connections may stay open, and the memory of
+    /// their buffers must not add up.
+    pub fn release_empty_buffers(&mut self) {
+        self.input.release_memory();
+        self.output.release_memory();
+    }
+
     /// Closes the writing half of the connection and drops the output buffer. The peer sees the end
     /// of the stream after the bytes that were already written to the socket.
     pub fn shut_down_writes(&mut self) -> io::Result<()> {
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -99,8 +99,6 @@
 struct RecordProgress {
     header: RecordHeader,
     padding_bytes: usize,
-    /// Whether the first part was returned.
-    is_begun: bool,
     /// Number of content bytes that are still to be received.
     remaining_bytes: usize,
 }
@@ -135,9 +133,13 @@
 
     /// Removes the available content of a record from the front of `rest` and returns it as a part.
     /// `progress` says what has been received of the record.
-    fn take_part(&mut self, mut progress: RecordProgress, rest: &mut &[u8]) -> RecordPart {
+    fn take_part(
+        &mut self,
+        mut progress: RecordProgress,
+        is_first: bool,
+        rest: &mut &[u8],
+    ) -> RecordPart {
         let content = take_up_to(rest, progress.remaining_bytes).to_vec();
-        let is_first = !std::mem::replace(&mut progress.is_begun, true);
         progress.remaining_bytes -= content.len();
         self.state = match (progress.remaining_bytes, progress.padding_bytes) {
             (0, 0) => State::Header,
@@ -159,7 +161,7 @@
     fn parse(&mut self, input: &[u8]) -> Result<(usize, Option<RecordPart>), ProtocolError> {
         let mut rest = input;
         loop {
-            let progress = match self.state {
+            let (progress, is_first) = match self.state {
                 State::Header => {
                     let missing_bytes = HEADER_BYTES - self.header.len();
                     self.header
@@ -168,10 +170,10 @@
                         return Ok((input.len(), None));
                     };
                     self.header.clear();
-                    progress
+                    (progress, true)
                 }
                 State::Content(_) if rest.is_empty() => return Ok((input.len(), None)),
-                State::Content(progress) => progress,
+                State::Content(progress) => (progress, false),
                 State::Padding(remaining_bytes) => {
                     let remaining_bytes =
                         remaining_bytes - take_up_to(&mut rest, remaining_bytes).len();
@@ -183,7 +185,7 @@
                     continue;
                 }
             };
-            let part = self.take_part(progress, &mut rest);
+            let part = self.take_part(progress, is_first, &mut rest);
             return Ok((input.len() - rest.len(), Some(part)));
         }
     }
@@ -214,7 +216,6 @@
             Some(RecordProgress {
                 header,
                 padding_bytes: usize::from(*padding),
-                is_begun: false,
                 remaining_bytes: header.content_bytes,
             })
         }
