--- a/crates/proxy/tests/memory_limit.rs
+++ b/crates/proxy/tests/memory_limit.rs
@@ -71,9 +71,7 @@
 impl UnfinishedRecord {
     /// Returns the beginning of a request and the record without its last byte.
     fn encode(self) -> Vec<u8> {
-        let mut message = Vec::new();
-        let begin = [0, 1, fastcgi::KEEP_CONN, 0, 0, 0, 0, 0];
-        fastcgi::write_record(&mut message, record_type::BEGIN_REQUEST, REQUEST_ID, &begin);
+        let mut message = FastCgiClient::encode_begin_request(REQUEST_ID, fastcgi::KEEP_CONN);
         if self.follows_parameters {
             fastcgi::write_record(&mut message, record_type::PARAMS, REQUEST_ID, &[]);
         }
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -247,9 +247,7 @@
 /// that never ends.
 fn oversized_request(request_id: u16, record_type: u8) -> Vec<u8> {
     const RECEIVED_BYTES: usize = 100;
-    let begin = [0, 1, fastcgi::KEEP_CONN, 0, 0, 0, 0, 0];
-    let mut message = Vec::new();
-    fastcgi::write_record(&mut message, record_type::BEGIN_REQUEST, request_id, &begin);
+    let mut message = FastCgiClient::encode_begin_request(request_id, fastcgi::KEEP_CONN);
     if record_type == record_type::STDIN {
         fastcgi::write_record(&mut message, record_type::PARAMS, request_id, &[]);
     }
--- a/crates/routing/tests/retries.rs
+++ b/crates/routing/tests/retries.rs
@@ -94,11 +94,9 @@
 #[test]
 fn a_request_with_an_idempotency_key_is_retried_only_in_its_deduplication_scope() {
     let mut settings = settings_without_direct_requests();
-    for class in &mut settings.classes {
-        if class.name == ORDER {
-            class.dedup_scope = DedupScope::Cell;
-        }
-    }
+    change_class(&mut settings, ORDER, |class| {
+        class.dedup_scope = DedupScope::Cell;
+    });
     let mut harness = Harness::new(settings, fleet());
     let first = harness.forward(ORDER, "/o/a");
     let retry = harness
@@ -160,12 +158,10 @@
 /// this scope.
 fn settings_with_keyed_reads(scope: DedupScope) -> Settings {
     let mut settings = settings();
-    for class in &mut settings.classes {
-        if class.name == VIDEO {
-            class.idempotency = Idempotency::IdempotencyKey;
-            class.dedup_scope = scope;
-        }
-    }
+    change_class(&mut settings, VIDEO, |class| {
+        class.idempotency = Idempotency::IdempotencyKey;
+        class.dedup_scope = scope;
+    });
     settings
 }
 
@@ -281,12 +277,10 @@
 #[test]
 fn an_idempotent_write_is_retried_in_any_cell() {
     let mut settings = settings_without_direct_requests();
-    for class in &mut settings.classes {
-        if class.name == ORDER {
-            class.idempotency = Idempotency::Idempotent;
-            class.dedup_scope = DedupScope::Cell;
-        }
-    }
+    change_class(&mut settings, ORDER, |class| {
+        class.idempotency = Idempotency::Idempotent;
+        class.dedup_scope = DedupScope::Cell;
+    });
     let mut harness = Harness::new(settings, fleet());
     let first = harness.forward(ORDER, "/o/a");
     harness.handle(endpoint_delta(vec![Endpoint {
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -197,6 +197,12 @@
     }
 }
 
+/// Changes the class with this name. Panics if the settings have no such class.
+pub fn change_class(settings: &mut Settings, name: &str, change: impl FnOnce(&mut Class)) {
+    let class = settings.classes.iter_mut().find(|class| class.name == name);
+    change(class.expect("the settings have the class"));
+}
+
 /// Returns settings where the rate of the link of the router's zone is unknown.
 pub fn settings_with_unknown_link() -> Settings {
     let mut settings = settings();
--- a/crates/testkit/src/fastcgi_client.rs
+++ b/crates/testkit/src/fastcgi_client.rs
@@ -61,6 +61,15 @@
         Self::encode_request_with_flags(request_id, fastcgi::KEEP_CONN, path, params, body)
     }
 
+    /// Encodes a BEGIN_REQUEST record with the given flags.
+    pub fn encode_begin_request(request_id: u16, flags: u8) -> Vec<u8> {
+        let [role_high, role_low] = fastcgi::RESPONDER.to_be_bytes();
+        let begin = [role_high, role_low, flags, 0, 0, 0, 0, 0];
+        let mut out = Vec::new();
+        fastcgi::write_record(&mut out, record_type::BEGIN_REQUEST, request_id, &begin);
+        out
+    }
+
     /// Encodes a request with the given flags in its BEGIN_REQUEST record.
     pub fn encode_request_with_flags(
         request_id: u16,
@@ -74,10 +83,7 @@
         for (name, value) in params {
             fastcgi::write_pair(&mut encoded_params, name, value);
         }
-        let [role_high, role_low] = fastcgi::RESPONDER.to_be_bytes();
-        let begin = [role_high, role_low, flags, 0, 0, 0, 0, 0];
-        let mut out = Vec::new();
-        fastcgi::write_record(&mut out, record_type::BEGIN_REQUEST, request_id, &begin);
+        let mut out = Self::encode_begin_request(request_id, flags);
         fastcgi::write_record(&mut out, record_type::PARAMS, request_id, &encoded_params);
         fastcgi::write_record(&mut out, record_type::PARAMS, request_id, &[]);
         if !body.is_empty() {
