--- a/review/stands-2/src/bin/crowd.rs
+++ b/review/stands-2/src/bin/crowd.rs
@@ -1,7 +1,7 @@
 //! Clients that hold idle connections fill the descriptors of a proxy, while an ordinary client
 //! sends a request in two pieces on a connection on which it has been answered before.
 
-use review_stands_2::bus::Bus;
+use review_stands_2::bus::{Bus, Form};
 use review_stands_2::fcgi::{Answer, Client, Random, Request};
 use review_stands_2::json::{Config, Server};
 use review_stands_2::proxy::{free_address, Proxy};
@@ -63,7 +63,7 @@
         "origin",
         20.0,
     ));
-    let bus = Bus::start("\n", record.clone());
+    let bus = Bus::start(Form::PLAIN, record.clone());
     let address = free_address();
     let config = Config {
         name: "n1",
--- a/review/stands-2/src/bin/params.rs
+++ b/review/stands-2/src/bin/params.rs
@@ -1,6 +1,6 @@
 //! One of the requests that share a connection has a parameter with a byte above 127.
 
-use review_stands_2::bus::Bus;
+use review_stands_2::bus::{Bus, Form};
 use review_stands_2::fcgi::{Answer, Client, Random, Request};
 use review_stands_2::json::{Config, Server};
 use review_stands_2::proxy::{free_address, Proxy};
@@ -45,7 +45,7 @@
         "origin",
         20.0,
     ));
-    let bus = Bus::start("\n", record.clone());
+    let bus = Bus::start(Form::PLAIN, record.clone());
     let address = free_address();
     let config = Config {
         name: "n1",
--- a/review/stands-2/src/fcgi.rs
+++ b/review/stands-2/src/fcgi.rs
@@ -90,6 +90,18 @@
         self.encode_with(number, b"")
     }
 
+    /// Encodes the request with a body.
+    pub fn encode_with_body(&self, number: u16, body: &[u8]) -> Vec<u8> {
+        let mut out = self.encode(number);
+        // The empty STDIN record at the end comes behind the body.
+        out.truncate(out.len() - 8);
+        for piece in body.chunks(60_000) {
+            record(&mut out, 5, number, piece);
+        }
+        record(&mut out, 5, number, &[]);
+        out
+    }
+
     /// Encodes the request with a header of the end user's request, `Referer`.
     pub fn encode_with(&self, number: u16, referer: &[u8]) -> Vec<u8> {
         let fields = [
@@ -124,6 +136,18 @@
         })
     }
 
+    /// Whether the proxy has ended the connection, which has no open request.
+    pub fn is_ended(&self) -> bool {
+        let mut byte = [0; 1];
+        let _ = self.socket.set_nonblocking(true);
+        let seen = self.socket.peek(&mut byte);
+        let _ = self.socket.set_nonblocking(false);
+        match seen {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     /// A new FastCGI number.
     pub fn number(&mut self) -> u16 {
         let number = self.next;
--- a/review/stands-2/src/resp.rs
+++ b/review/stands-2/src/resp.rs
@@ -61,7 +61,7 @@
 
 impl Reply {
     /// Answers at a limited rate, in pieces every 20 ms. Answers on one connection follow each
-    /// other.
+    /// other; one that has begun is written to its end.
     pub fn answer_paced(&self, status: &str, fields: &str, body: &[u8], bytes_per_s: usize) {
         let bytes = encode(&[
             self.id.as_bytes(),
@@ -80,6 +80,27 @@
             crate::sleep_ms(20);
         }
     }
+
+    /// Answers with a length of the body that may not fit. All bytes of the body follow. Returns
+    /// whether they were written.
+    pub fn answer_spoilt(
+        &self,
+        status: &str,
+        fields: &str,
+        body: &[u8],
+        announced_bytes: usize,
+    ) -> bool {
+        if self.is_aborted() {
+            return false;
+        }
+        let head = encode(&[self.id.as_bytes(), status.as_bytes(), fields.as_bytes()]);
+        let mut bytes = b"*4".to_vec();
+        bytes.extend_from_slice(&head[2..]);
+        bytes.extend(format!("${announced_bytes}\r\n").as_bytes());
+        bytes.extend_from_slice(body);
+        bytes.extend_from_slice(b"\r\n");
+        self.socket.lock().unwrap().write_all(&bytes).is_ok()
+    }
 }
 
 pub fn encode(items: &[&[u8]]) -> Vec<u8> {
