--- a/review/stands-2/src/fcgi.rs
+++ b/review/stands-2/src/fcgi.rs
@@ -192,6 +192,31 @@
         }
     }
 
+    /// Waits for the answer to the request with this number, and reads no faster than the client's
+    /// link carries.
+    pub fn wait_at_pace(&mut self, number: u16, time: Duration, bytes_per_s: usize) -> Answer {
+        let deadline = Instant::now() + time;
+        let mut bytes = vec![0; bytes_per_s / 100];
+        loop {
+            if let Some(answer) = self.take_answer(number) {
+                return answer;
+            }
+            if Instant::now() >= deadline {
+                return Answer::None("no answer in time".into());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+            let _ = self
+                .socket
+                .set_read_timeout(Some(Duration::from_millis(10)));
+            match self.socket.read(&mut bytes) {
+                Ok(0) => return Answer::None("the connection ended".into()),
+                Ok(count) => self.buffer.extend_from_slice(&bytes[..count]),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(e) => return Answer::None(format!("the connection broke: {e}")),
+            }
+        }
+    }
+
     fn take_answer(&mut self, wanted: u16) -> Option<Answer> {
         loop {
             if self.buffer.len() < 8 {
