--- a/review/stands-2/src/fcgi.rs
+++ b/review/stands-2/src/fcgi.rs
@@ -121,6 +121,8 @@
     pub socket: TcpStream,
     buffer: Vec<u8>,
     streams: HashMap<u16, Vec<u8>>,
+    /// Answers that came while another one was waited for.
+    answers: HashMap<u16, Answer>,
     next: u16,
 }
 
@@ -132,6 +134,7 @@
             socket,
             buffer: Vec::new(),
             streams: HashMap::new(),
+            answers: HashMap::new(),
             next: 1,
         })
     }
@@ -218,14 +221,11 @@
     }
 
     fn take_answer(&mut self, wanted: u16) -> Option<Answer> {
-        loop {
-            if self.buffer.len() < 8 {
-                return None;
-            }
+        while self.buffer.len() >= 8 {
             let length = usize::from(u16::from_be_bytes([self.buffer[4], self.buffer[5]]));
             let total = 8 + length + usize::from(self.buffer[6]);
             if self.buffer.len() < total {
-                return None;
+                break;
             }
             let bytes: Vec<u8> = self.buffer.drain(..total).collect();
             let number = u16::from_be_bytes([bytes[2], bytes[3]]);
@@ -238,13 +238,13 @@
                     .extend_from_slice(content),
                 3 => {
                     let stream = self.streams.remove(&number).unwrap_or_default();
-                    if number == wanted {
-                        return Some(read_answer(&stream, content.get(4).copied().unwrap_or(0)));
-                    }
+                    let status = content.get(4).copied().unwrap_or(0);
+                    self.answers.insert(number, read_answer(&stream, status));
                 }
                 _ => {}
             }
         }
+        self.answers.remove(&wanted)
     }
 }
 
