An answer whose body goes on behind its announced length is malformed

Cause: a length that is too short, and that falls on a CR LF of the body, looks right to the parser of RESP strings, which checks only the line end behind the announced bytes. The attempt ended with that answer. The rest of the body lies behind it and can't begin an answer, but it was found malformed one step later, when the cut part had been accepted.

Change: an answer whose body is passed on (200) is handled only once the id of the next answer has arrived behind it, or a further read of the socket has found nothing more. If malformed input follows, it is dropped and its attempt ends as reset with the connection: a read is sent again, a request that must not run twice fails. Lines with lengths are checked from their first byte. If the read behind an answer fails for a moment, or several answers in a row end where a read ends, the connection is read again by its retry timer. Other answers mean the same whatever their body is, so a miss still counts although malformed input follows it.

The same cause elsewhere: a length that is too long and falls on a line end of the next answer (the rest of that answer then follows); an announced end that is also the end of what one read returns.

Tests on: an_answer_whose_body_is_longer_than_announced_is_malformed, an_answer_whose_body_is_shorter_than_announced_is_not_served, the_rest_of_a_body_is_recognized_by_its_first_byte and read_whose_body_is_longer_than_announced_is_served_by_a_retry fail. The others need the new methods.

--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -1,13 +1,13 @@
-//! Connections to cache servers: reads and writes them, and reports results to the request table.
+//! Connections to cache servers: writes and checks them, and reports results to the request table.
 
+mod answers;
 mod attempts;
 mod parked;
 
 use super::close_reason::CloseReason;
 use super::timer::TimerEvent;
 use super::EventLoop;
-use crate::net::{BufferedSocket, IoProgress, SlabKey, TimerKey};
-use crate::protocol::ProtocolError;
+use crate::net::{BufferedSocket, SlabKey, TimerKey};
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Micros, ServerId};
 use parked::ParkedAttempts;
@@ -76,48 +76,6 @@
 }
 
 impl EventLoop {
-    /// Handles the buffered input from a cache server.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the input violates the protocol. Results that arrived before the error
-    /// are reported.
-    pub(in crate::event_loop) fn read_upstream(
-        &mut self,
-        now: Micros,
-        key: SlabKey,
-    ) -> Result<(), ProtocolError> {
-        let Some((transport, upstream)) = self.connections.upstream_mut(key) else {
-            return Ok(());
-        };
-        let server = upstream.server;
-        let mut events = Vec::new();
-        let result = upstream.read(now, transport, &self.request_table, &mut events);
-        self.report_upstream_events(now, server, events);
-        result
-    }
-
-    /// Reads the answers that a server sent before its connection broke. They are still used.
-    pub(in crate::event_loop) fn read_remaining_answers(&mut self, now: Micros, key: SlabKey) {
-        for _ in 0..self.limits.max_reads_after_close {
-            let is_readable =
-                self.connections
-                    .upstream(key)
-                    .is_some_and(|(transport, upstream)| {
-                        transport.is_connected
-                            && upstream.can_parse_further_input(now, &self.limits)
-                    });
-            let Some((transport, _)) = self.connections.upstream_mut(key).filter(|_| is_readable)
-            else {
-                return;
-            };
-            if transport.read(false) != IoProgress::Advanced || self.handle_input(now, key).is_err()
-            {
-                return;
-            }
-        }
-    }
-
     /// Writes queued attempts, and sets the timers for checking the connection again.
     ///
     /// # Errors
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -129,6 +129,8 @@
     pub max_reads_after_close: usize,
 
     // ---- Answers of cache servers ----
+    /// Reads in a row to find out what follows an answer, before other connections get their turn.
+    pub max_reads_behind_answer: usize,
     /// Size of the body of an answer.
     pub answer_body_bytes: usize,
     /// A partially received answer counts as incomplete if nothing more arrives for this long.
@@ -278,6 +280,7 @@
     server_write_timeout_us: 500 * MILLISECOND,
     max_reads_after_close: 64,
 
+    max_reads_behind_answer: 4,
     answer_body_bytes: 512 * KIB,
     partial_answer_timeout_us: 150 * MILLISECOND,
     unawaited_answer_timeout_us: SECOND,
--- a/crates/proxy/src/protocol/line.rs
+++ b/crates/proxy/src/protocol/line.rs
@@ -31,6 +31,11 @@
         self.partial.is_empty()
     }
 
+    /// Returns the received part of a line that is not complete yet.
+    pub(super) fn partial(&self) -> &[u8] {
+        &self.partial
+    }
+
     /// Returns the number of bytes allocated for a part of a line.
     pub(super) fn allocated_bytes(&self) -> usize {
         self.partial.capacity()
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -12,6 +12,17 @@
 const MAX_LENGTH_LINE_BYTES: usize = 32;
 const LINE_END: &[u8] = b"\r\n";
 
+/// The first byte of a line that holds the length of an array, and its name in errors.
+const ARRAY: LengthLine = LengthLine {
+    prefix: b'*',
+    item: "a RESP array",
+};
+/// The first byte of a line that holds the length of a string, and its name in errors.
+const STRING: LengthLine = LengthLine {
+    prefix: b'$',
+    item: "a RESP string",
+};
+
 /// The strings of one array.
 pub type Array = Vec<Vec<u8>>;
 
@@ -77,24 +88,23 @@
                 Ok((0, Some(std::mem::take(&mut self.strings))))
             }
             State::ArrayLength => {
-                let progress = self.line_buffer.take(input)?;
-                if let Some(line) = progress.line {
+                let (consumed, line) = self.take_length_line(input, ARRAY)?;
+                if let Some(line) = line {
                     let missing_strings = self.parse_array_length(&line)?;
                     self.state = State::StringLength { missing_strings };
                 }
-                Ok((progress.consumed, None))
+                Ok((consumed, None))
             }
             State::StringLength { missing_strings } => {
-                let progress = self.line_buffer.take(input)?;
-                if let Some(line) = progress.line {
-                    let length_bytes =
-                        parse_length(&line, b'$', self.string_limit_bytes, "a RESP string")?;
+                let (consumed, line) = self.take_length_line(input, STRING)?;
+                if let Some(line) = line {
+                    let length_bytes = STRING.parse(&line, self.string_limit_bytes)?;
                     self.state = State::StringContent {
                         missing_strings,
                         length_bytes,
                     };
                 }
-                Ok((progress.consumed, None))
+                Ok((consumed, None))
             }
             State::StringContent {
                 missing_strings,
@@ -106,9 +116,24 @@
         }
     }
 
+    /// Consumes bytes of a line that holds a length. Returns the number of consumed bytes, and the
+    /// line if it is complete. A line that is not complete is checked as far as it has arrived, so
+    /// that malformed input is found at its first byte.
+    fn take_length_line(
+        &mut self,
+        input: &[u8],
+        expected: LengthLine,
+    ) -> Result<(usize, Option<Vec<u8>>), ProtocolError> {
+        let progress = self.line_buffer.take(input)?;
+        if progress.line.is_none() {
+            expected.check_beginning(self.line_buffer.partial())?;
+        }
+        Ok((progress.consumed, progress.line))
+    }
+
     /// Parses the line with the number of strings in an array.
     fn parse_array_length(&self, line: &[u8]) -> Result<usize, ProtocolError> {
-        let string_count = parse_length(line, b'*', *self.string_counts.end(), "a RESP array")?;
+        let string_count = ARRAY.parse(line, *self.string_counts.end())?;
         if string_count < *self.string_counts.start() {
             return Err(ProtocolError::Malformed(
                 "a RESP array (it announces too few strings)",
@@ -164,28 +189,47 @@
     }
 }
 
-/// Parses a line that holds the length of an array or of a string: `prefix`, then decimal digits.
-/// `item` names the array or string in errors.
-fn parse_length(
-    line: &[u8],
+/// The form of a line that holds the length of an array or of a string: a prefix, then decimal
+/// digits.
+#[derive(Clone, Copy)]
+struct LengthLine {
     prefix: u8,
-    limit: usize,
+    /// What the line announces, as errors name it.
     item: &'static str,
-) -> Result<usize, ProtocolError> {
-    let malformed = || ProtocolError::Malformed(item);
-    let digits = line.strip_prefix(&[prefix]).ok_or_else(malformed)?;
-    if !digits.iter().all(u8::is_ascii_digit) {
-        return Err(malformed());
+}
+
+impl LengthLine {
+    /// Parses a complete line without its line end. Returns the length.
+    fn parse(self, line: &[u8], limit: usize) -> Result<usize, ProtocolError> {
+        let malformed = || ProtocolError::Malformed(self.item);
+        let digits = self.digits(line).ok_or_else(malformed)?;
+        let length = std::str::from_utf8(digits)
+            .ok()
+            .and_then(|text| text.parse::<usize>().ok())
+            .ok_or_else(malformed)?;
+        // A peer may announce any length, so the limit is checked before memory is allocated.
+        if length > limit {
+            return Err(ProtocolError::TooLong(self.item));
+        }
+        Ok(length)
     }
-    let length = std::str::from_utf8(digits)
-        .ok()
-        .and_then(|text| text.parse::<usize>().ok())
-        .ok_or_else(malformed)?;
-    // A peer may announce any length, so the limit is checked before memory is allocated.
-    if length > limit {
-        return Err(ProtocolError::TooLong(item));
+
+    /// Checks the received part of a line that is not complete yet. Its last byte may be the CR of
+    /// the line end.
+    fn check_beginning(self, partial_line: &[u8]) -> Result<(), ProtocolError> {
+        let text = partial_line.strip_suffix(b"\r").unwrap_or(partial_line);
+        let is_valid = partial_line.is_empty() || self.digits(text).is_some();
+        is_valid
+            .then_some(())
+            .ok_or(ProtocolError::Malformed(self.item))
+    }
+
+    /// Returns the text after the prefix, or `None` if the prefix is missing or the text contains
+    /// anything but decimal digits.
+    fn digits(self, text: &[u8]) -> Option<&[u8]> {
+        let digits = text.strip_prefix(&[self.prefix])?;
+        digits.iter().all(u8::is_ascii_digit).then_some(digits)
     }
-    Ok(length)
 }
 
 /// Appends an array of bulk strings to `out`.
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -79,6 +79,12 @@
         std::str::from_utf8(&self.id).ok()
     }
 
+    /// Returns whether the body of the answer is passed on to a client. The other answers mean the
+    /// same whatever their body is.
+    pub(super) fn passes_on_body(&self) -> bool {
+        self.status == wire::SERVED
+    }
+
     /// Checks the content of an answer to an attempt whose class leaves copies: it names the tag of
     /// its copy and when the copy was created, and the confirmation of a client's copy has no body.
     /// Without its creation time, a copy from before a purge could not be recognized. Answers
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,6 +1,6 @@
 //! A connection, its queue and its open streams, and whether the connection can take an attempt.
 
-use super::answer::ANSWER_STRINGS;
+use super::answer::{ServerAnswer, ANSWER_STRINGS};
 use super::command;
 use super::stream::Stream;
 use super::timeouts::Liveness;
@@ -21,6 +21,8 @@
     pub server: ServerId,
     /// Parses the bytes of answers.
     pub(super) answer_parser: resp::ArrayParser,
+    /// The last complete answer, if it has a body and it is not known yet what follows it.
+    pub(super) unconfirmed_answer: Option<ServerAnswer>,
     /// Attempts of which no byte has been put into the output buffer, oldest first.
     pub(super) queue: VecDeque<AttemptId>,
     /// The open streams and those kept after their end, by id.
@@ -39,6 +41,7 @@
         UpstreamConnection {
             server,
             answer_parser,
+            unconfirmed_answer: None,
             queue: VecDeque::new(),
             streams: HashMap::new(),
             liveness: Liveness::new(limits, now),
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -24,6 +24,9 @@
 //! - An attempt in the output buffer of which no byte is written can still be removed, like an
 //!   attempt in the queue.
 //! - An answer that arrives before the cancellation is reported ends the attempt in the usual way.
+//! - An answer with a body counts once the next answer has begun behind it or nothing more has
+//!   arrived. If malformed input follows it, its length may be wrong, and its stream ends with the
+//!   connection.
 //! - `Cancelled` and `Answered` streams are kept for `Limits::stream_retention_us`. Without them, a
 //!   late or repeated answer under their id could be mistaken for the answer to a further attempt
 //!   of the same request.
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -11,10 +11,16 @@
 impl UpstreamConnection {
     /// Parses all answers in the input buffer and reports the attempts and probes that ended.
     ///
+    /// The length before a body may be too short, and the body may contain a line end just there.
+    /// The answer then looks complete, but the rest of the body follows it, which does not begin
+    /// another answer. So an answer whose body is passed on is handled only once the next one has
+    /// begun, or once the caller has called [`confirm_last_answer`](Self::confirm_last_answer).
+    ///
     /// # Errors
     ///
     /// Returns an error if the input is malformed. No input after it can be parsed, so the
-    /// connection must be closed. Events from the answers before it are reported nevertheless.
+    /// connection must be closed. Events from the answers before it are reported nevertheless,
+    /// except for an answer with a body that the malformed input follows directly.
     pub fn read(
         &mut self,
         now: Micros,
@@ -23,19 +29,80 @@
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
         while !socket.input.is_empty() {
-            let result = match self.read_answer(now, socket) {
-                Ok(None) => Ok(()),
-                Ok(Some(answer)) => self.handle_answer(now, answer, request_table, events),
-                Err(error) => Err(error),
-            };
+            let result = self.read_and_handle_answer(now, socket, request_table, events);
             if result.is_err() {
                 self.liveness.record_malformed_input();
+                self.drop_unconfirmed_answer();
                 return result;
             }
         }
         Ok(())
     }
 
+    /// Returns whether the last answer is not handled yet because it is not known what follows it.
+    /// The caller has to read the socket again, and to call
+    /// [`confirm_last_answer`](Self::confirm_last_answer) if nothing more has arrived.
+    pub fn has_unconfirmed_answer(&self) -> bool {
+        self.unconfirmed_answer.is_some()
+    }
+
+    /// Handles the last answer, if that is still to be done. To be called if nothing more has
+    /// arrived behind it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the answer is malformed. The connection must be closed.
+    pub fn confirm_last_answer(
+        &mut self,
+        now: Micros,
+        request_table: &RequestTable,
+        events: &mut Vec<UpstreamEvent>,
+    ) -> Result<(), ProtocolError> {
+        let Some(answer) = self.unconfirmed_answer.take() else {
+            return Ok(());
+        };
+        let result = self.handle_answer(now, answer, request_table, events);
+        if result.is_err() {
+            self.liveness.record_malformed_input();
+        }
+        result
+    }
+
+    /// Parses at most one answer. Handles the unconfirmed answer once the id of the next one has
+    /// arrived, and the parsed answer unless it is unconfirmed itself.
+    fn read_and_handle_answer(
+        &mut self,
+        now: Micros,
+        socket: &mut BufferedSocket,
+        request_table: &RequestTable,
+        events: &mut Vec<UpstreamEvent>,
+    ) -> Result<(), ProtocolError> {
+        let answer = self.read_answer(now, socket)?;
+        let next_has_begun = answer.is_some() || self.answer_parser.first_string().is_some();
+        if next_has_begun {
+            self.confirm_last_answer(now, request_table, events)?;
+        }
+        match answer {
+            Some(answer) if answer.passes_on_body() => self.unconfirmed_answer = Some(answer),
+            Some(answer) => self.handle_answer(now, answer, request_table, events)?,
+            None => {}
+        }
+        Ok(())
+    }
+
+    /// Drops the answer that malformed input follows. Its stream stays open and ends with the
+    /// connection.
+    fn drop_unconfirmed_answer(&mut self) {
+        if let Some(answer) = self.unconfirmed_answer.take() {
+            log::warn!(
+                "request {}: cache server #{:016x} sent an answer that malformed input follows, so \
+                 the length of its body may be wrong; the answer is not used",
+                answer.id().unwrap_or("with an unreadable id"),
+                self.server
+            );
+        }
+    }
+
     /// Consumes the bytes of at most one answer. Returns `None` if the answer is not complete yet.
     fn read_answer(
         &mut self,
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -227,6 +227,14 @@
 
     /// Does the same as `receive`, and returns the error if the bytes cannot be parsed.
     pub fn try_receive(&mut self, bytes: &[u8]) -> Result<(), ProtocolError> {
+        self.receive_unconfirmed(bytes)?;
+        self.connection
+            .confirm_last_answer(self.now, &self.request_table, &mut self.events)
+    }
+
+    /// Sends and reads bytes like `try_receive`, but leaves open whether more has arrived behind
+    /// them.
+    pub fn receive_unconfirmed(&mut self, bytes: &[u8]) -> Result<(), ProtocolError> {
         self.server_socket.write_all(bytes).unwrap();
         while self.socket.read(false) != IoProgress::Advanced {}
         self.connection.read(
--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -93,6 +93,26 @@
     }
 }
 
+/// After an answer, the proxy reads once more to find out what follows it. If that read fails, the
+/// answer must not wait until the next one arrives.
+#[test]
+fn an_answer_is_passed_on_although_the_read_behind_it_fails() {
+    const READS_PER_REQUEST: u32 = 6;
+    let injector = no_faults();
+    let proxy = ProxyFixture::builder().faults(&injector).start();
+    proxy.event_bus.wait_for_subscription(0);
+    let mut client = proxy.connect();
+    for skip in 0..READS_PER_REQUEST {
+        injector.add(Fault {
+            skip,
+            ..Fault::for_next_calls(1, SystemCall::Read, Effect::Error(ENOMEM))
+        });
+        let response = fetch_object(&mut client, READ_CLASS, &object_key(u64::from(skip)));
+        assert_eq!(response.status, 200, "read {skip} failed");
+    }
+    proxy.shut_down();
+}
+
 /// A read or write that fails for want of memory, or because of a signal, says nothing about the
 /// connection. Closing it would end all attempts and requests on it.
 #[test]
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -14,6 +14,19 @@
 /// First part of a long answer under the id `01`.
 const PARTIAL_ANSWER: &[u8] = b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo";
 
+/// A body of several lines, some of which begin like the lengths in an answer. With a length before
+/// it that is too short, it may seem to end at the end of each line.
+const LINES: &[u8] = b"12.5\r\n\r\n*4\r\n$2\r\n* item\r\n$ 7.50\r\n-\r\n";
+
+/// Returns an answer with a copy that announces a body of `announced_bytes`, whatever its length.
+fn answer_announcing(id: &str, announced_bytes: usize, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "*4\r\n${}\r\n{id}\r\n$3\r\n200\r\n$24\r\nhow=local,made=1,etag=t1\r\n${announced_bytes}\r\n",
+        id.len()
+    );
+    [head.as_bytes(), body, b"\r\n"].concat()
+}
+
 /// Sends bytes as the answer to an attempt. Asserts that they end no attempt, that the connection
 /// cannot be used any more, and that closing it leaves the attempt to be retried.
 #[track_caller]
@@ -47,6 +60,100 @@
     assert_eq!(whole.take_attempt_ends(), [served]);
 }
 
+/// Guards against serving a part that is cut at the end of one of its lines, because the length
+/// before its body is too short. The client could not tell such a part from the right one.
+#[test]
+fn an_answer_whose_body_is_longer_than_announced_is_malformed() {
+    for announced_bytes in 0..LINES.len() {
+        let spoilt = answer_announcing("01", announced_bytes, LINES);
+        assert_answer_is_malformed(&spoilt, &format!("{announced_bytes} bytes announced"));
+    }
+    let mut whole = Fixture::connected();
+    let attempt = whole.send("01");
+    whole.receive(&answer_announcing("01", LINES.len(), LINES));
+    let served = AttemptEnd::new(attempt, Outcome::Ok);
+    assert_eq!(whole.take_attempt_ends(), [served]);
+}
+
+/// Guards against serving a part together with the beginning of the next answer, because the length
+/// before its body is too long and falls on a line end of that answer.
+#[test]
+fn an_answer_whose_body_is_shorter_than_announced_is_not_served() {
+    let next_answer = answer_announcing("02", LINES.len(), LINES);
+    for excess_bytes in 1..next_answer.len() {
+        let mut fixture = Fixture::connected();
+        fixture.send("01");
+        fixture.send("02");
+        let spoilt = answer_announcing("01", LINES.len() + excess_bytes, LINES);
+        let _ = fixture.try_receive(&[spoilt, next_answer.clone()].concat());
+        assert_eq!(
+            fixture.take_attempt_ends(),
+            [],
+            "{excess_bytes} bytes too many"
+        );
+    }
+}
+
+/// Guards against serving a cut part whose rest is read separately: the announced end may be the end
+/// of what one read returns.
+#[test]
+fn an_answer_is_not_used_if_the_rest_of_its_body_is_read_later() {
+    let announced_bytes = b"12.5\r\n".len();
+    let spoilt = answer_announcing("01", announced_bytes, LINES);
+    let announced_end = spoilt.len() - LINES.len() + announced_bytes;
+    let (complete, rest) = spoilt.split_at(announced_end);
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    fixture.receive_unconfirmed(complete).unwrap();
+    assert!(fixture.connection.has_unconfirmed_answer());
+    assert!(fixture.try_receive(rest).is_err());
+    assert!(!fixture.connection.has_unconfirmed_answer());
+    assert_eq!(fixture.take_attempt_ends(), []);
+    let reset = AttemptEnd::new(attempt, Outcome::Reset);
+    assert_eq!(fixture.close(true), [reset]);
+}
+
+/// Guards against serving a cut part because its rest has only begun to arrive: the first byte shows
+/// that it does not begin another answer.
+#[test]
+fn the_rest_of_a_body_is_recognized_by_its_first_byte() {
+    let announced_bytes = b"12.5\r\n".len();
+    let spoilt = answer_announcing("01", announced_bytes, LINES);
+    let announced_end = spoilt.len() - LINES.len() + announced_bytes;
+    for first_byte in [b'\r', b'\n', b' ', b'$', b'9', 0xff] {
+        let input = [&spoilt[..announced_end], &[first_byte]].concat();
+        assert_answer_is_malformed(&input, &format!("then byte {first_byte}"));
+    }
+}
+
+/// A good answer must not wait until the whole next answer has arrived, which may take long.
+#[test]
+fn an_answer_with_a_body_counts_once_the_next_answer_has_begun() {
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    let answer = answer_announcing("01", LINES.len(), LINES);
+    let beginning_of_next = &b"*4\r\n$2\r\n0"[..];
+    fixture
+        .receive_unconfirmed(&[answer.as_slice(), beginning_of_next].concat())
+        .unwrap();
+    assert_eq!(fixture.take_attempt_ends(), []);
+    fixture.receive_unconfirmed(b"2\r\n").unwrap();
+    let served = AttemptEnd::new(attempt, Outcome::Ok);
+    assert_eq!(fixture.take_attempt_ends(), [served]);
+}
+
+/// An answer without content means the same whatever its body is. A miss that was taken for a reset
+/// could not be retried for a request that must not be executed twice.
+#[test]
+fn an_answer_without_content_counts_although_malformed_input_follows_it() {
+    let mut fixture = Fixture::connected();
+    let attempt = fixture.send("01");
+    let miss = b"*4\r\n$2\r\n01\r\n$3\r\n404\r\n$1\r\n-\r\n$0\r\n\r\nno answer";
+    assert!(fixture.try_receive(miss).is_err());
+    let missed = AttemptEnd::new(attempt, Outcome::Miss);
+    assert_eq!(fixture.take_attempt_ends(), [missed]);
+}
+
 /// Guards against serving a copy from before a purge: without its creation time, its age could not
 /// be checked.
 #[test]
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -348,6 +348,53 @@
     proxy.shut_down();
 }
 
+/// Guards against a client that receives a part cut at a line end, because the length before its
+/// body is too short. The announced end is also the end of what one read returns. The read is safe
+/// to repeat and must be served by another attempt.
+#[test]
+fn read_whose_body_is_longer_than_announced_is_served_by_a_retry() {
+    const INPUT_BUFFER_BYTES: usize = 1024;
+    const ID: &str = "0123456789abcdef";
+    const REST_OF_BODY: &str = "the rest of the part";
+    let answer_until_announced_end = |id: &str, announced_bytes: usize| {
+        format!(
+            "*4\r\n${}\r\n{id}\r\n$3\r\n200\r\n$16\r\nmade=1,etag=abcd\r\n${announced_bytes}\r\n{}\r\n",
+            id.len(),
+            "x".repeat(announced_bytes)
+        )
+    };
+    let bytes_around_body = answer_until_announced_end(ID, 999).len() - 999;
+    let announced_bytes = INPUT_BUFFER_BYTES - bytes_around_body;
+    let server = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .caches(&["s-0a", "s-0b"])
+        .scripted_server(&server)
+        .limits(|limits| limits.input_buffer_bytes = INPUT_BUFFER_BYTES)
+        .start();
+    let mut client = proxy.connect();
+    client
+        .request_object(1, READ_CLASS, &object_key(1), LONG_BUDGET_MS)
+        .unwrap();
+
+    let mut spoiling = server.accept().unwrap();
+    let fetch = spoiling.next_fetch().unwrap();
+    let spoilt = answer_until_announced_end(&fetch.request_id, announced_bytes);
+    assert_eq!(spoilt.len(), INPUT_BUFFER_BYTES);
+    spoiling
+        .send(format!("{spoilt}{REST_OF_BODY}\r\n").as_bytes())
+        .unwrap();
+    spoiling.wait_until_closed().unwrap();
+    server.accept().unwrap().answer_next_fetch().unwrap();
+
+    let (_, response) = next_response(&mut client);
+    assert_eq!(
+        (response.status, response.body.as_slice()),
+        (200, &b"all of it"[..])
+    );
+    drop(client);
+    proxy.shut_down();
+}
+
 /// Guards against memory that grows while clients take back their requests: the ids of cancelled
 /// attempts are remembered for a while. When there are too many, their connection is replaced.
 #[test]
