An event of the bus counts as received once it is applied

Cause: EventStreamClient::read raised the number of the last event while it parsed. An error behind the events in the same read (the end of a chunked response, malformed input) dropped them, and the next connection asked for the events after them.

Change: the events before an error are returned beside it, and the event loop raises the number after it has applied an event.

--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -177,28 +177,30 @@
         self.last_read_at
     }
 
-    /// Reads bytes that have arrived at `now`. Returns the events that are complete and have a
-    /// number above `last_offset`, and sets `last_offset` to the number of the last of them.
+    /// Reads bytes that have arrived at `now`. Appends the events that are complete to `messages`,
+    /// except those whose number is not above `last_offset` and all numbers in `messages`.
+    ///
+    /// The caller has to apply the appended events, and to request the events after the last one
+    /// that it has applied when it connects again.
     ///
     /// # Errors
     ///
     /// Returns an error if the stream violates the protocol or has ended. The connection must be
-    /// closed. The events that were read earlier in the same call are lost: they are not returned,
-    /// although `last_offset` already includes them.
+    /// closed. The events before the error are in `messages` and still have to be applied.
     pub fn read(
         &mut self,
         now: Micros,
         mut input: &[u8],
-        last_offset: &mut u64,
-    ) -> Result<Vec<EventBusMessage>, ProtocolError> {
+        last_offset: u64,
+        messages: &mut Vec<EventBusMessage>,
+    ) -> Result<(), ProtocolError> {
         self.last_read_at = now;
         self.has_received_data = true;
-        let mut messages = Vec::new();
         loop {
             let (consumed, piece) = self.http.parse(input)?;
             input = &input[consumed..];
             match piece {
-                None => return Ok(messages),
+                None => return Ok(()),
                 Some(http::Piece::Head(head)) if head.status() != Some(200) => {
                     return Err(ProtocolError::Malformed(
                         "the event bus responded with a status other than 200, so its event stream",
@@ -206,7 +208,7 @@
                 }
                 Some(http::Piece::Head(_)) => {}
                 Some(http::Piece::Body(bytes)) => {
-                    self.read_body(&bytes, last_offset, &mut messages)?;
+                    self.read_body(&bytes, last_offset, messages)?;
                 }
                 Some(http::Piece::End) => {
                     return Err(ProtocolError::Malformed(
@@ -220,7 +222,7 @@
     fn read_body(
         &mut self,
         mut bytes: &[u8],
-        last_offset: &mut u64,
+        last_offset: u64,
         messages: &mut Vec<EventBusMessage>,
     ) -> Result<(), ProtocolError> {
         while !bytes.is_empty() {
@@ -230,11 +232,11 @@
             let value = serde_json::from_str(&event.data).map_err(|_| {
                 ProtocolError::Malformed("an event from the event bus (expected JSON)")
             })?;
+            let last_read = messages
+                .last()
+                .map_or(last_offset, |message| message.offset);
             match read_event(&value) {
-                Ok(message) if message.offset > *last_offset => {
-                    *last_offset = message.offset;
-                    messages.push(message);
-                }
+                Ok(message) if message.offset > last_read => messages.push(message),
                 // The event bus repeats events after a reconnection. Applying them again would
                 // return the endpoint list to an earlier state.
                 Ok(_) => {}
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -25,7 +25,7 @@
     silent_connection: Option<SlabKey>,
     /// Timer of the next check. At most one is set.
     check_timer: Option<TimerKey>,
-    /// Number of the last received event. A new connection requests the events after it.
+    /// Number of the last event that is applied. A new connection requests the events after it.
     pub(super) last_event_id: u64,
     backoff: Backoff,
 }
@@ -182,13 +182,12 @@
         }
     }
 
-    /// Handles the buffered input from the event bus. Events that earlier calls of
-    /// [`EventStreamClient::read`] returned are still applied after an error. The events of the
-    /// call that fails are lost.
+    /// Handles the buffered input from the event bus. Applies the events in it, also those before
+    /// an error.
     ///
     /// # Errors
     ///
-    /// Returns an error if the input violates the protocol.
+    /// Returns an error if the input violates the protocol or the response has ended.
     pub(super) fn read_event_bus(
         &mut self,
         now: Micros,
@@ -208,9 +207,8 @@
         while !transport.input.is_empty() && result.is_ok() {
             let input = transport.input.readable();
             let input_bytes = input.len();
-            result = stream
-                .read(now, input, &mut self.event_bus.last_event_id)
-                .map(|more| messages.extend(more));
+            let last_event_id = self.event_bus.last_event_id;
+            result = stream.read(now, input, last_event_id, &mut messages);
             transport.input.consume(input_bytes);
         }
         if has_input && result.is_ok() {
@@ -222,7 +220,8 @@
         result
     }
 
-    /// Handles a live event. Peer CDNs are notified of purges as well.
+    /// Handles a live event. Peer CDNs are notified of purges as well. The event counts as received
+    /// only after it is applied, because it is not requested again after that.
     fn handle_event_bus_message(&mut self, now: Micros, message: EventBusMessage) {
         if let Some(DiscoveryEvent::Purge {
             object,
@@ -232,7 +231,9 @@
         {
             self.forward_purge(now, object.as_deref(), *purge_group);
         }
+        let offset = message.offset;
         self.apply_event_bus_message(now, message);
+        self.event_bus.last_event_id = offset;
     }
 
     /// Applies an event that is either live or replayed at startup.
--- a/crates/proxy/tests/event_bus_messages.rs
+++ b/crates/proxy/tests/event_bus_messages.rs
@@ -153,14 +153,49 @@
 
     // The connection opens at 3 us and is read at 9 us.
     let mut client = EventStreamClient::new(&Limits::for_machine(1024, 192), 3);
-    let mut last_offset = 41;
+    let mut messages = Vec::new();
     let stream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: comment\n\n\
         data: {\"offset\":41}\n\ndata: {\"offset\":42}\n\ndata: {\"ban\":{}}\n\ndata: {\"offset\":44}\n\n";
-    let messages = client.read(9, stream.as_bytes(), &mut last_offset).unwrap();
-    let offsets: Vec<u64> = messages.iter().map(|message| message.offset).collect();
-    assert_eq!(offsets, [42, 44]);
-    assert_eq!((last_offset, client.last_read_at()), (44, 9));
+    client
+        .read(9, stream.as_bytes(), 41, &mut messages)
+        .unwrap();
+    assert_eq!(offsets(&messages), [42, 44]);
+    assert_eq!(client.last_read_at(), 9);
+    let repeated = b"data: {\"offset\":44}\n\n";
+    client.read(9, repeated, 41, &mut messages).unwrap();
+    assert_eq!(offsets(&messages), [42, 44]);
     assert!(client
-        .read(9, b"data: no JSON\n\n", &mut last_offset)
+        .read(9, b"data: no JSON\n\n", 44, &mut messages)
         .is_err());
 }
+
+/// Returns the numbers of events.
+fn offsets(messages: &[EventBusMessage]) -> Vec<u64> {
+    messages.iter().map(|message| message.offset).collect()
+}
+
+/// Guards against purges and drains that are lost with an error behind them in the same read: the
+/// end of the response, in the middle of an event or not, or input that is malformed.
+#[test]
+fn events_before_an_error_are_read() {
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let event = |offset: u64| format!("id: {offset}\ndata: {{\"offset\":{offset}}}\n\n");
+    let half_an_event = "id: 44\ndata: {\"off";
+    let endings = [
+        "0\r\n\r\n".to_owned(),
+        chunk(half_an_event) + "0\r\n\r\n",
+        chunk("data: no JSON\n\n"),
+        "not a size\r\n".to_owned(),
+    ];
+    for ending in endings {
+        let mut client = EventStreamClient::new(&Limits::for_machine(1024, 192), 0);
+        let stream = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}{ending}",
+            chunk(&(event(42) + &event(43)))
+        );
+        let mut messages = Vec::new();
+        let result = client.read(0, stream.as_bytes(), 41, &mut messages);
+        assert!(result.is_err(), "{ending:?}");
+        assert_eq!(offsets(&messages), [42, 43], "{ending:?}");
+    }
+}
--- a/crates/proxy/tests/event_bus_subscription.rs
+++ b/crates/proxy/tests/event_bus_subscription.rs
@@ -178,3 +178,74 @@
     );
     proxy.shut_down();
 }
+
+/// Connects a proxy to an event bus that tells it of two events at once, which are the drain of its
+/// first cache server and a purge, and then breaks off in the middle of a third event. Asserts that
+/// the proxy has applied the first two when it requests the events behind them.
+fn assert_events_before_a_break_are_applied(tell: impl Fn(&Value, &Value) -> Vec<Value>) {
+    const FETCHES_AFTER_DRAIN: u64 = 20;
+    let event_bus = ScriptedServer::start().unwrap();
+    let proxy = ProxyFixture::builder()
+        .caches(&["s-0a", "s-0b"])
+        .config(|config| config["bus"] = event_bus.address.to_string().into())
+        .start();
+    let mut client = proxy.connect();
+    let mut subscription = event_bus.accept().unwrap();
+    subscription.next_http_head().unwrap();
+    let draining = &proxy.caches[0];
+    let entry = cache_entry(draining, endpoint_state::DRAINING);
+    let drain = serde_json::json!({"all": false, "targets": [entry]});
+    let purge = serde_json::json!({"url": object_key(1), "ts": unix_ms()});
+    let events = tell(&drain, &purge);
+
+    let mut text = String::new();
+    let mut offset = 0;
+    for mut event in events {
+        offset += 1;
+        event["offset"] = offset.into();
+        text += &format!("id: {offset}\ndata: {event}\n\n");
+    }
+    text += "id: 99\ndata: {\"offs";
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n0\r\n\r\n",
+        text.len()
+    );
+    subscription.send(response.as_bytes()).unwrap();
+    let request = event_bus.accept().unwrap().next_http_head().unwrap();
+    assert!(
+        request.contains(&format!("Last-Event-ID: {offset}\r\n")),
+        "{request}"
+    );
+
+    let commands_before = draining.received().len();
+    for _ in 0..FETCHES_AFTER_DRAIN {
+        let response = fetch_object(&mut client, READ_CLASS, &object_key(1));
+        assert_eq!(response.status, 200);
+    }
+    assert_eq!(
+        draining.received().len(),
+        commands_before,
+        "the draining cache server was sent a new command"
+    );
+    let commands = proxy.caches[1].received();
+    assert!(!commands.is_empty());
+    assert!(
+        commands
+            .iter()
+            .all(|command| command.field("maxage").is_some()),
+        "a request for the purged object had no age limit"
+    );
+    proxy.shut_down();
+}
+
+/// Guards against a drain and a purge that are never applied because the event bus ends its response
+/// right behind them.
+#[test]
+fn a_drain_and_a_purge_are_applied_although_the_event_bus_breaks_off_behind_them() {
+    assert_events_before_a_break_are_applied(|drain, purge| {
+        vec![
+            serde_json::json!({"topology": drain}),
+            serde_json::json!({"ban": purge}),
+        ]
+    });
+}
--- a/crates/testkit/src/scripted_server.rs
+++ b/crates/testkit/src/scripted_server.rs
@@ -1,6 +1,7 @@
 //! A server that a test controls step by step. It reads, answers and closes only when the test
 //! calls the corresponding method. It serves as a cache server or, with raw bytes, as an event bus.
 
+use crate::http_client::read_head;
 use crate::received_command::{ReceivedCommand, COMMAND_STRINGS};
 use crate::{listen, ANY_LOOPBACK_PORT, MAX_MESSAGE_BYTES, READ_CHUNK_BYTES, TEST_TIMEOUT};
 use edge_proxy::protocol::{resp, Parser};
@@ -84,6 +85,11 @@
         }
     }
 
+    /// Reads the head of an HTTP request, as an event bus does.
+    pub fn next_http_head(&mut self) -> io::Result<String> {
+        read_head(&mut self.socket)
+    }
+
     /// Sends the answer to a request. `fields` is a list of the form `name=value,name=value`.
     pub fn answer(
         &mut self,
