A purge and an endpoint list in one event of the bus are both applied

Callers would get copies from before a purge, or a draining server would get requests, if one event of the bus held a list and a purge: the purge was ignored beside a list, and an unreadable list hid its purge, while the event counted as received.

Cause: an event was read as one content, the list first.

Change: an event has a list of contents, each read on its own. Where one of several can't be read, a warning says so and the rest is applied.

--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-/// The content of an event from the event bus.
+/// What an event from the event bus tells.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DiscoveryEvent {
     /// The whole endpoint list, or changes to it, as the mode says.
@@ -32,8 +32,9 @@
 pub struct EventBusMessage {
     /// The number of the event.
     pub offset: u64,
-    /// The content of the event. None if the proxy does not know this kind of event.
-    pub event: Option<DiscoveryEvent>,
+    /// The contents of the event, in the order in which they are to be applied. Empty if the proxy
+    /// does not know this kind of event.
+    pub contents: Vec<DiscoveryEvent>,
 }
 
 /// Why an event from the event bus cannot be read.
@@ -42,6 +43,9 @@
     /// A key is missing or holds a value of the wrong type.
     #[error(transparent)]
     Field(#[from] ReadError),
+    /// A key of the event's endpoint list holds a value of the wrong type.
+    #[error("topology: {0}")]
+    EndpointList(ReadError),
     /// A key of the event's purge is missing or holds a value of the wrong type.
     #[error("ban: {0}")]
     Purge(ReadError),
@@ -50,13 +54,13 @@
     PurgeWithoutTarget,
 }
 
-/// An event in its JSON form. If it contains both an endpoint list and a purge, only the list is
-/// used. If it contains neither, its type is unknown to the proxy.
+/// An event in its JSON form. It may contain an endpoint list, a purge, or both. If it contains
+/// neither, its type is unknown to the proxy. Each is read on its own, so that one that cannot be
+/// read does not hide the other.
 #[derive(Deserialize)]
 struct RawEvent {
     offset: WholeNumber,
-    topology: Option<Object<RawEndpointList>>,
-    /// Read as a [`RawPurge`] only if the event contains no endpoint list.
+    topology: Option<IgnoredAny>,
     ban: Option<IgnoredAny>,
 }
 
@@ -85,27 +89,51 @@
     purged_at_ms: WholeNumber,
 }
 
-/// Reads an event from its JSON form.
+/// Reads an event from its JSON form. If one of its contents cannot be read, the others still
+/// count.
+///
+/// # Errors
+///
+/// Returns an error if the number of the event or all of its contents cannot be read.
 pub fn read_event(value: &Value) -> Result<EventBusMessage, EventReadError> {
     let Object(raw): Object<RawEvent> = read(value)?;
-    let event = match (raw.topology, raw.ban) {
-        (Some(Object(list)), _) => Some(read_endpoint_list(&list, &value["topology"]["targets"])),
-        (None, Some(IgnoredAny)) => Some(read_purge(&value["ban"])?),
-        (None, None) => None,
-    };
-    Ok(EventBusMessage {
+    let list = raw
+        .topology
+        .map(|IgnoredAny| read_endpoint_list(&value["topology"]));
+    let purge = raw.ban.map(|IgnoredAny| read_purge(&value["ban"]));
+    let mut message = EventBusMessage {
         offset: raw.offset.0,
-        event,
-    })
+        contents: Vec::new(),
+    };
+    let mut errors = Vec::new();
+    for content in [list, purge].into_iter().flatten() {
+        match content {
+            Ok(content) => message.contents.push(content),
+            Err(error) => errors.push(error),
+        }
+    }
+    if message.contents.is_empty() {
+        return errors.into_iter().next().map_or(Ok(message), Err);
+    }
+    for error in errors {
+        log::warn!(
+            "event bus: a part of event {} cannot be read, only the rest is applied: {error}",
+            message.offset
+        );
+    }
+    Ok(message)
 }
 
-fn read_endpoint_list(list: &RawEndpointList, entries: &Value) -> DiscoveryEvent {
+fn read_endpoint_list(value: &Value) -> Result<DiscoveryEvent, EventReadError> {
+    let Object(list): Object<RawEndpointList> =
+        read(value).map_err(EventReadError::EndpointList)?;
     let mode = match list.is_snapshot {
         Some(true) => EndpointListMode::Snapshot,
         _ => EndpointListMode::Delta,
     };
-    let entries = entries.as_array().into_iter().flatten();
-    DiscoveryEvent::EndpointList(mode, entries.filter_map(read_entry).collect())
+    let entries = value["targets"].as_array().into_iter().flatten();
+    let servers = entries.filter_map(read_entry).collect();
+    Ok(DiscoveryEvent::EndpointList(mode, servers))
 }
 
 /// Reads an entry of the endpoint list. Returns None for an entry that cannot be read. Skipping it
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -223,13 +223,15 @@
     /// Handles a live event. Peer CDNs are notified of purges as well. The event counts as received
     /// only after it is applied, because it is not requested again after that.
     fn handle_event_bus_message(&mut self, now: Micros, message: EventBusMessage) {
-        if let Some(DiscoveryEvent::Purge {
-            object,
-            purge_group,
-            ..
-        }) = &message.event
-        {
-            self.forward_purge(now, object.as_deref(), *purge_group);
+        for content in &message.contents {
+            if let DiscoveryEvent::Purge {
+                object,
+                purge_group,
+                ..
+            } = content
+            {
+                self.forward_purge(now, object.as_deref(), *purge_group);
+            }
         }
         let offset = message.offset;
         self.apply_event_bus_message(now, message);
@@ -238,25 +240,33 @@
 
     /// Applies an event that is either live or replayed at startup.
     pub(super) fn apply_event_bus_message(&mut self, now: Micros, message: EventBusMessage) {
-        match message.event {
+        if message.contents.is_empty() {
+            log::debug!(
+                "ignoring event {} of the event bus, which has an unknown type",
+                message.offset
+            );
+        }
+        for content in message.contents {
+            self.apply_discovery_event(now, content);
+        }
+    }
+
+    fn apply_discovery_event(&mut self, now: Micros, event: DiscoveryEvent) {
+        match event {
             // The endpoint list must have a single source. With two sources, each list would remove
             // the servers of the other.
-            Some(DiscoveryEvent::EndpointList(..)) if self.consul.is_some() => {}
-            Some(DiscoveryEvent::EndpointList(mode, servers)) => {
+            DiscoveryEvent::EndpointList(..) if self.consul.is_some() => {}
+            DiscoveryEvent::EndpointList(mode, servers) => {
                 self.request_table.update_endpoints(now, mode, servers);
             }
-            Some(DiscoveryEvent::Purge {
+            DiscoveryEvent::Purge {
                 object,
                 purge_group,
                 at,
-            }) => {
+            } => {
                 self.request_table
                     .handle_purge_event(now, object, purge_group, at);
             }
-            None => log::debug!(
-                "ignoring event {} of the event bus, which has an unknown type",
-                message.offset
-            ),
         }
     }
 }
--- a/crates/proxy/tests/event_bus_messages.rs
+++ b/crates/proxy/tests/event_bus_messages.rs
@@ -36,7 +36,8 @@
         unknown_state,
         draining,
     ]);
-    let Some(DiscoveryEvent::EndpointList(EndpointListMode::Delta, servers)) = message.event else {
+    let [DiscoveryEvent::EndpointList(EndpointListMode::Delta, servers)] = &message.contents[..]
+    else {
         panic!("not a list: {message:?}");
     };
     let read: Vec<_> = servers
@@ -60,7 +61,7 @@
     let without_optional_fields =
         json!({"uid": "s-1", "endpoint": "10.1.0.9:6565", "state": "ready", "boot_ms": 12.0});
     let message = endpoint_list(&[entry("s-0"), without_optional_fields]);
-    let Some(DiscoveryEvent::EndpointList(_, servers)) = message.event else {
+    let [DiscoveryEvent::EndpointList(_, servers)] = &message.contents[..] else {
         panic!("not a list: {message:?}");
     };
     let (complete_endpoint, minimal_endpoint) = (&servers[0].endpoint, &servers[1].endpoint);
@@ -103,21 +104,21 @@
     let purge = |ban: Value| read_event(&json!({"offset": 42, "ban": ban}));
     let object = purge(json!({"url": "7f3a", "tag": "unused", "ts": 5})).unwrap();
     assert_eq!(
-        object.event,
-        Some(DiscoveryEvent::Purge {
+        object.contents,
+        [DiscoveryEvent::Purge {
             object: Some("7f3a".into()),
             purge_group: 0,
             at: 5_000
-        })
+        }]
     );
     let group = purge(json!({"url": null, "tag": 17, "ts": 5})).unwrap();
     assert_eq!(
-        group.event,
-        Some(DiscoveryEvent::Purge {
+        group.contents,
+        [DiscoveryEvent::Purge {
             object: None,
             purge_group: 17,
             at: 5_000
-        })
+        }]
     );
     for (ban, key) in [
         (json!({"ts": 5}), "tag"),
@@ -136,7 +137,7 @@
 #[test]
 fn an_event_of_an_unknown_kind_is_read_as_its_offset_alone() {
     let message = read_event(&json!({"offset": 43, "later": {}})).unwrap();
-    assert_eq!((message.offset, message.event), (43, None));
+    assert_eq!((message.offset, message.contents), (43, vec![]));
     assert!(read_event(&json!({"later": {}}))
         .unwrap_err()
         .to_string()
@@ -199,3 +200,25 @@
         assert_eq!(offsets(&messages), [42, 43], "{ending:?}");
     }
 }
+
+/// Guards against a purge that is lost because its event contains an endpoint list too, and against
+/// a drain that is lost because the purge beside it cannot be read.
+#[test]
+fn each_content_of_an_event_is_read_on_its_own() {
+    let list = json!({"all": false, "targets": [entry("s-1")]});
+    let purge = json!({"url": "7f3a", "ts": 5});
+    let contents = |list: &Value, purge: &Value| {
+        let message = read_event(&json!({"offset": 44, "topology": list, "ban": purge})).unwrap();
+        let name = |content: &DiscoveryEvent| match content {
+            DiscoveryEvent::EndpointList(..) => "list",
+            DiscoveryEvent::Purge { .. } => "purge",
+        };
+        message.contents.iter().map(name).collect::<Vec<_>>()
+    };
+    assert_eq!(contents(&list, &purge), ["list", "purge"]);
+    assert_eq!(contents(&list, &json!({"url": "7f3a"})), ["list"]);
+    assert_eq!(contents(&json!([]), &purge), ["purge"]);
+    assert_eq!(contents(&json!({"targets": 7}), &purge), ["purge"]);
+    assert_eq!(contents(&Value::Null, &purge), ["purge"]);
+    assert!(read_event(&json!({"offset": 44, "topology": [], "ban": []})).is_err());
+}
--- a/crates/proxy/tests/event_bus_subscription.rs
+++ b/crates/proxy/tests/event_bus_subscription.rs
@@ -249,3 +249,11 @@
         ]
     });
 }
+
+/// Guards against a purge that is never applied because its event contains an endpoint list too.
+#[test]
+fn a_drain_and_a_purge_in_one_event_are_both_applied() {
+    assert_events_before_a_break_are_applied(|drain, purge| {
+        vec![serde_json::json!({"topology": drain, "ban": purge})]
+    });
+}
