One type for the target of a purge: an object or a group

The target stood in five places as an optional object and a group that is 0 where an object is purged: in the events of the bus, the gossip and the log, the triggers, the notifications and the request table. It is the enum PurgeTarget now, which the request table exports. Datagrams, lines of the log and messages on the wire are the same; the order of lines in a rewritten log, too (groups first). Two log lines name the target by one phrase.

--- a/crates/proxy/src/discovery/event_bus.rs
+++ b/crates/proxy/src/discovery/event_bus.rs
@@ -4,7 +4,7 @@
 use crate::discovery::endpoint_entry::EndpointEntry;
 use crate::limits::Limits;
 use crate::protocol::{http, sse, Parser, ProtocolError};
-use crate::request_table::ListedServer;
+use crate::request_table::{ListedServer, PurgeTarget};
 use edge_routing::{EndpointListMode, Micros};
 use edge_settings::json::{read, Object, ReadError, Tolerant, WholeNumber};
 use serde::de::IgnoredAny;
@@ -18,10 +18,8 @@
     EndpointList(EndpointListMode, Vec<ListedServer>),
     /// An object or a whole purge group was purged.
     Purge {
-        /// The purged object. None if a whole purge group is purged.
-        object: Option<String>,
-        /// The purge group. 0 if an object is purged.
-        purge_group: u64,
+        /// What is purged.
+        target: PurgeTarget,
         /// Unix time of the purge, in microseconds.
         at: Micros,
     },
@@ -154,14 +152,13 @@
 
 fn read_purge(value: &Value) -> Result<DiscoveryEvent, EventReadError> {
     let Object(purge): Object<RawPurge> = read(value).map_err(EventReadError::Purge)?;
-    let purge_group = match (&purge.object, purge.purge_group) {
-        (Some(_), _) => 0,
-        (None, Some(Tolerant::Valid(purge_group))) => purge_group.0,
+    let target = match (purge.object, purge.purge_group) {
+        (Some(object), _) => PurgeTarget::Object(object),
+        (None, Some(Tolerant::Valid(purge_group))) => PurgeTarget::Group(purge_group.0),
         (None, _) => return Err(EventReadError::PurgeWithoutTarget),
     };
     Ok(DiscoveryEvent::Purge {
-        object: purge.object,
-        purge_group,
+        target,
         at: purge.purged_at_ms.0.saturating_mul(1000),
     })
 }
--- a/crates/proxy/src/discovery/purge_gossip.rs
+++ b/crates/proxy/src/discovery/purge_gossip.rs
@@ -5,33 +5,25 @@
 //! A purge is written as `purge object OBJECT UNIX_US` or `purge group NUMBER UNIX_US`, in ASCII,
 //! with one space between words.
 
+use crate::request_table::PurgeTarget;
 use edge_routing::Micros;
 
 /// The maximum size of a datagram that the platform delivers, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 256;
 
-/// A purge of an object, or of a whole purge group.
+/// A purge that the proxies of a deployment tell each other of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Purge {
-    /// The purged object. None if a whole purge group is purged.
-    pub object: Option<String>,
-    /// The purge group. 0 if an object is purged.
-    pub purge_group: u64,
+    /// What is purged.
+    pub target: PurgeTarget,
     /// Unix time of the purge, in microseconds.
     pub purged_at: Micros,
 }
 
 /// Encodes a purge as a datagram. Returns None if the datagram would exceed [`MAX_DATAGRAM_BYTES`].
 pub fn encode(purge: &Purge) -> Option<String> {
-    let Purge {
-        object,
-        purge_group,
-        purged_at,
-    } = purge;
-    let text = match object {
-        Some(object) => format!("purge object {object} {purged_at}"),
-        None => format!("purge group {purge_group} {purged_at}"),
-    };
+    let Purge { target, purged_at } = purge;
+    let text = format!("purge {target} {purged_at}");
     (text.len() <= MAX_DATAGRAM_BYTES).then_some(text)
 }
 
@@ -42,14 +34,17 @@
     }
     let text = std::str::from_utf8(datagram).ok()?;
     let words: Vec<&str> = text.splitn(5, ' ').collect();
-    let (object, purge_group, purged_at) = match words[..] {
-        ["purge", "object", object, purged_at] => (Some(object.to_owned()), 0, purged_at),
-        ["purge", "group", purge_group, purged_at] => (None, purge_group.parse().ok()?, purged_at),
+    let (target, purged_at) = match words[..] {
+        ["purge", "object", object, purged_at] => {
+            (PurgeTarget::Object(object.to_owned()), purged_at)
+        }
+        ["purge", "group", purge_group, purged_at] => {
+            (PurgeTarget::Group(purge_group.parse().ok()?), purged_at)
+        }
         _ => return None,
     };
     Some(Purge {
-        object,
-        purge_group,
+        target,
         purged_at: purged_at.parse().ok()?,
     })
 }
--- a/crates/proxy/src/discovery/purge_log.rs
+++ b/crates/proxy/src/discovery/purge_log.rs
@@ -8,6 +8,7 @@
 //! once it is complete on disk.
 
 use crate::discovery::purge_gossip::{decode, encode, Purge};
+use crate::request_table::PurgeTarget;
 use crate::sys::{self, errors};
 use edge_routing::Micros;
 use std::collections::BTreeMap;
@@ -19,9 +20,6 @@
 /// this many.
 pub const REWRITE_SLACK_LINES: usize = 1024;
 
-/// The target of a purge: an object, or a whole purge group if the object is None.
-type PurgeTarget = (Option<String>, u64);
-
 /// An open purge log and the purges in it.
 pub struct PurgeLog {
     path: PathBuf,
@@ -80,8 +78,7 @@
         let Some(line) = encode(purge) else {
             return Ok(());
         };
-        let target = (purge.object.clone(), purge.purge_group);
-        let last_purged_at = self.last_purges.entry(target).or_insert(0);
+        let last_purged_at = self.last_purges.entry(purge.target.clone()).or_insert(0);
         if purge.purged_at <= *last_purged_at {
             return self.flush();
         }
@@ -133,9 +130,7 @@
             log::warn!("{}: skipping a line that is not a purge", path.display());
             continue;
         };
-        let last_purged_at = last_purges
-            .entry((purge.object, purge.purge_group))
-            .or_insert(purge.purged_at);
+        let last_purged_at = last_purges.entry(purge.target).or_insert(purge.purged_at);
         *last_purged_at = purge.purged_at.max(*last_purged_at);
     }
     Ok(last_purges)
@@ -146,10 +141,9 @@
     decode(line.strip_suffix('\n')?.as_bytes())
 }
 
-fn to_purge(((object, purge_group), purged_at): (&PurgeTarget, &Micros)) -> Purge {
+fn to_purge((target, purged_at): (&PurgeTarget, &Micros)) -> Purge {
     Purge {
-        object: object.clone(),
-        purge_group: *purge_group,
+        target: target.clone(),
         purged_at: *purged_at,
     }
 }
--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -224,13 +224,8 @@
     /// only after it is applied, because it is not requested again after that.
     fn handle_event_bus_message(&mut self, now: Micros, message: EventBusMessage) {
         for content in &message.contents {
-            if let DiscoveryEvent::Purge {
-                object,
-                purge_group,
-                ..
-            } = content
-            {
-                self.forward_purge(now, object.as_deref(), *purge_group);
+            if let DiscoveryEvent::Purge { target, .. } = content {
+                self.forward_purge(now, target);
             }
         }
         let offset = message.offset;
@@ -259,13 +254,8 @@
             DiscoveryEvent::EndpointList(mode, servers) => {
                 self.request_table.update_endpoints(now, mode, servers);
             }
-            DiscoveryEvent::Purge {
-                object,
-                purge_group,
-                at,
-            } => {
-                self.request_table
-                    .handle_purge_event(now, object, purge_group, at);
+            DiscoveryEvent::Purge { target, at } => {
+                self.request_table.handle_purge_event(now, target, at);
             }
         }
     }
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -143,10 +143,9 @@
     /// purge that is in force but could not be written to the purge log.
     fn apply_effect(&mut self, now: Micros, effect: Effect) -> bool {
         match effect {
-            Effect::Purge(object, purge_group) => {
+            Effect::Purge(target) => {
                 let purge = Purge {
-                    object,
-                    purge_group,
+                    target,
                     purged_at: now,
                 };
                 if let Some(datagram) = gossip::encode(&purge) {
--- a/crates/proxy/src/event_loop/notifications.rs
+++ b/crates/proxy/src/event_loop/notifications.rs
@@ -8,6 +8,7 @@
 use crate::limits::Limits;
 use crate::protocol::http::{self, MessageParser, Piece};
 use crate::protocol::{Parser, ProtocolError};
+use crate::request_table::PurgeTarget;
 use edge_routing::Micros;
 
 #[cfg(test)]
@@ -101,11 +102,11 @@
     }
 
     /// Forwards a purge from the event bus to peer CDNs.
-    pub(super) fn forward_purge(&mut self, now: Micros, object: Option<&str>, purge_group: u64) {
+    pub(super) fn forward_purge(&mut self, now: Micros, target: &PurgeTarget) {
         let Some(interconnect) = &self.interconnect else {
             return;
         };
-        let notifications = interconnect.frontend.purge_commands(object, purge_group);
+        let notifications = interconnect.frontend.purge_commands(target);
         for notification in notifications {
             self.queue_notification(now, notification);
         }
--- a/crates/proxy/src/event_loop/purge_gossip.rs
+++ b/crates/proxy/src/event_loop/purge_gossip.rs
@@ -99,10 +99,8 @@
     pub(super) fn purge_permanently(&mut self, now: Micros, purge: Purge) -> bool {
         // A peer's timestamp may be wrong, so the purge takes effect from `now`. The purge log
         // keeps the original time.
-        let (object, purge_group) = (purge.object.clone(), purge.purge_group);
-        let is_in_force = self
-            .request_table
-            .purge_permanently(now, object, purge_group, now);
+        let target = purge.target.clone();
+        let is_in_force = self.request_table.purge_permanently(now, target, now);
         if !is_in_force {
             return true;
         }
@@ -112,10 +110,9 @@
         };
         if let Err(e) = &write_result {
             log::error!(
-                "cannot write a purge (object {}, group {}) to the purge log, retrying within {} \
-                 ms; the purge is in force but would be lost at a restart: {e}",
-                purge.object.as_deref().unwrap_or("none"),
-                purge.purge_group,
+                "cannot write the purge of {} to the purge log, retrying within {} ms; the purge is \
+                 in force but would be lost at a restart: {e}",
+                purge.target,
                 self.limits.purge_log_retry_interval_us / 1_000
             );
             self.schedule_purge_log_retry(now);
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -187,8 +187,7 @@
         for purge in stored_purges {
             // The purge is dated `now`, so that it covers every copy created before this start. The
             // stored time comes from a clock that may have been wrong.
-            self.request_table
-                .purge_permanently(now, purge.object, purge.purge_group, now);
+            self.request_table.purge_permanently(now, purge.target, now);
         }
         for event in events {
             self.apply_event_bus_message(now, event);
--- a/crates/proxy/src/frontend/interconnect/frontend.rs
+++ b/crates/proxy/src/frontend/interconnect/frontend.rs
@@ -6,7 +6,7 @@
 use super::triggers::{self, Command, TriggerResources};
 use super::{redirect, Identity, Notification, Response};
 use crate::protocol::http::{Head, Message};
-use crate::request_table::ClientRequest;
+use crate::request_table::{ClientRequest, PurgeTarget};
 use edge_routing::Micros;
 use serde_json::Value;
 
@@ -15,9 +15,8 @@
 /// An effect that a request has besides its response.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Purges the copies of an object that were made until now. Without an object it purges the
-    /// whole purge group.
-    Purge(Option<String>, u64),
+    /// Purges the copies of a target that were made until now.
+    Purge(PurgeTarget),
     /// Sends a notification to a peer CDN.
     Notify(Notification),
 }
@@ -116,8 +115,8 @@
 
     /// Returns notifications that carry trigger commands to every peer CDN, for a purge that did
     /// not come from a peer CDN.
-    pub fn purge_commands(&self, object: Option<&str>, purge_group: u64) -> Vec<Notification> {
-        triggers::purge_commands(&self.identity, object, purge_group)
+    pub fn purge_commands(&self, target: &PurgeTarget) -> Vec<Notification> {
+        triggers::purge_commands(&self.identity, target)
     }
 
     fn handle_content(&mut self, head: &Head, target: &str) -> HandledRequest {
--- a/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/propagation.rs
@@ -2,21 +2,21 @@
 
 use crate::frontend::interconnect::identity::cdn_path_contains;
 use crate::frontend::interconnect::{Identity, Notification};
+use crate::request_table::PurgeTarget;
 use serde_json::{json, Value};
 
 /// Payload type of a trigger command (RFC 8007, section 5.1.1).
 const COMMAND_PAYLOAD_TYPE: &str = "ci-trigger-command";
 
-/// Returns commands for every peer CDN to purge an object. Without an object they purge the whole
-/// purge group.
-pub fn purge_commands(
-    identity: &Identity,
-    object: Option<&str>,
-    purge_group: u64,
-) -> Vec<Notification> {
-    let specification = match object {
-        Some(object) => json!({"type": "purge", "content.urls": content_urls(identity, object)}),
-        None => json!({"type": "purge", "content.ccid": [purge_group.to_string()]}),
+/// Returns commands for every peer CDN to purge a target.
+pub fn purge_commands(identity: &Identity, target: &PurgeTarget) -> Vec<Notification> {
+    let specification = match target {
+        PurgeTarget::Object(object) => {
+            json!({"type": "purge", "content.urls": content_urls(identity, object)})
+        }
+        PurgeTarget::Group(purge_group) => {
+            json!({"type": "purge", "content.ccid": [purge_group.to_string()]})
+        }
     };
     propagate(identity, &specification, &[])
 }
--- a/crates/proxy/src/frontend/interconnect/triggers/resources.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/resources.rs
@@ -287,10 +287,7 @@
     if is_preposition || specification.purges.len() > command.purge_capacity {
         return Vec::new();
     }
-    let purges = specification
-        .purges
-        .into_iter()
-        .map(|target| Effect::Purge(target.object, target.purge_group));
+    let purges = specification.purges.into_iter().map(Effect::Purge);
     let notifications = propagate(command.identity, properties, cdn_path)
         .into_iter()
         .map(Effect::Notify);
--- a/crates/proxy/src/frontend/interconnect/triggers/specification.rs
+++ b/crates/proxy/src/frontend/interconnect/triggers/specification.rs
@@ -1,6 +1,7 @@
 //! Trigger specifications (RFC 8007, section 5.2.1): the content that a command applies to.
 
 use crate::frontend::interconnect::ContentPath;
+use crate::request_table::PurgeTarget;
 use serde_json::{Map, Value};
 
 /// Name of the property with the trigger type. All other properties select content.
@@ -25,15 +26,6 @@
     Unknown,
 }
 
-/// The target of a purge.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct PurgeTarget {
-    /// Key of the object, or `None` to purge the whole purge group.
-    pub object: Option<String>,
-    /// Purge group, which is used only if there is no object.
-    pub purge_group: u64,
-}
-
 /// Error for a trigger specification that does not have the form that RFC 8007 requires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct MalformedSpecification;
@@ -128,11 +120,7 @@
 
 fn object_purge_target(url: &str) -> Option<PurgeTarget> {
     let content = ContentPath::parse(url)?;
-    Some(PurgeTarget {
-        object: Some(content.object.to_owned()),
-        // Not used, because the purge applies to an object.
-        purge_group: 0,
-    })
+    Some(PurgeTarget::Object(content.object.to_owned()))
 }
 
 fn group_purge_target(collection: &str) -> Option<PurgeTarget> {
@@ -140,8 +128,5 @@
         .parse()
         .ok()
         .filter(|purge_group| *purge_group < PURGE_GROUP_COUNT)?;
-    Some(PurgeTarget {
-        object: None,
-        purge_group,
-    })
+    Some(PurgeTarget::Group(purge_group))
 }
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -30,13 +30,14 @@
 pub use self::command::{Command, RequestTimer};
 pub use self::counters::RequestCounters;
 pub use self::log_rate::{LogRateLimiter, SuppressedLines};
+pub use self::purges::PurgeTarget;
 pub use self::request::{Answer, AnswerTarget, ClientRequest, Content, RequestKey};
 pub use self::servers::{server_id, ListedServer, ServerAddress};
 pub use self::trace::{AttemptTrace, RequestEnding, RequestTrace};
 
 use self::guard::ClassRules;
 use self::pending_requests::PendingRequests;
-use self::purges::{PermanentPurges, Purge, PurgeTarget};
+use self::purges::{PermanentPurges, Purge};
 use self::request::PendingRequest;
 use self::servers::ServerDirectory;
 use self::trace::TraceLog;
@@ -179,26 +180,18 @@
     }
 
     /// Applies a purge that the event bus announced. The purge took place at `event_time_us`, in
-    /// Unix microseconds of the fleet. It applies to one object, or to a whole purge group if
-    /// `object` is `None`. The cache servers receive the purge independently of this proxy.
-    pub fn handle_purge_event(
-        &mut self,
-        now: Micros,
-        object: Option<String>,
-        purge_group: u64,
-        event_time_us: Micros,
-    ) {
-        match &object {
-            Some(object) => log::debug!("purge of object {object} received from the event bus"),
-            None => log::info!("purge of group {purge_group} received from the event bus"),
-        }
+    /// Unix microseconds of the fleet. The cache servers receive the purge independently of this
+    /// proxy.
+    pub fn handle_purge_event(&mut self, now: Micros, target: PurgeTarget, event_time_us: Micros) {
+        let level = match target {
+            PurgeTarget::Object(_) => log::Level::Debug,
+            PurgeTarget::Group(_) => log::Level::Info,
+        };
+        log::log!(level, "purge of {target} received from the event bus");
         let shift_us = self.reference_time.observe_event(now, event_time_us);
         self.report_time_shift(now, shift_us);
         let purge = Purge {
-            target: PurgeTarget {
-                object,
-                purge_group,
-            },
+            target,
             purged_at: self.reference_time.to_local(event_time_us),
             permanent: false,
         };
@@ -206,20 +199,14 @@
     }
 
     /// Applies a purge that only this proxy and its peers are notified of. Because the cache
-    /// servers are not notified, the purge is enforced for as long as the proxy runs. It applies to
-    /// one object, or to a whole purge group if `object` is `None`. Returns `false` if the limit on
-    /// permanent purges is reached; the purge is then not in force.
+    /// servers are not notified, the purge is enforced for as long as the proxy runs. Returns
+    /// `false` if the limit on permanent purges is reached; the purge is then not in force.
     pub fn purge_permanently(
         &mut self,
         now: Micros,
-        object: Option<String>,
-        purge_group: u64,
+        target: PurgeTarget,
         purged_at: Micros,
     ) -> bool {
-        let target = PurgeTarget {
-            object,
-            purge_group,
-        };
         if !self.permanent_purges.insert(target.clone()) {
             return false;
         }
--- a/crates/proxy/src/request_table/purges.rs
+++ b/crates/proxy/src/request_table/purges.rs
@@ -3,20 +3,32 @@
 use super::request::ClientRequest;
 use edge_routing::{Event, Micros};
 use std::collections::BTreeSet;
+use std::fmt;
 
-/// What a purge applies to: one object, or a whole purge group if `object` is `None`.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct PurgeTarget {
-    pub(super) object: Option<String>,
-    pub(super) purge_group: u64,
+/// What a purge applies to.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PurgeTarget {
+    /// All objects of the purge group with this number.
+    Group(u64),
+    /// The object with this key.
+    Object(String),
 }
 
 impl PurgeTarget {
     /// Returns whether a request is for an object that the purge applies to.
     pub(super) fn applies_to(&self, request: &ClientRequest) -> bool {
-        match &self.object {
-            Some(object) => request.object == *object,
-            None => request.purge_group == self.purge_group,
+        match self {
+            PurgeTarget::Object(object) => request.object == *object,
+            PurgeTarget::Group(purge_group) => request.purge_group == *purge_group,
+        }
+    }
+}
+
+impl fmt::Display for PurgeTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PurgeTarget::Object(object) => write!(f, "object {object}"),
+            PurgeTarget::Group(purge_group) => write!(f, "group {purge_group}"),
         }
     }
 }
@@ -38,9 +50,14 @@
     }
 
     pub(super) fn into_event(self, now: Micros) -> Event {
+        // The router ignores the purge group if an object is purged.
+        let (object, purge_group) = match self.target {
+            PurgeTarget::Object(object) => (Some(object), 0),
+            PurgeTarget::Group(purge_group) => (None, purge_group),
+        };
         Event::Purged {
-            object: self.target.object,
-            purge_group: self.target.purge_group,
+            object,
+            purge_group,
             age_us: now.saturating_sub(self.purged_at),
             permanent: self.permanent,
         }
--- a/crates/proxy/src/request_table/tests.rs
+++ b/crates/proxy/src/request_table/tests.rs
@@ -91,10 +91,7 @@
 
 #[test]
 fn permanent_purges_are_bounded_and_a_repeated_purge_uses_no_capacity() {
-    let group = |purge_group| PurgeTarget {
-        object: None,
-        purge_group,
-    };
+    let group = PurgeTarget::Group;
     let mut purges = PermanentPurges::new(1);
     assert!(purges.insert(group(1)));
     assert_eq!(purges.remaining_capacity(), 0);
--- a/crates/proxy/tests/event_bus_messages.rs
+++ b/crates/proxy/tests/event_bus_messages.rs
@@ -4,6 +4,7 @@
     read_event, request, DiscoveryEvent, EventBusMessage, EventStreamClient,
 };
 use edge_proxy::limits::Limits;
+use edge_proxy::request_table::PurgeTarget;
 use edge_routing::{EndpointListMode, EndpointState};
 use serde_json::{json, Value};
 
@@ -106,8 +107,7 @@
     assert_eq!(
         object.contents,
         [DiscoveryEvent::Purge {
-            object: Some("7f3a".into()),
-            purge_group: 0,
+            target: PurgeTarget::Object("7f3a".into()),
             at: 5_000
         }]
     );
@@ -115,8 +115,7 @@
     assert_eq!(
         group.contents,
         [DiscoveryEvent::Purge {
-            object: None,
-            purge_group: 17,
+            target: PurgeTarget::Group(17),
             at: 5_000
         }]
     );
--- a/crates/proxy/tests/purge_gossip.rs
+++ b/crates/proxy/tests/purge_gossip.rs
@@ -1,14 +1,14 @@
 //! Purge gossip between proxies: encoding and decoding of datagrams.
 
 use edge_proxy::discovery::purge_gossip::{decode, encode, Purge};
+use edge_proxy::request_table::PurgeTarget;
 
 /// A purge must arrive at other proxies as it was sent. One that is too long for a datagram is not
 /// sent, and a malformed datagram must not count as a purge.
 #[test]
 fn datagrams_decode_to_what_was_encoded_and_are_bounded_in_length() {
     let object = Purge {
-        object: Some("0a".into()),
-        purge_group: 0,
+        target: PurgeTarget::Object("0a".into()),
         purged_at: 7,
     };
     assert_eq!(
@@ -16,8 +16,7 @@
         Some(object.clone())
     );
     let group = Purge {
-        object: None,
-        purge_group: 9,
+        target: PurgeTarget::Group(9),
         purged_at: 8,
     };
     assert_eq!(
@@ -25,8 +24,7 @@
         Some(group.clone())
     );
     let too_long = Purge {
-        object: Some("a".repeat(250)),
-        purge_group: 0,
+        target: PurgeTarget::Object("a".repeat(250)),
         purged_at: 1,
     };
     assert_eq!(encode(&too_long), None);
--- a/crates/proxy/tests/purge_log.rs
+++ b/crates/proxy/tests/purge_log.rs
@@ -3,6 +3,7 @@
 
 use edge_proxy::discovery::purge_gossip::Purge;
 use edge_proxy::discovery::purge_log::{PurgeLog, REWRITE_SLACK_LINES};
+use edge_proxy::request_table::PurgeTarget;
 use std::fs;
 use std::io::Write;
 use std::path::PathBuf;
@@ -17,8 +18,7 @@
 /// Returns a purge of an object at a Unix time in microseconds.
 fn object(object: &str, purged_at: u64) -> Purge {
     Purge {
-        object: Some(object.into()),
-        purge_group: 0,
+        target: PurgeTarget::Object(object.into()),
         purged_at,
     }
 }
@@ -26,8 +26,7 @@
 /// Returns a purge of a purge group at a Unix time in microseconds.
 fn group(purge_group: u64, purged_at: u64) -> Purge {
     Purge {
-        object: None,
-        purge_group,
+        target: PurgeTarget::Group(purge_group),
         purged_at,
     }
 }
--- a/crates/proxy/tests/purge_log_faults.rs
+++ b/crates/proxy/tests/purge_log_faults.rs
@@ -4,6 +4,7 @@
 
 use edge_proxy::discovery::purge_gossip::Purge;
 use edge_proxy::discovery::purge_log::PurgeLog;
+use edge_proxy::request_table::PurgeTarget;
 use edge_proxy::sys::fault::errno::{EIO, ENOSPC};
 use edge_proxy::sys::fault::{Effect, Fault, FaultInjector, FaultPlan};
 use edge_proxy::sys::SystemCall;
@@ -20,8 +21,7 @@
 /// Returns a purge of an object, both derived from a number.
 fn purge(number: u64) -> Purge {
     Purge {
-        object: Some(format!("{number:016x}")),
-        purge_group: 0,
+        target: PurgeTarget::Object(format!("{number:016x}")),
         purged_at: 1_000_000 + number,
     }
 }
--- a/crates/proxy/tests/request_table.rs
+++ b/crates/proxy/tests/request_table.rs
@@ -5,7 +5,8 @@
 use edge_proxy::net::SlabKey;
 use edge_proxy::request_table::{
     server_id, AdmissionError, Answer, AnswerTarget, AttemptId, AttemptResult, ClientRequest,
-    Command, Content, ListedServer, RequestCounters, RequestKey, RequestTable, RequestTimer,
+    Command, Content, ListedServer, PurgeTarget, RequestCounters, RequestKey, RequestTable,
+    RequestTimer,
 };
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Outcome};
 use edge_testkit::sample_settings;
@@ -123,8 +124,10 @@
 fn purge_object(request_table: &mut RequestTable, object: &str, at: u64) {
     // A purge of another object that arrives at its own timestamp shows that the local clock is not
     // ahead of the timestamps of purges.
-    request_table.handle_purge_event(NOW_US + 20, Some("other".to_owned()), 0, NOW_US + 20);
-    request_table.handle_purge_event(NOW_US + 20, Some(object.to_owned()), 0, at);
+    let other = PurgeTarget::Object("other".to_owned());
+    request_table.handle_purge_event(NOW_US + 20, other, NOW_US + 20);
+    let target = PurgeTarget::Object(object.to_owned());
+    request_table.handle_purge_event(NOW_US + 20, target, at);
 }
 
 /// Returns the first attempt that the commands send, if there is one.
@@ -522,8 +525,7 @@
     let (_, attempt) = admit_and_start(&mut request_table);
     request_table.handle_purge_event(
         NOW_US + 20,
-        Some("00000000000000a1".to_owned()),
-        0,
+        PurgeTarget::Object("00000000000000a1".to_owned()),
         NOW_US + 13,
     );
     let (_, spec) = request_table.attempt_spec(attempt).unwrap();
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -4,7 +4,8 @@
 use edge_proxy::net::{BufferedSocket, IoProgress, SlabKey};
 use edge_proxy::protocol::{resp, ProtocolError};
 use edge_proxy::request_table::{
-    server_id, AnswerTarget, AttemptId, ClientRequest, Command, ListedServer, RequestTable,
+    server_id, AnswerTarget, AttemptId, ClientRequest, Command, ListedServer, PurgeTarget,
+    RequestTable,
 };
 use edge_proxy::upstream::{UpstreamConnection, UpstreamEvent};
 use edge_routing::{Endpoint, EndpointListMode, EndpointState, Micros, Outcome, ServerId};
@@ -142,8 +143,11 @@
 
     /// Notifies the request table of a purge of one object.
     pub fn purge_object(&mut self, object: &str, purged_at: Micros) {
-        self.request_table
-            .handle_purge_event(self.now, Some(object.into()), 0, purged_at);
+        self.request_table.handle_purge_event(
+            self.now,
+            PurgeTarget::Object(object.into()),
+            purged_at,
+        );
     }
 
     /// Takes the commands of the request table, enqueues the attempt of the first send command, and
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -5,7 +5,7 @@
 mod fixture;
 
 use edge_proxy::protocol::resp;
-use edge_proxy::request_table::{AttemptId, ClientRequest};
+use edge_proxy::request_table::{AttemptId, ClientRequest, PurgeTarget};
 use edge_proxy::upstream::UpstreamConnection;
 use edge_routing::Outcome;
 use fixture::{photo_request, post_request, AttemptEnd, Fixture, START_US};
@@ -579,11 +579,12 @@
 /// of when it is written, or the server may answer with a purged copy.
 #[test]
 fn a_purge_bounds_the_accepted_age_of_a_queued_attempt_that_it_concerns() {
-    for (object, group, has_age_limit) in [
-        (Some("01-object"), 0, true),
-        (None, 7, true),
-        (Some("02-object"), 0, false),
-        (None, 8, false),
+    let object = |key: &str| PurgeTarget::Object(key.to_owned());
+    for (target, has_age_limit) in [
+        (object("01-object"), true),
+        (PurgeTarget::Group(7), true),
+        (object("02-object"), false),
+        (PurgeTarget::Group(8), false),
     ] {
         let mut fixture = Fixture::connecting();
         fixture.send_request(ClientRequest {
@@ -594,25 +595,17 @@
         let purged_at = fixture.now - 30_000;
         // A purge of another object that arrives at its own time shows that the clock is not
         // behind the timestamps of purges.
-        fixture.request_table.handle_purge_event(
-            fixture.now,
-            Some("other".to_owned()),
-            0,
-            fixture.now,
-        );
-        fixture.request_table.handle_purge_event(
-            fixture.now,
-            object.map(str::to_owned),
-            group,
-            purged_at,
-        );
+        let now = fixture.now;
+        let request_table = &mut fixture.request_table;
+        request_table.handle_purge_event(now, object("other"), now);
+        request_table.handle_purge_event(now, target.clone(), purged_at);
         fixture.socket.is_connected = true;
         fixture.flush();
         let text = fixture.received_by_server("fetch", 1);
         assert_eq!(
             text.contains("maxage=30"),
             has_age_limit,
-            "purge of object {object:?}, group {group}: {text}"
+            "purge of {target}: {text}"
         );
     }
 }
