--- a/crates/proxy/tests/system_call_faults.rs
+++ b/crates/proxy/tests/system_call_faults.rs
@@ -102,13 +102,14 @@
     let proxy = ProxyFixture::builder().faults(&injector).start();
     proxy.event_bus.wait_for_subscription(0);
     let mut client = proxy.connect();
-    // Descending, because the retry after an earlier failure would also read the connection.
+    // The requests are writes, because no policy cancels a slow write. The number of reads before
+    // the failure descends, because the retry after an earlier failure also reads the connection.
     for skip in (0..READS_PER_REQUEST).rev() {
         injector.add(Fault {
             skip,
             ..Fault::for_next_calls(1, SystemCall::Read, Effect::Error(ENOMEM))
         });
-        let response = fetch_object(&mut client, READ_CLASS, &object_key(u64::from(skip)));
+        let response = fetch_object(&mut client, WRITE_CLASS, &object_key(u64::from(skip)));
         assert_eq!(response.status, 200, "read {skip} failed");
         injector.remove_faults(SystemCall::Read);
     }
--- a/crates/proxy/tests/upstream_connections.rs
+++ b/crates/proxy/tests/upstream_connections.rs
@@ -14,6 +14,9 @@
 
 // Tests with a scripted server send writes, because no policy cancels a slow write.
 
+/// Capacity of the input buffers in tests of spoilt answers.
+const INPUT_BUFFER_BYTES: usize = 1024;
+
 /// A new server may take over the address of one that is gone. Connections to the old server must
 /// not carry attempts for the new one.
 #[test]
@@ -314,14 +317,14 @@
     proxy.shut_down();
 }
 
-/// Guards against a client that receives an empty part as served, because an answer announces fewer
-/// strings than it has. The read is safe to repeat and must be served by another attempt.
-#[test]
-fn read_whose_answer_announces_too_few_strings_is_served_by_a_retry() {
+/// Has a cache server answer a read with spoilt bytes, which `answer` makes from the request id.
+/// Asserts that the proxy closes the connection and serves the read by another attempt.
+fn assert_served_by_a_retry(answer: impl Fn(&str) -> String) {
     let server = ScriptedServer::start().unwrap();
     let proxy = ProxyFixture::builder()
         .caches(&["s-0a", "s-0b"])
         .scripted_server(&server)
+        .limits(|limits| limits.input_buffer_bytes = INPUT_BUFFER_BYTES)
         .start();
     let mut client = proxy.connect();
     client
@@ -330,12 +333,8 @@
 
     let mut spoiling = server.accept().unwrap();
     let fetch = spoiling.next_fetch().unwrap();
-    let id = &fetch.request_id;
-    let answer = format!(
-        "*2\r\n${}\r\n{id}\r\n$3\r\n200\r\n$16\r\nmade=1,etag=abcd\r\n$5\r\nbytes\r\n",
-        id.len()
-    );
-    spoiling.send(answer.as_bytes()).unwrap();
+    let spoilt = answer(&fetch.request_id);
+    spoiling.send(spoilt.as_bytes()).unwrap();
     spoiling.wait_until_closed().unwrap();
     server.accept().unwrap().answer_next_fetch().unwrap();
 
@@ -348,14 +347,23 @@
     proxy.shut_down();
 }
 
+/// Guards against a client that receives an empty part as served, because an answer announces fewer
+/// strings than it has. The read is safe to repeat and must be served by another attempt.
+#[test]
+fn read_whose_answer_announces_too_few_strings_is_served_by_a_retry() {
+    assert_served_by_a_retry(|id| {
+        format!(
+            "*2\r\n${}\r\n{id}\r\n$3\r\n200\r\n$16\r\nmade=1,etag=abcd\r\n$5\r\nbytes\r\n",
+            id.len()
+        )
+    });
+}
+
 /// Guards against a client that receives a part cut at a line end, because the length before its
 /// body is too short. The announced end is also the end of what one read returns. The read is safe
 /// to repeat and must be served by another attempt.
 #[test]
 fn read_whose_body_is_longer_than_announced_is_served_by_a_retry() {
-    const INPUT_BUFFER_BYTES: usize = 1024;
-    const ID: &str = "0123456789abcdef";
-    const REST_OF_BODY: &str = "the rest of the part";
     let answer_until_announced_end = |id: &str, announced_bytes: usize| {
         format!(
             "*4\r\n${}\r\n{id}\r\n$3\r\n200\r\n$16\r\nmade=1,etag=abcd\r\n${announced_bytes}\r\n{}\r\n",
@@ -363,36 +371,14 @@
             "x".repeat(announced_bytes)
         )
     };
-    let bytes_around_body = answer_until_announced_end(ID, 999).len() - 999;
-    let announced_bytes = INPUT_BUFFER_BYTES - bytes_around_body;
-    let server = ScriptedServer::start().unwrap();
-    let proxy = ProxyFixture::builder()
-        .caches(&["s-0a", "s-0b"])
-        .scripted_server(&server)
-        .limits(|limits| limits.input_buffer_bytes = INPUT_BUFFER_BYTES)
-        .start();
-    let mut client = proxy.connect();
-    client
-        .request_object(1, READ_CLASS, &object_key(1), LONG_BUDGET_MS)
-        .unwrap();
-
-    let mut spoiling = server.accept().unwrap();
-    let fetch = spoiling.next_fetch().unwrap();
-    let spoilt = answer_until_announced_end(&fetch.request_id, announced_bytes);
-    assert_eq!(spoilt.len(), INPUT_BUFFER_BYTES);
-    spoiling
-        .send(format!("{spoilt}{REST_OF_BODY}\r\n").as_bytes())
-        .unwrap();
-    spoiling.wait_until_closed().unwrap();
-    server.accept().unwrap().answer_next_fetch().unwrap();
-
-    let (_, response) = next_response(&mut client);
-    assert_eq!(
-        (response.status, response.body.as_slice()),
-        (200, &b"all of it"[..])
-    );
-    drop(client);
-    proxy.shut_down();
+    assert_served_by_a_retry(|id| {
+        // The length has as many digits as any from 100 to 999.
+        let bytes_around_body = answer_until_announced_end(id, 100).len() - 100;
+        let announced_bytes = INPUT_BUFFER_BYTES - bytes_around_body;
+        let cut = answer_until_announced_end(id, announced_bytes);
+        assert_eq!(cut.len(), INPUT_BUFFER_BYTES);
+        cut + "the rest of the part\r\n"
+    });
 }
 
 /// Guards against memory that grows while clients take back their requests: the ids of cancelled
