A connection to a cache server reads on behind an answer by itself

The reading on stood in the event loop, with two wrappers that were twins, though UpstreamConnection::read has the socket and flush writes to it as well. It is in the connection now; the event loop calls read once, as before the mend, and schedules the further read if the answer is still unconfirmed. Malformed input is recorded in one place. A line with a length gives the LineProgress that the line buffer has, not a pair.

No behaviour changed; tests keep their assertions.

--- a/crates/proxy/src/event_loop/event_bus.rs
+++ b/crates/proxy/src/event_loop/event_bus.rs
@@ -207,8 +207,7 @@
         while !transport.input.is_empty() && result.is_ok() {
             let input = transport.input.readable();
             let input_bytes = input.len();
-            let last_event_id = self.event_bus.last_event_id;
-            result = stream.read(now, input, last_event_id, &mut messages);
+            result = stream.read(now, input, self.event_bus.last_event_id, &mut messages);
             transport.input.consume(input_bytes);
         }
         if has_input && result.is_ok() {
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -203,6 +203,9 @@
             }
         }
         let mut events = Vec::new();
+        if let Err(error) = upstream.confirm_last_answer(now, &self.request_table, &mut events) {
+            log::warn!("the last answer of cache server #{server:016x} is not used: {error}");
+        }
         upstream.close(transport.is_connected, transport.bytes_written, &mut events);
         self.report_upstream_events(now, server, events);
     }
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -3,7 +3,7 @@
 //! An array is encoded as `*COUNT`, CR LF and its strings. A bulk string is encoded as `$LENGTH`,
 //! CR LF, its bytes and CR LF. Other RESP types are not supported.
 
-use super::line::LineBuffer;
+use super::line::{LineBuffer, LineProgress};
 use super::{append_received, Parser, ProtocolError};
 use std::ops::RangeInclusive;
 
@@ -88,23 +88,23 @@
                 Ok((0, Some(std::mem::take(&mut self.strings))))
             }
             State::ArrayLength => {
-                let (consumed, line) = self.take_length_line(input, ARRAY)?;
-                if let Some(line) = line {
+                let progress = self.take_length_line(input, ARRAY)?;
+                if let Some(line) = progress.line {
                     let missing_strings = self.parse_array_length(&line)?;
                     self.state = State::StringLength { missing_strings };
                 }
-                Ok((consumed, None))
+                Ok((progress.consumed, None))
             }
             State::StringLength { missing_strings } => {
-                let (consumed, line) = self.take_length_line(input, STRING)?;
-                if let Some(line) = line {
+                let progress = self.take_length_line(input, STRING)?;
+                if let Some(line) = progress.line {
                     let length_bytes = STRING.parse(&line, self.string_limit_bytes)?;
                     self.state = State::StringContent {
                         missing_strings,
                         length_bytes,
                     };
                 }
-                Ok((consumed, None))
+                Ok((progress.consumed, None))
             }
             State::StringContent {
                 missing_strings,
@@ -116,19 +116,18 @@
         }
     }
 
-    /// Consumes bytes of a line that holds a length. Returns the number of consumed bytes, and the
-    /// line if it is complete. A line that is not complete is checked as far as it has arrived, so
-    /// that malformed input is found at its first byte.
+    /// Consumes bytes of a line that holds a length. A line that is not complete is checked as far as
+    /// it has arrived, so that malformed input is found at its first byte.
     fn take_length_line(
         &mut self,
         input: &[u8],
         expected: LengthLine,
-    ) -> Result<(usize, Option<Vec<u8>>), ProtocolError> {
+    ) -> Result<LineProgress, ProtocolError> {
         let progress = self.line_buffer.take(input)?;
         if progress.line.is_none() {
             expected.check_beginning(self.line_buffer.partial())?;
         }
-        Ok((progress.consumed, progress.line))
+        Ok(progress)
     }
 
     /// Parses the line with the number of strings in an array.
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -3,7 +3,8 @@
 use super::answer::ServerAnswer;
 use super::stream::{SentAttempt, Stream};
 use super::{UpstreamConnection, UpstreamEvent};
-use crate::net::BufferedSocket;
+use crate::limits::Limits;
+use crate::net::{BufferedSocket, IoProgress};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::{AttemptId, RequestTable};
 use edge_routing::{Micros, Outcome};
@@ -14,7 +15,7 @@
     /// The length before a body may be too short, and the body may contain a line end just there.
     /// The answer then looks complete, but the rest of the body follows it, which does not begin
     /// another answer. So an answer whose body is passed on is handled only once the next one has
-    /// begun, or once the caller has called [`confirm_last_answer`](Self::confirm_last_answer).
+    /// begun, or once the socket has been read again and nothing more has arrived.
     ///
     /// # Errors
     ///
@@ -26,28 +27,25 @@
         now: Micros,
         socket: &mut BufferedSocket,
         request_table: &RequestTable,
+        limits: &Limits,
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
-        while !socket.input.is_empty() {
-            let result = self.read_and_handle_answer(now, socket, request_table, events);
-            if result.is_err() {
-                self.liveness.record_malformed_input();
-                self.drop_unconfirmed_answer();
-                return result;
-            }
+        let result = self.read_answers(now, socket, request_table, limits, events);
+        if result.is_err() {
+            self.liveness.record_malformed_input();
+            self.drop_unconfirmed_answer();
         }
-        Ok(())
+        result
     }
 
-    /// Returns whether the last answer is not handled yet because it is not known what follows it.
-    /// The caller has to read the socket again, and to call
-    /// [`confirm_last_answer`](Self::confirm_last_answer) if nothing more has arrived.
+    /// Returns whether the last answer is not handled yet because it could not be found out what
+    /// follows it. The connection has to be read again soon.
     pub fn has_unconfirmed_answer(&self) -> bool {
         self.unconfirmed_answer.is_some()
     }
 
-    /// Handles the last answer, if that is still to be done. To be called if nothing more has
-    /// arrived behind it.
+    /// Handles the last answer, if that is still to be done. To be called if nothing more arrives
+    /// behind it.
     ///
     /// # Errors
     ///
@@ -58,34 +56,61 @@
         request_table: &RequestTable,
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
-        let Some(answer) = self.unconfirmed_answer.take() else {
-            return Ok(());
-        };
-        let result = self.handle_answer(now, answer, request_table, events);
-        if result.is_err() {
-            self.liveness.record_malformed_input();
+        match self.unconfirmed_answer.take() {
+            Some(answer) => self.handle_answer(now, answer, request_table, events),
+            None => Ok(()),
         }
-        result
     }
 
-    /// Parses at most one answer. Handles the unconfirmed answer once the id of the next one has
-    /// arrived, and the parsed answer unless it is unconfirmed itself.
-    fn read_and_handle_answer(
+    /// Parses the buffered input. While it ends with an unconfirmed answer, reads on to find out
+    /// what follows the answer.
+    fn read_answers(
         &mut self,
         now: Micros,
         socket: &mut BufferedSocket,
         request_table: &RequestTable,
+        limits: &Limits,
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
-        let answer = self.read_answer(now, socket)?;
-        let next_has_begun = answer.is_some() || self.answer_parser.first_string().is_some();
-        if next_has_begun {
-            self.confirm_last_answer(now, request_table, events)?;
+        self.read_buffered_answers(now, socket, request_table, events)?;
+        for _ in 0..limits.max_reads_behind_answer {
+            if self.unconfirmed_answer.is_none() {
+                break;
+            }
+            match socket.read(false) {
+                IoProgress::Advanced => {
+                    self.read_buffered_answers(now, socket, request_table, events)?;
+                }
+                IoProgress::Postponed => break,
+                // The poller reports the end of a connection again.
+                IoProgress::WouldBlock | IoProgress::PeerClosed | IoProgress::Broken => {
+                    return self.confirm_last_answer(now, request_table, events);
+                }
+            }
         }
-        match answer {
-            Some(answer) if answer.passes_on_body() => self.unconfirmed_answer = Some(answer),
-            Some(answer) => self.handle_answer(now, answer, request_table, events)?,
-            None => {}
+        Ok(())
+    }
+
+    /// Parses the answers in the input buffer. Handles an unconfirmed answer once the id of the next
+    /// one has arrived, and each parsed answer that does not become unconfirmed itself.
+    fn read_buffered_answers(
+        &mut self,
+        now: Micros,
+        socket: &mut BufferedSocket,
+        request_table: &RequestTable,
+        events: &mut Vec<UpstreamEvent>,
+    ) -> Result<(), ProtocolError> {
+        while !socket.input.is_empty() {
+            let answer = self.read_answer(now, socket)?;
+            let next_has_begun = answer.is_some() || self.answer_parser.first_string().is_some();
+            if next_has_begun {
+                self.confirm_last_answer(now, request_table, events)?;
+            }
+            match answer {
+                Some(answer) if answer.passes_on_body() => self.unconfirmed_answer = Some(answer),
+                Some(answer) => self.handle_answer(now, answer, request_table, events)?,
+                None => {}
+            }
         }
         Ok(())
     }
--- a/crates/proxy/tests/support/upstream.rs
+++ b/crates/proxy/tests/support/upstream.rs
@@ -231,20 +231,31 @@
 
     /// Does the same as `receive`, and returns the error if the bytes cannot be parsed.
     pub fn try_receive(&mut self, bytes: &[u8]) -> Result<(), ProtocolError> {
-        self.receive_unconfirmed(bytes)?;
-        self.connection
-            .confirm_last_answer(self.now, &self.request_table, &mut self.events)
+        let max_reads_behind_answer = self.limits.max_reads_behind_answer;
+        self.receive_with_reads_behind_answer(bytes, max_reads_behind_answer)
     }
 
-    /// Sends and reads bytes like `try_receive`, but leaves open whether more has arrived behind
-    /// them.
+    /// Does the same as `try_receive`, but leaves open whether more has arrived behind the bytes.
     pub fn receive_unconfirmed(&mut self, bytes: &[u8]) -> Result<(), ProtocolError> {
+        self.receive_with_reads_behind_answer(bytes, 0)
+    }
+
+    fn receive_with_reads_behind_answer(
+        &mut self,
+        bytes: &[u8],
+        max_reads_behind_answer: usize,
+    ) -> Result<(), ProtocolError> {
+        let limits = Limits {
+            max_reads_behind_answer,
+            ..self.limits.clone()
+        };
         self.server_socket.write_all(bytes).unwrap();
         while self.socket.read(false) != IoProgress::Advanced {}
         self.connection.read(
             self.now,
             &mut self.socket,
             &self.request_table,
+            &limits,
             &mut self.events,
         )
     }
--- a/crates/proxy/tests/upstream.rs
+++ b/crates/proxy/tests/upstream.rs
@@ -27,6 +27,15 @@
     [head.as_bytes(), body, b"\r\n"].concat()
 }
 
+/// Returns an answer whose length covers the first line of its body only, in two pieces: what looks
+/// like a complete answer, and the rest of the body.
+fn answer_cut_behind_its_first_line() -> (Vec<u8>, Vec<u8>) {
+    let announced_bytes = b"12.5\r\n".len();
+    let mut answer = answer_announcing("01", announced_bytes, LINES);
+    let rest = answer.split_off(answer.len() - LINES.len() + announced_bytes);
+    (answer, rest)
+}
+
 /// Sends bytes as the answer to an attempt. Asserts that they end no attempt, that the connection
 /// cannot be used any more, and that closing it leaves the attempt to be retried.
 #[track_caller]
@@ -98,15 +107,12 @@
 /// of what one read returns.
 #[test]
 fn an_answer_is_not_used_if_the_rest_of_its_body_is_read_later() {
-    let announced_bytes = b"12.5\r\n".len();
-    let spoilt = answer_announcing("01", announced_bytes, LINES);
-    let announced_end = spoilt.len() - LINES.len() + announced_bytes;
-    let (complete, rest) = spoilt.split_at(announced_end);
+    let (complete, rest) = answer_cut_behind_its_first_line();
     let mut fixture = Fixture::connected();
     let attempt = fixture.send("01");
-    fixture.receive_unconfirmed(complete).unwrap();
+    fixture.receive_unconfirmed(&complete).unwrap();
     assert!(fixture.connection.has_unconfirmed_answer());
-    assert!(fixture.try_receive(rest).is_err());
+    assert!(fixture.try_receive(&rest).is_err());
     assert!(!fixture.connection.has_unconfirmed_answer());
     assert_eq!(fixture.take_attempt_ends(), []);
     let reset = AttemptEnd::new(attempt, Outcome::Reset);
@@ -117,11 +123,9 @@
 /// that it does not begin another answer.
 #[test]
 fn the_rest_of_a_body_is_recognized_by_its_first_byte() {
-    let announced_bytes = b"12.5\r\n".len();
-    let spoilt = answer_announcing("01", announced_bytes, LINES);
-    let announced_end = spoilt.len() - LINES.len() + announced_bytes;
+    let (complete, _) = answer_cut_behind_its_first_line();
     for first_byte in [b'\r', b'\n', b' ', b'$', b'9', 0xff] {
-        let input = [&spoilt[..announced_end], &[first_byte]].concat();
+        let input = [complete.as_slice(), &[first_byte]].concat();
         assert_answer_is_malformed(&input, &format!("then byte {first_byte}"));
     }
 }
