--- a/crates/proxy/tests/event_bus_subscription.rs
+++ b/crates/proxy/tests/event_bus_subscription.rs
@@ -2,13 +2,14 @@
 
 use edge_testkit::fake_cache::FakeCacheServer;
 use edge_testkit::fake_event_bus::{cache_entry, endpoint_state, origin_entry};
+use edge_testkit::fastcgi_client::FastCgiClient;
 use edge_testkit::proxy_fixture::{
     fetch_object, health_status, next_response, ProxyFixture, LONG_BUDGET_MS,
 };
 use edge_testkit::sample_deployment::{object_key, READ_CLASS, WRITE_CLASS};
 use edge_testkit::scripted_server::ScriptedServer;
 use edge_testkit::unix_ms;
-use serde_json::Value;
+use serde_json::{json, Value};
 
 /// After a disconnect, the proxy must resume behind the last event that it has handled, or it
 /// misses purges and drains. A purge must take effect although the cache still has a copy.
@@ -125,16 +126,7 @@
         assert_eq!(response.status, 200);
     }
 
-    let commands_before = draining.received().len();
-    for number in 0..FETCHES_AFTER_DRAIN {
-        let response = fetch_object(&mut client, READ_CLASS, &object_key(number));
-        assert_eq!(response.status, 200);
-    }
-    assert_eq!(
-        draining.received().len(),
-        commands_before,
-        "the draining cache server was sent a new command"
-    );
+    assert_gets_no_command(draining, &mut client, 0..FETCHES_AFTER_DRAIN);
     proxy.shut_down();
 }
 
@@ -156,7 +148,7 @@
     // arrives on the first connection.
     let mut slow_connection = event_bus.accept().unwrap();
     let _second_connection = event_bus.accept().unwrap();
-    let list = serde_json::json!({"offset": 1, "topology": {"rev": 1, "all": true, "targets": [
+    let list = json!({"offset": 1, "topology": {"rev": 1, "all": true, "targets": [
         cache_entry(&proxy.caches[0], endpoint_state::READY),
         origin_entry(&proxy.origin, endpoint_state::READY),
     ]}});
@@ -179,11 +171,30 @@
     proxy.shut_down();
 }
 
+/// Fetches the objects with these numbers. Asserts that they are served and that a draining cache
+/// server gets no command meanwhile.
+fn assert_gets_no_command(
+    draining: &FakeCacheServer,
+    client: &mut FastCgiClient,
+    objects: impl IntoIterator<Item = u64>,
+) {
+    let commands_before = draining.received().len();
+    for number in objects {
+        let response = fetch_object(client, READ_CLASS, &object_key(number));
+        assert_eq!(response.status, 200);
+    }
+    assert_eq!(
+        draining.received().len(),
+        commands_before,
+        "the draining cache server was sent a new command"
+    );
+}
+
 /// Connects a proxy to an event bus that tells it of two events at once, which are the drain of its
 /// first cache server and a purge, and then breaks off in the middle of a third event. Asserts that
 /// the proxy has applied the first two when it requests the events behind them.
 fn assert_events_before_a_break_are_applied(tell: impl Fn(&Value, &Value) -> Vec<Value>) {
-    const FETCHES_AFTER_DRAIN: u64 = 20;
+    const FETCHES_AFTER_DRAIN: usize = 20;
     let event_bus = ScriptedServer::start().unwrap();
     let proxy = ProxyFixture::builder()
         .caches(&["s-0a", "s-0b"])
@@ -194,8 +205,8 @@
     subscription.next_http_head().unwrap();
     let draining = &proxy.caches[0];
     let entry = cache_entry(draining, endpoint_state::DRAINING);
-    let drain = serde_json::json!({"all": false, "targets": [entry]});
-    let purge = serde_json::json!({"url": object_key(1), "ts": unix_ms()});
+    let drain = json!({"all": false, "targets": [entry]});
+    let purge = json!({"url": object_key(1), "ts": unix_ms()});
     let events = tell(&drain, &purge);
 
     let mut text = String::new();
@@ -217,16 +228,7 @@
         "{request}"
     );
 
-    let commands_before = draining.received().len();
-    for _ in 0..FETCHES_AFTER_DRAIN {
-        let response = fetch_object(&mut client, READ_CLASS, &object_key(1));
-        assert_eq!(response.status, 200);
-    }
-    assert_eq!(
-        draining.received().len(),
-        commands_before,
-        "the draining cache server was sent a new command"
-    );
+    assert_gets_no_command(draining, &mut client, [1; FETCHES_AFTER_DRAIN]);
     let commands = proxy.caches[1].received();
     assert!(!commands.is_empty());
     assert!(
@@ -243,10 +245,7 @@
 #[test]
 fn a_drain_and_a_purge_are_applied_although_the_event_bus_breaks_off_behind_them() {
     assert_events_before_a_break_are_applied(|drain, purge| {
-        vec![
-            serde_json::json!({"topology": drain}),
-            serde_json::json!({"ban": purge}),
-        ]
+        vec![json!({"topology": drain}), json!({"ban": purge})]
     });
 }
 
@@ -254,6 +253,6 @@
 #[test]
 fn a_drain_and_a_purge_in_one_event_are_both_applied() {
     assert_events_before_a_break_are_applied(|drain, purge| {
-        vec![serde_json::json!({"topology": drain, "ban": purge})]
+        vec![json!({"topology": drain, "ban": purge})]
     });
 }
