--- a/crates/proxy/src/event_loop/acceptor.rs
+++ b/crates/proxy/src/event_loop/acceptor.rs
@@ -246,7 +246,7 @@
         let Ok(key) = self.open_connection(now, transport, role) else {
             return;
         };
-        self.clients.connections += 1;
+        self.client_connections += 1;
         self.timers.schedule(
             now + self.limits.client_request_timeout_us,
             TimerEvent::CheckClient(key),
--- a/crates/proxy/src/event_loop/clients/eviction.rs
+++ b/crates/proxy/src/event_loop/clients/eviction.rs
@@ -95,7 +95,7 @@
         now: Micros,
     ) -> io::Result<Option<SlabKey>> {
         loop {
-            let is_below_limit = self.clients.connections < self.limits.client_connections;
+            let is_below_limit = self.client_connections < self.limits.client_connections;
             if is_below_limit && self.has_free_connection_slot() {
                 return Ok(None);
             }
--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -37,6 +37,8 @@
         let unread_us = self.unread_us(now, key);
         let mut events = VecDeque::new();
         let mut result = self.take_session_events(key, &mut events);
+        // The bodies of the requests are not in the session any more.
+        self.update_connection_memory(now, key);
         if unread_us > 0 && !events.is_empty() && result.is_ok() {
             match self.read_further_input(key, &mut events) {
                 // The client no longer waits for any answer. The connection is closed when the
@@ -59,7 +61,7 @@
                         .iter()
                         .filter(|event| event.requires_answer())
                         .count();
-                    self.admit_fastcgi_request(now, key, stream, request, requests_behind);
+                    self.admit_fastcgi_request(now, key, stream, *request, requests_behind);
                 }
             }
             // The commands run only after the session has recorded the request as admitted, because
@@ -153,24 +155,22 @@
         let Some((_, session)) = self.connections.fastcgi_client_mut(key) else {
             return;
         };
-        let unsent_limit_exceeded =
-            self.clients.unsent_answers.current > self.limits.unsent_answer_bytes;
         // A client that sends very many requests must leave room for the requests of other clients.
         let client_limit_exceeded = !self.limits.allows_unanswered_requests(
             session.unanswered_requests() - requests_behind,
             self.request_table.is_half_full(),
         );
-        let rejected =
-            unsent_limit_exceeded || client_limit_exceeded || self.shutdown.is_grace_over();
+        self.update_request_memory();
+        let memory_exhausted = !self.memory.admits_request(request.body.allocated_bytes());
+        let rejected = memory_exhausted || client_limit_exceeded || self.shutdown.is_grace_over();
         let target = AnswerTarget {
             connection: key,
             stream: u32::from(stream),
         };
         let request_key = if rejected {
             log::debug!(
-                "request {}: rejected: limit of unsent answer bytes exceeded: \
-                 {unsent_limit_exceeded}, limit of requests per client exceeded: \
-                 {client_limit_exceeded}, shutting down: {}",
+                "request {}: rejected: memory has run out: {memory_exhausted}, limit of requests \
+                 per client exceeded: {client_limit_exceeded}, shutting down: {}",
                 request.id,
                 self.shutdown.is_grace_over()
             );
@@ -185,7 +185,7 @@
             Some(request_key) => session.request_admitted(stream, request_key),
             None => session.respond(
                 stream,
-                &Answer::Rejected {
+                Answer::Rejected {
                     retry_after_us: Some(self.limits.retry_after_us),
                 },
             ),
@@ -193,20 +193,16 @@
     }
 
     /// Sends a client the final answer to its request, over the protocol of its connection. If the
-    /// content would exceed the limit on unsent answers, the client is told of a failure instead.
+    /// content does not fit into the memory budget, the client is told of a failure instead.
     pub(in crate::event_loop) fn send_answer(
         &mut self,
         now: Micros,
         target: AnswerTarget,
         mut answer: Answer,
     ) {
-        let unsent_bytes = self.clients.unsent_answers.current;
         let content_bytes = answer.content_bytes();
-        if content_bytes > 0 && unsent_bytes + content_bytes > self.limits.max_unsent_answer_bytes {
-            log::debug!(
-                "answers that clients do not read hold {unsent_bytes} bytes: replacing an answer \
-                 with {content_bytes} bytes by a failure"
-            );
+        if content_bytes > 0 && !self.memory.has_room(content_bytes) {
+            log::debug!("memory has run out: replacing an answer by a failure");
             answer = Answer::Failed;
         }
         let Some(connection) = self.connections.get_mut(target.connection) else {
@@ -214,8 +210,8 @@
         };
         match &mut connection.role {
             ConnectionRole::FastCgiClient(session) => {
-                session.respond(target.stream as u16, &answer);
-                self.write_fastcgi_client(target.connection);
+                session.respond(target.stream as u16, answer);
+                self.write_fastcgi_client(now, target.connection);
             }
             ConnectionRole::InterconnectClient(_) => {
                 self.answer_interconnect_client(now, target.connection, answer);
@@ -226,7 +222,7 @@
 
     /// Writes the answers on a FastCGI connection until all are written or the socket accepts no
     /// more.
-    pub(in crate::event_loop) fn write_fastcgi_client(&mut self, key: SlabKey) {
+    pub(in crate::event_loop) fn write_fastcgi_client(&mut self, now: Micros, key: SlabKey) {
         let Some((transport, session)) = self.connections.fastcgi_client_mut(key) else {
             return;
         };
@@ -236,7 +232,6 @@
                 break;
             }
         }
-        transport.output.release_memory();
-        self.update_unsent_answer_bytes(key);
+        self.update_connection_memory(now, key);
     }
 }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -9,6 +9,7 @@
 use crate::discovery::event_bus::EventStreamClient;
 use crate::frontend::{fastcgi, interconnect, ClientSession};
 use crate::invariants::Invariant;
+use crate::memory::MemoryShare;
 use crate::net::{connect, BufferedSocket, Slab, SlabKey};
 use crate::sys::errors;
 use crate::upstream::UpstreamConnection;
@@ -30,7 +31,7 @@
         discarded_bytes: usize,
     },
     /// Connection to a server of the endpoint list, which may be a cache server or the origin.
-    Upstream(UpstreamConnection),
+    Upstream(Box<UpstreamConnection>),
     /// Connection to the event bus.
     EventBus(EventStreamClient),
     /// Connection to Consul for a single query.
@@ -105,8 +106,10 @@
 pub(super) struct Connection {
     pub(super) transport: BufferedSocket,
     pub(super) role: ConnectionRole,
-    /// Activity and memory use of a client connection. Unused for other connections.
+    /// Activity of a client connection. Unused for other connections.
     pub(super) activity: ClientActivity,
+    /// The memory of the buffers and of the session of a client.
+    pub(super) memory_share: MemoryShare,
     /// Whether a retry is scheduled, because the connection could not be read or registered with
     /// the poller.
     retry_scheduled: bool,
@@ -122,7 +125,7 @@
     pub(super) fn upstream(&self, key: SlabKey) -> Option<(&BufferedSocket, &UpstreamConnection)> {
         let connection = self.get(key)?;
         match &connection.role {
-            ConnectionRole::Upstream(upstream) => Some((&connection.transport, upstream)),
+            ConnectionRole::Upstream(upstream) => Some((&connection.transport, upstream.as_ref())),
             _ => None,
         }
     }
@@ -134,7 +137,9 @@
     ) -> Option<(&mut BufferedSocket, &mut UpstreamConnection)> {
         let connection = self.get_mut(key)?;
         match &mut connection.role {
-            ConnectionRole::Upstream(upstream) => Some((&mut connection.transport, upstream)),
+            ConnectionRole::Upstream(upstream) => {
+                Some((&mut connection.transport, upstream.as_mut()))
+            }
             _ => None,
         }
     }
@@ -184,6 +189,7 @@
             transport,
             role,
             activity: ClientActivity::new(now),
+            memory_share: MemoryShare::default(),
             retry_scheduled: false,
             unread_since: None,
         };
@@ -321,7 +327,7 @@
     pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey, reason: CloseReason) {
         // Writes the answers that are ready, as far as the socket accepts them without blocking.
         // The proxy does not wait for a client that does not read its answers.
-        self.write_fastcgi_client(key);
+        self.write_fastcgi_client(now, key);
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
@@ -332,8 +338,7 @@
             return self.close(now, key, reason);
         }
         connection.transport.input.clear();
-        connection.transport.release_empty_buffers();
-        self.clients.release(&mut connection.activity);
+        self.memory.release(&mut connection.memory_share);
         connection.activity.timeout_start = now;
         let lingering = ConnectionRole::Lingering { discarded_bytes: 0 };
         let role = std::mem::replace(&mut connection.role, lingering);
@@ -352,23 +357,23 @@
         let Some(Connection {
             transport,
             role,
-            mut activity,
+            mut memory_share,
             ..
         }) = self.connections.remove(key)
         else {
             return;
         };
+        self.memory.release(&mut memory_share);
         self.log_close(key, &role, reason);
         match role {
             ConnectionRole::FastCgiClient(_)
             | ConnectionRole::InterconnectClient(_)
             | ConnectionRole::Lingering { .. } => {
-                self.clients.connections -= 1;
-                self.clients.release(&mut activity);
+                self.client_connections -= 1;
                 self.report_client_disconnected(now, &role);
             }
             ConnectionRole::Upstream(upstream) => {
-                self.handle_upstream_closed(now, key, &transport, upstream, reason)
+                self.handle_upstream_closed(now, key, &transport, *upstream, reason)
             }
             ConnectionRole::Notification(delivery) => {
                 self.handle_notification_attempt_end(now, delivery)
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -11,7 +11,8 @@
 //! | The connection table: opening and closing connections | `connections` |
 //! | Handling readiness of a connection: reading and writing | `readiness` |
 //! | Timers | `timer` |
-//! | Client connections: FastCGI, accounting, eviction | `clients` |
+//! | Client connections: FastCGI, eviction | `clients` |
+//! | The memory budget | `memory` |
 //! | Interconnect clients, notifications to peer CDNs | `interconnect`, `notifications` |
 //! | Connections to cache servers | `upstreams` |
 //! | Sources of the endpoint list and of purges | `event_bus`, `consul`, `purge_gossip` |
@@ -25,6 +26,7 @@
 mod consul;
 mod event_bus;
 mod interconnect;
+mod memory;
 mod notifications;
 mod purge_gossip;
 mod readiness;
@@ -41,10 +43,10 @@
 
 use crate::invariants::Invariant;
 use crate::limits::Limits;
+use crate::memory::MemoryBudget;
 use crate::net::{Clock, Poller, Readiness, Slab, SlabKey, TimerQueue};
 use crate::request_table::{Answer, AnswerTarget, Command, RequestTable};
 use acceptor::{Acceptor, Acceptors, ListenerKind};
-use clients::ClientAccounting;
 use connections::Connection;
 use consul::ConsulPoller;
 use edge_routing::Micros;
@@ -81,7 +83,9 @@
     shutdown: Shutdown,
     reload: Reload,
     acceptors: Acceptors,
-    clients: ClientAccounting,
+    memory: MemoryBudget,
+    /// Number of client connections, including those in a lingering close.
+    client_connections: usize,
     upstream_connections: UpstreamConnections,
     event_bus: EventBusSubscription,
     consul: Option<ConsulPoller>,
@@ -133,6 +137,8 @@
                 now = self.clock.now();
             }
             self.handle_due_timers(now);
+            self.update_table_memory();
+            self.resume_connections_waiting_for_memory(now);
             // A socket that becomes ready during this turn is reported immediately by the next
             // wait. A wait that blocked reports only sockets that became ready when it returned.
             self.earliest_ready_at = wait_ended_at;
@@ -142,13 +148,19 @@
         Ok(())
     }
 
-    /// Returns how long the poller may wait: until the next timer is due, at most `MAX_WAIT_US`.
+    /// Returns how long the poller may wait: until the next timer is due, at most `MAX_WAIT_US`, and
+    /// less while connections wait for memory.
     fn wait_us(&self, now: Micros) -> Micros {
         let until_next_timer_us = self
             .timers
             .next_due()
             .map_or(MAX_WAIT_US, |at| at.saturating_sub(now));
-        until_next_timer_us.min(MAX_WAIT_US)
+        let longest_us = if self.upstream_connections.is_any_waiting_for_memory() {
+            self.limits.memory_retry_interval_us
+        } else {
+            MAX_WAIT_US
+        };
+        until_next_timer_us.min(longest_us)
     }
 
     /// Dispatches a readiness event by its token.
@@ -249,6 +261,6 @@
             counters.attempts
         );
         log::info!("{}", self.request_table.invariants);
-        log::info!("{}", self.clients);
+        log::info!("{}", self.memory);
     }
 }
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -45,10 +45,8 @@
             return self.close_gracefully(now, key, reason);
         }
         self.update_client_activity(now, key);
-        if let Some(connection) = self.connections.get_mut(key) {
-            connection.transport.release_empty_buffers();
-        }
-        self.enforce_partial_request_limit(now, key);
+        self.update_connection_memory(now, key);
+        self.enforce_partial_request_limit(now);
     }
 
     /// Returns whether a connection is closed when its client closes its half. This holds for
@@ -194,11 +192,11 @@
         };
         let written = match &connection.role {
             ConnectionRole::FastCgiClient(_) => {
-                self.write_fastcgi_client(key);
+                self.write_fastcgi_client(now, key);
                 self.check_client_is_unfinished(key)
             }
             ConnectionRole::InterconnectClient(_) => {
-                let is_broken = !self.write_interconnect_client(key);
+                let is_broken = !self.write_interconnect_client(now, key);
                 error_if_broken(is_broken).and_then(|()| self.check_client_is_unfinished(key))
             }
             ConnectionRole::Lingering { .. } => Ok(()),
--- a/crates/proxy/src/event_loop/shutdown.rs
+++ b/crates/proxy/src/event_loop/shutdown.rs
@@ -54,7 +54,7 @@
             self.limits.shutdown_grace_us / 1_000
         );
         log::info!("{}", self.request_table.invariants);
-        log::info!("{}", self.clients);
+        log::info!("{}", self.memory);
         log::info!(
             "event loop: {} connections, {} timers",
             self.connections.len(),
@@ -109,7 +109,7 @@
     /// connections.
     pub(super) fn is_shut_down(&self) -> bool {
         self.shutdown.is_grace_over()
-            && self.clients.connections == 0
+            && self.client_connections == 0
             && self.acceptors.fastcgi.is_none()
     }
 }
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -2,7 +2,6 @@
 //! the start, and contacts the sources of the endpoint list.
 
 use super::acceptor::{Acceptor, Acceptors, ListenerKind};
-use super::clients::ClientAccounting;
 use super::consul::ConsulPoller;
 use super::event_bus::EventBusSubscription;
 use super::interconnect::Interconnect;
@@ -16,6 +15,7 @@
 use crate::discovery::event_bus::EventBusMessage;
 use crate::discovery::purge_log::PurgeLog;
 use crate::frontend::interconnect::InterconnectFrontend;
+use crate::memory::MemoryBudget;
 use crate::net::{Clock, Poller, Slab, TimerQueue};
 use crate::request_table::RequestTable;
 use crate::sys::errors;
@@ -156,7 +156,8 @@
             signals,
             shutdown: Shutdown::default(),
             acceptors: Acceptors::new(fastcgi, acceptor),
-            clients: ClientAccounting::default(),
+            memory: MemoryBudget::new(limits.memory_budget_bytes),
+            client_connections: 0,
             upstream_connections: UpstreamConnections::default(),
             event_bus: EventBusSubscription::new(startup_events.last_offset, &limits, config.seed),
             consul: start_consul(&config),
--- a/crates/proxy/src/event_loop/upstreams/answers.rs
+++ b/crates/proxy/src/event_loop/upstreams/answers.rs
@@ -3,6 +3,7 @@
 use crate::event_loop::EventLoop;
 use crate::net::{IoProgress, SlabKey};
 use crate::protocol::ProtocolError;
+use crate::upstream::ReadContext;
 use edge_routing::Micros;
 
 impl EventLoop {
@@ -23,22 +24,27 @@
         };
         let server = upstream.server;
         let mut events = Vec::new();
-        let result = upstream.read(
+        let mut context = ReadContext {
             now,
-            transport,
-            &self.request_table,
-            &self.limits,
-            &mut events,
-        );
+            request_table: &self.request_table,
+            limits: &self.limits,
+            memory: &mut self.memory,
+            others_wait_for_memory: self.upstream_connections.is_any_waiting_for_memory(),
+        };
+        let result = upstream.read(&mut context, transport, &mut events);
         if upstream.has_unconfirmed_answer() {
             self.schedule_connection_retry(now, key);
         }
+        self.note_if_waiting_for_memory(key);
         self.report_upstream_events(now, server, events);
         result
     }
 
     /// Reads the answers that a server sent before its connection broke. They are still used.
     pub(in crate::event_loop) fn read_remaining_answers(&mut self, now: Micros, key: SlabKey) {
+        if let Some((_, upstream)) = self.connections.upstream_mut(key) {
+            upstream.accept_body_at_end(now);
+        }
         for _ in 0..self.limits.max_reads_after_close {
             let is_readable =
                 self.connections
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -184,7 +184,7 @@
         let address = self.request_table.server_address(server);
         let address = address.ok_or(ConnectError::ServerGone)?.address;
         let upstream = UpstreamConnection::new(server, &self.limits, now);
-        let key = self.connect_to(now, address, ConnectionRole::Upstream(upstream))?;
+        let key = self.connect_to(now, address, ConnectionRole::Upstream(Box::new(upstream)))?;
         self.upstream_connections.add(server, key);
         Ok(key)
     }
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -8,10 +8,10 @@
 use super::timer::TimerEvent;
 use super::EventLoop;
 use crate::net::{BufferedSocket, SlabKey, TimerKey};
-use crate::upstream::{UpstreamConnection, UpstreamEvent};
+use crate::upstream::{UpstreamConnection, UpstreamEvent, WriteContext};
 use edge_routing::{Micros, ServerId};
 use parked::ParkedAttempts;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// The next check of a connection.
 struct ScheduledCheck {
@@ -32,6 +32,8 @@
     /// The sum of `ended_streams`.
     total_ended_streams: usize,
     parked: ParkedAttempts,
+    /// Connections that wait for memory, in the order in which they began to wait.
+    waiting_for_memory: VecDeque<SlabKey>,
 }
 
 impl UpstreamConnections {
@@ -47,6 +49,26 @@
         self.by_server.entry(server).or_default().push(key);
     }
 
+    pub(super) fn total_ended_streams(&self) -> usize {
+        self.total_ended_streams
+    }
+
+    pub(super) fn is_any_waiting_for_memory(&self) -> bool {
+        !self.waiting_for_memory.is_empty()
+    }
+
+    /// Adds a connection to those that wait for memory, unless it is one of them.
+    pub(super) fn add_waiting_for_memory(&mut self, key: SlabKey) {
+        if !self.waiting_for_memory.contains(&key) {
+            self.waiting_for_memory.push_back(key);
+        }
+    }
+
+    /// Removes and returns the connections that wait for memory, in their order.
+    pub(super) fn take_waiting_for_memory(&mut self) -> VecDeque<SlabKey> {
+        std::mem::take(&mut self.waiting_for_memory)
+    }
+
     /// Records how many ended streams a connection keeps.
     fn set_ended_streams(&mut self, key: SlabKey, count: usize) {
         let before = if count > 0 {
@@ -65,6 +87,7 @@
 
     fn remove(&mut self, server: ServerId, key: SlabKey) {
         self.set_ended_streams(key, 0);
+        self.waiting_for_memory.retain(|waiting| *waiting != key);
         let Some(keys) = self.by_server.get_mut(&server) else {
             return;
         };
@@ -92,13 +115,13 @@
         };
         let server = upstream.server;
         let mut events = Vec::new();
-        let is_usable = upstream.flush(
+        let mut context = WriteContext {
             now,
-            transport,
-            &self.request_table,
-            &self.limits,
-            &mut events,
-        );
+            request_table: &self.request_table,
+            limits: &self.limits,
+            memory: &mut self.memory,
+        };
+        let is_usable = upstream.flush(&mut context, transport, &mut events);
         let next_check_at = upstream.next_check_at(&self.limits);
         let is_idle = upstream.is_idle();
         // A server that is draining or gone gets no new attempts. Its connections are closed once
@@ -106,6 +129,8 @@
         // them.
         let is_drained = is_idle && !self.request_table.is_server_ready(server);
         let is_retired = is_idle && upstream.is_retired();
+        self.update_connection_memory(now, key);
+        self.note_if_waiting_for_memory(key);
         self.report_upstream_events(now, server, events);
         if !is_usable {
             return Err(CloseReason::UpstreamUnusable);
@@ -193,6 +218,7 @@
         reason: CloseReason,
     ) {
         let server = upstream.server;
+        upstream.release_memory(&mut self.memory);
         self.upstream_connections.remove(server, key);
         if let Some(check) = self.upstream_connections.checks.remove(&key) {
             self.timers.cancel(check.timer);
--- a/crates/proxy/src/frontend/fastcgi/partial_request.rs
+++ b/crates/proxy/src/frontend/fastcgi/partial_request.rs
@@ -1,6 +1,7 @@
 //! A request that is partially received: its parameter stream and its body.
 
 use crate::limits::Limits;
+use crate::memory::ByteQueue;
 use crate::protocol::append_received;
 use crate::protocol::fastcgi::RecordPart;
 use thiserror::Error;
@@ -32,7 +33,7 @@
     pub(super) parameters: Vec<u8>,
     parameters_complete: bool,
     /// Received bytes of the body.
-    pub(super) body: Vec<u8>,
+    pub(super) body: ByteQueue,
 }
 
 impl PartialRequest {
@@ -45,7 +46,7 @@
 
     /// Returns the number of bytes allocated for the streams.
     pub(super) fn allocated_bytes(&self) -> usize {
-        self.parameters.capacity() + self.body.capacity()
+        self.parameters.capacity() + self.body.allocated_bytes()
     }
 
     /// Receives a part of a PARAMS record. An empty record ends the parameter stream.
@@ -56,9 +57,11 @@
     ) -> Result<(), OversizedStream> {
         self.parameters_complete = part.header.content_bytes == 0;
         let limit_bytes = limits.params_bytes;
-        if !append_to_stream(&mut self.parameters, part, limit_bytes) {
+        let final_bytes = self.parameters.len() + announced_bytes(part);
+        if final_bytes > limit_bytes {
             return Err(OversizedStream::Parameters { limit_bytes });
         }
+        append_received(&mut self.parameters, &part.content, final_bytes);
         Ok(())
     }
 
@@ -73,20 +76,15 @@
             return Ok(false);
         }
         let limit_bytes = limits.body_bytes;
-        if !append_to_stream(&mut self.body, part, limit_bytes) {
+        if self.body.len() + announced_bytes(part) > limit_bytes {
             return Err(OversizedStream::Body { limit_bytes });
         }
+        self.body.push_part(&part.content, announced_bytes(part));
         Ok(part.header.content_bytes == 0)
     }
 }
 
-/// Appends a part of a record to a stream of a request. Returns `false`, without appending, if the
-/// stream would exceed `limit_bytes` with the announced rest of the record.
-fn append_to_stream(stream: &mut Vec<u8>, part: &RecordPart, limit_bytes: usize) -> bool {
-    let final_bytes = stream.len() + part.content.len() + part.remaining_bytes;
-    if final_bytes > limit_bytes {
-        return false;
-    }
-    append_received(stream, &part.content, final_bytes);
-    true
+/// Returns the length of a part of a record and of the announced rest of the record.
+fn announced_bytes(part: &RecordPart) -> usize {
+    part.content.len() + part.remaining_bytes
 }
--- a/crates/proxy/src/frontend/fastcgi/request.rs
+++ b/crates/proxy/src/frontend/fastcgi/request.rs
@@ -6,6 +6,7 @@
 //! numbers in requests, which therefore have to be correct.
 
 use crate::limits::Limits;
+use crate::memory::ByteQueue;
 use crate::request_table::ClientRequest;
 use edge_routing::Micros;
 use std::fmt;
@@ -160,7 +161,7 @@
     /// Returns an error for the first parameter that is invalid or missing.
     pub(super) fn build_client_request(
         &self,
-        body: Vec<u8>,
+        body: ByteQueue,
         limits: &Limits,
     ) -> Result<ClientRequest, InvalidParameter> {
         self.check_content_length(body.len())?;
--- a/crates/proxy/src/frontend/fastcgi/session.rs
+++ b/crates/proxy/src/frontend/fastcgi/session.rs
@@ -12,7 +12,8 @@
 use super::response;
 use crate::frontend::ClientSession;
 use crate::limits::Limits;
-use crate::net::RingBuffer;
+use crate::memory::ByteQueue;
+use crate::net::SocketBuffer;
 use crate::protocol::fastcgi::{self as wire, record_type, RecordParser, RecordPart};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::{Answer, ClientRequest, RequestKey};
@@ -26,7 +27,7 @@
 #[derive(Debug, PartialEq)]
 pub enum SessionEvent {
     /// A complete request. The caller has to call [`Session::request_admitted`] or answer it.
-    Request(u16, ClientRequest),
+    Request(u16, Box<ClientRequest>),
     /// The client no longer waits for the answer to an admitted request.
     Abort(RequestKey),
     /// The client no longer waits for the answer to a request that was not admitted.
@@ -113,8 +114,12 @@
             .sum()
     }
 
+    fn table_bytes(&self) -> usize {
+        self.open_requests.capacity() * size_of::<(u16, OpenRequest)>()
+    }
+
     fn unsent_bytes(&self) -> usize {
-        self.outgoing.unsent_bytes()
+        self.outgoing.held_bytes()
     }
 }
 
@@ -128,7 +133,7 @@
     /// has to be closed.
     pub fn read(
         &mut self,
-        input: &mut RingBuffer,
+        input: &mut SocketBuffer,
         limits: &Limits,
     ) -> Result<Option<SessionEvent>, ProtocolError> {
         while !input.is_empty() {
@@ -153,7 +158,7 @@
     }
 
     /// Queues the final answer to a request. Does nothing if the client has aborted the request.
-    pub fn respond(&mut self, request_id: u16, answer: &Answer) {
+    pub fn respond(&mut self, request_id: u16, answer: Answer) {
         self.finish_request(request_id, response::cgi_response(answer));
     }
 
@@ -174,13 +179,20 @@
         }
     }
 
+    /// Replaces the content of the answers of which nothing is written yet by failures, where that
+    /// frees memory. Returns how many were replaced.
+    pub fn fail_unwritten_answers(&mut self) -> usize {
+        self.outgoing
+            .replace_unwritten(ByteQueue::MIN_BLOCK_BYTES, &response::failure().to_vec())
+    }
+
     /// Queues an answer that has only a status, as in `200 OK`.
     pub fn respond_with_status(&mut self, request_id: u16, status: &str) {
         self.finish_request(request_id, response::status_only(status));
     }
 
     /// Writes as much of the queued answers as fits into the output buffer.
-    pub fn write(&mut self, output: &mut RingBuffer) {
+    pub fn write(&mut self, output: &mut SocketBuffer) {
         self.outgoing.write(output);
     }
 
@@ -356,7 +368,10 @@
             return Ok(Some(SessionEvent::HealthCheck(request_id)));
         }
         match parameters.build_client_request(request.body, limits) {
-            Ok(client_request) => Ok(Some(SessionEvent::Request(request_id, client_request))),
+            Ok(client_request) => Ok(Some(SessionEvent::Request(
+                request_id,
+                Box::new(client_request),
+            ))),
             Err(error) => {
                 log::info!(
                     "rejecting FastCGI request {request_id} with a client error status: {error}"
@@ -385,8 +400,10 @@
         })
     }
 
-    fn finish_request(&mut self, request_id: u16, response: Vec<u8>) {
-        if let Some(OpenRequest::AwaitingAnswer(request)) = self.open_requests.remove(&request_id) {
+    fn finish_request(&mut self, request_id: u16, response: ByteQueue) {
+        let request = self.open_requests.remove(&request_id);
+        self.release_empty_table();
+        if let Some(OpenRequest::AwaitingAnswer(request)) = request {
             self.outgoing.push_answer(OutgoingAnswer {
                 request_id,
                 response,
@@ -396,6 +413,14 @@
         }
     }
 
+    /// Frees the memory of the table of open requests if it is empty, because hundreds of connections
+    /// may stay open.
+    fn release_empty_table(&mut self) {
+        if self.open_requests.is_empty() {
+            self.open_requests.shrink_to_fit();
+        }
+    }
+
     fn end_without_response(
         &mut self,
         request_id: u16,
@@ -404,7 +429,7 @@
     ) {
         self.outgoing.push_answer(OutgoingAnswer {
             request_id,
-            response: Vec::new(),
+            response: ByteQueue::new(),
             protocol_status,
             keep_connection,
         });
--- a/crates/proxy/src/frontend/interconnect/response.rs
+++ b/crates/proxy/src/frontend/interconnect/response.rs
@@ -1,5 +1,6 @@
 //! HTTP responses of the interconnection.
 
+use crate::memory::ByteQueue;
 use crate::request_table::{Answer, Content};
 use edge_routing::Micros;
 use serde_json::Value;
@@ -63,11 +64,11 @@
     }
 }
 
-fn object(bytes: Vec<u8>, tag: Option<String>) -> Response {
+fn object(bytes: ByteQueue, tag: Option<String>) -> Response {
     let response = Response {
         status: 200,
         headers: Vec::new(),
-        body: bytes,
+        body: bytes.to_vec(),
     };
     let response = response.with_header("Content-Type", "application/octet-stream".to_owned());
     match tag {
--- a/crates/proxy/src/frontend/interconnect/session.rs
+++ b/crates/proxy/src/frontend/interconnect/session.rs
@@ -2,7 +2,7 @@
 
 use super::Response;
 use crate::frontend::ClientSession;
-use crate::net::RingBuffer;
+use crate::net::SocketBuffer;
 use crate::protocol::http::{self, Head, Message, MessageParser, Piece};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::RequestKey;
@@ -113,7 +113,7 @@
     /// # Errors
     ///
     /// Returns an error if the input violates the protocol or exceeds a limit.
-    pub fn read(&mut self, input: &mut RingBuffer) -> Result<Option<Message>, ProtocolError> {
+    pub fn read(&mut self, input: &mut SocketBuffer) -> Result<Option<Message>, ProtocolError> {
         while self.keep_open && self.is_idle() {
             let (consumed, piece) = self.parser.parse(input.readable())?;
             input.consume(consumed);
@@ -163,7 +163,7 @@
     }
 
     /// Writes as much of the queued responses as fits into the output buffer.
-    pub fn write(&mut self, output: &mut RingBuffer) {
+    pub fn write(&mut self, output: &mut SocketBuffer) {
         self.written_bytes += output.push(&self.outgoing[self.written_bytes..]);
         if self.written_bytes == self.outgoing.len() {
             self.outgoing = Vec::new();
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -26,8 +26,13 @@
     fn unanswered_requests(&self) -> usize;
     /// Returns the request table keys of the admitted requests that are unanswered.
     fn request_keys(&self) -> Vec<RequestKey>;
-    /// Returns the number of bytes allocated for requests and records that are partially received.
+    /// Returns the number of bytes allocated for requests that are partially received.
     fn partial_request_bytes(&self) -> usize;
-    /// Returns the number of bytes of answers that are not yet written to the output buffer.
+    /// Returns the number of bytes allocated for answers that are not completely written to the
+    /// output buffer.
     fn unsent_bytes(&self) -> usize;
+    /// Returns the number of bytes allocated for the tables of the session.
+    fn table_bytes(&self) -> usize {
+        0
+    }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `protocol` contains the codecs.
 //! - `net` contains buffered sockets and timers, and `sys` wraps the system calls.
 //! - `config` reads the configuration.
+//! - `memory` accounts for the bytes that are held, and holds what is large.
 //! - `limits` defines the sizes, counts and times that bound the proxy.
 //! - `invariants` counts the invariant checks and their violations.
 
@@ -18,6 +19,7 @@
 pub mod frontend;
 pub mod invariants;
 pub mod limits;
+pub mod memory;
 pub mod net;
 pub mod program;
 pub mod protocol;
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -3,6 +3,7 @@
 //! The name of a field ends with its unit: `_us` for microseconds, `_bytes` for bytes, `_kb` for
 //! KB. A field without a unit is a count.
 
+use crate::memory::{self, ByteQueue};
 use edge_routing::Micros;
 
 /// Limits on the resources that the proxy uses and on the times that it waits. Counts and sizes are
@@ -62,10 +63,6 @@
     pub params_bytes: usize,
     /// Size of the body of one request.
     pub body_bytes: usize,
-    /// Total size of the bodies of all pending requests.
-    pub total_body_bytes: usize,
-    /// Memory of all partially received requests and of the input buffers of their connections.
-    pub partial_request_bytes: usize,
     /// Size of a FastCGI record that is kept until it is complete, because it can only be handled as
     /// a whole. The content of all other records is handled as it arrives.
     pub collected_record_bytes: usize,
@@ -86,12 +83,6 @@
     // ---- Answers to clients ----
     /// Answers of any kind that are queued for one client.
     pub unsent_answers_per_client: usize,
-    /// Memory of the answers that are queued for clients and of the output buffers of their
-    /// connections. Requests are rejected while it is exceeded.
-    pub unsent_answer_bytes: usize,
-    /// The same memory. Content that would exceed this limit is replaced by a failure: requests that
-    /// were admitted before may be answered all at once while their clients read nothing.
-    pub max_unsent_answer_bytes: usize,
     /// A final answer is sent this long before the client's time limit, because it takes time to
     /// arrive.
     pub answer_lead_us: Micros,
@@ -101,6 +92,15 @@
     /// The Retry-After for a request that is rejected because the request table is full.
     pub retry_after_us: Micros,
 
+    // ---- Memory ----
+    /// Bytes of everything that the memory budget accounts for.
+    pub memory_budget_bytes: usize,
+    /// While a connection waits for memory, the proxy checks at least this often whether some is free.
+    pub memory_retry_interval_us: Micros,
+    /// While memory has run out, a client that has accepted no byte for this long loses the answers
+    /// that it does not read.
+    pub stalled_reader_us: Micros,
+
     // ---- Buffers ----
     /// Size of the input buffer of a connection.
     pub input_buffer_bytes: usize,
@@ -252,8 +252,6 @@
     requests_per_client_when_half_full: 4,
     params_bytes: 16 * KIB,
     body_bytes: 48_000,
-    total_body_bytes: 48 * MIB,
-    partial_request_bytes: 24 * MIB,
     collected_record_bytes: KIB,
     unread_tolerance_us: 20 * MILLISECOND,
     max_late_reads: 16,
@@ -262,13 +260,15 @@
     max_part_size_kb: 1e6,
 
     unsent_answers_per_client: 256,
-    unsent_answer_bytes: 48 * MIB,
-    max_unsent_answer_bytes: 72 * MIB,
     answer_lead_us: 10 * MILLISECOND,
     deadline_check_interval_us: SECOND,
     retry_after_us: 200 * MILLISECOND,
 
-    input_buffer_bytes: 16 * KIB,
+    memory_budget_bytes: 160 * MIB,
+    memory_retry_interval_us: 10 * MILLISECOND,
+    stalled_reader_us: memory::STALLED_READER_US,
+
+    input_buffer_bytes: ByteQueue::usable_bytes(16 * KIB),
     output_buffer_bytes: 64 * KIB,
     line_bytes: 64 * KIB,
 
@@ -325,10 +325,7 @@
                 .max(client_connections + MIN_OTHER_CONNECTIONS),
             pending_requests: MAX_PENDING_REQUESTS
                 .min(memory_bytes / MEMORY_PER_PENDING_REQUEST_BYTES),
-            total_body_bytes: memory_bytes / 4,
-            partial_request_bytes: memory_bytes / 8,
-            unsent_answer_bytes: memory_bytes / 4,
-            max_unsent_answer_bytes: memory_bytes / 8 * 3,
+            memory_budget_bytes: memory::budget_for_machine(memory_bytes),
             ended_streams: memory_bytes / 8 / MEMORY_PER_ENDED_STREAM_BYTES,
             ..DEFAULT_LIMITS
         }
--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -1,7 +1,7 @@
 //! A non-blocking TCP socket with a buffer for each direction of the connection.
 
 use super::poll::{Interest, Poller};
-use super::ring_buffer::RingBuffer;
+use super::socket_buffer::SocketBuffer;
 use crate::sys::{self, errors};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -10,9 +10,9 @@
 pub struct BufferedSocket {
     socket: TcpStream,
     /// Bytes that are received and not consumed yet.
-    pub input: RingBuffer,
+    pub input: SocketBuffer,
     /// Bytes to be sent.
-    pub output: RingBuffer,
+    pub output: SocketBuffer,
     /// Number of bytes written to the socket so far.
     pub bytes_written: u64,
     /// Whether the connection is established. False while an outgoing connection is being opened.
@@ -85,7 +85,10 @@
                 "cannot set TCP_NODELAY, small writes on the connection may be delayed: {e}"
             );
         }
-        let (input, output) = (RingBuffer::new(input_bytes), RingBuffer::new(output_bytes));
+        let (input, output) = (
+            SocketBuffer::new(input_bytes),
+            SocketBuffer::new(output_bytes),
+        );
         Ok(BufferedSocket {
             socket,
             input,
@@ -140,13 +143,6 @@
         progress
     }
 
-    /// Frees the buffers that hold no bytes. Hundreds of connections may stay open, and the memory of
-    /// their buffers must not add up.
-    pub fn release_empty_buffers(&mut self) {
-        self.input.release_memory();
-        self.output.release_memory();
-    }
-
     /// Closes the writing half of the connection and drops the output buffer. The peer sees the end
     /// of the stream after the bytes that were already written to the socket.
     pub fn shut_down_writes(&mut self) -> io::Result<()> {
--- a/crates/proxy/src/net/mod.rs
+++ b/crates/proxy/src/net/mod.rs
@@ -4,13 +4,15 @@
 mod clock;
 mod connection;
 mod poll;
-mod ring_buffer;
 mod slab;
+mod socket_buffer;
 mod timer_queue;
+mod write_stall;
 
 pub use clock::Clock;
 pub use connection::{connect, BufferedSocket, IoProgress};
 pub use poll::{Interest, Poller, Readiness};
-pub use ring_buffer::RingBuffer;
 pub use slab::{Slab, SlabKey};
+pub use socket_buffer::SocketBuffer;
 pub use timer_queue::{TimerKey, TimerQueue};
+pub use write_stall::WriteStall;
--- a/crates/proxy/src/protocol/fastcgi.rs
+++ b/crates/proxy/src/protocol/fastcgi.rs
@@ -227,9 +227,15 @@
 /// truncated, so callers have to split it.
 pub fn write_record(out: &mut Vec<u8>, record_type: u8, request_id: u16, content: &[u8]) {
     let length = content.len().min(MAX_CONTENT_BYTES);
+    out.extend(record_header(record_type, request_id, length as u16));
+    out.extend_from_slice(&content[..length]);
+}
+
+/// Returns the header of a record without padding.
+pub fn record_header(record_type: u8, request_id: u16, content_bytes: u16) -> [u8; HEADER_BYTES] {
     let [id_high, id_low] = request_id.to_be_bytes();
-    let [length_high, length_low] = (length as u16).to_be_bytes();
-    out.extend([
+    let [length_high, length_low] = content_bytes.to_be_bytes();
+    [
         VERSION,
         record_type,
         id_high,
@@ -238,8 +244,7 @@
         length_low,
         0,
         0,
-    ]);
-    out.extend_from_slice(&content[..length]);
+    ]
 }
 
 /// Appends an END_REQUEST record with a protocol status to `out`. The application status is always
--- a/crates/proxy/src/protocol/mod.rs
+++ b/crates/proxy/src/protocol/mod.rs
@@ -44,7 +44,7 @@
     /// item if it is complete.
     ///
     /// Bytes after the item are not consumed and have to be passed to the next call. If no item is
-    /// complete, all of `input` is consumed.
+    /// complete, all of `input` is consumed, unless the parser holds back a part of the item.
     ///
     /// # Errors
     ///
--- a/crates/proxy/src/protocol/resp.rs
+++ b/crates/proxy/src/protocol/resp.rs
@@ -4,13 +4,15 @@
 //! CR LF, its bytes and CR LF. Other RESP types are not supported.
 
 use super::line::{LineBuffer, LineProgress};
-use super::{append_received, Parser, ProtocolError};
+use super::{Parser, ProtocolError};
+use crate::memory::ByteQueue;
 use std::ops::RangeInclusive;
 
 /// Maximum length of a line that holds the length of an array or of a string, including the line
 /// end.
 const MAX_LENGTH_LINE_BYTES: usize = 32;
-const LINE_END: &[u8] = b"\r\n";
+/// The line end after each line and each string.
+pub const LINE_END: &[u8] = b"\r\n";
 
 /// The first byte of a line that holds the length of an array, and its name in errors.
 const ARRAY: LengthLine = LengthLine {
@@ -23,35 +25,55 @@
     item: "a RESP string",
 };
 
-/// The strings of one array.
-pub type Array = Vec<Vec<u8>>;
+/// A complete array.
+#[derive(Debug, Default, PartialEq)]
+pub struct Array {
+    /// The strings of the array.
+    pub strings: Vec<ByteQueue>,
+    /// Whether a string was discarded. It is empty, and it must not be taken for the string that was
+    /// received.
+    pub has_discarded_string: bool,
+}
 
-/// The part of the input that is expected next.
+/// The part of the input that is expected next. The array still lacks `missing_strings` strings,
+/// including the one that is being received.
 #[derive(Clone, Copy)]
 enum State {
     /// The line with the number of strings in the array.
     ArrayLength,
-    /// The line with the length of the next string. The array still lacks `missing_strings`
-    /// strings.
+    /// The line with the length of the next string.
     StringLength { missing_strings: usize },
-    /// The bytes of a string and the line end after it. The array still lacks `missing_strings`
-    /// strings, including this one.
-    StringContent {
+    /// The bytes of a string that is held back until the owner of the parser decides on it.
+    HeldString {
         missing_strings: usize,
         length_bytes: usize,
     },
+    /// Further bytes of a string.
+    StringContent {
+        missing_strings: usize,
+        remaining_bytes: usize,
+    },
+    /// The line end after a string, of which this many bytes have arrived.
+    StringEnd {
+        missing_strings: usize,
+        received_bytes: usize,
+    },
 }
 
 /// Incremental parser for arrays of bulk strings.
 pub struct ArrayParser {
     string_counts: RangeInclusive<usize>,
     string_limit_bytes: usize,
+    /// The index of the string that is held back in each array.
+    held_index: Option<usize>,
     state: State,
     line_buffer: LineBuffer,
-    /// Complete strings of the array that is being received.
-    strings: Array,
-    /// Received bytes of the string that is not complete yet, including its line end.
-    partial_string: Vec<u8>,
+    /// The array that is being received, with its complete strings.
+    array: Array,
+    /// Received bytes of the string that is not complete yet.
+    partial_string: ByteQueue,
+    /// Whether the bytes of the string that is being received are dropped.
+    is_discarding: bool,
 }
 
 impl ArrayParser {
@@ -61,22 +83,86 @@
         ArrayParser {
             string_counts,
             string_limit_bytes,
+            held_index: None,
             state: State::ArrayLength,
             line_buffer: LineBuffer::new(MAX_LENGTH_LINE_BYTES),
-            strings: Vec::new(),
-            partial_string: Vec::new(),
+            array: Array::default(),
+            partial_string: ByteQueue::new(),
+            is_discarding: false,
         }
     }
 
+    /// Makes the parser hold back the string with this index in each array, unless it is empty. The
+    /// parser then consumes no input until [`accept_held_string`](Self::accept_held_string) or
+    /// [`discard_string`](Self::discard_string) is called.
+    pub fn holding_back(mut self, index: usize) -> Self {
+        self.held_index = Some(index);
+        self
+    }
+
     /// Returns whether an array is partially received.
     pub fn has_partial_input(&self) -> bool {
         !matches!(self.state, State::ArrayLength) || !self.line_buffer.is_empty()
     }
 
     /// Returns the first string of the array that is partially received, or `None` if that string
-    /// is not complete yet.
+    /// is not complete yet. Of a string longer than a block, only the beginning is returned.
     pub fn first_string(&self) -> Option<&[u8]> {
-        self.strings.first().map(Vec::as_slice)
+        self.array.strings.first().map(ByteQueue::front)
+    }
+
+    /// Returns the length of the string that is held back, or `None` if none is.
+    pub fn held_string_bytes(&self) -> Option<usize> {
+        match self.state {
+            State::HeldString { length_bytes, .. } => Some(length_bytes),
+            _ => None,
+        }
+    }
+
+    /// Returns whether a string is being received and kept that is held back at its beginning.
+    pub fn is_receiving_held_string(&self) -> bool {
+        let is_content = matches!(self.state, State::StringContent { .. });
+        is_content && !self.is_discarding && self.held_index == Some(self.array.strings.len())
+    }
+
+    /// Receives the string that is held back.
+    pub fn accept_held_string(&mut self) {
+        if let State::HeldString {
+            missing_strings,
+            length_bytes,
+        } = self.state
+        {
+            self.state = State::StringContent {
+                missing_strings,
+                remaining_bytes: length_bytes,
+            };
+        }
+    }
+
+    /// Drops what has been received of the string that is held back or being received, and its
+    /// remaining bytes as they arrive.
+    pub fn discard_string(&mut self) {
+        self.accept_held_string();
+        if matches!(self.state, State::StringContent { .. }) {
+            self.partial_string.clear();
+            self.is_discarding = true;
+            self.array.has_discarded_string = true;
+        }
+    }
+
+    /// Returns the memory of the array that is partially received. The whole announced length of a
+    /// string counts, as far as it is kept.
+    pub fn held_bytes(&self) -> usize {
+        let strings = self.array.strings.iter().map(ByteQueue::allocated_bytes);
+        let announced_bytes = match self.state {
+            State::StringContent {
+                remaining_bytes, ..
+            } if !self.is_discarding => {
+                ByteQueue::allocation_for(self.partial_string.len() + remaining_bytes)
+            }
+            _ => self.partial_string.allocated_bytes(),
+        };
+        strings.sum::<usize>() + announced_bytes
     }
 
     /// Parses within the current state. Returns the number of consumed bytes, and the array if it
@@ -85,7 +171,7 @@
         match self.state {
             State::StringLength { missing_strings: 0 } => {
                 self.state = State::ArrayLength;
-                Ok((0, Some(std::mem::take(&mut self.strings))))
+                Ok((0, Some(std::mem::take(&mut self.array))))
             }
             State::ArrayLength => {
                 let progress = self.take_length_line(input, ARRAY)?;
@@ -99,23 +185,42 @@
                 let progress = self.take_length_line(input, STRING)?;
                 if let Some(line) = progress.line {
                     let length_bytes = STRING.parse(&line, self.string_limit_bytes)?;
-                    self.state = State::StringContent {
-                        missing_strings,
-                        length_bytes,
-                    };
+                    self.state = self.begin_string(missing_strings, length_bytes);
                 }
                 Ok((progress.consumed, None))
             }
+            State::HeldString { .. } => Ok((0, None)),
             State::StringContent {
                 missing_strings,
-                length_bytes,
+                remaining_bytes,
+            } => {
+                let consumed = self.take_content(input, missing_strings, remaining_bytes);
+                Ok((consumed, None))
+            }
+            State::StringEnd {
+                missing_strings,
+                received_bytes,
             } => {
-                let consumed = self.take_content(input, missing_strings, length_bytes)?;
+                let consumed = self.take_string_end(input, missing_strings, received_bytes)?;
                 Ok((consumed, None))
             }
         }
     }
 
+    /// Returns the state after the line with the length of a string.
+    fn begin_string(&self, missing_strings: usize, length_bytes: usize) -> State {
+        if length_bytes > 0 && self.held_index == Some(self.array.strings.len()) {
+            return State::HeldString {
+                missing_strings,
+                length_bytes,
+            };
+        }
+        State::StringContent {
+            missing_strings,
+            remaining_bytes: length_bytes,
+        }
+    }
+
     /// Consumes bytes of a line that holds a length. A line that is not complete is checked as far as
     /// it has arrived, so that malformed input is found at its first byte.
     fn take_length_line(
@@ -141,30 +246,59 @@
         Ok(string_count)
     }
 
-    /// Consumes bytes of a string and of the line end after it. Returns the number of consumed
-    /// bytes.
+    /// Consumes bytes of a string. Returns the number of consumed bytes.
     fn take_content(
         &mut self,
         input: &[u8],
         missing_strings: usize,
-        length_bytes: usize,
-    ) -> Result<usize, ProtocolError> {
-        let final_bytes = length_bytes + LINE_END.len();
-        let wanted = final_bytes - self.partial_string.len();
-        let consumed = wanted.min(input.len());
-        append_received(&mut self.partial_string, &input[..consumed], final_bytes);
-        if consumed == wanted {
-            if !self.partial_string.ends_with(LINE_END) {
-                return Err(ProtocolError::Malformed(
-                    "the line end after a RESP string (expected CR LF)",
-                ));
+        remaining_bytes: usize,
+    ) -> usize {
+        let consumed = remaining_bytes.min(input.len());
+        if !self.is_discarding {
+            self.partial_string
+                .push_part(&input[..consumed], remaining_bytes);
+        }
+        self.state = if consumed < remaining_bytes {
+            State::StringContent {
+                missing_strings,
+                remaining_bytes: remaining_bytes - consumed,
+            }
+        } else {
+            State::StringEnd {
+                missing_strings,
+                received_bytes: 0,
             }
-            self.partial_string.truncate(length_bytes);
-            self.strings.push(std::mem::take(&mut self.partial_string));
-            self.state = State::StringLength {
-                missing_strings: missing_strings - 1,
+        };
+        consumed
+    }
+
+    /// Consumes bytes of the line end after a string. Returns the number of consumed bytes.
+    fn take_string_end(
+        &mut self,
+        input: &[u8],
+        missing_strings: usize,
+        received_bytes: usize,
+    ) -> Result<usize, ProtocolError> {
+        let expected = &LINE_END[received_bytes..];
+        let consumed = expected.len().min(input.len());
+        if input[..consumed] != expected[..consumed] {
+            return Err(ProtocolError::Malformed(
+                "the line end after a RESP string (expected CR LF)",
+            ));
+        }
+        if consumed < expected.len() {
+            self.state = State::StringEnd {
+                missing_strings,
+                received_bytes: received_bytes + consumed,
             };
+            return Ok(consumed);
         }
+        let string = std::mem::take(&mut self.partial_string);
+        self.array.strings.push(string);
+        self.is_discarding = false;
+        self.state = State::StringLength {
+            missing_strings: missing_strings - 1,
+        };
         Ok(consumed)
     }
 }
@@ -176,7 +310,8 @@
         let mut position = 0;
         loop {
             let is_complete = matches!(self.state, State::StringLength { missing_strings: 0 });
-            if position == input.len() && !is_complete {
+            let is_held = self.held_string_bytes().is_some();
+            if is_held || (position == input.len() && !is_complete) {
                 return Ok((position, None));
             }
             let (consumed, array) = self.step(&input[position..])?;
@@ -233,14 +368,29 @@
 
 /// Appends an array of bulk strings to `out`.
 pub fn write_array(out: &mut Vec<u8>, strings: &[&[u8]]) {
-    out.extend_from_slice(format!("*{}\r\n", strings.len()).as_bytes());
+    write_array_length(out, strings.len());
     for string in strings {
-        out.extend_from_slice(format!("${}\r\n", string.len()).as_bytes());
-        out.extend_from_slice(string);
-        out.extend_from_slice(LINE_END);
+        write_string(out, string);
     }
 }
 
+/// Appends the line with the number of strings in an array to `out`.
+pub fn write_array_length(out: &mut Vec<u8>, string_count: usize) {
+    out.extend_from_slice(format!("*{string_count}\r\n").as_bytes());
+}
+
+/// Appends a bulk string to `out`.
+pub fn write_string(out: &mut Vec<u8>, string: &[u8]) {
+    write_string_length(out, string.len());
+    out.extend_from_slice(string);
+    out.extend_from_slice(LINE_END);
+}
+
+/// Appends the line with the length of a bulk string to `out`.
+pub fn write_string_length(out: &mut Vec<u8>, length_bytes: usize) {
+    out.extend_from_slice(format!("${length_bytes}\r\n").as_bytes());
+}
+
 /// Returns the value of the first field with this name in a list `name=value,name=value`. Returns
 /// `None` if the list has no such field or is not UTF-8.
 pub fn field_value<'a>(fields: &'a [u8], name: &str) -> Option<&'a str> {
--- a/crates/proxy/src/request_table/admission.rs
+++ b/crates/proxy/src/request_table/admission.rs
@@ -7,8 +7,6 @@
 /// keeps nothing of it, so the frontend can reject the request as safe to retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionError {
-    /// The bodies of all pending requests together would exceed the limit in bytes.
-    BodyBytesExhausted,
     /// The request's class is retried under an idempotency key, and the request has none.
     MissingIdempotencyKey,
     /// A request with the same id is pending. A cache server would confuse the two.
@@ -20,9 +18,6 @@
 impl fmt::Display for AdmissionError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
-            AdmissionError::BodyBytesExhausted => {
-                "the bodies of all pending requests would exceed the limit in bytes"
-            }
             AdmissionError::MissingIdempotencyKey => {
                 "the request class needs an idempotency key, and the request has none"
             }
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -90,7 +90,7 @@
             class_rules: ClassRules::from_settings(&settings),
             router: Router::new(settings, seed)?,
             action_buffer: Vec::new(),
-            requests: PendingRequests::new(limits.pending_requests, limits.total_body_bytes),
+            requests: PendingRequests::new(limits.pending_requests),
             deadline_timing: DeadlineTiming {
                 answer_lead_us: limits.answer_lead_us,
                 check_interval_us: limits.deadline_check_interval_us,
@@ -148,6 +148,21 @@
             .is_some_and(|(request, _)| self.class_rules.leaves_copies(request))
     }
 
+    /// Returns whether a client waits for the answer to the request with this id.
+    pub fn is_request_awaited(&self, id: &str) -> bool {
+        self.requests.is_id_unsettled(id)
+    }
+
+    /// Returns the number of pending requests.
+    pub fn pending_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the memory of the bodies of all pending requests.
+    pub fn held_body_bytes(&self) -> usize {
+        self.requests.body_bytes()
+    }
+
     /// Returns the client's id of a request. Returns `None` if the request is no longer pending.
     pub fn request_id(&self, request_key: RequestKey) -> Option<&str> {
         Some(self.requests.get(request_key)?.request.id.as_str())
@@ -322,6 +337,7 @@
             },
         );
         self.dequeue_unsent_attempt(request_key);
+        self.requests.release_body(request_key);
         self.release_if_complete(now, request_key);
     }
 
--- a/crates/proxy/src/request_table/pending_requests.rs
+++ b/crates/proxy/src/request_table/pending_requests.rs
@@ -1,41 +1,36 @@
-//! The pending requests, bounded by their number and by the total size of their bodies.
+//! The pending requests, bounded by their number, and the memory of their bodies.
 
 use super::admission::AdmissionError;
 use super::purges::Purge;
 use super::request::{PendingRequest, RequestKey};
 use crate::net::Slab;
 use edge_routing::Micros;
-use std::collections::HashSet;
+use std::collections::HashMap;
 
 /// Stores the pending requests by their keys.
 ///
-/// Invariants: `ids` holds the id of every request in the slab, and no two requests have the same
-/// id. `body_bytes` is the total length of the bodies of all requests.
+/// Invariants: `ids` holds the id of every request in the slab with its key, and no two requests have
+/// the same id. `body_bytes` is the memory of the bodies of all requests.
 pub(super) struct PendingRequests {
     slab: Slab<PendingRequest>,
-    ids: HashSet<String>,
+    ids: HashMap<String, RequestKey>,
     body_bytes: usize,
-    body_bytes_limit: usize,
 }
 
 impl PendingRequests {
-    pub(super) fn new(capacity: usize, body_bytes_limit: usize) -> Self {
+    pub(super) fn new(capacity: usize) -> Self {
         PendingRequests {
             slab: Slab::new(capacity),
-            ids: HashSet::new(),
+            ids: HashMap::new(),
             body_bytes: 0,
-            body_bytes_limit,
         }
     }
 
     /// Adds a request. Returns an error if a limit would be exceeded or another pending request has
     /// the same id.
     pub(super) fn insert(&mut self, pending: PendingRequest) -> Result<RequestKey, AdmissionError> {
-        let body_bytes = self.body_bytes + pending.request.body.len();
-        if body_bytes > self.body_bytes_limit {
-            return Err(AdmissionError::BodyBytesExhausted);
-        }
-        if self.ids.contains(&pending.request.id) {
+        let body_bytes = pending.request.body.allocated_bytes();
+        if self.ids.contains_key(&pending.request.id) {
             return Err(AdmissionError::DuplicateId);
         }
         let id = pending.request.id.clone();
@@ -43,8 +38,8 @@
             .slab
             .insert(pending)
             .map_err(|_| AdmissionError::TableFull)?;
-        self.ids.insert(id);
-        self.body_bytes = body_bytes;
+        self.ids.insert(id, request_key);
+        self.body_bytes += body_bytes;
         Ok(request_key)
     }
 
@@ -56,10 +51,32 @@
         }
         let pending = self.slab.remove(request_key)?;
         self.ids.remove(&pending.request.id);
-        self.body_bytes -= pending.request.body.len();
+        self.body_bytes -= pending.request.body.allocated_bytes();
         Some(pending)
     }
 
+    /// Frees the body of a request that is settled. It is not sent any more, even if an attempt is
+    /// still in flight.
+    pub(super) fn release_body(&mut self, request_key: RequestKey) {
+        let Some(pending) = self.slab.get_mut(request_key) else {
+            return;
+        };
+        if pending.is_settled() {
+            self.body_bytes -= pending.request.body.allocated_bytes();
+            pending.request.body.clear();
+        }
+    }
+
+    /// Returns the memory of the bodies of all requests.
+    pub(super) fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
+    /// Returns the number of requests.
+    pub(super) fn len(&self) -> usize {
+        self.slab.len()
+    }
+
     pub(super) fn get(&self, request_key: RequestKey) -> Option<&PendingRequest> {
         self.slab.get(request_key)
     }
@@ -74,6 +91,11 @@
             .is_some_and(|pending| !pending.is_settled())
     }
 
+    /// Returns whether a request with this id is present and still needs its final answer.
+    pub(super) fn is_id_unsettled(&self, id: &str) -> bool {
+        self.ids.get(id).is_some_and(|key| self.is_unsettled(*key))
+    }
+
     /// Makes the attempts in flight accept no copy created before a purge. This matters for an
     /// attempt that still waits for its connection: the router decided on it before the purge, and
     /// it may be sent after the grace period that the router allows for purges.
--- a/crates/proxy/src/request_table/request.rs
+++ b/crates/proxy/src/request_table/request.rs
@@ -3,6 +3,7 @@
 use super::attempt::{InFlightAttempt, PossibleExecution, RoutingDecision};
 use super::servers::DedupLocation;
 use super::trace::{RequestEnding, RequestTrace};
+use crate::memory::ByteQueue;
 use crate::net::SlabKey;
 use edge_routing::{Micros, Outcome, Request};
 
@@ -44,7 +45,7 @@
     /// `Content::NotModified`.
     pub client_copy_tag: Option<String>,
     /// Payload of a write. It is empty for a read.
-    pub body: Vec<u8>,
+    pub body: ByteQueue,
 }
 
 impl ClientRequest {
@@ -70,7 +71,7 @@
     /// The bytes of the part, and the tag of the copy.
     Object {
         /// The bytes of the part.
-        bytes: Vec<u8>,
+        bytes: ByteQueue,
         /// The tag of the copy, if the server gave one.
         tag: Option<String>,
     },
--- a/crates/proxy/src/request_table/settlement.rs
+++ b/crates/proxy/src/request_table/settlement.rs
@@ -31,6 +31,7 @@
             RequestEnding::from(&answer)
         );
         self.counters.count_answer(&answer);
+        self.requests.release_body(request_key);
         self.commands.push(Command::SendAnswer(target, answer));
     }
 
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -1,11 +1,14 @@
 //! Decodes the answers of cache servers.
 
+use crate::memory::ByteQueue;
 use crate::protocol::{resp, ProtocolError};
 use crate::request_table::{AttemptResult, ClientRequest, Content};
 use edge_routing::{FillResult, LoadReport, Micros, Outcome};
 
 /// Number of strings in an answer: the id, the status, the fields and the body.
 pub(super) const ANSWER_STRINGS: usize = 4;
+/// Index of the body among the strings of an answer.
+pub(super) const BODY_INDEX: usize = 3;
 
 /// The names used in the protocol.
 mod wire {
@@ -54,22 +57,26 @@
     id: Vec<u8>,
     status: Vec<u8>,
     fields: Vec<u8>,
-    body: Vec<u8>,
+    body: ByteQueue,
+    /// Whether the body was not kept, because no client waited for it. It is then empty.
+    is_body_discarded: bool,
 }
 
 impl ServerAnswer {
     /// Splits an array into the parts of an answer. An array with another number of strings than
     /// [`ANSWER_STRINGS`] is an error: in place of a part that is missing, none may be assumed.
-    pub(super) fn from_array(array: Vec<Vec<u8>>) -> Result<Self, ProtocolError> {
-        let strings: [Vec<u8>; ANSWER_STRINGS] = array
+    pub(super) fn from_array(array: resp::Array) -> Result<Self, ProtocolError> {
+        let strings: [ByteQueue; ANSWER_STRINGS] = array
+            .strings
             .try_into()
             .map_err(|_| ProtocolError::Malformed("a cache server's answer"))?;
         let [id, status, fields, body] = strings;
         Ok(ServerAnswer {
-            id,
-            status,
-            fields,
+            id: id.to_vec(),
+            status: status.to_vec(),
+            fields: fields.to_vec(),
             body,
+            is_body_discarded: array.has_discarded_string,
         })
     }
 
@@ -79,6 +86,16 @@
         std::str::from_utf8(&self.id).ok()
     }
 
+    /// Returns whether the body was not kept, so that the answer has no content.
+    pub(super) fn is_body_discarded(&self) -> bool {
+        self.is_body_discarded
+    }
+
+    /// Returns the memory of the body.
+    pub(super) fn body_allocated_bytes(&self) -> usize {
+        self.body.allocated_bytes()
+    }
+
     /// Returns whether the body of the answer is passed on to a client. The other answers mean the
     /// same whatever their body is.
     pub(super) fn passes_on_body(&self) -> bool {
@@ -100,7 +117,7 @@
                 "a cache server's answer (expected the tag and the creation time of the copy)",
             ));
         }
-        if confirms_copy && !self.body.is_empty() {
+        if confirms_copy && (!self.body.is_empty() || self.is_body_discarded) {
             return Err(ProtocolError::Malformed(
                 "a cache server's answer (expected no body with a confirmed copy)",
             ));
--- a/crates/proxy/src/upstream/cancel.rs
+++ b/crates/proxy/src/upstream/cancel.rs
@@ -64,8 +64,11 @@
         }
         socket.output.push(&abort);
         if let Stream::Attempt(sent) = stream {
-            self.liveness
-                .record_unanswered_cancellation(now, sent.sent_at);
+            // While a body waits for memory, the server is not read and may well have answered.
+            if !self.body_waits_for_memory {
+                self.liveness
+                    .record_unanswered_cancellation(now, sent.sent_at);
+            }
         }
         let abort_end_offset = socket.bytes_written + socket.output.len() as u64;
         *stream = Stream::cancelled(now, attempt, abort_end_offset);
--- a/crates/proxy/src/upstream/command.rs
+++ b/crates/proxy/src/upstream/command.rs
@@ -1,5 +1,7 @@
 //! Encodes the commands to cache servers: `fetch`, `abort` and `stats`.
 
+use crate::memory::ByteQueue;
+use crate::net::SocketBuffer;
 use crate::protocol::resp;
 use crate::request_table::{AttemptSpec, ClientRequest, RequestTable};
 use edge_routing::{Fill, Micros};
@@ -56,14 +58,41 @@
     }
 }
 
+/// Number of strings in the command that starts an attempt.
+const FETCH_STRINGS: usize = 4;
+
+/// The encoded command that starts an attempt. The body of the request is not copied before it is
+/// written.
+pub(super) struct FetchCommand<'a> {
+    /// Everything before the bytes of the body.
+    head: Vec<u8>,
+    body: &'a ByteQueue,
+}
+
+impl FetchCommand<'_> {
+    /// Returns the length of the command in bytes.
+    pub(super) fn len(&self) -> usize {
+        self.head.len() + self.body.len() + resp::LINE_END.len()
+    }
+
+    /// Writes the command to an output buffer that has room for it.
+    pub(super) fn write_to(&self, output: &mut SocketBuffer) {
+        output.push(&self.head);
+        for slice in self.body.slices() {
+            output.push(slice);
+        }
+        output.push(resp::LINE_END);
+    }
+}
+
 /// Encodes the command that starts an attempt. Returns `None` if the fill source is no longer on
 /// the endpoint list.
-pub(super) fn encode_fetch(
+pub(super) fn encode_fetch<'a>(
     now: Micros,
-    request: &ClientRequest,
+    request: &'a ClientRequest,
     spec: &AttemptSpec,
     request_table: &RequestTable,
-) -> Option<Vec<u8>> {
+) -> Option<FetchCommand<'a>> {
     let mut fields = Fields::new();
     fields.add(wire::CLASS, &request.class);
     fields.add(wire::OBJECT, &request.object);
@@ -82,13 +111,17 @@
     if let Some(tag) = &request.client_copy_tag {
         fields.add(wire::CLIENT_TAG, tag);
     }
-    let items = [
-        wire::FETCH,
-        request.id.as_bytes(),
-        fields.text.as_bytes(),
-        &request.body,
-    ];
-    Some(encode(&items))
+    let items = [wire::FETCH, request.id.as_bytes(), fields.text.as_bytes()];
+    let mut head = Vec::with_capacity(encoded_bytes(&items));
+    resp::write_array_length(&mut head, FETCH_STRINGS);
+    for item in items {
+        resp::write_string(&mut head, item);
+    }
+    resp::write_string_length(&mut head, request.body.len());
+    Some(FetchCommand {
+        head,
+        body: &request.body,
+    })
 }
 
 /// Encodes the command that cancels the request with this id. The server does not answer it.
@@ -134,10 +167,14 @@
     set.map(|(_, word)| word).collect()
 }
 
-fn encode(items: &[&[u8]]) -> Vec<u8> {
+/// Returns the length, at most, of an array with these strings and the beginning of another one.
+fn encoded_bytes(items: &[&[u8]]) -> usize {
     let content_bytes: usize = items.iter().map(|item| item.len()).sum();
-    let overhead_bytes = (items.len() + 1) * STRING_OVERHEAD_BYTES;
-    let mut command = Vec::with_capacity(content_bytes + overhead_bytes);
+    content_bytes + (items.len() + 2) * STRING_OVERHEAD_BYTES
+}
+
+fn encode(items: &[&[u8]]) -> Vec<u8> {
+    let mut command = Vec::with_capacity(encoded_bytes(items));
     resp::write_array(&mut command, items);
     command
 }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,11 +1,12 @@
 //! A connection, its queue and its open streams, and whether the connection can take an attempt.
 
-use super::answer::{ServerAnswer, ANSWER_STRINGS};
+use super::answer::{ServerAnswer, ANSWER_STRINGS, BODY_INDEX};
 use super::command;
 use super::stream::Stream;
 use super::timeouts::Liveness;
 use super::UpstreamEvent;
 use crate::limits::Limits;
+use crate::memory::{MemoryBudget, MemoryKind, MemoryShare};
 use crate::net::BufferedSocket;
 use crate::protocol::resp;
 use crate::request_table::{AttemptId, RequestTable};
@@ -23,6 +24,12 @@
     pub(super) answer_parser: resp::ArrayParser,
     /// The last complete answer, if it has a body and it is not known yet what follows it.
     pub(super) unconfirmed_answer: Option<ServerAnswer>,
+    /// The memory of answers that are not handled yet.
+    pub(super) answer_memory: MemoryShare,
+    /// Whether the body of the answer that has begun is not received because memory has run out.
+    pub(super) body_waits_for_memory: bool,
+    /// Whether the first attempt of the queue is not sent because memory has run out.
+    pub(super) command_waits_for_memory: bool,
     /// Attempts of which no byte has been put into the output buffer, oldest first.
     pub(super) queue: VecDeque<AttemptId>,
     /// The open streams and those kept after their end, by id.
@@ -37,11 +44,15 @@
     /// Creates the state of a connection that was just opened.
     pub fn new(server: ServerId, limits: &Limits, now: Micros) -> Self {
         let answer_parser =
-            resp::ArrayParser::new(ANSWER_STRINGS..=ANSWER_STRINGS, limits.answer_body_bytes);
+            resp::ArrayParser::new(ANSWER_STRINGS..=ANSWER_STRINGS, limits.answer_body_bytes)
+                .holding_back(BODY_INDEX);
         UpstreamConnection {
             server,
             answer_parser,
             unconfirmed_answer: None,
+            answer_memory: MemoryShare::default(),
+            body_waits_for_memory: false,
+            command_waits_for_memory: false,
             queue: VecDeque::new(),
             streams: HashMap::new(),
             liveness: Liveness::new(limits, now),
@@ -134,6 +145,28 @@
     pub fn remove_expired_streams(&mut self, now: Micros, limits: &Limits) {
         self.streams
             .retain(|_, stream| !stream.is_expired(now, limits.stream_retention_us));
+        // A burst of cancellations must not leave a large table behind.
+        if self.streams.len() < self.streams.capacity() / 4 {
+            self.streams.shrink_to(self.streams.len() * 2);
+        }
+    }
+
+    /// Returns whether the next answer, or the next command, waits until memory is free.
+    pub fn waits_for_memory(&self) -> bool {
+        self.body_waits_for_memory || self.command_waits_for_memory
+    }
+
+    /// Updates the memory that answers on this connection hold.
+    pub(super) fn update_answer_memory(&mut self, memory: &mut MemoryBudget) {
+        let unconfirmed = self.unconfirmed_answer.as_ref();
+        let unconfirmed_bytes = unconfirmed.map_or(0, ServerAnswer::body_allocated_bytes);
+        let bytes = self.answer_parser.held_bytes() + unconfirmed_bytes;
+        memory.set(&mut self.answer_memory, MemoryKind::PartialAnswers, bytes);
+    }
+
+    /// Takes the answers on a connection that is being closed out of the memory budget.
+    pub fn release_memory(&mut self, memory: &mut MemoryBudget) {
+        memory.release(&mut self.answer_memory);
     }
 
     /// Removes and returns all queued attempts. No byte of them has been written.
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -56,3 +56,5 @@
 
 pub use connection::UpstreamConnection;
 pub use event::UpstreamEvent;
+pub use read::ReadContext;
+pub use write::WriteContext;
--- a/crates/proxy/src/upstream/read.rs
+++ b/crates/proxy/src/upstream/read.rs
@@ -4,11 +4,27 @@
 use super::stream::{SentAttempt, Stream};
 use super::{UpstreamConnection, UpstreamEvent};
 use crate::limits::Limits;
+use crate::memory::{ByteQueue, MemoryBudget};
 use crate::net::{BufferedSocket, IoProgress};
 use crate::protocol::{Parser, ProtocolError};
 use crate::request_table::{AttemptId, RequestTable};
 use edge_routing::{Micros, Outcome};
 
+/// What a connection needs to read answers.
+pub struct ReadContext<'a> {
+    /// The current time.
+    pub now: Micros,
+    /// The requests that the answers are for.
+    pub request_table: &'a RequestTable,
+    /// The limits of the proxy.
+    pub limits: &'a Limits,
+    /// The memory budget.
+    pub memory: &'a mut MemoryBudget,
+    /// Whether other connections have waited for memory for longer. An answer that begins then
+    /// waits behind them.
+    pub others_wait_for_memory: bool,
+}
+
 impl UpstreamConnection {
     /// Parses all answers in the input buffer and reports the attempts and probes that ended.
     ///
@@ -17,6 +33,10 @@
     /// another answer. So an answer whose body is passed on is handled only once the next one has
     /// begun, or once the socket has been read again and nothing more has arrived.
     ///
+    /// A body that no client waits for is dropped as it arrives. Any other body is received only
+    /// once its whole length fits into the memory budget, so that each body that has begun can be
+    /// completed. Until then, the rest of the input waits, and so does the server.
+    ///
     /// # Errors
     ///
     /// Returns an error if the input is malformed. No input after it can be parsed, so the
@@ -24,17 +44,16 @@
     /// except for an answer with a body that the malformed input follows directly.
     pub fn read(
         &mut self,
-        now: Micros,
+        context: &mut ReadContext,
         socket: &mut BufferedSocket,
-        request_table: &RequestTable,
-        limits: &Limits,
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
-        let result = self.read_answers(now, socket, request_table, limits, events);
+        let result = self.read_answers(context, socket, events);
         if result.is_err() {
             self.liveness.record_malformed_input();
             self.drop_unconfirmed_answer();
         }
+        self.update_answer_memory(context.memory);
         result
     }
 
@@ -66,55 +85,125 @@
     /// what follows the answer.
     fn read_answers(
         &mut self,
-        now: Micros,
+        context: &mut ReadContext,
         socket: &mut BufferedSocket,
-        request_table: &RequestTable,
-        limits: &Limits,
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
-        self.read_buffered_answers(now, socket, request_table, events)?;
-        for _ in 0..limits.max_reads_behind_answer {
+        self.read_buffered_answers(context, socket, events)?;
+        for _ in 0..context.limits.max_reads_behind_answer {
             if self.unconfirmed_answer.is_none() {
                 break;
             }
             match socket.read(false) {
-                IoProgress::Advanced => {
-                    self.read_buffered_answers(now, socket, request_table, events)?;
-                }
+                IoProgress::Advanced => self.read_buffered_answers(context, socket, events)?,
                 IoProgress::Postponed => break,
                 // The poller reports the end of a connection again.
                 IoProgress::WouldBlock | IoProgress::PeerClosed | IoProgress::Broken => {
-                    return self.confirm_last_answer(now, request_table, events);
+                    return self.confirm_last_answer(context.now, context.request_table, events);
                 }
             }
         }
         Ok(())
     }
 
-    /// Parses the answers in the input buffer. Handles an unconfirmed answer once the id of the next
-    /// one has arrived, and each parsed answer that does not become unconfirmed itself.
+    /// Parses the answers in the input buffer, as far as their bodies may be received. Handles an
+    /// unconfirmed answer once the id of the next one has arrived, and each parsed answer that does
+    /// not become unconfirmed itself.
     fn read_buffered_answers(
         &mut self,
-        now: Micros,
+        context: &mut ReadContext,
         socket: &mut BufferedSocket,
-        request_table: &RequestTable,
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<(), ProtocolError> {
         while !socket.input.is_empty() {
-            let answer = self.read_answer(now, socket)?;
+            self.decide_on_body(context);
+            if self.body_waits_for_memory {
+                break;
+            }
+            let answer = self.read_answer(context.now, socket)?;
             let next_has_begun = answer.is_some() || self.answer_parser.first_string().is_some();
             if next_has_begun {
-                self.confirm_last_answer(now, request_table, events)?;
+                self.confirm_last_answer(context.now, context.request_table, events)?;
             }
             match answer {
                 Some(answer) if answer.passes_on_body() => self.unconfirmed_answer = Some(answer),
-                Some(answer) => self.handle_answer(now, answer, request_table, events)?,
+                Some(answer) => {
+                    self.handle_answer(context.now, answer, context.request_table, events)?;
+                }
                 None => {}
             }
         }
         Ok(())
     }
 
+    /// Decides whether the body of the answer that is being received is kept, dropped, or waits
+    /// until memory is free.
+    fn decide_on_body(&mut self, context: &mut ReadContext) {
+        self.body_waits_for_memory = false;
+        self.discard_unwanted_body(context.request_table);
+        let Some(body_bytes) = self.answer_parser.held_string_bytes() else {
+            return;
+        };
+        self.update_answer_memory(context.memory);
+        let has_room = !context.others_wait_for_memory
+            && context
+                .memory
+                .has_room_for_transfer(ByteQueue::allocation_for(body_bytes));
+        if has_room {
+            self.accept_body(context.now);
+            self.update_answer_memory(context.memory);
+        } else {
+            self.body_waits_for_memory = true;
+        }
+    }
+
+    /// Receives the body that waits for memory. The wait is no pause of the server.
+    fn accept_body(&mut self, now: Micros) {
+        self.answer_parser.accept_held_string();
+        self.liveness.record_input(now, true, true);
+    }
+
+    /// Receives the body that waits for memory although there may be no room, because the connection
+    /// has ended and only what has arrived of it can still be read.
+    pub fn accept_body_at_end(&mut self, now: Micros) {
+        self.body_waits_for_memory = false;
+        if self.answer_parser.held_string_bytes().is_some() {
+            self.accept_body(now);
+        }
+    }
+
+    /// Drops the body that is being received, or waits for memory, if no client waits for it.
+    pub(super) fn discard_unwanted_body(&mut self, request_table: &RequestTable) {
+        let is_kept = self.answer_parser.held_string_bytes().is_some()
+            || self.answer_parser.is_receiving_held_string();
+        if is_kept && !self.is_body_wanted(request_table) {
+            self.answer_parser.discard_string();
+            self.body_waits_for_memory = false;
+        }
+    }
+
+    /// Returns whether the connection waits for memory and would still need it if it went on.
+    pub fn still_waits_for_memory(&self, request_table: &RequestTable) -> bool {
+        let body_waits = self.body_waits_for_memory && self.is_body_wanted(request_table);
+        body_waits || self.command_waits_for_memory
+    }
+
+    /// Returns whether a client waits for the answer that is being received.
+    fn is_body_wanted(&self, request_table: &RequestTable) -> bool {
+        let id = self.answer_parser.first_string();
+        let id = id.and_then(|id| std::str::from_utf8(id).ok());
+        let Some((id, stream)) = id.and_then(|id| Some((id, self.streams.get(id)?))) else {
+            return false;
+        };
+        match stream {
+            // Even after the attempt was cancelled, its answer serves the next attempt of the same
+            // request on this connection.
+            Stream::Attempt(_) | Stream::Cancelled { .. } => request_table.is_request_awaited(id),
+            Stream::Probe { .. } => true,
+            Stream::Answered { .. } => false,
+        }
+    }
+
     /// Drops the answer that malformed input follows. Its stream stays open and ends with the
     /// connection.
     fn drop_unconfirmed_answer(&mut self) {
@@ -161,6 +250,10 @@
         if attempt.is_some_and(|attempt| request_table.expects_copy(attempt)) {
             answer.check_copy()?;
         }
+        if answer.is_body_discarded() && request_table.is_request_awaited(&id) {
+            self.handle_answer_without_body(&id);
+            return Ok(());
+        }
         match self.streams.remove(&id) {
             Some(Stream::Attempt(sent)) if has_outdated_copy(&answer, &sent, request_table) => {
                 self.handle_outdated_copy(id, sent, events);
@@ -202,6 +295,20 @@
         Ok(())
     }
 
+    /// Handles an answer whose body was dropped when no client waited for it, while a client waits for
+    /// a request with the same id now. It is the answer to an attempt of an earlier request. The
+    /// answer to the attempt in flight follows.
+    fn handle_answer_without_body(&mut self, id: &str) {
+        log::debug!(
+            "request {id}: ignoring an answer from cache server #{:016x} to an earlier request with \
+             this id",
+            self.server
+        );
+        if let Some(Stream::Attempt(sent)) = self.streams.get_mut(id) {
+            sent.follows_cancellation = false;
+        }
+    }
+
     /// Handles an answer with a copy that is older than the attempt accepts.
     fn handle_outdated_copy(
         &mut self,
--- a/crates/proxy/src/upstream/timeouts.rs
+++ b/crates/proxy/src/upstream/timeouts.rs
@@ -3,7 +3,7 @@
 
 use super::UpstreamConnection;
 use crate::limits::Limits;
-use crate::net::BufferedSocket;
+use crate::net::{BufferedSocket, WriteStall};
 use edge_routing::Micros;
 
 /// The observed liveness of a server on one connection. Points in time are in microseconds of the
@@ -18,19 +18,11 @@
     /// Set when nothing arrived since before an attempt that was then cancelled. The machine at the
     /// other end may have vanished without closing the connection.
     unresponsive: bool,
-    /// Present while bytes wait in the output buffer.
-    write_wait: Option<WriteWait>,
+    write_stall: WriteStall,
     /// Set when malformed input has arrived. The start of the next answer can't be found after it.
     input_malformed: bool,
 }
 
-/// Since when the socket has accepted no byte, and how many bytes were written until then.
-#[derive(Clone, Copy)]
-struct WriteWait {
-    bytes_written: u64,
-    since: Micros,
-}
-
 impl Liveness {
     /// Creates the state of a connection that was just opened.
     pub(super) fn new(limits: &Limits, now: Micros) -> Self {
@@ -39,7 +31,7 @@
             partial_answer_since: None,
             unresponsive_after_us: limits.unresponsive_after_us,
             unresponsive: false,
-            write_wait: None,
+            write_stall: WriteStall::default(),
             input_malformed: false,
         }
     }
@@ -103,23 +95,13 @@
 
     /// Records whether bytes wait to be written, and whether any were written since the last call.
     pub(super) fn record_output_state(&mut self, now: Micros, socket: &BufferedSocket) {
-        if !socket.is_connected || socket.output.is_empty() {
-            self.write_wait = None;
-            return;
-        }
-        let without_progress = self
-            .write_wait
-            .filter(|wait| wait.bytes_written == socket.bytes_written);
-        self.write_wait = Some(without_progress.unwrap_or(WriteWait {
-            bytes_written: socket.bytes_written,
-            since: now,
-        }));
+        self.write_stall.update(now, socket);
     }
 
     /// Returns when the socket must have accepted a byte, or `None` if no bytes wait to be written.
     fn write_deadline(&self, limits: &Limits) -> Option<Micros> {
-        let wait = self.write_wait?;
-        Some(wait.since + limits.server_write_timeout_us)
+        let since = self.write_stall.since()?;
+        Some(since + limits.server_write_timeout_us)
     }
 
     /// Returns whether the socket has accepted no byte for `server_write_timeout_us`.
@@ -151,8 +133,12 @@
     }
 
     /// Returns when the partially received answer counts as incomplete, or is no longer waited for
-    /// because no attempt or probe awaits it. Returns `None` if no answer is partially received.
+    /// because no attempt or probe awaits it. Returns `None` if no answer is partially received, or
+    /// if the rest of it is not read yet because memory has run out.
     pub fn partial_answer_deadline(&self, limits: &Limits) -> Option<Micros> {
+        if self.body_waits_for_memory {
+            return None;
+        }
         let id = self
             .answer_parser
             .first_string()
--- a/crates/proxy/src/upstream/write.rs
+++ b/crates/proxy/src/upstream/write.rs
@@ -5,15 +5,32 @@
 use super::stream::{SentAttempt, Stream};
 use super::{UpstreamConnection, UpstreamEvent};
 use crate::limits::Limits;
+use crate::memory::{ByteQueue, MemoryBudget};
 use crate::net::{BufferedSocket, IoProgress};
 use crate::request_table::{AttemptId, RequestTable};
 use edge_routing::{Micros, Outcome};
 
-/// The inputs to the decisions on which attempts are started and which cancellations are reported.
-struct WriteContext<'a> {
-    now: Micros,
-    request_table: &'a RequestTable,
-    limits: &'a Limits,
+/// What a connection needs to decide which attempts it starts and which cancellations it reports.
+pub struct WriteContext<'a> {
+    /// The current time.
+    pub now: Micros,
+    /// The requests of the attempts.
+    pub request_table: &'a RequestTable,
+    /// The limits of the proxy.
+    pub limits: &'a Limits,
+    /// The memory budget.
+    pub memory: &'a mut MemoryBudget,
+}
+
+/// What became of an attempt that was to be started.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Start {
+    /// Its command is in the output buffer.
+    Started,
+    /// It must not start any more, or its command cannot be encoded.
+    NotSent,
+    /// There is no memory for its command at this time.
+    WaitsForMemory,
 }
 
 impl UpstreamConnection {
@@ -23,38 +40,34 @@
     /// time, or the server has accepted no bytes for too long.
     pub fn flush(
         &mut self,
-        now: Micros,
+        context: &mut WriteContext,
         socket: &mut BufferedSocket,
-        request_table: &RequestTable,
-        limits: &Limits,
         events: &mut Vec<UpstreamEvent>,
     ) -> bool {
-        let context = WriteContext {
-            now,
-            request_table,
-            limits,
-        };
+        // A client may have left since the last read.
+        self.discard_unwanted_body(context.request_table);
+        self.update_answer_memory(context.memory);
         if socket.write() == IoProgress::Broken {
             return false;
         }
-        if self.start_queued(&context, socket, events) == IoProgress::Broken {
+        if self.start_queued(context, socket, events) == IoProgress::Broken {
             return false;
         }
-        self.report_due_cancellations(&context, socket.bytes_written, events);
+        self.report_due_cancellations(context, socket.bytes_written, events);
         // The remainder of a partial answer is late, or no attempt or probe awaits the answer and
         // it does not end. In the first case, later answers would be parsed as the remainder. In
         // the second case, no other answer can arrive. In both cases, the other requests on the
         // connection can't be answered either.
         let partial_answer_expired = self
-            .partial_answer_deadline(limits)
-            .is_some_and(|deadline| deadline <= now);
+            .partial_answer_deadline(context.limits)
+            .is_some_and(|deadline| deadline <= context.now);
         if partial_answer_expired {
             return false;
         }
         // A cancelled attempt is reported only after its `abort` is written. Without the check for
         // a stalled write, it would never be reported if the server accepts no bytes.
-        self.liveness.record_output_state(now, socket);
-        !self.liveness.is_write_stalled(now, limits)
+        self.liveness.record_output_state(context.now, socket);
+        !self.liveness.is_write_stalled(context.now, context.limits)
     }
 
     /// Starts queued attempts one at a time, as long as the socket accepts each command completely.
@@ -62,16 +75,25 @@
     /// an attempt whose command is in the output buffer has started.
     fn start_queued(
         &mut self,
-        context: &WriteContext,
+        context: &mut WriteContext,
         socket: &mut BufferedSocket,
         events: &mut Vec<UpstreamEvent>,
     ) -> IoProgress {
+        self.command_waits_for_memory = false;
         while socket.is_connected && socket.output.is_empty() {
             let Some(attempt) = self.queue.pop_front() else {
                 break;
             };
-            if !self.start(context, attempt, socket) {
-                events.push(UpstreamEvent::attempt_ended(attempt, Outcome::NotSent));
+            match self.start(context, attempt, socket) {
+                Start::Started => {}
+                Start::NotSent => {
+                    events.push(UpstreamEvent::attempt_ended(attempt, Outcome::NotSent));
+                }
+                Start::WaitsForMemory => {
+                    self.queue.push_front(attempt);
+                    self.command_waits_for_memory = true;
+                    break;
+                }
             }
             if socket.write() == IoProgress::Broken {
                 return IoProgress::Broken;
@@ -80,28 +102,32 @@
         IoProgress::Advanced
     }
 
-    /// Puts an attempt's command into the empty output buffer and opens its stream. Returns `false`
-    /// if the attempt has ended or is too late to start, or if its command can't be encoded or is
-    /// larger than the buffer.
+    /// Puts an attempt's command into the empty output buffer and opens its stream. An attempt is not
+    /// sent if it has ended or is too late to start, or if its command can't be encoded or is larger
+    /// than the buffer.
     fn start(
         &mut self,
-        context: &WriteContext,
+        context: &mut WriteContext,
         attempt: AttemptId,
         socket: &mut BufferedSocket,
-    ) -> bool {
+    ) -> Start {
         let sendable = context.request_table.sendable_attempt(context.now, attempt);
         let Some((request, spec)) = sendable else {
-            return false;
+            return Start::NotSent;
         };
         let command = command::encode_fetch(context.now, request, spec, context.request_table);
         let Some(command) = command else {
-            return false;
+            return Start::NotSent;
         };
         if command.len() > context.limits.output_buffer_bytes {
-            return false;
+            return Start::NotSent;
+        }
+        let allocation_bytes = ByteQueue::allocation_for(command.len());
+        if !context.memory.has_room_for_transfer(allocation_bytes) {
+            return Start::WaitsForMemory;
         }
         let command_start_byte = socket.bytes_written;
-        socket.output.push(&command);
+        command.write_to(&mut socket.output);
         let sent = SentAttempt {
             attempt,
             sent_at: context.now,
@@ -111,7 +137,7 @@
         };
         self.streams
             .insert(request.id.clone(), Stream::Attempt(sent));
-        true
+        Start::Started
     }
 
     /// Reports cancellations whose `abort` was written at least
--- a/crates/proxy/tests/memory_limit.rs
+++ b/crates/proxy/tests/memory_limit.rs
@@ -1,14 +1,17 @@
-//! The memory of the proxy's process under clients that send messages which never end.
+//! The memory of the proxy's process under clients that send messages which never end, and under
+//! loads that are made to exhaust it.
 
 use edge_proxy::protocol::fastcgi::{self, record_type, NULL_REQUEST_ID};
 use edge_testkit::fake_cache::{Behavior, FakeCacheServer};
 use edge_testkit::fake_event_bus::{cache_entry, endpoint_state, origin_entry, FakeEventBus};
 use edge_testkit::fastcgi_client::FastCgiClient;
+use edge_testkit::memory_load::{self, Machine, MIXES};
 use edge_testkit::proxy_fixture::{fetch_object, health_status, REQUEST_BUDGET_MS};
 use edge_testkit::proxy_process::ProxyProcess;
 use edge_testkit::sample_deployment::{object_key, sample_settings, READ_CLASS};
 use serde_json::{json, Value};
 use std::path::Path;
+use std::time::Duration;
 
 /// The least memory of a machine that the platform names.
 const MEMORY_MB: u64 = 32;
@@ -230,3 +233,29 @@
     );
     deployment.proxy.wait().unwrap();
 }
+
+/// Guards against a process that is killed for its memory: clients send much at once and go, stay or
+/// read nothing, and everything that is held for them at the same time adds up.
+#[test]
+fn loads_of_many_kinds_do_not_exceed_the_memory_limit() {
+    const DURATION: Duration = Duration::from_millis(1_500);
+    let program = Path::new(env!("CARGO_BIN_EXE_edge-proxy"));
+    let machine = Machine {
+        memory_mb: MEMORY_MB,
+        sockets: SOCKETS,
+    };
+    for mix in &MIXES {
+        let report = memory_load::play(program, mix, machine, DURATION).unwrap();
+        assert!(
+            report.peak_kib <= MEMORY_MB * KIB_PER_MB,
+            "{}: the process held {} KiB, and the platform kills it above {MEMORY_MB} MB",
+            mix.name,
+            report.peak_kib
+        );
+        assert_eq!(
+            report.ordinary.unanswered, 0,
+            "{}: requests of ordinary clients got no answer",
+            mix.name
+        );
+    }
+}
--- a/crates/proxy/tests/protocol.rs
+++ b/crates/proxy/tests/protocol.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use edge_proxy::memory::ByteQueue;
 use edge_proxy::protocol::fastcgi::{RecordHeader, RecordPart};
 use edge_proxy::protocol::http::{self, Piece};
 use edge_proxy::protocol::{fastcgi, resp, sse, ProtocolError};
@@ -175,6 +176,9 @@
         }
         assert_robust(new_parser, &input, &splits, &garbage, |arrays| arrays);
         let read = parse_all(new_parser(), &input, &splits).unwrap();
+        prop_assert!(read.iter().all(|array| !array.has_discarded_string));
+        let strings = |array: resp::Array| array.strings.iter().map(ByteQueue::to_vec).collect();
+        let read: Vec<Vec<Vec<u8>>> = read.into_iter().map(strings).collect();
         prop_assert_eq!(read, arrays);
         let _ = resp::field_value(&garbage, "a");
     }
--- a/crates/soak/src/cache_server.rs
+++ b/crates/soak/src/cache_server.rs
@@ -3,6 +3,7 @@
 
 use crate::deployment::{self, class, PURGE_COMPLETION_MS};
 use crate::world::{AttemptRecord, SharedRunState};
+use edge_proxy::memory::ByteQueue;
 use edge_proxy::protocol::resp::{self, ArrayParser};
 use edge_proxy::protocol::Parser;
 use edge_testkit::COMMAND_STRINGS;
@@ -131,10 +132,11 @@
         }
     }
 
-    fn handle_command(&self, array: &[Vec<u8>], writer: &Rc<Mutex<OwnedWriteHalf>>) {
+    fn handle_command(&self, array: &resp::Array, writer: &Rc<Mutex<OwnedWriteHalf>>) {
         let text = |index: usize| {
-            let bytes = array.get(index).map_or(&[][..], Vec::as_slice);
-            String::from_utf8_lossy(bytes).into_owned()
+            let string = array.strings.get(index);
+            let bytes = string.map(ByteQueue::to_vec).unwrap_or_default();
+            String::from_utf8_lossy(&bytes).into_owned()
         };
         let (command, id, fields) = (text(0), text(1), text(2));
         match command.as_str() {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 //!   the proxy program as a process of its own.
 //! - [`sample_deployment`] defines the settings, configuration and object keys that the tests, the
 //!   fakes and the clients share.
+//! - [`memory_load`] plays loads that are made to exhaust the memory of a proxy process.
 //! - [`run_scenario`] runs the proxy program through a purge, a drain and a shutdown, and reports
 //!   every violation of a [`Rule`].
 
@@ -16,6 +17,7 @@
 pub mod fake_peer_cdn;
 pub mod fastcgi_client;
 pub mod http_client;
+pub mod memory_load;
 pub mod proxy_fixture;
 pub mod proxy_process;
 mod received_command;
