--- a/crates/proxy/src/memory/policy.rs
+++ b/crates/proxy/src/memory/policy.rs
@@ -30,8 +30,9 @@
 const PROGRAM_BYTES: usize = 4 << 20;
 /// The budget is at least this share of the machine's memory, however small the machine is.
 const MIN_BUDGET_SHARE: f64 = 0.25;
-/// A client counts as not reading once it has accepted no byte for this long.
-pub const STALLED_READER_US: Micros = 250_000;
+/// A client counts as not reading once it has accepted no byte for this long. The kernel accepts
+/// further bytes only after a client on a slow link has read a large part of those before.
+pub const STALLED_READER_US: Micros = 1_000_000;
 
 /// Estimated memory of a connection without its buffers: its session, its tables and its timer.
 pub(super) const CONNECTION_BYTES: usize = 2 << 10;
