The tables of the routing module count in the memory budget

Request counts, purges, servers and slow-start charges stood beside the budget, covered only by what was left free: room for 67,584 charges (1.6 MB) had been seen under requests taken back at once, and up to 40,000 purges are remembered. They are read every 0.1 s and counted with the other tables, so that 3 MB in place of 4 are left to the program itself. No decision of the module changes.

--- a/crates/proxy/src/event_loop/memory.rs
+++ b/crates/proxy/src/event_loop/memory.rs
@@ -9,6 +9,16 @@
 use edge_routing::Micros;
 use std::cmp::Reverse;
 
+/// Interval at which the memory of the routing module is read, which goes over all servers.
+const ROUTER_MEMORY_INTERVAL_US: Micros = 100_000;
+
+/// The memory of the routing module when it was last read.
+#[derive(Clone, Copy, Default)]
+pub(super) struct RouterMemory {
+    held_bytes: usize,
+    next_update_at: Micros,
+}
+
 impl EventLoop {
     /// Updates the memory of the buffers and of the session of a connection.
     pub(super) fn update_connection_memory(&mut self, now: Micros, key: SlabKey) {
@@ -39,12 +49,19 @@
     }
 
     /// Updates the memory of everything that belongs to no single connection.
-    pub(super) fn update_table_memory(&mut self) {
+    pub(super) fn update_table_memory(&mut self, now: Micros) {
         self.update_request_memory();
+        if now >= self.router_memory.next_update_at {
+            self.router_memory = RouterMemory {
+                held_bytes: self.request_table.router_held_bytes(),
+                next_update_at: now + ROUTER_MEMORY_INTERVAL_US,
+            };
+        }
         self.memory.set_tables(TableSizes {
             connections: self.connections.len(),
             timers: self.timers.len(),
             ended_streams: self.upstream_connections.total_ended_streams(),
+            router_bytes: self.router_memory.held_bytes,
         });
     }
 
--- a/crates/proxy/src/event_loop/mod.rs
+++ b/crates/proxy/src/event_loop/mod.rs
@@ -52,6 +52,7 @@
 use edge_routing::Micros;
 use event_bus::EventBusSubscription;
 use interconnect::Interconnect;
+use memory::RouterMemory;
 use purge_gossip::PurgeGossip;
 use reload::Reload;
 use shutdown::Shutdown;
@@ -84,6 +85,7 @@
     reload: Reload,
     acceptors: Acceptors,
     memory: MemoryBudget,
+    router_memory: RouterMemory,
     /// Number of client connections, including those in a lingering close.
     client_connections: usize,
     upstream_connections: UpstreamConnections,
@@ -137,7 +139,7 @@
                 now = self.clock.now();
             }
             self.handle_due_timers(now);
-            self.update_table_memory();
+            self.update_table_memory(now);
             self.resume_connections_waiting_for_memory(now);
             // A socket that becomes ready during this turn is reported immediately by the next
             // wait. A wait that blocked reports only sockets that became ready when it returned.
--- a/crates/proxy/src/event_loop/startup.rs
+++ b/crates/proxy/src/event_loop/startup.rs
@@ -157,6 +157,7 @@
             shutdown: Shutdown::default(),
             acceptors: Acceptors::new(fastcgi, acceptor),
             memory: MemoryBudget::new(limits.memory_budget_bytes),
+            router_memory: Default::default(),
             client_connections: 0,
             upstream_connections: UpstreamConnections::default(),
             event_bus: EventBusSubscription::new(startup_events.last_offset, &limits, config.seed),
--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -16,7 +16,8 @@
     PartialAnswers,
     /// Answers that clients have not received yet, and the output buffers of clients.
     UnsentAnswers,
-    /// Connections without their buffers, timers, and streams that have ended.
+    /// Connections without their buffers, timers, streams that have ended, and the tables of the
+    /// routing module.
     Tables,
 }
 
@@ -75,6 +76,8 @@
     pub timers: usize,
     /// Streams that have ended and are remembered.
     pub ended_streams: usize,
+    /// Bytes of the tables of the routing module.
+    pub router_bytes: usize,
 }
 
 /// What was refused or dropped for lack of memory since the start of the process.
@@ -145,7 +148,8 @@
     pub fn set_tables(&mut self, sizes: TableSizes) {
         let bytes = sizes.connections * policy::CONNECTION_BYTES
             + sizes.timers * policy::TIMER_BYTES
-            + sizes.ended_streams * policy::ENDED_STREAM_BYTES;
+            + sizes.ended_streams * policy::ENDED_STREAM_BYTES
+            + sizes.router_bytes;
         self.set_own(MemoryKind::Tables, bytes);
     }
 
--- a/crates/proxy/src/memory/policy.rs
+++ b/crates/proxy/src/memory/policy.rs
@@ -26,8 +26,8 @@
 const SMALL_REQUEST_BYTES: usize = 4 << 10;
 /// Share of the machine's memory that is kept free, because the allocator cannot use all gaps.
 const FREE_SHARE: f64 = 0.0625;
-/// Memory of the program itself and of the bounded tables of the routing module.
-const PROGRAM_BYTES: usize = 4 << 20;
+/// Memory of the program itself, and of messages from discovery while they are read.
+const PROGRAM_BYTES: usize = 3 << 20;
 /// The budget is at least this share of the machine's memory, however small the machine is.
 const MIN_BUDGET_SHARE: f64 = 0.25;
 /// A client counts as not reading once it has accepted no byte for this long. The kernel accepts
--- a/crates/proxy/src/request_table/mod.rs
+++ b/crates/proxy/src/request_table/mod.rs
@@ -158,6 +158,11 @@
         self.requests.len()
     }
 
+    /// Returns the approximate memory of the router's tables. Goes over all servers.
+    pub fn router_held_bytes(&self) -> usize {
+        self.router.held_bytes()
+    }
+
     /// Returns the memory of the bodies of all pending requests.
     pub fn held_body_bytes(&self) -> usize {
         self.requests.body_bytes()
--- a/crates/routing/src/estimate/decay.rs
+++ b/crates/routing/src/estimate/decay.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Returns the approximate memory of the table in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<(u64, DecayedCount)>()
+    }
+
     /// Counts one occurrence of a key. Returns the key's count including this occurrence.
     pub(crate) fn add(&mut self, key: u64, now: Micros) -> f64 {
         let half_life_s = self.half_life_s;
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -101,6 +101,12 @@
         })
     }
 
+    /// Returns the approximate memory, in bytes, of the tables that outlive single requests: servers
+    /// with their charges, purges, and request counts. Goes over all servers.
+    pub fn held_bytes(&self) -> usize {
+        self.servers.held_bytes() + self.purges.held_bytes() + self.popularity.held_bytes()
+    }
+
     /// Handles an event and appends the resulting actions to `actions`, in the order in which they
     /// must be carried out.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
--- a/crates/routing/src/state/popularity.rs
+++ b/crates/routing/src/state/popularity.rs
@@ -11,6 +11,11 @@
 }
 
 impl Popularity {
+    /// Returns the approximate memory of the tables in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.objects.held_bytes() + self.parts.held_bytes()
+    }
+
     /// Creates empty tables that count the requests of at most `capacity` objects and `capacity`
     /// parts. See [`DecayedCounterTable::new`] for the eviction from a full table.
     pub(crate) fn new(half_life_s: f64, capacity: usize, initial_eviction_threshold: f64) -> Self {
--- a/crates/routing/src/state/purges.rs
+++ b/crates/routing/src/state/purges.rs
@@ -8,6 +8,9 @@
 /// and practically never equal.
 const PURGE_GROUP_KEY_SALT: u64 = 0x94d0_49bb_1331_11eb;
 
+/// Memory of a purge in the table. Nodes of the table are at least half full.
+const PURGE_BYTES: usize = 2 * size_of::<(u64, Purge)>();
+
 /// The last purge of an object or a purge group.
 struct Purge {
     purged_at: Micros,
@@ -40,6 +43,11 @@
         }
     }
 
+    /// Returns the approximate memory of the table in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.purges.len() * PURGE_BYTES
+    }
+
     /// Records a purge that took place at `purged_at`. The router is notified of it at `now`.
     /// Without an object, the whole purge group was purged.
     pub(crate) fn record(
--- a/crates/routing/src/state/servers.rs
+++ b/crates/routing/src/state/servers.rs
@@ -183,6 +183,14 @@
 }
 
 impl ServerTable {
+    /// Returns the approximate memory of the table in bytes, with the charges of all servers.
+    pub(crate) fn held_bytes(&self) -> usize {
+        let held_bytes = |server: &ServerState| {
+            size_of::<ServerState>() + server.charges.capacity() * size_of::<Charge>()
+        };
+        self.servers.values().map(held_bytes).sum()
+    }
+
     /// Creates an empty table. `initial_pace` and `initial_load` are the estimates with which the
     /// state of each new server starts.
     pub(crate) fn new(initial_pace: TransferPace, initial_load: SharedLoadEstimate) -> Self {
