A server's half-close is not reported while its input waits for memory

While an answer waits for memory, its input buffer is full and the socket is not read. If the server closes its half meanwhile, the poller would report that at once again and again, and the event loop would spin until memory is free. Found by reading, with the waits that the memory budget brings. The poller now reports it once the rest is read; the half-close of a client still counts at once. The test fails with the report left on (half-close reported while full).

--- a/crates/proxy/src/net/connection.rs
+++ b/crates/proxy/src/net/connection.rs
@@ -15,6 +15,8 @@
     pub output: SocketBuffer,
     /// Number of bytes written to the socket so far.
     pub bytes_written: u64,
+    /// Whether the connection was accepted, and not opened by this proxy.
+    is_incoming: bool,
     /// Whether the connection is established. False while an outgoing connection is being opened.
     pub is_connected: bool,
     /// The readiness that the poller reports. None if the socket is not registered.
@@ -94,6 +96,7 @@
             input,
             output,
             bytes_written: 0,
+            is_incoming: is_connected,
             is_connected,
             watched_interest: None,
         })
@@ -154,6 +157,10 @@
     /// connection needs now. It needs readability while the input buffer has free space, and
     /// writability while there is output or an outgoing connection is being opened.
     ///
+    /// While the input buffer is full, only a client's half-close is reported: the client no longer
+    /// waits. What a server has sent before its half-close is still to be read, and until then the
+    /// poller would report the half-close again and again.
+    ///
     /// # Errors
     ///
     /// Returns an error if the registration can't be changed. The earlier registration stays in
@@ -162,6 +169,7 @@
         let interest = Interest {
             readable: self.input.free_space() > 0,
             writable: !self.is_connected || !self.output.is_empty(),
+            peer_closed: self.is_incoming || self.input.free_space() > 0,
         };
         match self.watched_interest {
             Some(watched) if watched == interest => return Ok(()),
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -12,6 +12,8 @@
     pub readable: bool,
     /// Report when the socket is writable.
     pub writable: bool,
+    /// Report that the peer has closed its half, even while the socket is not read.
+    pub peer_closed: bool,
 }
 
 impl Interest {
@@ -19,17 +21,18 @@
     pub const NONE: Interest = Interest {
         readable: false,
         writable: false,
+        peer_closed: true,
     };
     /// Reports readability, besides what [`NONE`](Self::NONE) reports.
     pub const READ: Interest = Interest {
         readable: true,
         writable: false,
+        peer_closed: true,
     };
 
     fn event_flags(self) -> epoll::EventFlags {
-        // RDHUP is always reported. The proxy does not read while the input buffer is full, so it
-        // would not notice for that long that the peer has closed its half.
-        let mut flags = epoll::EventFlags::RDHUP;
+        let mut flags = epoll::EventFlags::empty();
+        flags.set(epoll::EventFlags::RDHUP, self.peer_closed);
         flags.set(epoll::EventFlags::IN, self.readable);
         flags.set(epoll::EventFlags::OUT, self.writable);
         flags
--- a/crates/proxy/tests/net.rs
+++ b/crates/proxy/tests/net.rs
@@ -71,6 +71,33 @@
     assert_eq!(buffer.allocated_bytes(), 0);
 }
 
+/// Guards against an event loop that spins: while an answer waits for memory, its server may close its
+/// half of the connection. The poller must report that only once the rest can be read.
+#[test]
+fn the_half_close_of_a_server_is_not_reported_while_the_input_buffer_is_full() {
+    const TOKEN: u64 = 7;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let outgoing = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let mut server = listener.accept().unwrap().0;
+    let mut socket = BufferedSocket::new(outgoing, false, 4, 4).unwrap();
+    socket.finish_connect().unwrap();
+    server.write_all(b"more than fits").unwrap();
+    while socket.read(false) != IoProgress::WouldBlock || socket.input.free_space() > 0 {}
+    let mut poller = Poller::new(4).unwrap();
+    socket.watch(&poller, TOKEN).unwrap();
+    server.shutdown(Shutdown::Write).unwrap();
+
+    let mut ready = Vec::new();
+    poller.wait(50_000, &mut ready).unwrap();
+    assert!(ready.is_empty(), "{ready:?}");
+    socket.input.clear();
+    socket.watch(&poller, TOKEN).unwrap();
+    while ready.is_empty() {
+        poller.wait(50_000, &mut ready).unwrap();
+    }
+    assert!(ready[0].is_readable && !ready[0].is_broken, "{ready:?}");
+}
+
 /// A socket with a full input buffer is not watched for reading. A reset must still be noticed, or
 /// the dead connection would go on taking its slot.
 #[test]
