The memory budget admits requests of both front ends in one place

It moves to EventLoop::admit, which both use. The estimate for an ended stream stood twice; the policy's serves the limit on their number, too.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -121,7 +121,8 @@
         Ok(IoProgress::Advanced)
     }
 
-    /// Admits a request and returns its key, or `None` if the request table has no room for it. The
+    /// Admits a request and returns its key, or `None` if there is no memory for it or the request
+    /// table does not admit it. The
     /// caller must not call this after the grace period of a shutdown; an invariant checks this.
     pub(in crate::event_loop) fn admit(
         &mut self,
@@ -132,6 +133,11 @@
         let may_admit = !self.shutdown.is_grace_over();
         let invariants = &self.request_table.invariants;
         invariants.check(Invariant::AdmitOnlyBeforeGraceEnds, may_admit, &request.id);
+        self.update_request_memory();
+        if !self.memory.admits_request(request.body.allocated_bytes()) {
+            log::debug!("request {}: rejected: memory has run out", request.id);
+            return None;
+        }
         self.request_table.admit(now, target, request).ok()
     }
 
@@ -160,17 +166,15 @@
             session.unanswered_requests() - requests_behind,
             self.request_table.is_half_full(),
         );
-        self.update_request_memory();
-        let memory_exhausted = !self.memory.admits_request(request.body.allocated_bytes());
-        let rejected = memory_exhausted || client_limit_exceeded || self.shutdown.is_grace_over();
+        let rejected = client_limit_exceeded || self.shutdown.is_grace_over();
         let target = AnswerTarget {
             connection: key,
             stream: u32::from(stream),
         };
         let request_key = if rejected {
             log::debug!(
-                "request {}: rejected: memory has run out: {memory_exhausted}, limit of requests \
-                 per client exceeded: {client_limit_exceeded}, shutting down: {}",
+                "request {}: rejected: limit of requests per client exceeded: \
+                 {client_limit_exceeded}, shutting down: {}",
                 request.id,
                 self.shutdown.is_grace_over()
             );
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -223,8 +223,6 @@
 const MIN_MEMORY_MB: usize = 16;
 /// Limit of pending requests on a machine with enough memory.
 const MAX_PENDING_REQUESTS: usize = 8192;
-/// Memory of a remembered id with its place in the table of a connection.
-const MEMORY_PER_ENDED_STREAM_BYTES: usize = 256;
 /// The machine must have this much memory for each pending request.
 const MEMORY_PER_PENDING_REQUEST_BYTES: usize = 16 * KIB;
 
@@ -286,7 +284,7 @@
     unawaited_answer_timeout_us: SECOND,
     cancellation_report_delay_us: 5 * MILLISECOND,
     stream_retention_us: 5 * SECOND,
-    ended_streams: 24 * MIB / MEMORY_PER_ENDED_STREAM_BYTES,
+    ended_streams: 24 * MIB / memory::ENDED_STREAM_BYTES,
 
     endpoint_list_bytes: MIB,
     event_bus_idle_timeout_us: 2 * SECOND,
@@ -326,7 +324,7 @@
             pending_requests: MAX_PENDING_REQUESTS
                 .min(memory_bytes / MEMORY_PER_PENDING_REQUEST_BYTES),
             memory_budget_bytes: memory::budget_for_machine(memory_bytes),
-            ended_streams: memory_bytes / 8 / MEMORY_PER_ENDED_STREAM_BYTES,
+            ended_streams: memory_bytes / 8 / memory::ENDED_STREAM_BYTES,
             ..DEFAULT_LIMITS
         }
     }
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -10,4 +10,4 @@
 
 pub use budget::{MemoryBudget, MemoryKind, MemoryShare, TableSizes};
 pub use byte_queue::ByteQueue;
-pub use policy::{budget_for_machine, STALLED_READER_US};
+pub use policy::{budget_for_machine, ENDED_STREAM_BYTES, STALLED_READER_US};
--- a/crates/proxy/src/memory/policy.rs
+++ b/crates/proxy/src/memory/policy.rs
@@ -42,7 +42,7 @@
 /// Estimated memory of a scheduled timer.
 pub(super) const TIMER_BYTES: usize = 128;
 /// Estimated memory of an ended stream with its place in the table of a connection.
-pub(super) const ENDED_STREAM_BYTES: usize = 256;
+pub const ENDED_STREAM_BYTES: usize = 256;
 
 /// Returns the budget of a machine with this much memory: the bytes that may be held for everything
 /// that the budget accounts for.
