--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -101,8 +101,8 @@
         })
     }
 
-    /// Returns the approximate memory, in bytes, of the tables that outlive single requests: servers
-    /// with their charges, purges, and request counts. Goes over all servers.
+    /// Returns the approximate memory, in bytes, of the tables that outlive single requests:
+    /// servers with their charges, purges, and request counts. Goes over all servers.
     pub fn held_bytes(&self) -> usize {
         self.servers.held_bytes() + self.purges.held_bytes() + self.popularity.held_bytes()
     }
