--- a/crates/testkit/src/fake_event_bus.rs
+++ b/crates/testkit/src/fake_event_bus.rs
@@ -34,9 +34,20 @@
 }
 
 fn server_entry(server: &FakeCacheServer, zone: &str, kind: &str, state: &str) -> Value {
+    endpoint_entry(server.id, server.address, zone, kind, state)
+}
+
+/// Returns the endpoint list entry for a server with this id and address.
+pub(crate) fn endpoint_entry(
+    id: &str,
+    address: SocketAddr,
+    zone: &str,
+    kind: &str,
+    state: &str,
+) -> Value {
     json!({
-        "uid": server.id,
-        "endpoint": server.address.to_string(),
+        "uid": id,
+        "endpoint": address.to_string(),
         "az": zone,
         "model": kind,
         "pod_group": 0,
--- a/crates/testkit/src/memory_load/mod.rs
+++ b/crates/testkit/src/memory_load/mod.rs
@@ -7,11 +7,9 @@
 
 pub use mixes::{ClientEnd, ClientMix, MIXES};
 
-use crate::fake_event_bus::FakeEventBus;
+use crate::fake_event_bus::{endpoint_entry, endpoint_state, FakeEventBus};
 use crate::proxy_process::{ProxyProcess, ProxyProcessError};
-use crate::sample_deployment::{
-    sample_settings, CACHE_KIND, CAPACITY_HINT, HUB_ZONE, LOCAL_ZONE, ORIGIN_KIND,
-};
+use crate::sample_deployment::{sample_settings, CACHE_KIND, HUB_ZONE, LOCAL_ZONE, ORIGIN_KIND};
 use clients::{AnswerCounts, ClientGroup};
 use serde_json::{json, Value};
 use server::LoadServer;
@@ -125,14 +123,6 @@
 }
 
 fn endpoint(index: usize, address: SocketAddr, zone: &str, kind: &str) -> Value {
-    json!({
-        "uid": format!("s-{index:08x}"),
-        "endpoint": address.to_string(),
-        "az": zone,
-        "model": kind,
-        "pod_group": 0,
-        "state": "ready",
-        "capacity_hint": CAPACITY_HINT,
-        "boot_ms": 0,
-    })
+    let id = format!("s-{index:08x}");
+    endpoint_entry(&id, address, zone, kind, endpoint_state::READY)
 }
