A connection's memory is updated in one place, after it was written

It was computed up to three times for one event of a client: after reading, after each write of answers, and again at the end. EventLoop::write does it now for every role, so the two functions that write to clients need no time any more. Three callers of flush_upstream repeated what write adds to it (updating the poll interest) and call write. No behaviour changed on purpose; if a connection is to be closed, its poll interest may be set once before.

--- a/crates/proxy/src/event_loop/clients/fastcgi.rs
+++ b/crates/proxy/src/event_loop/clients/fastcgi.rs
@@ -122,8 +122,8 @@
     }
 
     /// Admits a request and returns its key, or `None` if there is no memory for it or the request
-    /// table does not admit it. The
-    /// caller must not call this after the grace period of a shutdown; an invariant checks this.
+    /// table does not admit it. The caller must not call this after the grace period of a shutdown;
+    /// an invariant checks this.
     pub(in crate::event_loop) fn admit(
         &mut self,
         now: Micros,
@@ -215,7 +215,7 @@
         match &mut connection.role {
             ConnectionRole::FastCgiClient(session) => {
                 session.respond(target.stream as u16, answer);
-                self.write_fastcgi_client(now, target.connection);
+                self.write_fastcgi_client(target.connection);
             }
             ConnectionRole::InterconnectClient(_) => {
                 self.answer_interconnect_client(now, target.connection, answer);
@@ -226,7 +226,7 @@
 
     /// Writes the answers on a FastCGI connection until all are written or the socket accepts no
     /// more.
-    pub(in crate::event_loop) fn write_fastcgi_client(&mut self, now: Micros, key: SlabKey) {
+    pub(in crate::event_loop) fn write_fastcgi_client(&mut self, key: SlabKey) {
         let Some((transport, session)) = self.connections.fastcgi_client_mut(key) else {
             return;
         };
@@ -236,6 +236,5 @@
                 break;
             }
         }
-        self.update_connection_memory(now, key);
     }
 }
--- a/crates/proxy/src/event_loop/connections.rs
+++ b/crates/proxy/src/event_loop/connections.rs
@@ -327,7 +327,7 @@
     pub(super) fn close_gracefully(&mut self, now: Micros, key: SlabKey, reason: CloseReason) {
         // Writes the answers that are ready, as far as the socket accepts them without blocking.
         // The proxy does not wait for a client that does not read its answers.
-        self.write_fastcgi_client(now, key);
+        self.write_fastcgi_client(key);
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
--- a/crates/proxy/src/event_loop/interconnect.rs
+++ b/crates/proxy/src/event_loop/interconnect.rs
@@ -75,7 +75,7 @@
             };
             self.handle_interconnect_request(now, key, &message);
             self.execute_commands(now);
-            if !self.write_interconnect_client(now, key) {
+            if !self.write_interconnect_client(key) {
                 return Ok(());
             }
         }
@@ -187,7 +187,7 @@
 
     /// Writes the answer on an interconnect connection until all is written or the socket accepts
     /// no more. Returns false if the connection is broken.
-    pub(super) fn write_interconnect_client(&mut self, now: Micros, key: SlabKey) -> bool {
+    pub(super) fn write_interconnect_client(&mut self, key: SlabKey) -> bool {
         let Some((transport, session)) = self.connections.interconnect_client_mut(key) else {
             return true;
         };
@@ -198,7 +198,6 @@
                 progress => break progress,
             }
         };
-        self.update_connection_memory(now, key);
         progress != IoProgress::Broken
     }
 }
--- a/crates/proxy/src/event_loop/memory.rs
+++ b/crates/proxy/src/event_loop/memory.rs
@@ -116,7 +116,6 @@
         session.reject_partial_requests();
         // The poller reports a connection that cannot be written as broken.
         let _ = self.write(now, key);
-        self.update_connection_memory(now, key);
         true
     }
 
--- a/crates/proxy/src/event_loop/readiness.rs
+++ b/crates/proxy/src/event_loop/readiness.rs
@@ -45,7 +45,6 @@
             return self.close_gracefully(now, key, reason);
         }
         self.update_client_activity(now, key);
-        self.update_connection_memory(now, key);
         self.enforce_partial_request_limit(now);
     }
 
@@ -177,7 +176,7 @@
         }
     }
 
-    /// Writes the buffered output of a connection.
+    /// Writes the buffered output of a connection, and updates what depends on its buffers.
     ///
     /// # Errors
     ///
@@ -192,11 +191,11 @@
         };
         let written = match &connection.role {
             ConnectionRole::FastCgiClient(_) => {
-                self.write_fastcgi_client(now, key);
+                self.write_fastcgi_client(key);
                 self.check_client_is_unfinished(key)
             }
             ConnectionRole::InterconnectClient(_) => {
-                let is_broken = !self.write_interconnect_client(now, key);
+                let is_broken = !self.write_interconnect_client(key);
                 error_if_broken(is_broken).and_then(|()| self.check_client_is_unfinished(key))
             }
             ConnectionRole::Lingering { .. } => Ok(()),
@@ -210,6 +209,7 @@
                 error_if_broken(connection.transport.write() == IoProgress::Broken)
             }
         };
+        self.update_connection_memory(now, key);
         self.update_poll_interest(now, key);
         written
     }
--- a/crates/proxy/src/event_loop/upstreams/attempts.rs
+++ b/crates/proxy/src/event_loop/upstreams/attempts.rs
@@ -77,10 +77,9 @@
         if let Some((_, upstream)) = self.connections.upstream_mut(key) {
             upstream.enqueue(attempt);
         }
-        if let Err(reason) = self.flush_upstream(now, key) {
+        if let Err(reason) = self.write(now, key) {
             self.close(now, key, reason);
         }
-        self.update_poll_interest(now, key);
     }
 
     /// Returns the best connection for an attempt, or `None` if no connection can carry it.
@@ -207,14 +206,13 @@
             let is_usable = upstream.cancel(now, attempt, transport, &mut events);
             self.report_upstream_events(now, server, events);
             let flushed = if is_usable {
-                self.flush_upstream(now, key)
+                self.write(now, key)
             } else {
                 Err(CloseReason::UpstreamUnusable)
             };
             if let Err(reason) = flushed {
                 self.close(now, key, reason);
             }
-            self.update_poll_interest(now, key);
         }
     }
 
--- a/crates/proxy/src/event_loop/upstreams/mod.rs
+++ b/crates/proxy/src/event_loop/upstreams/mod.rs
@@ -129,7 +129,6 @@
         // them.
         let is_drained = is_idle && !self.request_table.is_server_ready(server);
         let is_retired = is_idle && upstream.is_retired();
-        self.update_connection_memory(now, key);
         self.note_if_waiting_for_memory(key);
         self.report_upstream_events(now, server, events);
         if !is_usable {
@@ -200,10 +199,9 @@
         if let Some((_, upstream)) = self.connections.upstream_mut(key) {
             upstream.remove_expired_streams(now, &self.limits);
         }
-        if let Err(reason) = self.flush_upstream(now, key) {
+        if let Err(reason) = self.write(now, key) {
             self.close(now, key, reason);
         }
-        self.update_poll_interest(now, key);
     }
 
     /// Reports the end of the attempts on a connection that was removed from the table. If the
